--- /dev/null
+++ b/cmd/larkreach/config.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+
+	mb "mulleinbeam"
+	"mulleinbeam/internal/protocol"
+	"mulleinbeam/internal/wire"
+)
+
+// config is what the forwarder is told.
+type config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	State     string
+	Seed      uint64
+	Limits    limits
+	Known     protocol.Directory
+	Settings  mb.Settings
+}
+
+type limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int64   `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+	DiskMB   float64 `json:"disk_mb"`
+}
+
+// defaults stand for limits that are not told: those of a scored day.
+var defaults = limits{Cores: 1, MemoryMB: 192, Sockets: 1024, DiskMB: 3}
+
+const leastSockets = 32
+
+// loadConfig reads the environment and the file that it names.
+func loadConfig(getenv func(string) string) (config, error) {
+	var c config
+	path := getenv("ROUTER_CONFIG")
+	if path == "" {
+		return c, errors.New("config: ROUTER_CONFIG is not set")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return c, fmt.Errorf("config: %w", err)
+	}
+	file := struct {
+		Name      string          `json:"name"`
+		Listen    string          `json:"listen"`
+		Discovery string          `json:"discovery"`
+		Seed      string          `json:"seed"`
+		Limits    limits          `json:"limits"`
+		Known     json.RawMessage `json:"known"`
+		Settings  json.RawMessage `json:"settings"`
+	}{Limits: defaults}
+	if err := json.Unmarshal(raw, &file); err != nil {
+		return c, fmt.Errorf("config: %s: %w", path, err)
+	}
+	c = config{
+		Name: told(getenv("ROUTER_NAME"), file.Name), Listen: told(getenv("ROUTER_LISTEN"), file.Listen),
+		Discovery: told(getenv("ROUTER_DISCOVERY"), file.Discovery), State: getenv("ROUTER_STATE"), Limits: file.Limits,
+		Known: protocol.Directory{Index: -1},
+	}
+	for _, need := range []struct{ name, value string }{
+		{"ROUTER_LISTEN", c.Listen}, {"ROUTER_DISCOVERY", c.Discovery}, {"ROUTER_STATE", c.State},
+	} {
+		if need.value == "" {
+			return c, fmt.Errorf("config: %s is not set", need.name)
+		}
+	}
+	if c.Limits.MemoryMB <= 0 || c.Limits.Sockets < leastSockets || c.Limits.DiskMB <= 0 || c.Limits.Cores <= 0 {
+		return c, fmt.Errorf("config: limits %+v can't be kept", c.Limits)
+	}
+	if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
+		return c, fmt.Errorf("config: seed: %w", err)
+	}
+	if len(file.Known) > 0 {
+		if c.Known, err = protocol.ParseDirectory(file.Known); err != nil {
+			return c, fmt.Errorf("config: known: %w", err)
+		}
+	}
+	if c.Settings, err = wire.ParseSettings(file.Settings); err != nil {
+		return c, fmt.Errorf("config: %w", err)
+	}
+	if err := c.Settings.Validate(); err != nil {
+		return c, fmt.Errorf("config: %w", err)
+	}
+	return c, nil
+}
+
+func told(first, second string) string {
+	if first != "" {
+		return first
+	}
+	return second
+}
--- /dev/null
+++ b/cmd/larkreach/main.go
@@ -0,0 +1,123 @@
+// Command larkreach is the forwarder on sockets: consumers hand messages in over HTTP, the decision module says when
+// and where each goes, and what was taken on outlasts the process.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"mulleinbeam/internal/protocol"
+	"mulleinbeam/internal/routing"
+	"mulleinbeam/internal/routing/wal"
+	"mulleinbeam/internal/transport"
+)
+
+const (
+	stillComing = 500 * time.Millisecond // consumers still come for so long after the stop
+	heapShare   = 0.6                    // of the memory limit: stacks, files and sockets take some too
+	spareFiles  = 24                     // descriptors beside connections
+)
+
+func main() {
+	if err := run(os.Getenv, os.Stderr); err != nil {
+		fmt.Fprintln(os.Stderr, "larkreach:", err)
+		os.Exit(1)
+	}
+}
+
+// run serves until a signal ends it.
+func run(getenv func(string) string, out io.Writer) error {
+	cfg, err := loadConfig(getenv)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
+	debug.SetMemoryLimit(int64(heapShare * float64(cfg.Limits.MemoryMB<<20)))
+	logger := log.New(out, cfg.Name+" ", log.LstdFlags|log.Lmicroseconds|log.LUTC|log.Lmsgprefix)
+
+	journal, err := wal.Open(cfg.State, int64(cfg.Limits.DiskMB*1e6), func(line string) { logger.Print(line) })
+	if err != nil {
+		return err
+	}
+	defer journal.Close()
+
+	room := cfg.Limits.Sockets - spareFiles - cfg.Settings.Slots
+	providers := transport.NewProviders(cfg.Settings.KeepAlive, cfg.Settings.ConnectTimeout, room/4)
+	defer providers.Close()
+	reporter := transport.NewReporter(cfg.Discovery, logger)
+	router, err := routing.New(routing.Config{
+		Settings: cfg.Settings, Seed: cfg.Seed, Known: directory(cfg.Known, true), Log: journal,
+		Invoker: invoker{providers}, Notifier: notifier{reporter}, Logger: logger,
+	})
+	if err != nil {
+		return err
+	}
+	err = serve(cfg, logger, router, reporter, room*3/4)
+	logger.Printf("counters at exit\n%v", router.Counters())
+	return err
+}
+
+// serve runs the parts and ends them in order: the consumers, the router, then what it still needs.
+func serve(cfg config, logger *log.Logger, router *routing.Router, reporter *transport.Reporter, most int) error {
+	stop, cancelStop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancelStop()
+	group, ctx := errgroup.WithContext(stop) // ends with a signal, or with the first part that fails
+	after, routerEnded := context.WithCancel(context.WithoutCancel(ctx))
+	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
+	ready := make(chan struct{})
+
+	group.Go(func() error {
+		defer routerEnded()
+		defer stopServing()
+		return router.Run(ctx, func() { close(ready) })
+	})
+	group.Go(func() error { return reporter.Run(after) })
+	group.Go(func() error {
+		watch := transport.Directory{
+			Address: cfg.Discovery, Since: cfg.Known.Index, Logger: logger,
+			Learn: func(d protocol.Directory) { router.Learn(directory(d, false)) },
+		}
+		return watch.Watch(after)
+	})
+	group.Go(func() error {
+		usr := make(chan os.Signal, 1)
+		signal.Notify(usr, syscall.SIGUSR1)
+		defer signal.Stop(usr)
+		for {
+			select {
+			case <-usr:
+				logger.Printf("counters\n%v", router.Counters())
+			case <-after.Done():
+				return nil
+			}
+		}
+	})
+	group.Go(func() error {
+		select {
+		case <-ready:
+		case <-after.Done():
+			return nil
+		}
+		listener, err := net.Listen("tcp", cfg.Listen)
+		if err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		logger.Printf("ready on %s", cfg.Listen)
+		defer context.AfterFunc(ctx, func() { time.AfterFunc(stillComing, stopServing) })()
+		consumers := transport.Consumers{Desk: desk{router}, Most: most}
+		return consumers.Serve(serving, listener)
+	})
+	return group.Wait()
+}
--- /dev/null
+++ b/cmd/larkreach/wiring.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+
+	mb "mulleinbeam"
+	"mulleinbeam/internal/protocol"
+	"mulleinbeam/internal/routing"
+	"mulleinbeam/internal/transport"
+	"mulleinbeam/internal/wire"
+)
+
+// This file joins the parts: what the protocol's formats say is put in the router's terms, and the other way round.
+
+// desk puts consumers' handovers before the router.
+type desk struct{ router *routing.Router }
+
+func (d desk) Take(h protocol.Handover) *protocol.Rejection {
+	v := d.router.Take(routing.Message{
+		ID: string(h.ID), Key: string(h.Key), Class: string(h.Class), Destination: h.Destination, Left: h.Left,
+		Body: bytes.Clone(h.Body),
+	})
+	switch v.Kind {
+	case routing.Taken:
+		return nil
+	case routing.Failed:
+		return &protocol.Rejection{Status: 504, Reason: "can't be delivered"}
+	case routing.UnknownClass:
+		return &protocol.Rejection{Status: 422, Reason: "unknown class", Close: true}
+	case routing.UnknownDestination:
+		return &protocol.Rejection{Status: 422, Reason: "unknown destination", Close: true}
+	case routing.Stopped:
+		return &protocol.Rejection{Status: 503, Reason: "going down", RetryAfter: v.RetryAfter, Close: true}
+	}
+	return &protocol.Rejection{Status: 503, Reason: "come again", RetryAfter: v.RetryAfter}
+}
+
+func (d desk) Withdraw(id string) { d.router.Withdraw(id) }
+
+// notifier passes the router's notices to the reporter.
+type notifier struct{ reporter *transport.Reporter }
+
+func (n notifier) Notify(x routing.Notice) {
+	n.reporter.Add(transport.Pending{
+		Notice: protocol.Notice{ID: x.ID, HandedBack: x.HandedBack, RetryAfter: x.RetryAfter}, Done: x.Done,
+	})
+}
+
+// invoker makes the router's calls over the providers' connections.
+type invoker struct{ providers *transport.Providers }
+
+func (i invoker) CloseIdle(provider string) { i.providers.CloseIdle(provider) }
+
+func (i invoker) Invoke(ctx context.Context, c routing.InvokerCall) routing.Result {
+	call := protocol.Call{ID: c.ID, Key: c.Key, Host: c.Address, Body: c.Body}
+	reply, end := i.providers.Invoke(ctx, c.Provider, c.Address, call, c.Begin)
+	switch end {
+	case transport.NotBegun:
+		return routing.Result{Outcome: mb.Moot}
+	case transport.Unconnected:
+		return routing.Result{Outcome: mb.ConnectFailed}
+	case transport.Broken:
+		return routing.Result{Outcome: mb.Reset}
+	case transport.Abandoned:
+		return routing.Result{Outcome: mb.TimedOut}
+	}
+	return result(reply)
+}
+
+// result reads a provider's answer as an outcome.
+func result(r protocol.Reply) routing.Result {
+	var res routing.Result
+	var stats map[string]float64
+	if len(r.Load) > 0 && json.Unmarshal(r.Load, &stats) == nil {
+		res.Limit = wire.LimitReport(stats)
+	}
+	switch r.Status {
+	case 200:
+		res.Outcome = mb.OK
+	case 429:
+		res.Outcome, res.Wait = mb.Full, r.Wait
+	case 503:
+		if res.Outcome = mb.Full; r.OverSlots {
+			res.Outcome = mb.Moot
+		}
+	case 504:
+		res.Outcome = mb.Moot
+	case 410:
+		res.Outcome, res.Over = mb.Moot, true
+	default:
+		res.Outcome = mb.Failed
+	}
+	return res
+}
+
+var states = map[protocol.Status]mb.Readiness{
+	protocol.Serving: mb.Serving, protocol.Draining: mb.Draining, protocol.Deleted: mb.Deleted,
+}
+
+// directory puts discovery's list in the router's terms.
+func directory(d protocol.Directory, saved bool) routing.Directory {
+	out := routing.Directory{Whole: d.Whole, Saved: saved}
+	for _, p := range d.Providers {
+		out.Providers = append(out.Providers, routing.Provider{
+			Name: p.Name, Address: p.Address, Zone: p.Zone, Kind: p.Kind, Group: p.Group, Weight: p.Weight,
+			State: states[p.Status],
+		})
+	}
+	return out
+}
--- a/decide.go
+++ b/decide.go
@@ -60,6 +60,8 @@
 	unsafeTrial  = 0.02 // weight of unsafe messages in the choice of trials (ours)
 	holdShare    = 0.92 // of the hold: above this the least worth is given up (ours)
 	ttlMargin    = 0.9  // of a key's life in which repeats are sent (ours)
+	closeRoom    = 2.0  // a call's usual time that must be left before this life ends (ours)
+	closeUnsafe  = 2.0  // times as much for an unsafe message (ours)
 
 	openFirst     = 1000 * time.Millisecond // first open period (tuned: riga, hb, from 1.5 s)
 	openMost      = 3 * time.Second         // longest open period (tuned; 6 s was worse)
@@ -131,6 +133,8 @@
 			if m := d.msgs[e.ID]; m != nil && !m.ended {
 				d.end(m)
 			}
+		case Closing:
+			d.closeAt = d.now + max(e.In, 1)
 		case Timer:
 			if e.Cookie == heartbeatMark && d.now >= d.wakeAt {
 				d.wakeAt = 0
@@ -244,7 +248,10 @@
 	}
 	m := &message{
 		id: e.ID, class: c, key: e.Key, dest: d.dest(e.Destination), deadline: d.now + e.Left,
-		worth: c.Worth, notBefore: d.now,
+		worth: c.Worth, notBefore: d.now, attempts: e.Attempts,
+	}
+	if e.Ran != nil {
+		m.mayRun, m.ranAt, m.ranZone = true, d.now-e.Ran.Ago, e.Ran.Zone
 	}
 	if t := d.tenants[e.Tenant]; t != nil {
 		t.bucket = math.Min(t.bucket+t.rate*(d.now-t.at).Seconds(), math.Max(1, t.rate*tenantDepth.Seconds()))
@@ -263,11 +270,12 @@
 // giveUp answers at once: a refusal, with the time to come back, where the rules permit one and what may
 // have run is still known as a repeat then; else a failure.
 func (d *Decider) giveUp(m *message) {
-	r := Refuse{ID: m.id}
-	if d.s.TellRetryAfter {
-		r.RetryAfter = min(d.delay(m.dest), d.s.MaxRetryAfter)
+	r := Refuse{ID: m.id, RetryAfter: min(max(retryFull, d.delay(m.dest)), d.s.MaxRetryAfter)}
+	comes := d.now
+	if d.s.TellRetryAfter { // else clients come when they like
+		comes += r.RetryAfter
 	}
-	keyed := m.class.Effect == Keyed && !m.class.SameZoneOnly && d.now+r.RetryAfter < d.keyUntil(m)
+	keyed := m.class.Effect == Keyed && !m.class.SameZoneOnly && comes < d.keyUntil(m)
 	if m.class.Effect == Safe || !m.mayRun || keyed {
 		d.do(r)
 	} else {
@@ -838,7 +846,7 @@
 			}
 			took := d.expected(m.class, l)
 			v := d.value(m, d.now+took)
-			if v <= 0 {
+			if v <= 0 || !d.fits(m, took) {
 				continue
 			}
 			v -= urgencyShare*d.value(m, d.now+took+lookAhead) + l.fee*d.meanWorth
@@ -856,6 +864,16 @@
 	}
 }
 
+// fits says whether a call that usually takes so long will be over before this life ends; an unsafe message must be
+// surer of it, since a lost answer is its end.
+func (d *Decider) fits(m *message, took time.Duration) bool {
+	room := closeRoom
+	if m.class.Effect == Unsafe {
+		room *= closeUnsafe
+	}
+	return d.closeAt == 0 || d.now+time.Duration(room*float64(took)) < d.closeAt
+}
+
 // dispatch fills the free slots with the best messages of all destinations.
 func (d *Decider) dispatch() {
 	for _, dest := range d.busy {
@@ -927,6 +945,9 @@
 		if o.class.Effect != Unsafe {
 			cut = min(cut, d.now+limit)
 		}
+		if d.closeAt > 0 {
+			cut = min(cut, d.closeAt)
+		}
 		d.do(Send{ID: o.id, Endpoint: ep.id, CutAt: cut})
 	}
 }
--- /dev/null
+++ b/internal/protocol/handover.go
@@ -0,0 +1,175 @@
+package protocol
+
+import (
+	"bytes"
+	"errors"
+	"net"
+	"strconv"
+	"time"
+)
+
+// Handover is a message that a consumer hands in. Its slices lie in the parser's buffer.
+type Handover struct {
+	ID, Key, Class []byte
+	Destination    int64
+	Left           time.Duration // how long it may still be delivered, from when it was sent
+	Body           []byte
+}
+
+// Rejection is an answer that does not take a message on: a refusal, a failure or an unreadable request.
+type Rejection struct {
+	Status     int
+	Reason     string
+	RetryAfter time.Duration // with a refusal: when to come again
+	Close      bool          // the connection ends with it
+}
+
+// mostLeft bounds a consumer's time; more is taken for an error.
+const mostLeft = 24 * time.Hour
+
+// Asked is what a consumer's request wants.
+type Asked int
+
+// The requests of a consumer.
+const (
+	AskHandover Asked = iota
+	AskReady
+)
+
+func bad(status int, reason string) *Rejection {
+	return &Rejection{Status: status, Reason: reason, Close: true}
+}
+
+// Unreadable is the answer to a request that the parser gave up on.
+func Unreadable(err error) *Rejection {
+	switch {
+	case errors.Is(err, ErrHeadSize):
+		return bad(431, "head too large")
+	case errors.Is(err, ErrBodySize):
+		return bad(413, "body too large")
+	}
+	return bad(400, "malformed request")
+}
+
+// ReadRequest tells what a consumer's request wants, or why it can't be had.
+func ReadRequest(m *Message) (Asked, Handover, *Rejection) {
+	var h Handover
+	path, _, _ := bytes.Cut(m.Start[1], []byte("?"))
+	switch string(path) {
+	case "/healthz":
+		if string(m.Start[0]) != "GET" {
+			return AskReady, h, bad(405, "only GET")
+		}
+		return AskReady, h, nil
+	case "/api":
+	default:
+		return AskHandover, h, bad(404, "no such path")
+	}
+	if string(m.Start[0]) != "POST" {
+		return AskHandover, h, bad(405, "only POST")
+	}
+	if len(m.Get("Content-Length")) == 0 && len(m.Get("Transfer-Encoding")) == 0 {
+		return AskHandover, h, bad(411, "length required")
+	}
+	h = Handover{ID: m.Get("X-Request-ID"), Key: m.Get("Idempotency-Key"), Class: m.Get("X-Priority-Class"), Body: m.Body}
+	if len(h.ID) == 0 {
+		return AskHandover, h, bad(400, "no X-Request-ID")
+	}
+	ms, ok := number(m.Get("X-Timeout-Ms"))
+	if !ok || ms > int(mostLeft/time.Millisecond) {
+		return AskHandover, h, bad(400, "bad X-Timeout-Ms")
+	}
+	h.Left = time.Duration(ms) * time.Millisecond
+	dest, ok := destination(m.Get("X-Addressing"))
+	if !ok {
+		return AskHandover, h, bad(400, "bad X-Addressing")
+	}
+	h.Destination = dest
+	return AskHandover, h, nil
+}
+
+// destination finds dest=N among the parts of an X-Addressing value.
+func destination(value []byte) (int64, bool) {
+	parts := bytes.FieldsFunc(value, func(r rune) bool { return r == ';' || r == ',' || r == ' ' || r == '\t' })
+	for _, part := range parts {
+		if n, found := bytes.CutPrefix(part, []byte("dest=")); found {
+			id, ok := number(n)
+			return int64(id), ok
+		}
+	}
+	return 0, false
+}
+
+var reasons = map[int]string{
+	200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+	411: "Length Required", 413: "Content Too Large", 422: "Unprocessable Content",
+	431: "Request Header Fields Too Large", 503: "Service Unavailable", 504: "Gateway Timeout",
+}
+
+// AppendAnswer writes an answer without a body; r nil stands for the plain status.
+func AppendAnswer(b []byte, status int, r *Rejection, last bool) []byte {
+	text := ""
+	if r != nil {
+		status, text, last = r.Status, r.Reason, last || r.Close
+	}
+	b = append(b, "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(status), 10)
+	b = append(append(b, ' '), reasons[status]...)
+	if r != nil && r.RetryAfter > 0 { // decimal seconds, rounded up to whole milliseconds
+		ms := (r.RetryAfter + time.Millisecond - 1) / time.Millisecond
+		b = append(b, "\r\nRetry-After: "...)
+		b = strconv.AppendFloat(b, float64(ms)/1000, 'f', -1, 64)
+	}
+	if last {
+		b = append(b, "\r\nConnection: close"...)
+	}
+	b = append(b, "\r\nContent-Length: "...)
+	b = strconv.AppendInt(b, int64(len(text)), 10)
+	return append(append(b, "\r\n\r\n"...), text...)
+}
+
+// Call is what goes to a provider. Id, key and body go on byte for byte.
+type Call struct {
+	ID, Key string
+	Timeout time.Duration // how long the forwarder will wait
+	Host    string
+	Body    []byte
+}
+
+// Buffers gives the call's pieces for a gathered write; nothing of the message is copied.
+func (c Call) Buffers() net.Buffers {
+	head := make([]byte, 0, 128)
+	head = append(append(head, "POST /v1/messages HTTP/1.1\r\nHost: "...), c.Host...)
+	head = append(head, "\r\nX-Timeout-Ms: "...)
+	head = strconv.AppendInt(head, max(1, c.Timeout.Milliseconds()), 10)
+	head = append(head, "\r\nContent-Length: "...)
+	head = strconv.AppendInt(head, int64(len(c.Body)), 10)
+	head = append(head, "\r\nX-Request-ID: "...)
+	b := net.Buffers{head, []byte(c.ID)}
+	if c.Key != "" {
+		b = append(b, []byte("\r\nIdempotency-Key: "), []byte(c.Key))
+	}
+	b = append(b, []byte("\r\n\r\n"))
+	if len(c.Body) > 0 {
+		b = append(b, c.Body)
+	}
+	return b
+}
+
+// Reply is what a provider's answer to a call says.
+type Reply struct {
+	Status    int
+	Wait      time.Duration // with 429: how long it told to wait
+	OverSlots bool          // with 503: not sent, all slots were taken
+	Load      []byte        // a load report as JSON, if there is one
+}
+
+// ReadReply reads a provider's answer.
+func ReadReply(m *Message) Reply {
+	r := Reply{Status: m.Status(), Load: bytes.Clone(m.Get("X-Server-Load"))}
+	if ms, ok := number(m.Get("X-RateLimit-Wait-Ms")); ok {
+		r.Wait = min(time.Duration(ms)*time.Millisecond, mostLeft)
+	}
+	r.OverSlots = string(m.Get("X-Over-Slots")) == "1"
+	return r
+}
--- /dev/null
+++ b/internal/protocol/message.go
@@ -0,0 +1,401 @@
+// Package protocol holds the forwarder's wire formats: HTTP/1.1 heads and bodies, the consumers' and providers'
+// messages in them, discovery's list and the platform's notices. Everything here is fed bytes and gives bytes; it
+// knows no socket and no clock, so that a transport of any kind can drive it.
+package protocol
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strconv"
+)
+
+// Bounds of what a peer may send.
+const (
+	MostHead  = 16 << 10 // bytes of a head
+	MostBody  = 64 << 10 // bytes of a message's body
+	mostLines = 100      // lines of a head
+	mostChunk = 256      // bytes of a chunk's size line, or of a trailer line
+	firstRoom = 2 << 10  // bytes a parser starts with
+)
+
+// The errors of a message that can't be read. A Rejection's status follows from them.
+var (
+	ErrMalformed = errors.New("protocol: malformed message")
+	ErrHeadSize  = errors.New("protocol: head too large")
+	ErrBodySize  = errors.New("protocol: body too large")
+	ErrEncoding  = errors.New("protocol: transfer encoding not supported")
+)
+
+// Field is one line of a head.
+type Field struct{ Name, Value []byte }
+
+// Message is one that was read whole. Its slices lie in the parser's buffer and hold until the parser moves on.
+type Message struct {
+	Start  [3][]byte // method, target and version, or version, status and reason
+	Fields []Field
+	Body   []byte
+	Close  bool // the connection ends with it
+}
+
+// Get is the value of a head's field; nil if there is none.
+func (m *Message) Get(name string) []byte {
+	for _, f := range m.Fields {
+		if equalFold(f.Name, name) {
+			return f.Value
+		}
+	}
+	return nil
+}
+
+// Status is the code of an answer.
+func (m *Message) Status() int {
+	n, err := strconv.Atoi(string(m.Start[1]))
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+type phase int
+
+const (
+	inHead  phase = iota
+	inBody        // of a told length
+	inChunk       // before a chunk's size line
+	inData        // within a chunk and its line end
+	inTail        // after the last chunk
+	toEnd         // an answer's body that lasts until the connection ends
+)
+
+// Parser reads the messages of one connection. Its driver reads into Space, tells Commit how much came, and takes
+// messages from Next until there are none. Heads are parsed where they lie; chunked bodies are drawn together in
+// place.
+type Parser struct {
+	answers  bool // reads answers, not requests
+	mostBody int
+	buf      []byte
+	r, w     int // what is unread: buf[r:w]
+	phase    phase
+	scanned  int // bytes of the head already searched for its end
+	head     int // the head's length, its empty line included
+	body     int // the body's bytes read into place
+	need     int // what is left of the body, or of the chunk with its line end
+	msg      Message
+	err      error
+}
+
+// NewRequestParser reads requests with bodies of most bytes at the most.
+func NewRequestParser(most int) *Parser { return &Parser{mostBody: most} }
+
+// NewAnswerParser reads answers with bodies of most bytes at the most.
+func NewAnswerParser(most int) *Parser { return &Parser{mostBody: most, answers: true} }
+
+// Idle says that nothing of a next message has come yet.
+func (p *Parser) Idle() bool { return p.phase == inHead && p.r == p.w && p.err == nil }
+
+// Space is where the next bytes go; it is never empty.
+func (p *Parser) Space() []byte {
+	if p.r > 0 && p.phase == inHead { // a message was taken: what is left moves to the front
+		p.w = copy(p.buf, p.buf[p.r:p.w])
+		p.r = 0
+	}
+	if p.w == len(p.buf) {
+		grown := make([]byte, max(firstRoom, 2*len(p.buf)))
+		copy(grown, p.buf[:p.w])
+		p.buf = grown
+		p.relocate()
+	}
+	return p.buf[p.w:]
+}
+
+// Commit tells how many bytes were put into Space.
+func (p *Parser) Commit(n int) { p.w += n }
+
+// relocate parses a head again after its buffer has moved.
+func (p *Parser) relocate() {
+	if p.phase != inHead {
+		_, _ = p.parseHead(p.buf[p.r : p.r+p.head]) // it was read before
+	}
+}
+
+// Next gives the next whole message, or nil if more bytes are needed. An error is final.
+func (p *Parser) Next() (*Message, error) {
+	if p.err != nil {
+		return nil, p.err
+	}
+	m, err := p.next()
+	p.err = err
+	return m, err
+}
+
+// End tells that the connection has ended. It completes an answer whose body lasts until then.
+func (p *Parser) End() *Message {
+	if p.err != nil || p.phase != toEnd {
+		return nil
+	}
+	p.body = p.w - p.r - p.head
+	return p.finish(p.w)
+}
+
+func (p *Parser) next() (*Message, error) {
+	for {
+		switch p.phase {
+		case inHead:
+			ok, err := p.findHead()
+			if !ok || err != nil {
+				return nil, err
+			}
+		case inBody:
+			if p.w-p.r-p.head < p.need {
+				return nil, nil
+			}
+			p.body = p.need
+			return p.finish(p.r + p.head + p.need), nil
+		case toEnd:
+			if p.w-p.r-p.head > p.mostBody {
+				return nil, ErrBodySize
+			}
+			return nil, nil
+		default:
+			m, more, err := p.chunk()
+			if m != nil || more || err != nil {
+				return m, err
+			}
+		}
+	}
+}
+
+// finish hands a message out; the unread bytes start at end.
+func (p *Parser) finish(end int) *Message {
+	at := p.r + p.head
+	p.msg.Body = p.buf[at : at+p.body : at+p.body]
+	p.r, p.phase, p.scanned, p.head, p.body, p.need = end, inHead, 0, 0, 0, 0
+	return &p.msg
+}
+
+// findHead looks for a whole head and starts on its body.
+func (p *Parser) findHead() (bool, error) {
+	for p.scanned == 0 && p.r < p.w && (p.buf[p.r] == '\r' || p.buf[p.r] == '\n') && !p.answers {
+		p.r++ // empty lines before a request are passed over
+	}
+	unread := p.buf[p.r:p.w]
+	from := max(0, p.scanned-3)
+	at := bytes.Index(unread[from:], []byte("\r\n\r\n"))
+	if at < 0 {
+		if p.scanned = len(unread); p.scanned > MostHead {
+			return false, ErrHeadSize
+		}
+		return false, nil
+	}
+	p.head = from + at + 4
+	if p.head > MostHead {
+		return false, ErrHeadSize
+	}
+	next, err := p.parseHead(unread[:p.head])
+	if err != nil {
+		return false, err
+	}
+	if status := p.msg.Status(); p.answers && status >= 100 && status < 200 { // interim: the answer proper follows
+		p.r += p.head
+		p.scanned, p.head = 0, 0
+		return p.findHead()
+	}
+	p.phase = next
+	return true, nil
+}
+
+// parseHead reads a head where it lies and tells how its body goes on.
+func (p *Parser) parseHead(head []byte) (phase, error) {
+	m := &p.msg
+	m.Fields, m.Close = m.Fields[:0], false
+	line, rest, _ := bytes.Cut(head, []byte("\r\n"))
+	if err := p.startLine(line); err != nil {
+		return 0, err
+	}
+	length, chunked := -1, false
+	for {
+		line, rest, _ = bytes.Cut(rest, []byte("\r\n"))
+		if len(line) == 0 {
+			break
+		}
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if !ok || !isToken(name) || len(m.Fields) == mostLines || !isText(value) {
+			return 0, fmt.Errorf("%w: head line", ErrMalformed)
+		}
+		f := Field{Name: name, Value: bytes.Trim(value, " \t")}
+		m.Fields = append(m.Fields, f)
+		switch {
+		case equalFold(name, "Content-Length"):
+			n, ok := number(f.Value)
+			if !ok || length >= 0 && length != n {
+				return 0, fmt.Errorf("%w: length", ErrMalformed)
+			}
+			length = n
+		case equalFold(name, "Transfer-Encoding"):
+			if chunked || !equalFold(f.Value, "chunked") {
+				return 0, ErrEncoding
+			}
+			chunked = true
+		case equalFold(name, "Connection"):
+			for token := range bytes.SplitSeq(f.Value, []byte(",")) {
+				m.Close = m.Close || equalFold(bytes.Trim(token, " \t"), "close")
+			}
+		}
+	}
+	switch {
+	case chunked && length >= 0: // two lengths: a way to smuggle a request past a front
+		return 0, fmt.Errorf("%w: two lengths", ErrMalformed)
+	case p.answers && bodyless(m.Status()):
+		p.need = 0
+		return inBody, nil
+	case chunked:
+		return inChunk, nil
+	case length > p.mostBody:
+		return 0, ErrBodySize
+	case length < 0 && p.answers:
+		m.Close = true
+		return toEnd, nil
+	}
+	p.need = max(0, length)
+	return inBody, nil
+}
+
+func (p *Parser) startLine(line []byte) error {
+	a, rest, ok := bytes.Cut(line, []byte(" "))
+	b, c, more := bytes.Cut(rest, []byte(" "))
+	version := c
+	if p.answers {
+		version = a
+	}
+	switch {
+	case !ok || !isText(line):
+		return fmt.Errorf("%w: start line", ErrMalformed)
+	case !bytes.HasPrefix(version, []byte("HTTP/1.")) || len(version) != 8:
+		return fmt.Errorf("%w: version", ErrMalformed)
+	case p.answers && (len(b) != 3 || !digits(b)):
+		return fmt.Errorf("%w: status", ErrMalformed)
+	case !p.answers && (!more || !isToken(a) || len(b) == 0 || bytes.IndexByte(c, ' ') >= 0):
+		return fmt.Errorf("%w: start line", ErrMalformed)
+	}
+	p.msg.Close = version[7] == '0'
+	p.msg.Start = [3][]byte{a, b, c}
+	return nil
+}
+
+// chunk takes one step of a chunked body; more asks for further bytes.
+func (p *Parser) chunk() (m *Message, more bool, err error) {
+	at := p.r + p.head + p.body // where the body's next byte goes, and where the unread ones start
+	unread := p.buf[at:p.w]
+	switch p.phase {
+	case inData:
+		n := min(len(unread), p.need-2)
+		if n > 0 {
+			p.body += n
+			p.need -= n
+			return nil, false, nil
+		}
+		if len(unread) < p.need {
+			return nil, true, nil
+		}
+		if string(unread[:p.need]) != "\r\n" {
+			return nil, false, fmt.Errorf("%w: chunk end", ErrMalformed)
+		}
+		p.drop(at, 2)
+		p.phase = inChunk
+		return nil, false, nil
+	}
+	line, _, ok := bytes.Cut(unread, []byte("\r\n"))
+	if !ok {
+		if len(unread) > mostChunk {
+			return nil, false, fmt.Errorf("%w: chunk line", ErrMalformed)
+		}
+		return nil, true, nil
+	}
+	if p.phase == inTail {
+		if len(line) > 0 { // a trailer
+			p.drop(at, len(line)+2)
+			return nil, false, nil
+		}
+		return p.finish(at + 2), false, nil
+	}
+	size, _, _ := bytes.Cut(line, []byte(";"))
+	n, perr := strconv.ParseUint(string(bytes.Trim(size, " \t")), 16, 31)
+	if perr != nil {
+		return nil, false, fmt.Errorf("%w: chunk size", ErrMalformed)
+	}
+	if int(n) > p.mostBody-p.body {
+		return nil, false, ErrBodySize
+	}
+	p.drop(at, len(line)+2)
+	if p.phase, p.need = inData, int(n)+2; n == 0 {
+		p.phase, p.need = inTail, 0
+	}
+	return nil, false, nil
+}
+
+// drop takes n bytes out of the buffer at a place, so that a chunked body lies in one piece.
+func (p *Parser) drop(at, n int) {
+	copy(p.buf[at:], p.buf[at+n:p.w])
+	p.w -= n
+}
+
+// bodyless are the answers that never have a body.
+func bodyless(status int) bool { return status < 200 || status == 204 || status == 304 }
+
+// equalFold compares ASCII text without regard to case.
+func equalFold(b []byte, s string) bool {
+	if len(b) != len(s) {
+		return false
+	}
+	for i := range b {
+		if lower(b[i]) != lower(s[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+func lower(c byte) byte {
+	if 'A' <= c && c <= 'Z' {
+		return c + 'a' - 'A'
+	}
+	return c
+}
+
+func digits(b []byte) bool {
+	for _, c := range b {
+		if c < '0' || c > '9' {
+			return false
+		}
+	}
+	return len(b) > 0
+}
+
+// number reads a plain decimal of up to 15 digits: no sign, no space.
+func number(b []byte) (int, bool) {
+	if !digits(b) || len(b) > 15 {
+		return 0, false
+	}
+	n, err := strconv.Atoi(string(b))
+	return n, err == nil
+}
+
+func isToken(b []byte) bool {
+	for _, c := range b {
+		if c <= ' ' || c >= 0x7f || bytes.IndexByte([]byte(`"(),/:;<=>?@[\]{}`), c) >= 0 {
+			return false
+		}
+	}
+	return len(b) > 0
+}
+
+// isText says that a line holds no control bytes (a bare CR or LF above all), which other parsers read otherwise.
+func isText(b []byte) bool {
+	for _, c := range b {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/routing/router.go
@@ -0,0 +1,558 @@
+package routing
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	mb "mulleinbeam"
+	"mulleinbeam/internal/routing/wal"
+)
+
+const (
+	clockStart   = time.Second            // the module takes a reading of zero for "never"
+	pushBack     = time.Second            // when to come again to a forwarder that is full, beside the module's say
+	eventRoom    = 256                    // events waiting for the router's goroutine
+	settleFor    = 500 * time.Millisecond // after the stop: consumers still come, and are answered
+	lateRefusal  = 3 * time.Second        // when to come again to a forwarder that is going down
+	timersAtOnce = 16
+)
+
+// Config is what a Router starts with.
+type Config struct {
+	Settings mb.Settings
+	Seed     uint64
+	Known    Directory
+	Log      *wal.Log
+	Invoker  Invoker
+	Notifier Notifier
+	Logger   *log.Logger
+}
+
+// held is a message that is taken on, or that still has a call out.
+type held struct {
+	Message
+	seq      uint64
+	deadline time.Time
+	attempts int
+	call     *invocation // the attempt that is out
+	ended    bool
+}
+
+// invocation is a call that is out, from its Send until its connection has nothing of it any more.
+type invocation struct {
+	msg       *held
+	number    int
+	provider  string
+	sentAt    time.Time
+	cutAt     time.Time
+	begun     bool // its first byte may have been written
+	cancelled bool
+	cancel    context.CancelFunc
+}
+
+type timer struct {
+	at     time.Time
+	cookie uint64
+}
+
+// Router owns everything about the messages that this forwarder holds. Its methods may be called from any goroutine;
+// what they do happens in Run's.
+type Router struct {
+	cfg       Config
+	decider   *mb.Decider
+	startedAt time.Time
+	events    chan func()
+	done      chan struct{}
+	classes   map[string]bool
+	providers map[string]Provider
+	groups    map[int64]bool // destinations ever listed
+	messages  map[uint64]*held
+	ids       map[string]*held // by the consumers' id, until the end
+	calls     int
+	timers    []timer
+	stopAt    time.Time // the end of this life, once it is told
+	over      bool      // no call may begin any more
+	counters  Counters
+	tasks     errgroup.Group // calls that are out
+	ctx       context.Context
+}
+
+// New prepares a router: it learns the known list and resumes what an earlier life had taken on. Sends begin with Run.
+func New(cfg Config) (*Router, error) {
+	decider, err := mb.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return nil, fmt.Errorf("routing: %w", err)
+	}
+	r := &Router{
+		cfg: cfg, decider: decider, startedAt: time.Now(), events: make(chan func(), eventRoom),
+		done: make(chan struct{}), classes: map[string]bool{}, providers: map[string]Provider{},
+		groups: map[int64]bool{}, messages: map[uint64]*held{}, ids: map[string]*held{},
+	}
+	for _, c := range cfg.Settings.Classes {
+		r.classes[c.Name] = true
+	}
+	return r, nil
+}
+
+// Run is the router's goroutine. It resumes the journal's messages, calls ready, and serves events until ctx ends and
+// the stop's drain is over, or at once if the journal can't be kept.
+func (r *Router) Run(ctx context.Context, ready func()) error {
+	defer close(r.done)
+	callCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	r.ctx = callCtx
+	r.learn(r.cfg.Known)
+	r.resume()
+	ready()
+	wake := time.NewTimer(time.Hour)
+	defer wake.Stop()
+	stop := ctx.Done()
+	for {
+		wake.Reset(r.untilNext())
+		select {
+		case f := <-r.events:
+			f()
+		case <-wake.C:
+			r.fire()
+		case <-stop:
+			stop = nil
+			r.close(stopDrain)
+		}
+		if r.drained() {
+			break
+		}
+	}
+	r.over = true
+	cancel() // what is out now would be out when the process is killed
+	finished := make(chan struct{})
+	go func() { defer close(finished); _ = r.tasks.Wait() }()
+	for {
+		select {
+		case f := <-r.events:
+			f()
+		case <-finished:
+			for {
+				select {
+				case f := <-r.events:
+					f()
+				default:
+					return nil
+				}
+			}
+		}
+	}
+}
+
+// stopDrain is how long calls may be out after the stop: the process is killed 3.7 s after it at the soonest.
+const stopDrain = 3300 * time.Millisecond
+
+// close begins the end of this life.
+func (r *Router) close(in time.Duration) {
+	r.stopAt = time.Now().Add(in)
+	r.cfg.Logger.Printf("stop: %d held, %d calls out, ending within %v", len(r.ids), r.calls, in)
+	r.decide(mb.Closing{In: in})
+}
+
+// drained says whether this life may end: consumers have stopped coming, and nothing is out or could still go.
+func (r *Router) drained() bool {
+	if r.stopAt.IsZero() {
+		return false
+	}
+	left := time.Until(r.stopAt)
+	return left <= 0 || left < stopDrain-settleFor && r.calls == 0 && len(r.ids) == 0
+}
+
+// post hands an event to the router's goroutine; it is dropped once that has ended.
+func (r *Router) post(f func()) bool {
+	select {
+	case r.events <- f:
+		return true
+	case <-r.done:
+		return false
+	}
+}
+
+// ask hands in an event and waits for its answer.
+func ask[T any](r *Router, f func() T) (T, bool) {
+	answer := make(chan T, 1)
+	if r.post(func() { answer <- f() }) {
+		select {
+		case v := <-answer:
+			return v, true
+		case <-r.done:
+			select { // it may have been the last one served
+			case v := <-answer:
+				return v, true
+			default:
+			}
+		}
+	}
+	var none T
+	return none, false
+}
+
+// Take decides on a message that is handed in; when it says Taken, the message is journalled.
+func (r *Router) Take(m Message) Verdict {
+	v, ok := ask(r, func() Verdict { return r.take(m) })
+	if !ok {
+		return Verdict{Kind: Stopped, RetryAfter: lateRefusal}
+	}
+	return v
+}
+
+// Withdraw drops a message whose consumer could not be told that it was taken on: to the consumer it counts for
+// nothing, and it will be handed in again.
+func (r *Router) Withdraw(id string) {
+	r.post(func() {
+		if h := r.ids[id]; h != nil {
+			r.counters.Withdrawn++
+			r.end(h, wal.Over, 0)
+			r.decide(mb.Gone{ID: mb.MessageID(h.seq)})
+		}
+	})
+}
+
+// Learn tells of the directory's list.
+func (r *Router) Learn(d Directory) { r.post(func() { r.learn(d) }) }
+
+// Counters gives the counters as they are now.
+func (r *Router) Counters() Counters {
+	c, ok := ask(r, func() Counters {
+		r.counters.Held, r.counters.CallsOut = len(r.ids), r.calls
+		return r.counters
+	})
+	if !ok {
+		return r.counters // the goroutine that wrote them has ended
+	}
+	return c
+}
+
+// ---- the router's goroutine only, from here on ----
+
+func (r *Router) now() time.Duration { return clockStart + time.Since(r.startedAt) }
+
+func (r *Router) clock(at time.Duration) time.Time { return r.startedAt.Add(at - clockStart) }
+
+// decide feeds the module and carries out what it says.
+func (r *Router) decide(events ...mb.Event) { r.perform(r.decider.Handle(r.now(), events)) }
+
+func (r *Router) perform(actions []mb.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case mb.Send:
+			r.send(a)
+		case mb.Refuse:
+			if h := r.messages[uint64(a.ID)]; h != nil {
+				r.finish(h, wal.Refused, a.RetryAfter)
+			}
+		case mb.Fail:
+			if h := r.messages[uint64(a.ID)]; h != nil {
+				r.finish(h, wal.Failed, 0)
+			}
+		case mb.Cancel:
+			if h := r.messages[uint64(a.ID)]; h != nil && h.call != nil && h.call.number == a.Attempt {
+				h.call.cancelled = true
+				h.call.cancel()
+			}
+		case mb.Close:
+			r.cfg.Invoker.CloseIdle(string(a.Endpoint))
+		case mb.SetTimer:
+			r.timers = append(r.timers, timer{time.Now().Add(a.After), a.Cookie})
+		case mb.Log:
+			r.cfg.Logger.Printf("module: %s", a.Text)
+		case mb.Probe, mb.Subscribe: // probing is ruled out; the directory's watch always runs
+		}
+	}
+}
+
+// untilNext is the time to the next timer, or to the end of this life.
+func (r *Router) untilNext() time.Duration {
+	next := time.Now().Add(time.Hour)
+	for _, t := range r.timers {
+		if t.at.Before(next) {
+			next = t.at
+		}
+	}
+	if !r.stopAt.IsZero() {
+		for _, at := range []time.Time{r.stopAt, r.stopAt.Add(settleFor - stopDrain)} {
+			if at.Before(next) && time.Until(at) > 0 {
+				next = at
+			}
+		}
+	}
+	return max(0, time.Until(next))
+}
+
+// fire feeds the timers that are due.
+func (r *Router) fire() {
+	now := time.Now()
+	due := make([]mb.Event, 0, timersAtOnce)
+	rest := r.timers[:0]
+	for _, t := range r.timers {
+		if t.at.After(now) {
+			rest = append(rest, t)
+		} else {
+			due = append(due, mb.Timer{Cookie: t.cookie})
+		}
+	}
+	r.timers = rest
+	if len(due) > 0 {
+		r.decide(due...)
+	}
+}
+
+func (r *Router) learn(d Directory) {
+	scope := mb.ListChanges
+	switch {
+	case d.Saved:
+		scope = mb.ListSaved
+	case d.Whole:
+		scope = mb.ListWhole
+	}
+	if scope != mb.ListChanges {
+		clear(r.providers)
+	}
+	entries := make([]mb.Entry, 0, len(d.Providers))
+	for _, p := range d.Providers {
+		if old, ok := r.providers[p.Name]; ok && (p.State == mb.Deleted || old.Address != p.Address) {
+			r.cfg.Invoker.CloseIdle(p.Name)
+		}
+		if p.State == mb.Deleted {
+			delete(r.providers, p.Name)
+		} else {
+			r.providers[p.Name] = p
+			r.groups[p.Group] = true
+		}
+		entries = append(entries, mb.Entry{
+			Endpoint: mb.EndpointID(p.Name), Zone: p.Zone, Kind: p.Kind, Destination: mb.DestinationID(p.Group),
+			Readiness: p.State, CapacityHint: p.Weight,
+		})
+	}
+	r.decide(mb.Members{Scope: scope, Entries: entries})
+}
+
+// resume takes up what an earlier life left: its notices, and its messages with their past.
+func (r *Router) resume() {
+	live := r.cfg.Log.Live()
+	for _, m := range live {
+		h := &held{
+			Message: Message{ID: m.ID, Key: m.Key, Class: m.Class, Destination: m.Destination, Body: m.Body},
+			seq:     m.Seq, deadline: m.Deadline, attempts: m.Attempts,
+		}
+		if m.Ending != wal.Unended {
+			h.ended = true
+			r.notify(h, m.Ending == wal.Refused, m.RetryAfter)
+			continue
+		}
+		r.messages[h.seq], r.ids[h.ID] = h, h
+		r.counters.Resumed++
+		submit := r.submission(h, time.Until(m.Deadline))
+		if submit.Attempts = m.Attempts; m.MayRun {
+			submit.Ran = &mb.PastRun{Ago: max(0, time.Since(m.RanAt)), Zone: m.RanZone}
+		}
+		r.decide(submit)
+	}
+	if len(live) > 0 {
+		r.cfg.Logger.Printf("resume: %d messages and %d notices of an earlier life", r.counters.Resumed,
+			len(live)-int(r.counters.Resumed))
+	}
+}
+
+func (r *Router) submission(h *held, left time.Duration) mb.Submit {
+	return mb.Submit{
+		ID: mb.MessageID(h.seq), Class: h.Class, Left: left, Destination: mb.DestinationID(h.Destination),
+	}
+}
+
+func (r *Router) take(m Message) Verdict {
+	r.counters.HandedIn++
+	switch {
+	case r.ids[m.ID] != nil: // handed in twice: it is held already
+		r.counters.Repeated++
+		return Verdict{Kind: Taken}
+	case !r.classes[m.Class]:
+		r.counters.Unreadable++
+		return Verdict{Kind: UnknownClass}
+	case !r.groups[m.Destination]:
+		r.counters.Unreadable++
+		return Verdict{Kind: UnknownDestination}
+	case len(r.ids) >= r.cfg.Settings.MostHeld:
+		r.counters.TurnedAway++
+		return Verdict{Kind: Refused, RetryAfter: pushBack}
+	}
+	h := &held{Message: m, seq: r.cfg.Log.Next(), deadline: time.Now().Add(m.Left)}
+	entry := &wal.Message{
+		Seq: h.seq, Deadline: h.deadline, Destination: m.Destination, ID: m.ID, Key: m.Key, Class: m.Class, Body: m.Body,
+	}
+	if !r.cfg.Log.Fits(entry) {
+		r.counters.NoRoom++
+		return Verdict{Kind: Refused, RetryAfter: pushBack}
+	}
+	actions := r.decider.Handle(r.now(), []mb.Event{r.submission(h, m.Left)})
+	for i, a := range actions { // an answer at once: nothing was taken on
+		var v Verdict
+		switch a := a.(type) {
+		case mb.Refuse:
+			if uint64(a.ID) != h.seq {
+				continue
+			}
+			r.counters.RefusedAtOnce++
+			v = Verdict{Kind: Refused, RetryAfter: a.RetryAfter}
+		case mb.Fail:
+			if uint64(a.ID) != h.seq {
+				continue
+			}
+			r.counters.FailedAtOnce++
+			v = Verdict{Kind: Failed}
+		default:
+			continue
+		}
+		r.perform(append(actions[:i:i], actions[i+1:]...))
+		return v
+	}
+	if err := r.cfg.Log.Accept(entry); err != nil { // and no call of it may leave
+		r.counters.NoRoom++
+		r.cfg.Logger.Printf("journal: message not taken on: %v", err)
+		r.perform(actions) // its send finds no such message
+		r.decide(mb.Gone{ID: mb.MessageID(h.seq)})
+		return Verdict{Kind: Refused, RetryAfter: pushBack}
+	}
+	r.counters.Taken++
+	r.messages[h.seq], r.ids[h.ID] = h, h
+	r.perform(actions)
+	return Verdict{Kind: Taken}
+}
+
+// finish ends a message by a notice.
+func (r *Router) finish(h *held, e wal.Ending, retry time.Duration) {
+	if h.ended {
+		return
+	}
+	r.end(h, e, retry)
+	r.notify(h, e == wal.Refused, retry)
+}
+
+// end books and journals a message's end; it stays known while a call is out.
+func (r *Router) end(h *held, e wal.Ending, retry time.Duration) {
+	if h.ended {
+		return
+	}
+	h.ended = true
+	delete(r.ids, h.ID)
+	if h.call == nil {
+		delete(r.messages, h.seq)
+	}
+	r.journal(r.cfg.Log.End(h.seq, e, retry))
+}
+
+func (r *Router) notify(h *held, back bool, retry time.Duration) {
+	if back {
+		r.counters.HandedBack++
+	} else {
+		r.counters.GivenUp++
+	}
+	r.cfg.Notifier.Notify(Notice{ID: h.ID, HandedBack: back, RetryAfter: retry, Done: func() {
+		r.post(func() {
+			r.counters.Acknowledged++
+			r.journal(r.cfg.Log.End(h.seq, wal.Over, 0))
+		})
+	}})
+}
+
+// journal logs a record that could not be written. The file that replaces this one will have it.
+func (r *Router) journal(err error) {
+	if err != nil {
+		r.cfg.Logger.Printf("journal: record not written: %v", err)
+	}
+}
+
+// ---- calls ----
+
+func (r *Router) send(a mb.Send) {
+	h := r.messages[uint64(a.ID)]
+	if h == nil || r.over { // its accept could not be journalled, or it is for the next life to send
+		return
+	}
+	if h.call != nil {
+		r.cfg.Logger.Printf("module: a second call of a message was not made")
+		return
+	}
+	now := time.Now()
+	c := &invocation{msg: h, number: h.attempts, provider: string(a.Endpoint), sentAt: now, cutAt: h.deadline}
+	if cut := r.clock(a.CutAt); a.CutAt > 0 && cut.Before(c.cutAt) {
+		c.cutAt = cut
+	}
+	h.call = c
+	h.attempts++
+	r.calls++
+	r.counters.Sends++
+	ctx, cancel := context.WithDeadline(r.ctx, c.cutAt)
+	c.cancel = cancel
+	call := InvokerCall{
+		ID: h.ID, Key: h.Key, Body: h.Body, Provider: c.provider, Address: r.providers[c.provider].Address, CutAt: c.cutAt,
+		Begin: func() bool {
+			ok, served := ask(r, func() bool { return r.begin(c) })
+			return ok && served
+		},
+	}
+	r.tasks.Go(func() error {
+		result := r.cfg.Invoker.Invoke(ctx, call)
+		cancel()
+		r.post(func() { r.answered(c, result) })
+		return nil
+	})
+}
+
+// begin lets a call's first byte go. Between the module's send and this moment the list may have changed, the message
+// may have ended, or its time may be up.
+func (r *Router) begin(c *invocation) bool {
+	p, listed := r.providers[c.provider]
+	switch {
+	case r.over, c.msg.ended, c.cancelled, !time.Now().Before(c.cutAt):
+		return false
+	case !listed, p.State != mb.Serving, p.Group != c.msg.Destination:
+		r.counters.HeldBack++
+		return false
+	}
+	if err := r.cfg.Log.Started(c.msg.seq, time.Now(), p.Zone); err != nil {
+		r.journal(err) // a call that no later life would know of
+		r.journal(r.cfg.Log.Outcome(c.msg.seq, false))
+		return false
+	}
+	c.begun = true
+	return true
+}
+
+// answered books the end of a call.
+func (r *Router) answered(c *invocation, result Result) {
+	h := c.msg
+	h.call = nil
+	r.calls--
+	out := result.Outcome
+	if out == mb.TimedOut && c.cancelled {
+		out = mb.Cancelled
+	}
+	if !c.begun && (out == mb.TimedOut || out == mb.Cancelled || out == mb.Reset) {
+		out = mb.ConnectFailed
+	}
+	r.counters.outcome(out)
+	never := out == mb.Full || out == mb.ConnectFailed || out == mb.Moot
+	if c.begun {
+		r.journal(r.cfg.Log.Outcome(h.seq, !never))
+	}
+	over := out == mb.OK || result.Over
+	if over {
+		r.end(h, wal.Over, 0)
+	}
+	if h.ended {
+		delete(r.messages, h.seq)
+	}
+	r.decide(mb.Answer{
+		ID: mb.MessageID(h.seq), Attempt: c.number, Endpoint: mb.EndpointID(c.provider), Outcome: out,
+		Latency: time.Since(c.sentAt), Settled: over || h.ended, Wait: result.Wait, Limit: result.Limit,
+	})
+}
--- /dev/null
+++ b/internal/routing/routing.go
@@ -0,0 +1,93 @@
+// Package routing runs the decision module in real time. One goroutine, the Router's, owns the Decider, the messages
+// held, the calls out, the timers, the journal and the counters: events go in, actions come out. It knows no wire
+// format; what speaks one is put before it (Take, Learn) and behind it (Invoker, Notifier).
+package routing
+
+import (
+	"context"
+	"time"
+
+	mb "mulleinbeam"
+)
+
+// Message is what a consumer hands in.
+type Message struct {
+	ID, Key     string
+	Class       string
+	Destination int64
+	Left        time.Duration // how long it may still be delivered
+	Body        []byte
+}
+
+// Verdict is the answer to a message that was handed in.
+type Verdict struct {
+	Kind       VerdictKind
+	RetryAfter time.Duration // with Refused: when to come again
+}
+
+// VerdictKind says what became of a message that was handed in.
+type VerdictKind int
+
+// The verdicts. Unknown classes and destinations are the consumer's error.
+const (
+	Taken VerdictKind = iota
+	Refused
+	Failed
+	UnknownClass
+	UnknownDestination
+	Stopped // the router has ended
+)
+
+// Provider is one endpoint as the directory lists it.
+type Provider struct {
+	Name, Address string
+	Zone, Kind    string
+	Group         int64
+	Weight        float64
+	State         mb.Readiness
+}
+
+// Directory is a list of providers: the whole one, or the entries that changed.
+type Directory struct {
+	Whole     bool
+	Saved     bool // the list as it was last held, perhaps out of date
+	Providers []Provider
+}
+
+// InvokerCall is one attempt: a message on its way to a provider.
+type InvokerCall struct {
+	ID, Key  string
+	Body     []byte
+	Provider string
+	Address  string
+	CutAt    time.Time // the attempt is abandoned then
+	// Begin must be asked just before the first byte is written; false forbids it.
+	Begin func() bool
+}
+
+// Result is how an attempt ended.
+type Result struct {
+	Outcome mb.Outcome
+	Wait    time.Duration   // with Full: the wait told, zero if none
+	Limit   *mb.LimitReport // what the provider told of its limit, if anything
+	Over    bool            // the message is over: nothing more is owed
+}
+
+// Invoker makes calls. Invoke returns when the attempt has ended and nothing of it is on a connection any more; when
+// ctx ends before that, it gives the attempt up.
+type Invoker interface {
+	Invoke(ctx context.Context, call InvokerCall) Result
+	// CloseIdle closes the idle connections to a provider.
+	CloseIdle(provider string)
+}
+
+// Notice tells the platform how a message ended that was taken on and not delivered.
+type Notice struct {
+	ID         string
+	HandedBack bool // it may be handed in again, after RetryAfter
+	RetryAfter time.Duration
+	Done       func() // to be called once the platform has acknowledged it
+}
+
+// Notifier passes notices on until they are acknowledged; Notify does not wait for that.
+type Notifier interface{ Notify(Notice) }
--- /dev/null
+++ b/internal/routing/wal/record.go
@@ -0,0 +1,190 @@
+package wal
+
+import (
+	"encoding/binary"
+	"errors"
+	"hash/crc32"
+	"math"
+	"time"
+)
+
+// A record is a head of eight bytes (the payload's length and checksum) and the payload: a kind, the message's
+// number and the kind's own fields.
+const (
+	headSize    = 8
+	mostPayload = 256 << 10 // a length above it is damage
+)
+
+type kind byte
+
+const (
+	kindAccepted kind = iota + 1
+	kindProgress      // what compaction keeps of a message's ended attempts
+	kindStarted
+	kindOutcome
+	kindEnded
+)
+
+var (
+	checksums = crc32.MakeTable(crc32.Castagnoli)
+	errRecord = errors.New("wal: unreadable record")
+)
+
+// seal appends a record round a payload that build appends.
+func seal(b []byte, build func([]byte) []byte) []byte {
+	at := len(b)
+	b = build(append(b, make([]byte, headSize)...))
+	payload := b[at+headSize:]
+	binary.LittleEndian.PutUint32(b[at:], uint32(len(payload)))
+	binary.LittleEndian.PutUint32(b[at+4:], crc32.Checksum(payload, checksums))
+	return b
+}
+
+// unseal reads the record at the start of b: its payload and its whole size, or 0 where there is none.
+func unseal(b []byte) (payload []byte, size int) {
+	if len(b) < headSize {
+		return nil, 0
+	}
+	n := binary.LittleEndian.Uint32(b)
+	if n < 2 || n > mostPayload || int(n) > len(b)-headSize {
+		return nil, 0
+	}
+	payload = b[headSize : headSize+int(n)]
+	if crc32.Checksum(payload, checksums) != binary.LittleEndian.Uint32(b[4:]) {
+		return nil, 0
+	}
+	return payload, headSize + int(n)
+}
+
+func start(b []byte, k kind, seq uint64) []byte { return binary.AppendUvarint(append(b, byte(k)), seq) }
+
+func appendText[T string | []byte](b []byte, s T) []byte {
+	return append(binary.AppendUvarint(b, uint64(len(s))), s...)
+}
+
+func appendTime(b []byte, t time.Time) []byte { return binary.AppendVarint(b, t.UnixNano()) }
+
+func appendAccepted(b []byte, m *Message) []byte {
+	return seal(b, func(b []byte) []byte {
+		b = appendTime(start(b, kindAccepted, m.Seq), m.Deadline)
+		b = binary.AppendVarint(b, m.Destination)
+		b = appendText(appendText(appendText(b, m.ID), m.Key), m.Class)
+		return appendText(b, m.Body)
+	})
+}
+
+func appendProgress(b []byte, m *Message) []byte {
+	return seal(b, func(b []byte) []byte {
+		b = binary.AppendUvarint(start(b, kindProgress, m.Seq), uint64(m.Attempts))
+		ran := byte(0)
+		if m.MayRun {
+			ran = 1
+		}
+		return appendText(appendTime(append(b, ran), m.RanAt), m.RanZone)
+	})
+}
+
+func appendStarted(b []byte, seq uint64, at time.Time, zone string) []byte {
+	return seal(b, func(b []byte) []byte { return appendText(appendTime(start(b, kindStarted, seq), at), zone) })
+}
+
+func appendOutcome(b []byte, seq uint64, mayRun bool) []byte {
+	return seal(b, func(b []byte) []byte {
+		ran := byte(0)
+		if mayRun {
+			ran = 1
+		}
+		return append(start(b, kindOutcome, seq), ran)
+	})
+}
+
+func appendEnded(b []byte, seq uint64, e Ending, retry time.Duration) []byte {
+	return seal(b, func(b []byte) []byte {
+		return binary.AppendVarint(append(start(b, kindEnded, seq), byte(e)), int64(retry))
+	})
+}
+
+// reader takes the fields of a payload; after a first failure it gives zeros.
+type reader struct {
+	b   []byte
+	bad bool
+}
+
+func (r *reader) take(n uint64) []byte {
+	if n > uint64(len(r.b)) {
+		r.bad, r.b = true, nil
+		return nil
+	}
+	v := r.b[:n]
+	r.b = r.b[n:]
+	return v
+}
+
+func (r *reader) octet() byte {
+	if v := r.take(1); v != nil {
+		return v[0]
+	}
+	return 0
+}
+
+func (r *reader) uvarint() uint64 {
+	v, n := binary.Uvarint(r.b)
+	if n <= 0 {
+		r.bad, r.b = true, nil
+		return 0
+	}
+	r.b = r.b[n:]
+	return v
+}
+
+func (r *reader) varint() int64 {
+	u := r.uvarint()
+	return int64(u>>1) ^ -int64(u&1)
+}
+
+func (r *reader) time() time.Time { return time.Unix(0, r.varint()) }
+
+func (r *reader) text() []byte { return r.take(r.uvarint()) }
+
+// apply books one payload into the state.
+func (s *state) apply(payload []byte) error {
+	r := &reader{b: payload}
+	k, seq := kind(r.octet()), r.uvarint()
+	s.next = max(s.next, seq+1)
+	m := s.live[seq]
+	switch k {
+	case kindAccepted:
+		m = &Message{Seq: seq, Deadline: r.time(), Destination: r.varint()}
+		m.ID, m.Key, m.Class = string(r.text()), string(r.text()), string(r.text())
+		m.Body = append([]byte(nil), r.text()...)
+		if !r.bad && seq < math.MaxUint64 {
+			s.live[seq] = m
+		}
+	case kindProgress:
+		attempts, ran, at, zone := r.uvarint(), r.octet() == 1, r.time(), string(r.text())
+		if m != nil && !r.bad {
+			m.Attempts, m.MayRun, m.RanAt, m.RanZone = int(min(attempts, 1<<20)), ran, at, zone
+		}
+	case kindStarted:
+		at, zone := r.time(), string(r.text())
+		if m != nil && !r.bad {
+			m.started(at, zone)
+		}
+	case kindOutcome:
+		ran := r.octet() == 1
+		if m != nil && !r.bad {
+			m.outcome(ran)
+		}
+	case kindEnded:
+		e, retry := Ending(r.octet()), time.Duration(r.varint())
+		if m != nil && !r.bad {
+			s.ended(m, e, retry)
+		}
+	default:
+		return errRecord
+	}
+	if r.bad {
+		return errRecord
+	}
+	return nil
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -125,7 +125,8 @@
 	"Partial": mb.ListChanges, "Complete": mb.ListWhole, "Persisted": mb.ListSaved, "Error": mb.ListAskError,
 }
 
-func limitReport(stats map[string]float64) *mb.LimitReport {
+// LimitReport reads a load report as what an endpoint tells of its limit; nil if it tells nothing.
+func LimitReport(stats map[string]float64) *mb.LimitReport {
 	rate, ok := stats["x1"]
 	if !ok {
 		return nil
@@ -198,7 +199,7 @@
 		}
 		a := mb.Answer{
 			ID: id, Attempt: e.N, Endpoint: mb.EndpointID(e.Endpoint), Outcome: out,
-			Latency: us(e.Delay), Settled: e.Settled, Limit: limitReport(e.Stats),
+			Latency: us(e.Delay), Settled: e.Settled, Limit: LimitReport(e.Stats),
 		}
 		if out == mb.Full {
 			a.Wait = time.Duration(e.WaitMS) * time.Millisecond
@@ -211,7 +212,7 @@
 		}
 		return mb.Probed{
 			Endpoint: mb.EndpointID(e.Endpoint), Outcome: out,
-			Latency: us(e.Delay), Limit: limitReport(e.Stats),
+			Latency: us(e.Delay), Limit: LimitReport(e.Stats),
 		}, nil
 	case "gone":
 		id, err := needID()
@@ -262,6 +263,7 @@
 		Kinds  []string `json:"kinds"`
 		Limits struct {
 			Cancel        bool  `json:"cancel"`
+			Connect       int64 `json:"connect-timeout"`
 			KeepAlive     int64 `json:"keepalive"`
 			MaxAttempts   int   `json:"max-attempts"`
 			MaxRetryAfter int64 `json:"max-retry-after"`
@@ -313,7 +315,7 @@
 		MayProbe:  w.Limits.MayProbe, MayCancel: w.Limits.Cancel,
 		TellRetryAfter: w.Limits.RetryAfter, MaxRetryAfter: us(w.Limits.MaxRetryAfter),
 		MustAsk: w.Registry == "subscribe", AskWithin: us(w.Rules.AskWithin),
-		KeepAlive: us(w.Limits.KeepAlive), AnswerSlack: us(w.Rules.AnswerSlack),
+		KeepAlive: us(w.Limits.KeepAlive), ConnectTimeout: us(w.Limits.Connect), AnswerSlack: us(w.Rules.AnswerSlack),
 		DrainGrace: us(w.Rules.DrainGrace), TurnGap: us(w.Rules.TurnGap),
 		OverloadFactor: w.Rules.OverloadFactor, TipAfter: us(w.Rules.TipAfter),
 		ColdFrom: w.Rules.ColdFrom, WarmWithin: us(w.Rules.WarmWithin),
--- a/mulleinbeam.go
+++ b/mulleinbeam.go
@@ -91,6 +91,7 @@
 	MustAsk        bool // the list of endpoints comes only when asked for
 	AskWithin      time.Duration
 	KeepAlive      time.Duration // idle connections close after this
+	ConnectTimeout time.Duration // a connection that is not there after this is given up
 	AnswerSlack    time.Duration
 	DrainGrace     time.Duration
 	TurnGap        time.Duration
@@ -159,6 +160,7 @@
 		d    time.Duration
 	}{
 		{"MaxRetryAfter", s.MaxRetryAfter}, {"AskWithin", s.AskWithin}, {"KeepAlive", s.KeepAlive},
+		{"ConnectTimeout", s.ConnectTimeout},
 		{"AnswerSlack", s.AnswerSlack}, {"DrainGrace", s.DrainGrace}, {"TurnGap", s.TurnGap},
 		{"TipAfter", s.TipAfter}, {"WarmWithin", s.WarmWithin},
 	} {
@@ -223,8 +225,21 @@
 	Key         OrderKey
 	Left        time.Duration // how long it may still be delivered
 	Destination DestinationID
+	// Of a message that an earlier life of this courier took on: the attempts it has had, and the first of them that
+	// may have taken effect, if one may. Attempts are numbered on from these.
+	Attempts int
+	Ran      *PastRun
 }
 
+// PastRun is an attempt of an earlier life that may have taken effect.
+type PastRun struct {
+	Ago  time.Duration // since it was sent
+	Zone string        // its endpoint's
+}
+
+// Closing says that this courier's life ends soon: from then on no call may be out.
+type Closing struct{ In time.Duration }
+
 // Answer reports the end of an attempt.
 type Answer struct {
 	ID       MessageID
@@ -280,6 +295,7 @@
 func (Timer) isEvent()   {}
 func (Probed) isEvent()  {}
 func (Members) isEvent() {}
+func (Closing) isEvent() {}
 
 // Action is something the courier is to do: one of the types below.
 type Action interface{ isAction() }
--- a/state.go
+++ b/state.go
@@ -225,6 +225,7 @@
 	askAt     time.Duration // when to ask for the list next; 0 is never
 	askWait   time.Duration
 	shedLogAt time.Duration
+	closeAt   time.Duration // when this life ends; 0 is not known
 }
 
 // enqueue gives a message of an ordered class its turn.
