--- a/decide.go
+++ b/decide.go
@@ -864,8 +864,8 @@
 	}
 }
 
-// fits says whether a call that usually takes so long will be over before this life ends; an unsafe message must be
-// surer of it, since a lost answer is its end.
+// fits says whether a call that usually takes so long will be over before this life ends; an unsafe message
+// must be surer of it, since a lost answer is its end.
 func (d *Decider) fits(m *message, took time.Duration) bool {
 	room := closeRoom
 	if m.class.Effect == Unsafe {
--- /dev/null
+++ b/lives_test.go
@@ -0,0 +1,86 @@
+package mulleinbeam
+
+import (
+	"testing"
+	"time"
+)
+
+// A message of an earlier life keeps its past: an unsafe one that may have run is given up, a keyed one is sent again
+// only inside its window, and attempts count on from those it has had. Guards against a second effect after a restart.
+func TestMessagesOfAnEarlierLife(t *testing.T) {
+	for name, c := range map[string]struct {
+		class    string
+		attempts int
+		ran      *PastRun
+		ends     string
+		sends    int
+	}{
+		"unsafe, never ran":            {"unsafe", 2, nil, "", 1},
+		"unsafe, may have run":         {"unsafe", 1, &PastRun{Ago: time.Second}, "fail", 0},
+		"keyed, inside its window":     {"keyed", 1, &PastRun{Ago: 2 * time.Second}, "", 1},
+		"keyed, past its window":       {"keyed", 1, &PastRun{Ago: 6 * time.Second}, "fail", 0},
+		"zoned, another zone":          {"zoned", 1, &PastRun{Ago: time.Second, Zone: "z"}, "", 0},
+		"safe, may have run":           {"safe", 3, &PastRun{Ago: time.Hour}, "", 1},
+		"safe, all attempts used":      {"safe", 6, nil, "refuse", 0},
+		"safe, its time up meanwhile":  {"late", 1, nil, "refuse", 0},
+		"unsafe, never ran, time's up": {"unsafe late", 1, nil, "refuse", 0},
+	} {
+		left := 4 * time.Second
+		switch c.class {
+		case "late":
+			c.class, left = "safe", -time.Second
+		case "unsafe late":
+			c.class, left = "unsafe", 0
+		}
+		r := newRig(t, testSettings())
+		sends := r.do(Submit{ID: 9, Class: c.class, Destination: 1, Left: left, Attempts: c.attempts, Ran: c.ran})
+		if got := r.ended(9); got != c.ends || len(sends) != c.sends {
+			t.Errorf("%s: ended %q with %d sends, want %q with %d", name, got, len(sends), c.ends, c.sends)
+		}
+		if c.sends == 0 {
+			continue
+		}
+		r.sent[9] += c.attempts
+		r.answer(sends[0], Full, 0)
+		if r.d.msgs[9].call != nil {
+			t.Errorf("%s: the answer to attempt %d was not known", name, c.attempts)
+		}
+	}
+}
+
+// Before a life ends nothing begins that may be out then, an unsafe message first of all, and no call lasts past it.
+func TestClosingKeepsCallsInsideThisLife(t *testing.T) {
+	r := newRig(t, testSettings())
+	r.do(Closing{In: time.Second})
+	r.submit("unsafe", 1, 0) // taken to last 450 ms: four times that is too long
+	if len(r.sends) != 0 {
+		t.Error("an unsafe message was sent that may be out at the end")
+	}
+	r.submit("safe", 1, 0) // taken to last 150 ms
+	if len(r.sends) != 1 || r.last().CutAt > r.now+time.Second {
+		t.Errorf("sends %+v, want one cut off in time", r.sends)
+	}
+	r.pass(800 * ms)
+	r.submit("safe", 1, 0)
+	if len(r.sends) != 1 {
+		t.Error("sent too late to be over")
+	}
+}
+
+// A client learns when to come back with every refusal. Where it does not follow that, what it is told does not
+// narrow a keyed message's window.
+func TestEveryRefusalTellsWhenToComeBack(t *testing.T) {
+	s := testSettings()
+	s.MaxAttempts, s.MaxRetryAfter = 1, 2*time.Second
+	r := newRig(t, s)
+	id := r.submit("keyed", 1, 0)
+	r.d.dests[1].lanes[0].waitUntil = r.now + 30*time.Second
+	r.now += 3500 * ms
+	r.answer(r.last(), TimedOut, 0)
+	if got := r.ended(id); got != "refuse" {
+		t.Fatalf("ended %q", got)
+	}
+	if f := r.other[len(r.other)-1].(Refuse); f.RetryAfter != s.MaxRetryAfter {
+		t.Errorf("told to come back after %v", f.RetryAfter)
+	}
+}
