Network tests start the real program; moved and gone providers handled

Seen by the new tests: an endpoint that the list moves to another group kept its old destination in the module (entry, decide.go), and a connection that was busy while its endpoint was taken off the list went back among the idle ones (learn and answered, router.go). Both fixed, each with a test. On SIGTERM idle consumers are closed at once and answers end their connections, while new connections are still answered.

--- /dev/null
+++ b/cmd/larkreach/helper_test.go
@@ -0,0 +1,366 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// The one helper of the network tests: it starts the real program as a process and plays its clients, endpoints and
+// discovery. It reads and writes HTTP with the standard library, so that the project's own parsers meet others'.
+// Nothing here waits for a time to pass: tests wait for what the program does, and go test's own limit ends them.
+
+const childMark = "LARKREACH_TEST_CHILD"
+
+// TestMain lets the test binary stand for the program, so that the race detector watches it as well.
+func TestMain(m *testing.M) {
+	if os.Getenv(childMark) != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// site is a forwarder with everything round it.
+type site struct {
+	t         *testing.T
+	dir       string
+	listen    string
+	discovery net.Listener
+	config    map[string]any
+	env       []string
+	cmd       *exec.Cmd
+	log       *logBuffer
+	exited    chan error
+
+	lists   chan map[string]any // what the watch is to be answered with
+	watched chan string         // the watch's requests
+	reports chan notice
+	refuse  chan int // statuses for the next reports, before they are acknowledged
+}
+
+type notice struct {
+	Message string `json:"message"`
+	Outcome string `json:"outcome"`
+	Retry   int64  `json:"retry_in_ms"`
+}
+
+// logBuffer keeps the program's log and tells of each line.
+type logBuffer struct {
+	mu    sync.Mutex
+	text  bytes.Buffer
+	lines chan string
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+func (b *logBuffer) read(r io.Reader) {
+	scanner := bufio.NewScanner(r)
+	for scanner.Scan() {
+		b.mu.Lock()
+		fmt.Fprintln(&b.text, scanner.Text())
+		b.mu.Unlock()
+		select {
+		case b.lines <- scanner.Text():
+		default: // nobody looks at them
+		}
+	}
+}
+
+const classes = `[{"credit":1,"effect":"keyed","give-up":20000000,"group":"all","key-ttl":15000000,"late-worth":0.4,
+ "name":"keyed","target":4000000},{"credit":2,"effect":"safe","give-up":20000000,"group":"all","late-worth":0.1,
+ "name":"safe","target":800000},{"credit":5,"effect":"unsafe","give-up":20000000,"group":"all","late-worth":0.4,
+ "name":"unsafe","target":3000000}]`
+
+// newSite lists providers by name and group; start starts the program.
+func newSite(t *testing.T, providers ...*provider) *site {
+	t.Helper()
+	s := &site{
+		t: t, dir: t.TempDir(), discovery: listenOn(t), lists: make(chan map[string]any, 8),
+		watched: make(chan string, 64), reports: make(chan notice, 64), refuse: make(chan int, 8),
+	}
+	l := listenOn(t)
+	s.listen = l.Addr().String()
+	l.Close()
+	var services any
+	if err := json.Unmarshal([]byte(classes), &services); err != nil {
+		t.Fatal(err)
+	}
+	s.config = map[string]any{
+		"name": "n0", "listen": s.listen, "discovery": s.discovery.Addr().String(), "seed": "8c1f30d27a5be964",
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 256, "disk_mb": 3},
+		"known":  list(1, true, providers...),
+		"settings": map[string]any{
+			"balancers": 1, "weight-source": "nominal", "azs": []string{"z"}, "kinds": []string{"k"}, "services": services,
+			"family-info": map[string]any{"calls-out": 8, "fades": "even"},
+			"limits": map[string]any{
+				"cancel": true, "connect-timeout": 1000000, "keepalive": 10000000, "max-attempts": 6,
+				"max-retry-after": 3000000, "most-held": 20,
+			},
+			"rules": map[string]any{"answer-slack": 20000, "drain-grace": 2000000},
+		},
+	}
+	go s.playDiscovery()
+	t.Cleanup(func() { s.discovery.Close() })
+	return s
+}
+
+func listenOn(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// set changes a part of the configuration, named by its path.
+func (s *site) set(value any, path ...string) {
+	m := s.config
+	for _, key := range path[:len(path)-1] {
+		m = m[key].(map[string]any)
+	}
+	m[path[len(path)-1]] = value
+}
+
+func list(index int, whole bool, providers ...*provider) map[string]any {
+	entries := []any{}
+	for _, p := range providers {
+		entries = append(entries, map[string]any{
+			"name": p.name, "address": p.address, "zone": "z", "type": "k", "group": p.group, "status": p.status,
+			"weight": 50.0, "since_ms": 0,
+		})
+	}
+	return map[string]any{"index": index, "snapshot": whole, "endpoints": entries}
+}
+
+// start starts the program, or starts it again.
+func (s *site) start() {
+	s.t.Helper()
+	s.launch()
+	if !s.sees("ready on") {
+		s.t.Fatalf("the program did not start:\n%s", s.log)
+	}
+}
+
+func (s *site) launch() {
+	s.t.Helper()
+	raw, err := json.Marshal(s.config)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	path := filepath.Join(s.t.TempDir(), "config.json")
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), childMark+"=1", "ROUTER_CONFIG="+path, "ROUTER_STATE="+s.dir)
+	cmd.Env = append(cmd.Env, s.env...)
+	pipe, err := cmd.StderrPipe()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	log, exited := &logBuffer{lines: make(chan string, 4096)}, make(chan error, 1)
+	s.cmd, s.log, s.exited = cmd, log, exited
+	go func() {
+		log.read(pipe)
+		close(log.lines)
+		exited <- cmd.Wait()
+	}()
+	s.t.Cleanup(func() { cmd.Process.Kill() })
+}
+
+// sees waits for a line of the log that holds a text; false if the program ends first.
+func (s *site) sees(text string) bool {
+	for line := range s.log.lines {
+		if strings.Contains(line, text) {
+			return true
+		}
+	}
+	return false
+}
+
+// end sends a signal and waits for the program's end.
+func (s *site) end(sig syscall.Signal) error {
+	s.cmd.Process.Signal(sig)
+	return <-s.exited
+}
+
+// playDiscovery answers reports at once, and a watch when there is something in lists.
+func (s *site) playDiscovery() {
+	for {
+		conn, err := s.discovery.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			r := bufio.NewReader(conn)
+			for {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				body, _ := io.ReadAll(req.Body)
+				if req.URL.Path == "/v1/servers" {
+					s.watched <- req.URL.RawQuery
+					gone := make(chan struct{}) // the next byte, or the end, of a connection that waits
+					go func() { defer close(gone); r.Peek(1) }()
+					select {
+					case l := <-s.lists:
+						text, _ := json.Marshal(l)
+						fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+						<-gone
+					case <-gone:
+						return
+					}
+					continue
+				}
+				select {
+				case status := <-s.refuse:
+					fmt.Fprintf(conn, "HTTP/1.1 %d No\r\nContent-Length: 0\r\n\r\n", status)
+					continue
+				default:
+				}
+				fmt.Fprint(conn, "HTTP/1.1 204 No Content\r\n\r\n")
+				for line := range bytes.Lines(body) {
+					var n notice
+					if json.Unmarshal(line, &n) == nil {
+						s.reports <- n
+					}
+				}
+			}
+		}()
+	}
+}
+
+// call is one that reached a provider; the test answers it.
+type call struct {
+	id, key, body, timeout string
+	conn                   net.Conn
+	connNumber             int
+	next                   chan struct{}
+}
+
+// answer writes an answer and lets the connection carry its next call.
+func (c *call) answer(text string) {
+	fmt.Fprintf(c.conn, "HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n", text)
+	close(c.next)
+}
+
+// drop ends the connection.
+func (c *call) drop() { c.conn.Close(); close(c.next) }
+
+type provider struct {
+	name, address, status string
+	group                 int
+	listener              net.Listener
+	calls                 chan *call
+	ends                  chan int // connections that the forwarder ended, by number
+}
+
+// newProvider listens as an endpoint of a group.
+func newProvider(t *testing.T, name string, group int) *provider {
+	t.Helper()
+	p := &provider{
+		name: name, group: group, status: "SERVING", listener: listenOn(t), calls: make(chan *call, 64), ends: make(chan int, 64),
+	}
+	p.address = p.listener.Addr().String()
+	t.Cleanup(func() { p.listener.Close() })
+	go func() {
+		for number := 1; ; number++ {
+			conn, err := p.listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				r := bufio.NewReader(conn)
+				for {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						p.ends <- number
+						return
+					}
+					body, _ := io.ReadAll(req.Body)
+					c := &call{
+						id: req.Header.Get("X-Request-ID"), key: req.Header.Get("Idempotency-Key"), body: string(body),
+						timeout: req.Header.Get("X-Timeout-Ms"), conn: conn, connNumber: number, next: make(chan struct{}),
+					}
+					p.calls <- c
+					<-c.next
+				}
+			}()
+		}
+	}()
+	return p
+}
+
+// consumer is one client connection.
+type consumer struct {
+	t    *testing.T
+	conn net.Conn
+	r    *bufio.Reader
+}
+
+func (s *site) consumer() *consumer {
+	s.t.Helper()
+	conn, err := net.Dial("tcp", s.listen)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { conn.Close() })
+	return &consumer{t: s.t, conn: conn, r: bufio.NewReader(conn)}
+}
+
+// request is a handover as a client writes it.
+func request(id, class string, dest int, left time.Duration, body string) string {
+	return fmt.Sprintf("POST /api HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: %s\r\nX-Priority-Class: %s\r\n"+
+		"X-Timeout-Ms: %d\r\nIdempotency-Key: key-%s\r\nContent-Length: %d\r\nX-Addressing: dest=%d\r\n\r\n%s",
+		id, class, left.Milliseconds(), id, len(body), dest, body)
+}
+
+// send writes bytes and reads one answer.
+func (c *consumer) send(raw string) *http.Response {
+	c.t.Helper()
+	if _, err := io.WriteString(c.conn, raw); err != nil {
+		c.t.Fatal(err)
+	}
+	return c.read()
+}
+
+func (c *consumer) read() *http.Response {
+	c.t.Helper()
+	res, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	io.Copy(io.Discard, res.Body)
+	return res
+}
+
+// hand hands a message in and wants it taken on.
+func (s *site) hand(id, class string, dest int) {
+	s.t.Helper()
+	if res := s.consumer().send(request(id, class, dest, 20*time.Second, "body of "+id)); res.StatusCode != 202 {
+		s.t.Fatalf("%s: answered %s", id, res.Status)
+	}
+}
--- /dev/null
+++ b/cmd/larkreach/larkreach_test.go
@@ -0,0 +1,411 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// A message goes on byte for byte, connections are kept, and the counters at the end tell what was done.
+func TestDelivery(t *testing.T) {
+	p := newProvider(t, "a", 7)
+	s := newSite(t, p)
+	s.start()
+	body := "\x00\xff\r\n\r\nPOST / HTTP/1.1\r\n" + strings.Repeat("x", 60<<10)
+	c := s.consumer()
+	for i, id := range []string{"0000000000000001", "<&é\"'>"} {
+		if res := c.send(request(id, "keyed", 7, 5*time.Second, body)); res.StatusCode != 202 {
+			t.Fatalf("answered %s", res.Status)
+		}
+		got := <-p.calls
+		type seen struct{ ID, Key, Body string }
+		if diff := cmp.Diff(seen{id, "key-" + id, body}, seen{got.id, got.key, got.body}); diff != "" {
+			t.Errorf("call differs:\n%s", diff)
+		}
+		if got.connNumber != 1 || got.timeout == "" {
+			t.Errorf("call %d: connection %d, X-Timeout-Ms %q", i, got.connNumber, got.timeout)
+		}
+		got.answer("200 OK")
+	}
+	if res := c.send("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"); res.StatusCode != 200 {
+		t.Errorf("healthz: %s", res.Status)
+	}
+	s.cmd.Process.Signal(syscall.SIGUSR1)
+	if !s.sees("in: requests=2 taken=2 ") {
+		t.Errorf("no counters on request:\n%s", s.log)
+	}
+	if err := s.end(syscall.SIGTERM); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+	if !strings.Contains(s.log.String(), "sent: calls=2 held_back=0 out=0 ok=2 ") {
+		t.Errorf("counters at exit:\n%s", s.log)
+	}
+}
+
+// What an endpoint answers decides whether the message goes again, and which notice it ends with.
+func TestOutcomes(t *testing.T) {
+	answers := func(text string) func(*call) { return func(c *call) { c.answer(text) } }
+	drop := (*call).drop
+	halfHead := func(c *call) { io.WriteString(c.conn, "HTTP/1.1 200 OK\r\nContent-Le"); c.drop() }
+	for name, c := range map[string]struct {
+		class string
+		first func(*call)
+		again bool
+		ends  string // the notice's outcome; "" for none
+	}{
+		"unsafe, error":               {"unsafe", answers("500 Error"), false, "given_up"},
+		"unsafe, reset":               {"unsafe", drop, false, "given_up"},
+		"unsafe, full":                {"unsafe", answers("503 Full"), true, ""},
+		"unsafe, told to wait":        {"unsafe", answers("429 Wait\r\nX-RateLimit-Wait-Ms: 20"), true, ""},
+		"unsafe, over slots":          {"unsafe", answers("503 Full\r\nX-Over-Slots: 1"), true, ""},
+		"unsafe, attempts used":       {"unsafe", answers("504 No"), true, ""},
+		"unsafe, over":                {"unsafe", answers("410 Gone"), false, ""},
+		"unsafe, delivered, then cut": {"unsafe", halfHead, false, ""},
+		"keyed, reset":                {"keyed", drop, true, ""},
+		"safe, error":                 {"safe", answers("500 Error\r\nConnection: close"), true, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newProvider(t, "a", 7)
+			s := newSite(t, p)
+			s.start()
+			s.hand("m1", c.class, 7)
+			c.first(<-p.calls)
+			if c.again {
+				next := <-p.calls
+				if next.id != "m1" || next.key != "key-m1" || next.body != "body of m1" {
+					t.Errorf("sent again as %+v", next)
+				}
+				next.answer("200 OK")
+			}
+			if c.ends != "" {
+				if diff := cmp.Diff(notice{Message: "m1", Outcome: c.ends}, <-s.reports); diff != "" {
+					t.Error(diff)
+				}
+			}
+			s.hand("m2", "unsafe", 7) // whatever m1 would still cause stands before it
+			got := <-p.calls
+			if got.answer("200 OK"); got.id != "m2" {
+				t.Errorf("%s was sent once more", got.id)
+			}
+			if err := s.end(syscall.SIGTERM); err != nil {
+				t.Errorf("exit: %v\n%s", err, s.log)
+			}
+			select {
+			case n := <-s.reports:
+				t.Errorf("notice %+v", n)
+			default:
+			}
+		})
+	}
+}
+
+// A restart with no warning loses nothing: what may have run is given up or repeated as its class allows, what was not
+// sent is sent, and a notice that was not acknowledged comes again.
+func TestKillAndRestart(t *testing.T) {
+	p, q := newProvider(t, "a", 7), newProvider(t, "b", 8)
+	s := newSite(t, p, q)
+	s.start()
+	s.hand("unsafe", "unsafe", 7)
+	s.hand("keyed", "keyed", 8)
+	<-p.calls
+	<-q.calls
+	s.refuse <- 500
+	s.refuse <- 500
+	s.hand("failed", "unsafe", 8)
+	failed := <-q.calls
+	failed.answer("500 Error")
+	if !s.sees("not acknowledged") {
+		t.Fatal(s.log)
+	}
+	for len(s.refuse) == 0 { // the next life's report is refused once as well
+		s.refuse <- 500
+	}
+	s.end(syscall.SIGKILL)
+	for len(s.reports) > 0 {
+		<-s.reports
+	}
+	s.start()
+	got := map[string]string{}
+	for len(got) < 1 || got["unsafe"] == "" {
+		n := <-s.reports
+		got[n.Message] = n.Outcome
+	}
+	again := <-q.calls
+	again.answer("200 OK")
+	if again.id != "keyed" || got["unsafe"] != "given_up" {
+		t.Errorf("sent again: %s; notices %v", again.id, got)
+	}
+	if err := s.end(syscall.SIGTERM); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+	s.start() // nothing is left
+	if strings.Contains(s.log.String(), "resume:") {
+		t.Errorf("left over:\n%s", s.log)
+	}
+}
+
+// After SIGTERM consumers are still answered, a call that is out may finish, and what can't go is the next life's.
+func TestStop(t *testing.T) {
+	p := newProvider(t, "a", 7)
+	s := newSite(t, p)
+	s.start()
+	s.hand("out", "unsafe", 7)
+	out := <-p.calls
+	kept := s.consumer()
+	kept.send("GET /healthz HTTP/1.1\r\n\r\n")
+	s.cmd.Process.Signal(syscall.SIGTERM)
+	if !s.sees("stop: 1 held, 1 calls out") {
+		t.Fatal(s.log)
+	}
+	if _, err := kept.r.ReadByte(); err != io.EOF {
+		t.Errorf("an idle connection: %v", err)
+	}
+	if res := s.consumer().send(request("late", "safe", 7, time.Minute, "")); res.StatusCode != 202 || !res.Close {
+		t.Errorf("after the stop: %s, closing %v", res.Status, res.Close)
+	}
+	late := <-p.calls
+	late.answer("503 Full") // it comes again too late for this life, or in it
+	out.answer("200 OK")
+	go func() {
+		for c := range p.calls {
+			c.answer("503 Full")
+		}
+	}()
+	if err := <-s.exited; err != nil {
+		t.Errorf("exit: %v\n%s", err, s.log)
+	}
+	s.start()
+	if !strings.Contains(s.log.String(), "resume: 1 messages and 0 notices") {
+		t.Errorf("the next life:\n%s", s.log)
+	}
+}
+
+// Whatever comes in is answered with a definite status, and what can't be read ends the connection.
+func TestBadInput(t *testing.T) {
+	p := newProvider(t, "a", 7)
+	s := newSite(t, p)
+	s.start()
+	post := func(extra string) string { return "POST /api HTTP/1.1\r\n" + extra + "\r\n" }
+	whole := request("m", "safe", 7, time.Second, "")
+	for name, c := range map[string]struct {
+		raw  string
+		want int
+	}{
+		"no HTTP":                {"\x16\x03\x01\x00\r\n\r\n", 400},
+		"path":                   {"GET /x HTTP/1.1\r\n\r\n", 404},
+		"method":                 {"GET /api HTTP/1.1\r\n\r\n", 405},
+		"healthz's method":       {post("Content-Length: 0\r\n")[:5] + "/healthz HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 405},
+		"no length":              {post("X-Request-ID: m\r\n"), 411},
+		"length with a sign":     {post("Content-Length: +1\r\n"), 400},
+		"two lengths":            {post("Content-Length: 1\r\nContent-Length: 2\r\n"), 400},
+		"length and chunks":      {post("Content-Length: 1\r\nTransfer-Encoding: chunked\r\n"), 400},
+		"body over 64 KiB":       {post(fmt.Sprintf("Content-Length: %d\r\n", 64<<10+1)), 413},
+		"head over 16 KiB":       {post("X: " + strings.Repeat("x", 17<<10) + "\r\n"), 431},
+		"head with no end":       {"POST /api HTTP/1.1\r\n" + strings.Repeat("a: b\r\n", 4000), 431},
+		"no id":                  {post("Content-Length: 0\r\n"), 400},
+		"time":                   {strings.Replace(whole, "X-Timeout-Ms: 1000", "X-Timeout-Ms: 1e3", 1), 400},
+		"time past all measure":  {strings.Replace(whole, "X-Timeout-Ms: 1000", "X-Timeout-Ms: 99999999999999999999", 1), 400},
+		"no destination":         {strings.Replace(whole, "dest=7", "to=7", 1), 400},
+		"unknown destination":    {strings.Replace(whole, "dest=7", "dest=8", 1), 422},
+		"unknown class":          {strings.Replace(whole, "safe", "odd", 1), 422},
+		"bare line feed in head": {post("X: a\nb\r\nContent-Length: 0\r\n"), 400},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := s.consumer()
+			res := client.send(c.raw)
+			if res.StatusCode != c.want || !res.Close {
+				t.Errorf("answered %s, closing %v; want %d", res.Status, res.Close, c.want)
+			}
+			if _, err := client.r.ReadByte(); err == nil {
+				t.Error("the connection goes on")
+			}
+		})
+	}
+	res := s.consumer().send(request("m", "safe", 7, 0, "")) // its time is up: given up at once
+	if res.StatusCode != 503 || res.Header.Get("Retry-After") == "" {
+		t.Errorf("time up: %s, Retry-After %q", res.Status, res.Header.Get("Retry-After"))
+	}
+	slow := s.consumer()
+	io.WriteString(slow.conn, whole[:30])
+	if res := slow.read(); res.StatusCode != 408 {
+		t.Errorf("half a request: %s", res.Status)
+	}
+	waits := s.consumer()
+	head, body, _ := strings.Cut(request("m", "safe", 7, time.Minute, "1234"), "\r\n\r\n")
+	if res := waits.send(head + "\r\nExpect: 100-continue\r\n\r\n"); res.StatusCode != 100 {
+		t.Fatalf("asked whether to go on: %s", res.Status)
+	}
+	if res := waits.send(body); res.StatusCode != 202 {
+		t.Fatalf("after going on: %s", res.Status)
+	}
+	if c := <-p.calls; c.body != "1234" {
+		t.Errorf("body %q", c.body)
+	}
+}
+
+// Beyond what may be held, and beyond what the disk takes, messages are refused and told when to come again.
+func TestNoRoom(t *testing.T) {
+	for name, c := range map[string]struct {
+		held int
+		body string
+	}{"most held": {1, ""}, "disk": {1000, strings.Repeat("x", 64<<10)}} {
+		t.Run(name, func(t *testing.T) {
+			p := newProvider(t, "a", 7)
+			s := newSite(t, p)
+			s.set(c.held, "settings", "limits", "most-held")
+			s.start()
+			client, taken := s.consumer(), 0
+			for {
+				res := client.send(request(fmt.Sprint("m", taken), "safe", 7, time.Minute, c.body))
+				if res.StatusCode != 202 {
+					if res.StatusCode != 503 || res.Header.Get("Retry-After") == "" {
+						t.Errorf("%s, Retry-After %q", res.Status, res.Header.Get("Retry-After"))
+					}
+					break
+				}
+				taken++
+			}
+			if taken < min(10, c.held) || taken > c.held {
+				t.Errorf("%d were taken", taken)
+			}
+			files, _ := filepath.Glob(filepath.Join(s.dir, "*"))
+			for _, f := range files {
+				if info, err := os.Stat(f); err == nil && info.Size() > 3e6 {
+					t.Errorf("%s holds %d bytes", f, info.Size())
+				}
+			}
+		})
+	}
+}
+
+// The known list serves while discovery is silent; what it tells later holds from then on.
+func TestDirectory(t *testing.T) {
+	a, b := newProvider(t, "a", 7), newProvider(t, "b", 7)
+	s := newSite(t, a)
+	s.start()
+	if got := <-s.watched; !strings.HasPrefix(got, "since=1&timeout_ms=") {
+		t.Errorf("watch %q", got)
+	}
+	s.hand("m1", "safe", 7)
+	first := <-a.calls
+	a.status = "DRAINING"
+	s.lists <- list(2, false, a, b)
+	if got := <-s.watched; !strings.HasPrefix(got, "since=2&") { // the next watch: the change was read
+		t.Errorf("watch %q", got)
+	}
+	s.hand("m2", "safe", 7)
+	second := <-b.calls
+	if first.id != "m1" || second.id != "m2" {
+		t.Errorf("sent %s, then %s", first.id, second.id)
+	}
+	second.answer("200 OK")
+	a.status = "DELETED"
+	first.answer("200 OK")
+	s.lists <- list(3, false, a)
+	if got := <-a.ends; got != 1 {
+		t.Errorf("connection %d of an endpoint that is gone ended", got)
+	}
+	moved := newProvider(t, "b", 9) // a whole list, and b is another group's now
+	s.lists <- list(4, true, moved)
+	<-s.watched
+	<-s.watched
+	s.hand("m3", "unsafe", 9)
+	if got := <-moved.calls; got.id != "m3" {
+		t.Errorf("sent %s", got.id)
+	}
+}
+
+// A connection that the provider has closed while it was idle is noticed: the next call goes on a new one, and only once.
+func TestIdleConnectionThatEnded(t *testing.T) {
+	p := newProvider(t, "a", 7)
+	s := newSite(t, p)
+	s.start()
+	s.hand("m1", "unsafe", 7)
+	first := <-p.calls
+	io.WriteString(first.conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+	s.hand("m2", "unsafe", 7)
+	second := <-p.calls
+	if second.answer("200 OK"); second.id != "m2" || second.connNumber != 2 {
+		t.Errorf("%s on connection %d", second.id, second.connNumber)
+	}
+}
+
+// A connection closes before the provider would close it, and a call that is cut closes its own: slots are never kept.
+func TestConnectionsEndInTime(t *testing.T) {
+	p := newProvider(t, "a", 7)
+	s := newSite(t, p)
+	s.set(1000000, "settings", "limits", "keepalive")
+	s.start()
+	s.hand("m1", "unsafe", 7)
+	(<-p.calls).answer("200 OK")
+	if got := <-p.ends; got != 1 {
+		t.Errorf("connection %d ended first", got)
+	}
+	if res := s.consumer().send(request("m2", "unsafe", 7, 300*time.Millisecond, "")); res.StatusCode != 202 {
+		t.Fatal(res.Status)
+	}
+	silent := <-p.calls
+	close(silent.next) // read on, to see the connection's end
+	if got := <-p.ends; got != 2 {
+		t.Errorf("connection %d ended second", got)
+	}
+	if diff := cmp.Diff(notice{Message: "m2", Outcome: "given_up"}, <-s.reports); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// A configuration that can't be used ends the program with one plain line.
+func TestBadConfig(t *testing.T) {
+	for name, c := range map[string]struct {
+		spoil func(*site)
+		want  string
+	}{
+		"no file":      {func(s *site) { s.env = []string{"ROUTER_CONFIG=/nowhere"} }, "config: open /nowhere"},
+		"no state":     {func(s *site) { s.env = []string{"ROUTER_STATE="} }, "config: ROUTER_STATE is not set"},
+		"seed":         {func(s *site) { s.set("xyz", "seed") }, "config: seed"},
+		"limits":       {func(s *site) { s.set(0, "limits", "sockets") }, "config: limits"},
+		"disk":         {func(s *site) { s.set(0.01, "limits", "disk_mb") }, "too few"},
+		"settings":     {func(s *site) { s.set(0, "settings", "family-info", "calls-out") }, "Slots must be at least 1"},
+		"known list":   {func(s *site) { s.set([]any{map[string]any{"name": ""}}, "known", "endpoints") }, "config: known"},
+		"address used": {func(s *site) { s.set(s.discovery.Addr().String(), "listen") }, "address already in use"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			c.spoil(s)
+			s.launch()
+			err := <-s.exited
+			text := s.log.String()
+			if err == nil || strings.Count(text, "\n") != 1 || !strings.Contains(text, c.want) {
+				t.Errorf("exit %v with\n%s", err, text)
+			}
+		})
+	}
+}
+
+// Connections beyond what the sockets allow are refused, not left waiting, and earlier ones are served on.
+func TestTooManyConsumers(t *testing.T) {
+	s := newSite(t, newProvider(t, "a", 7))
+	s.set(64, "limits", "sockets")
+	s.start()
+	first := s.consumer()
+	first.send("GET /healthz HTTP/1.1\r\n\r\n")
+	for range 64 {
+		c := s.consumer()
+		io.WriteString(c.conn, "GET /healthz HTTP/1.1\r\n\r\n")
+		if res := c.read(); res.StatusCode == 503 {
+			if res := first.send("GET /healthz HTTP/1.1\r\n\r\n"); res.StatusCode != 200 {
+				t.Errorf("an earlier connection: %s", res.Status)
+			}
+			return
+		}
+	}
+	t.Error("64 connections within 64 sockets")
+}
--- a/cmd/larkreach/main.go
+++ b/cmd/larkreach/main.go
@@ -25,9 +25,11 @@
 )
 
 const (
-	stillComing = 500 * time.Millisecond // consumers still come for so long after the stop
-	heapShare   = 0.6                    // of the memory limit: stacks, files and sockets take some too
-	spareFiles  = 24                     // descriptors beside connections
+	stillComing = 600 * time.Millisecond  // after the stop: consumers come for 0.4 s, and are answered
+	settleFor   = 700 * time.Millisecond  // after the stop: the router ends no earlier
+	drainFor    = 3300 * time.Millisecond // after the stop: calls may be out; the kill comes after 3.7 s
+	heapShare   = 0.6                     // of the memory limit: stacks, files and sockets take some too
+	spareFiles  = 24                      // descriptors beside connections
 )
 
 func main() {
@@ -53,26 +55,36 @@
 	}
 	defer journal.Close()
 
+	listener, err := net.Listen("tcp", cfg.Listen) // nobody is answered before what an earlier life left is resumed
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	defer listener.Close()
+
 	room := cfg.Limits.Sockets - spareFiles - cfg.Settings.Slots
 	providers := transport.NewProviders(cfg.Settings.KeepAlive, cfg.Settings.ConnectTimeout, room/4)
 	defer providers.Close()
 	reporter := transport.NewReporter(cfg.Discovery, logger)
 	router, err := routing.New(routing.Config{
 		Settings: cfg.Settings, Seed: cfg.Seed, Known: directory(cfg.Known, true), Log: journal,
-		Invoker: invoker{providers}, Notifier: notifier{reporter}, Logger: logger,
+		Invoker: invoker{providers}, Notifier: notifier{reporter}, Logger: logger, Drain: drainFor, Settle: settleFor,
 	})
 	if err != nil {
 		return err
 	}
-	err = serve(cfg, logger, router, reporter, room*3/4)
+	err = serve(cfg, logger, router, reporter, listener, room*3/4)
 	logger.Printf("counters at exit\n%v", router.Counters())
 	return err
 }
 
 // serve runs the parts and ends them in order: the consumers, the router, then what it still needs.
-func serve(cfg config, logger *log.Logger, router *routing.Router, reporter *transport.Reporter, most int) error {
+func serve(cfg config, logger *log.Logger, router *routing.Router, reporter *transport.Reporter,
+	listener net.Listener, most int) error {
 	stop, cancelStop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancelStop()
+	usr := make(chan os.Signal, 1)
+	signal.Notify(usr, syscall.SIGUSR1)
+	defer signal.Stop(usr)
 	group, ctx := errgroup.WithContext(stop) // ends with a signal, or with the first part that fails
 	after, routerEnded := context.WithCancel(context.WithoutCancel(ctx))
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
@@ -92,9 +104,6 @@
 		return watch.Watch(after)
 	})
 	group.Go(func() error {
-		usr := make(chan os.Signal, 1)
-		signal.Notify(usr, syscall.SIGUSR1)
-		defer signal.Stop(usr)
 		for {
 			select {
 			case <-usr:
@@ -110,14 +119,10 @@
 		case <-after.Done():
 			return nil
 		}
-		listener, err := net.Listen("tcp", cfg.Listen)
-		if err != nil {
-			return fmt.Errorf("listen: %w", err)
-		}
 		logger.Printf("ready on %s", cfg.Listen)
 		defer context.AfterFunc(ctx, func() { time.AfterFunc(stillComing, stopServing) })()
 		consumers := transport.Consumers{Desk: desk{router}, Most: most}
-		return consumers.Serve(serving, listener)
+		return consumers.Serve(serving, ctx, listener)
 	})
 	return group.Wait()
 }
--- a/decide.go
+++ b/decide.go
@@ -222,6 +222,12 @@
 
 func (d *Decider) entry(en Entry) {
 	ep := d.eps[en.Endpoint]
+	if ep != nil && ep.lane.dest.id != en.Destination { // moved: what was seen tells nothing there
+		d.setState(ep, Deleted)
+		ep.lane.known--
+		delete(d.eps, en.Endpoint)
+		ep = nil
+	}
 	if ep == nil {
 		if en.Readiness == Deleted {
 			return
--- a/internal/protocol/handover.go
+++ b/internal/protocol/handover.go
@@ -100,6 +100,9 @@
 	return 0, false
 }
 
+// GoOn tells a peer that waits to send its body.
+const GoOn = "HTTP/1.1 100 Continue\r\n\r\n"
+
 var reasons = map[int]string{
 	200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
 	411: "Length Required", 413: "Content Too Large", 422: "Unprocessable Content",
--- a/internal/protocol/message.go
+++ b/internal/protocol/message.go
@@ -36,6 +36,7 @@
 	Fields []Field
 	Body   []byte
 	Close  bool // the connection ends with it
+	Cut    bool // the connection ended before the message did; its start line holds all the same
 }
 
 // Get is the value of a head's field; nil if there is none.
@@ -81,6 +82,7 @@
 	head     int // the head's length, its empty line included
 	body     int // the body's bytes read into place
 	need     int // what is left of the body, or of the chunk with its line end
+	expects  bool
 	msg      Message
 	err      error
 }
@@ -129,13 +131,35 @@
 	return m, err
 }
 
-// End tells that the connection has ended. It completes an answer whose body lasts until then.
+// End tells that the connection has ended. An answer whose body lasts until then is whole; of any other that has
+// begun, what came is given, since a provider's first line alone says how a call ended.
 func (p *Parser) End() *Message {
-	if p.err != nil || p.phase != toEnd {
+	if p.err != nil || !p.answers {
 		return nil
 	}
-	p.body = p.w - p.r - p.head
-	return p.finish(p.w)
+	if p.phase == inHead {
+		line, _, ok := bytes.Cut(p.buf[p.r:p.w], []byte("\r\n"))
+		p.msg.Fields = p.msg.Fields[:0]
+		if !ok || p.startLine(line) != nil || p.msg.Status() < 200 {
+			return nil
+		}
+		p.head = p.w - p.r
+	}
+	p.msg.Cut = p.phase != toEnd
+	switch p.phase {
+	case toEnd, inBody:
+		p.body = p.w - p.r - p.head
+	}
+	m := p.finish(p.w)
+	m.Close = true
+	return m
+}
+
+// Continue says, once, that a peer waits to be told to go on with its body.
+func (p *Parser) Continue() bool {
+	expects := p.phase != inHead && p.w == p.r+p.head && p.expects
+	p.expects = false
+	return expects
 }
 
 func (p *Parser) next() (*Message, error) {
@@ -208,7 +232,7 @@
 // parseHead reads a head where it lies and tells how its body goes on.
 func (p *Parser) parseHead(head []byte) (phase, error) {
 	m := &p.msg
-	m.Fields, m.Close = m.Fields[:0], false
+	m.Fields, m.Close, m.Cut, p.expects = m.Fields[:0], false, false, false
 	line, rest, _ := bytes.Cut(head, []byte("\r\n"))
 	if err := p.startLine(line); err != nil {
 		return 0, err
@@ -237,6 +261,8 @@
 				return 0, ErrEncoding
 			}
 			chunked = true
+		case equalFold(name, "Expect"):
+			p.expects = equalFold(f.Value, "100-continue")
 		case equalFold(name, "Connection"):
 			for token := range bytes.SplitSeq(f.Value, []byte(",")) {
 				m.Close = m.Close || equalFold(bytes.Trim(token, " \t"), "close")
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -13,11 +13,10 @@
 )
 
 const (
-	clockStart   = time.Second            // the module takes a reading of zero for "never"
-	pushBack     = time.Second            // when to come again to a forwarder that is full, beside the module's say
-	eventRoom    = 256                    // events waiting for the router's goroutine
-	settleFor    = 500 * time.Millisecond // after the stop: consumers still come, and are answered
-	lateRefusal  = 3 * time.Second        // when to come again to a forwarder that is going down
+	clockStart   = time.Second     // the module takes a reading of zero for "never"
+	pushBack     = time.Second     // when to come again to a forwarder that is full, beside the module's say
+	eventRoom    = 256             // events waiting for the router's goroutine
+	lateRefusal  = 3 * time.Second // when to come again to a forwarder that is going down
 	timersAtOnce = 16
 )
 
@@ -30,6 +29,8 @@
 	Invoker  Invoker
 	Notifier Notifier
 	Logger   *log.Logger
+	Drain    time.Duration // after the stop: how long calls may be out, at the most
+	Settle   time.Duration // after the stop: how long consumers may still come, and are answered
 }
 
 // held is a message that is taken on, or that still has a call out.
@@ -120,7 +121,7 @@
 			r.fire()
 		case <-stop:
 			stop = nil
-			r.close(stopDrain)
+			r.close(r.cfg.Drain)
 		}
 		if r.drained() {
 			break
@@ -147,9 +148,6 @@
 	}
 }
 
-// stopDrain is how long calls may be out after the stop: the process is killed 3.7 s after it at the soonest.
-const stopDrain = 3300 * time.Millisecond
-
 // close begins the end of this life.
 func (r *Router) close(in time.Duration) {
 	r.stopAt = time.Now().Add(in)
@@ -163,7 +161,7 @@
 		return false
 	}
 	left := time.Until(r.stopAt)
-	return left <= 0 || left < stopDrain-settleFor && r.calls == 0 && len(r.ids) == 0
+	return left <= 0 || left < r.cfg.Drain-r.cfg.Settle && r.calls == 0 && len(r.ids) == 0
 }
 
 // post hands an event to the router's goroutine; it is dropped once that has ended.
@@ -278,7 +276,7 @@
 		}
 	}
 	if !r.stopAt.IsZero() {
-		for _, at := range []time.Time{r.stopAt, r.stopAt.Add(settleFor - stopDrain)} {
+		for _, at := range []time.Time{r.stopAt, r.stopAt.Add(r.cfg.Settle - r.cfg.Drain)} {
 			if at.Before(next) && time.Until(at) > 0 {
 				next = at
 			}
@@ -318,7 +316,7 @@
 	}
 	entries := make([]mb.Entry, 0, len(d.Providers))
 	for _, p := range d.Providers {
-		if old, ok := r.providers[p.Name]; ok && (p.State == mb.Deleted || old.Address != p.Address) {
+		if old, ok := r.providers[p.Name]; p.State != mb.Serving || ok && old.Address != p.Address {
 			r.cfg.Invoker.CloseIdle(p.Name)
 		}
 		if p.State == mb.Deleted {
@@ -377,7 +375,7 @@
 	case !r.classes[m.Class]:
 		r.counters.Unreadable++
 		return Verdict{Kind: UnknownClass}
-	case !r.groups[m.Destination]:
+	case len(r.groups) > 0 && !r.groups[m.Destination]:
 		r.counters.Unreadable++
 		return Verdict{Kind: UnknownDestination}
 	case len(r.ids) >= r.cfg.Settings.MostHeld:
@@ -551,6 +549,9 @@
 	if h.ended {
 		delete(r.messages, h.seq)
 	}
+	if r.providers[c.provider].State != mb.Serving || r.providers[c.provider].Address == "" {
+		r.cfg.Invoker.CloseIdle(c.provider) // it was listed so while this call was out
+	}
 	r.decide(mb.Answer{
 		ID: mb.MessageID(h.seq), Attempt: c.number, Endpoint: mb.EndpointID(c.provider), Outcome: out,
 		Latency: time.Since(c.sentAt), Settled: over || h.ended, Wait: result.Wait, Limit: result.Limit,
--- a/internal/transport/consumers.go
+++ b/internal/transport/consumers.go
@@ -36,22 +36,23 @@
 	Desk Desk
 	Most int // connections at once
 
-	mu    sync.Mutex
-	conns map[net.Conn]bool // true while idle
-	over  bool
+	mu      sync.Mutex
+	conns   map[net.Conn]bool // true while idle
+	leaving bool
 }
 
-// Serve accepts connections until ctx ends; then it answers the requests that have come, closes everything and returns.
-func (s *Consumers) Serve(ctx context.Context, listener net.Listener) error {
+// Serve accepts connections until ctx ends. When leave ends, which comes first, connections end with their next answer
+// and idle ones at once: a request that crosses that comes again on a new connection, which is still answered.
+func (s *Consumers) Serve(ctx, leave context.Context, listener net.Listener) error {
 	s.mu.Lock()
 	s.conns = map[net.Conn]bool{}
 	s.mu.Unlock()
 	var group errgroup.Group
-	stop := context.AfterFunc(ctx, func() {
+	defer context.AfterFunc(leave, s.leave)()
+	defer context.AfterFunc(ctx, func() {
 		_ = listener.Close()
-		s.wind()
-	})
-	defer stop()
+		s.leave()
+	})()
 	var failed error
 	for {
 		conn, err := listener.Accept()
@@ -74,11 +75,11 @@
 	return errors.Join(failed, group.Wait())
 }
 
-// wind closes the idle connections and leaves the others a moment to finish what they have begun.
-func (s *Consumers) wind() {
+// leave closes the idle connections and gives the others a moment to finish what they have begun.
+func (s *Consumers) leave() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.over = true
+	s.leaving = true
 	for conn, idle := range s.conns {
 		until := time.Now()
 		if !idle {
@@ -92,15 +93,14 @@
 func (s *Consumers) mark(conn net.Conn, idle bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, known := s.conns[conn]; !known && len(s.conns) >= s.Most {
+	_, known := s.conns[conn]
+	if !known && len(s.conns) >= s.Most || known && idle && s.leaving {
 		return false
 	}
 	s.conns[conn] = idle
 	wait := requestFor
 	switch {
-	case s.over && idle:
-		return false
-	case s.over:
+	case s.leaving:
 		wait = graceFor
 	case idle:
 		wait = idleFor
@@ -108,6 +108,13 @@
 	return conn.SetReadDeadline(time.Now().Add(wait)) == nil
 }
 
+// last says whether connections end with their next answer.
+func (s *Consumers) last() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
 func (s *Consumers) serve(conn net.Conn) {
 	defer conn.Close()
 	defer func() {
@@ -137,6 +144,11 @@
 			}
 			continue
 		}
+		if parser.Continue() {
+			if _, err := conn.Write([]byte(protocol.GoOn)); err != nil {
+				return
+			}
+		}
 		n, err := conn.Read(parser.Space())
 		parser.Commit(n)
 		if n > 0 && idle {
@@ -162,7 +174,7 @@
 		rejection = s.Desk.Take(handover)
 	}
 	taken := status == 202 && rejection == nil
-	last := m.Close || rejection != nil && rejection.Close
+	last := m.Close || rejection != nil && rejection.Close || s.last()
 	if !s.answerTo(conn, status, rejection, last) {
 		if taken {
 			s.Desk.Withdraw(string(handover.ID))
--- a/internal/transport/providers.go
+++ b/internal/transport/providers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -61,6 +60,7 @@
 	busy    atomic.Bool // a call is out on it
 	last    bool        // the provider said that it closes; written before the answer is passed on
 	expire  *time.Timer
+	since   time.Time // idle since then
 }
 
 // Invoke makes one call. begin is asked just before the first byte; nothing is ever written twice.
@@ -177,7 +177,8 @@
 				continue
 			}
 			if m, _ = parser.Next(); m == nil {
-				if m = parser.End(); m == nil || errors.Is(err, net.ErrClosed) {
+				// A first line with 200 is a delivery however the connection ends; any other answer has to be whole.
+				if m = parser.End(); m == nil || m.Cut && m.Status() != 200 {
 					return
 				}
 			}
@@ -231,6 +232,7 @@
 	}
 	p.idle[c.name] = append(p.idle[c.name], c)
 	p.idles++
+	c.since = time.Now()
 	c.expire = time.AfterFunc(p.keep, func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -238,14 +240,15 @@
 	})
 }
 
-// coldest is some provider's connection that was used least lately.
+// coldest is the idle connection that was used least lately.
 func (p *Providers) coldest() *providerConn {
+	var coldest *providerConn
 	for _, conns := range p.idle {
-		if len(conns) > 0 {
-			return conns[0]
+		if coldest == nil || conns[0].since.Before(coldest.since) {
+			coldest = conns[0]
 		}
 	}
-	return nil
+	return coldest
 }
 
 // drop closes a connection if it is idle; p.mu is held.
--- a/lives_test.go
+++ b/lives_test.go
@@ -84,3 +84,16 @@
 		t.Errorf("told to come back after %v", f.RetryAfter)
 	}
 }
+
+// An endpoint that the list moves to another destination serves that one, and the old one no more.
+func TestEndpointMovesToAnotherDestination(t *testing.T) {
+	r := newRig(t, testSettings())
+	r.submit("safe", 1, 0)
+	r.do(Members{Scope: ListChanges, Entries: []Entry{{Endpoint: "a", Destination: 2, CapacityHint: 50}}})
+	r.answer(r.last(), OK, 0) // a call from before the move
+	r.submit("safe", 1, 0)
+	id := r.submit("safe", 2, 0)
+	if len(r.sends) != 2 || r.last().ID != id {
+		t.Errorf("sends %+v, want only message %d after the move", r.sends, id)
+	}
+}
