--- a/cmd/larkreach/larkreach_test.go
+++ b/cmd/larkreach/larkreach_test.go
@@ -349,7 +349,7 @@
 	if got := <-p.ends; got != 1 {
 		t.Errorf("connection %d ended first", got)
 	}
-	if res := s.consumer().send(request("m2", "unsafe", 7, 300*time.Millisecond, "")); res.StatusCode != 202 {
+	if res := s.consumer().send(request("m2", "unsafe", 7, 1500*time.Millisecond, "")); res.StatusCode != 202 {
 		t.Fatal(res.Status)
 	}
 	silent := <-p.calls
