--- /dev/null
+++ b/internal/protocol/protocol_test.go
@@ -0,0 +1,179 @@
+package protocol
+
+import (
+	"errors"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// read is a message as text, for comparing.
+type read struct {
+	Start, Fields, Body string
+	Close, Cut          bool
+}
+
+func text(m *Message) read {
+	var fields []string
+	for _, f := range m.Fields {
+		fields = append(fields, string(f.Name)+"="+string(f.Value))
+	}
+	start := string(m.Start[0]) + "|" + string(m.Start[1]) + "|" + string(m.Start[2])
+	return read{start, strings.Join(fields, "&"), string(m.Body), m.Close, m.Cut}
+}
+
+// feed gives a parser the bytes in pieces of a size, then the connection's end.
+func feed(p *Parser, raw string, size int) (out []read, err error) {
+	for len(raw) > 0 {
+		n := copy(p.Space(), raw[:min(size, len(raw))])
+		p.Commit(n)
+		raw = raw[n:]
+		for {
+			m, err := p.Next()
+			if err != nil {
+				return out, err
+			}
+			if m == nil {
+				break
+			}
+			out = append(out, text(m))
+		}
+	}
+	if m := p.End(); m != nil {
+		out = append(out, text(m))
+	}
+	return out, nil
+}
+
+// The same messages come out whatever the pieces that the bytes came in.
+func TestParser(t *testing.T) {
+	long := strings.Repeat("b", 5000)
+	for name, c := range map[string]struct {
+		answers bool
+		raw     string
+		want    []read
+		err     error
+	}{
+		"two requests in one piece": {false, "\r\nPOST /a HTTP/1.1\r\nA: 1\r\nContent-Length: 3\r\n\r\nxyzGET /b HTTP/1.0\r\n\r\n",
+			[]read{{"POST|/a|HTTP/1.1", "A=1&Content-Length=3", "xyz", false, false}, {"GET|/b|HTTP/1.0", "", "", true, false}}, nil},
+		"chunks": {false, "POST /a HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n3;x=y\r\nabc\r\n1388\r\n" + long + "\r\n0\r\nT: 1\r\n\r\n" +
+			"GET /b HTTP/1.1\r\nconnection: Keep-Alive, Close\r\n\r\n",
+			[]read{{"POST|/a|HTTP/1.1", "Transfer-Encoding=Chunked", "abc" + long, false, false},
+				{"GET|/b|HTTP/1.1", "connection=Keep-Alive, Close", "", true, false}}, nil},
+		"chunk without its end":    {false, "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc", nil, ErrMalformed},
+		"chunk of no size":         {false, "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n", nil, ErrMalformed},
+		"chunks past the bound":    {false, "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n", nil, ErrBodySize},
+		"another encoding":         {false, "POST /a HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", nil, ErrEncoding},
+		"name with a space":        {false, "GET / HTTP/1.1\r\nContent-Length : 3\r\n\r\n", nil, ErrMalformed},
+		"folded line":              {false, "GET / HTTP/1.1\r\nA: 1\r\n b\r\n\r\n", nil, ErrMalformed},
+		"four words":               {false, "GET / x HTTP/1.1\r\n\r\n", nil, ErrMalformed},
+		"interim, then an answer":  {true, "HTTP/1.1 100 Go on\r\n\r\nHTTP/1.1 204 None\r\nContent-Length: 9\r\n\r\nHTTP/1.1 200\r\nContent-Length: 1\r\n\r\nx", []read{{"HTTP/1.1|204|None", "Content-Length=9", "", false, false}, {"HTTP/1.1|200|", "Content-Length=1", "x", false, false}}, nil},
+		"answer up to the end":     {true, "HTTP/1.1 200 OK\r\n\r\nrest", []read{{"HTTP/1.1|200|OK", "", "rest", true, false}}, nil},
+		"answer cut in its body":   {true, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nre", []read{{"HTTP/1.1|200|OK", "Content-Length=9", "re", true, true}}, nil},
+		"answer cut in its head":   {true, "HTTP/1.1 200 OK\r\nContent-Le", []read{{"HTTP/1.1|200|OK", "", "", true, true}}, nil},
+		"answer cut in first line": {true, "HTTP/1.1 200 O", nil, nil},
+		"status of two digits":     {true, "HTTP/1.1 20 OK\r\n\r\n", nil, ErrMalformed},
+	} {
+		for _, size := range []int{1, 7, 1 << 20} {
+			parser := NewRequestParser(MostBody)
+			if c.answers {
+				parser = NewAnswerParser(MostBody)
+			}
+			got, err := feed(parser, c.raw, size)
+			if diff := cmp.Diff(c.want, got); diff != "" || !errors.Is(err, c.err) {
+				t.Errorf("%s in pieces of %d: %v\n%s", name, size, err, diff)
+			}
+		}
+	}
+}
+
+// No input makes a parser panic or hold more than its bounds.
+func FuzzParser(f *testing.F) {
+	f.Add([]byte("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"), uint8(3), true)
+	f.Fuzz(func(t *testing.T, raw []byte, size uint8, answers bool) {
+		parser := NewRequestParser(64)
+		if answers {
+			parser = NewAnswerParser(64)
+		}
+		got, _ := feed(parser, string(raw), int(size)+1)
+		for _, m := range got {
+			if !m.Cut && len(m.Body) > 64 && !m.Close {
+				t.Errorf("body of %d bytes", len(m.Body))
+			}
+		}
+	})
+}
+
+// What is written is what the other side's parser reads.
+func TestWritten(t *testing.T) {
+	flat := func(b net.Buffers) (s string) {
+		for _, piece := range b {
+			s += string(piece)
+		}
+		return s
+	}
+	report, err := AppendReport(nil, "d:1", []Notice{{ID: `a"b`}, {ID: "c", HandedBack: true, RetryAfter: 1500 * time.Millisecond}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		answers bool
+		raw     string
+		want    read
+	}{
+		"call": {false, flat(Call{ID: "i", Key: "k", Timeout: 1500 * time.Millisecond, Host: "h:1", Body: []byte("b")}.Buffers()),
+			read{"POST|/v1/messages|HTTP/1.1", "Host=h:1&X-Timeout-Ms=1500&Content-Length=1&X-Request-ID=i&Idempotency-Key=k", "b", false, false}},
+		"call with no key or body": {false, flat(Call{ID: "i", Host: "h"}.Buffers()),
+			read{"POST|/v1/messages|HTTP/1.1", "Host=h&X-Timeout-Ms=1&Content-Length=0&X-Request-ID=i", "", false, false}},
+		"taken on": {true, string(AppendAnswer(nil, 202, nil, false)), read{"HTTP/1.1|202|Accepted", "Content-Length=0", "", false, false}},
+		"refused": {true, string(AppendAnswer(nil, 0, &Rejection{Status: 503, Reason: "later", RetryAfter: 1200400 * time.Microsecond}, true)),
+			read{"HTTP/1.1|503|Service Unavailable", "Retry-After=1.201&Connection=close&Content-Length=5", "later", true, false}},
+		"report": {false, string(report), read{"POST|/reports|HTTP/1.1", "Host=d:1&Content-Type=application/json&Content-Length=99",
+			`{"message":"a\"b","outcome":"given_up"}` + "\n" + `{"message":"c","outcome":"handed_back","retry_in_ms":1500}` + "\n", false, false}},
+		"watch": {false, string(AppendWatch(nil, "d", 41, 20*time.Second)),
+			read{"GET|/v1/servers?since=41&timeout_ms=20000|HTTP/1.1", "Host=d", "", false, false}},
+		"whole list": {false, string(AppendWatch(nil, "d", -1, 0)), read{"GET|/v1/servers|HTTP/1.1", "Host=d", "", false, false}},
+	} {
+		parser := NewRequestParser(MostBody)
+		if c.answers {
+			parser = NewAnswerParser(MostBody)
+		}
+		got, err := feed(parser, c.raw, 1)
+		if diff := cmp.Diff([]read{c.want}, got); diff != "" || err != nil {
+			t.Errorf("%s: %v\n%s", name, err, diff)
+		}
+	}
+}
+
+// Replies and lists are read as they are meant, and odd ones don't pass.
+func TestRepliesAndLists(t *testing.T) {
+	for raw, want := range map[string]Reply{
+		"HTTP/1.1 429 No\r\nx-ratelimit-wait-ms: 250\r\nContent-Length: 0\r\n\r\n":              {Status: 429, Wait: 250 * time.Millisecond},
+		"HTTP/1.1 503 No\r\nX-Over-Slots: 1\r\nContent-Length: 0\r\n\r\n":                       {Status: 503, OverSlots: true},
+		"HTTP/1.1 200 OK\r\nX-Server-Load: {\"x0\":0.4,\"x1\":25}\r\nContent-Length: 0\r\n\r\n": {Status: 200, Load: []byte(`{"x0":0.4,"x1":25}`)},
+	} {
+		parser := NewAnswerParser(0)
+		parser.Commit(copy(parser.Space(), raw))
+		m, err := parser.Next()
+		if err != nil || m == nil {
+			t.Fatalf("%q: %v", raw, err)
+		}
+		if diff := cmp.Diff(want, ReadReply(m)); diff != "" {
+			t.Errorf("%q:\n%s", raw, diff)
+		}
+	}
+	got, err := ParseDirectory([]byte(`{"index":41,"snapshot":true,"more":1,"endpoints":[
+		{"name":"s","address":"a:1","zone":"z","type":"m2","group":3,"status":"DRAINING","weight":1.5,"since_ms":0}]}`))
+	want := Directory{41, true, []Provider{{"s", "a:1", "z", "m2", 3, Draining, 1.5}}}
+	if diff := cmp.Diff(want, got); diff != "" || err != nil {
+		t.Errorf("list: %v\n%s", err, diff)
+	}
+	for _, raw := range []string{"", "[]", `{"endpoints":[{"name":"s","status":"ODD"}]}`, `{"endpoints":[{"status":"SERVING"}]}`} {
+		if _, err := ParseDirectory([]byte(raw)); !errors.Is(err, ErrMalformed) {
+			t.Errorf("%s: %v", raw, err)
+		}
+	}
+}
