--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -74,6 +74,7 @@
 	messages  map[uint64]*held
 	ids       map[string]*held // by the consumers' id, until the end
 	calls     int
+	notices   int // not acknowledged yet
 	timers    []timer
 	stopAt    time.Time // the end of this life, once it is told
 	over      bool      // no call may begin any more
@@ -155,13 +156,13 @@
 	r.decide(mb.Closing{In: in})
 }
 
-// drained says whether this life may end: consumers have stopped coming, and nothing is out or could still go.
+// drained says whether this life may end: consumers have stopped coming, and nothing is held, out or still to be told.
 func (r *Router) drained() bool {
 	if r.stopAt.IsZero() {
 		return false
 	}
 	left := time.Until(r.stopAt)
-	return left <= 0 || left < r.cfg.Drain-r.cfg.Settle && r.calls == 0 && len(r.ids) == 0
+	return left <= 0 || left < r.cfg.Drain-r.cfg.Settle && r.calls == 0 && len(r.ids) == 0 && r.notices == 0
 }
 
 // post hands an event to the router's goroutine; it is dropped once that has ended.
@@ -453,8 +454,10 @@
 	} else {
 		r.counters.GivenUp++
 	}
+	r.notices++
 	r.cfg.Notifier.Notify(Notice{ID: h.ID, HandedBack: back, RetryAfter: retry, Done: func() {
 		r.post(func() {
+			r.notices--
 			r.counters.Acknowledged++
 			r.journal(r.cfg.Log.End(h.seq, wal.Over, 0))
 		})
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,118 @@
+package routing
+
+import (
+	"context"
+	"io"
+	"log"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	mb "mulleinbeam"
+	"mulleinbeam/internal/routing/wal"
+)
+
+// script is an invoker and a notifier that tell the test what they are given.
+type script struct {
+	calls   chan InvokerCall
+	results chan Result
+	notices chan Notice
+}
+
+func (s script) Invoke(_ context.Context, c InvokerCall) Result {
+	s.calls <- c
+	return <-s.results
+}
+
+func (s script) CloseIdle(string) {}
+
+func (s script) Notify(n Notice) { s.notices <- n }
+
+// newRouter runs a router with one provider, "a" of destination 7, on a journal in a folder of its own.
+func newRouter(t *testing.T) (*Router, script, *wal.Log) {
+	t.Helper()
+	journal, err := wal.Open(t.TempDir(), 3e6, func(string) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := script{make(chan InvokerCall, 8), make(chan Result, 8), make(chan Notice, 8)}
+	r, err := New(Config{
+		Settings: mb.Settings{
+			Couriers: 1, Slots: 4, MostHeld: 10, MaxAttempts: 6, MaxRetryAfter: time.Second,
+			Classes: []mb.Class{{Name: "unsafe", Target: time.Second, GiveUp: time.Minute, Worth: 1, Effect: mb.Unsafe}},
+		},
+		Known: Directory{Whole: true, Saved: true, Providers: []Provider{{Name: "a", Address: "a:1", Group: 7, Weight: 50}}},
+		Log:   journal, Invoker: s, Notifier: s, Logger: log.New(io.Discard, "", 0),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ready, ended := make(chan struct{}), make(chan struct{})
+	go func() { defer close(ended); _ = r.Run(ctx, func() { close(ready) }) }()
+	<-ready
+	t.Cleanup(func() { cancel(); <-ended; journal.Close() })
+	return r, s, journal
+}
+
+func message(id string) Message {
+	return Message{ID: id, Class: "unsafe", Destination: 7, Left: time.Minute, Body: []byte("b")}
+}
+
+// A message whose accept can't be journalled is refused, and no call of it leaves.
+func TestNothingLeavesWithoutTheJournal(t *testing.T) {
+	r, s, journal := newRouter(t)
+	journal.Close()
+	if got := r.Take(message("m")); got.Kind != Refused || got.RetryAfter <= 0 {
+		t.Errorf("verdict %+v", got)
+	}
+	if got := r.Counters(); len(s.calls) != 0 || got.Sends != 0 || got.Held != 0 {
+		t.Errorf("counters %+v", got)
+	}
+}
+
+// Between a send and its first byte the list may change: then the call does not begin, and counts as never sent.
+func TestListIsLookedAtAgainBeforeTheFirstByte(t *testing.T) {
+	for name, change := range map[string]Provider{
+		"drains":        {Name: "a", Address: "a:1", Group: 7, State: mb.Draining},
+		"is gone":       {Name: "a", Address: "a:1", Group: 7, State: mb.Deleted},
+		"changes group": {Name: "a", Address: "a:1", Group: 8},
+	} {
+		r, s, _ := newRouter(t)
+		if got := r.Take(message("m")); got.Kind != Taken {
+			t.Fatalf("verdict %+v", got)
+		}
+		c := <-s.calls
+		r.Learn(Directory{Providers: []Provider{change}})
+		if c.Begin() {
+			t.Errorf("a call began to a provider that %s", name)
+		}
+		s.results <- Result{Outcome: mb.Moot}
+	}
+}
+
+// An unsafe message whose call was reset is given up by a notice at once; one that never began is held.
+func TestEndings(t *testing.T) {
+	r, s, _ := newRouter(t)
+	r.Take(message("ran"))
+	if c := <-s.calls; !c.Begin() {
+		t.Fatal("the call did not begin")
+	}
+	s.results <- Result{Outcome: mb.Reset}
+	n := <-s.notices
+	if diff := cmp.Diff([]any{"ran", false}, []any{n.ID, n.HandedBack}); diff != "" {
+		t.Error(diff)
+	}
+	n.Done()
+	r.Take(message("never"))
+	<-s.calls
+	s.results <- Result{Outcome: mb.Reset} // it may say so, but nothing was let go
+	(<-s.calls).Begin()
+	s.results <- Result{Outcome: mb.OK}
+	for r.Counters().Delivered == 0 { // asks the router's goroutine each time
+	}
+	if got := r.Counters(); got.Unconnected != 1 || got.Reset != 1 || got.Acknowledged != 1 || got.Held != 0 {
+		t.Errorf("counters %+v", got)
+	}
+}
