--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -101,7 +101,7 @@
 }
 
 // Run is the router's goroutine. It resumes the journal's messages, calls ready, and serves events until ctx ends and
-// the stop's drain is over, or at once if the journal can't be kept.
+// the stop's drain is over.
 func (r *Router) Run(ctx context.Context, ready func()) error {
 	defer close(r.done)
 	callCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/routing/wal/wal.go
+++ b/internal/routing/wal/wal.go
@@ -29,7 +29,7 @@
 
 // Message is what the journal knows of one that is not over.
 type Message struct {
-	Seq         uint64 // its number, never used twice in the folder's life
+	Seq         uint64 // its number, which no other message in the file has
 	Deadline    time.Time
 	Destination int64
 	ID, Key     string
