Delivery test waits until an answer was read before it expects the connection

Seen: one of five copies of the network tests run side by side failed, with the second message on a second connection: it was handed in before the forwarder had read the first one's 200, so opening a new one was right. The test now asks for the counters until the delivery is counted.

--- a/cmd/larkreach/helper_test.go
+++ b/cmd/larkreach/helper_test.go
@@ -200,6 +200,20 @@
 	return false
 }
 
+// counts asks for the counters until a line of them holds a text.
+func (s *site) counts(text string) {
+	s.cmd.Process.Signal(syscall.SIGUSR1)
+	for line := range s.log.lines {
+		if strings.Contains(line, text) {
+			return
+		}
+		if strings.HasPrefix(line, "notices:") { // the last line of them
+			s.cmd.Process.Signal(syscall.SIGUSR1)
+		}
+	}
+	s.t.Fatalf("the program ended before it counted %q", text)
+}
+
 // end sends a signal and waits for the program's end.
 func (s *site) end(sig syscall.Signal) error {
 	s.cmd.Process.Signal(sig)
--- a/cmd/larkreach/larkreach_test.go
+++ b/cmd/larkreach/larkreach_test.go
@@ -33,14 +33,12 @@
 			t.Errorf("call %d: connection %d, X-Timeout-Ms %q", i, got.connNumber, got.timeout)
 		}
 		got.answer("200 OK")
+		s.counts(fmt.Sprintf(" ok=%d ", i+1)) // the answer was read, so the connection is idle
 	}
 	if res := c.send("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"); res.StatusCode != 200 {
 		t.Errorf("healthz: %s", res.Status)
 	}
-	s.cmd.Process.Signal(syscall.SIGUSR1)
-	if !s.sees("in: requests=2 taken=2 ") {
-		t.Errorf("no counters on request:\n%s", s.log)
-	}
+	s.counts("in: requests=2 taken=2 ")
 	if err := s.end(syscall.SIGTERM); err != nil {
 		t.Errorf("exit: %v", err)
 	}
