--- a/cmd/larkreach/config.go
+++ b/cmd/larkreach/config.go
@@ -16,7 +16,9 @@
 type config struct {
 	Name      string
 	Listen    string
-	Discovery string
+	Discovery string // where it is at a start
+	Told      string // what the environment says of that, or else the file
+	Filed     string // what the file says
 	State     string
 	Seed      uint64
 	Limits    limits
@@ -61,9 +63,10 @@
 	}
 	c = config{
 		Name: told(getenv("ROUTER_NAME"), file.Name), Listen: told(getenv("ROUTER_LISTEN"), file.Listen),
-		Discovery: told(getenv("ROUTER_DISCOVERY"), file.Discovery), State: getenv("ROUTER_STATE"), Limits: file.Limits,
-		Known: protocol.Directory{Index: -1},
+		Filed: file.Discovery, State: getenv("ROUTER_STATE"), Limits: file.Limits, Known: protocol.Directory{Index: -1},
 	}
+	c.Told = told(getenv("ROUTER_DISCOVERY"), c.Filed)
+	c.Discovery = atStart(c.State, c.Told, c.Filed)
 	for _, need := range []struct{ name, value string }{
 		{"ROUTER_LISTEN", c.Listen}, {"ROUTER_DISCOVERY", c.Discovery}, {"ROUTER_STATE", c.State},
 	} {
--- a/cmd/larkreach/helper_test.go
+++ b/cmd/larkreach/helper_test.go
@@ -36,20 +36,25 @@
 
 // site is a forwarder with everything round it.
 type site struct {
-	t         *testing.T
-	dir       string
-	listen    string
-	discovery net.Listener
-	config    map[string]any
-	env       []string
-	cmd       *exec.Cmd
-	log       *logBuffer
-	exited    chan error
-
-	lists   chan map[string]any // what the watch is to be answered with
-	watched chan string         // the watch's requests
-	reports chan notice
-	refuse  atomic.Bool // reports are answered 500
+	*discovery // the one that the configuration names
+	t          *testing.T
+	dir        string
+	listen     string
+	path       string // of the configuration
+	config     map[string]any
+	env        []string
+	cmd        *exec.Cmd
+	log        *logBuffer
+	exited     chan error
+}
+
+// discovery is an agent at an address of its own.
+type discovery struct {
+	listener net.Listener
+	lists    chan map[string]any // what the watch is to be answered with
+	watched  chan string         // the watch's requests
+	reports  chan notice
+	refuse   atomic.Bool // reports are answered 500
 }
 
 type notice struct {
@@ -92,10 +97,7 @@
 // newSite lists providers by name and group; start starts the program.
 func newSite(t *testing.T, providers ...*provider) *site {
 	t.Helper()
-	s := &site{
-		t: t, dir: t.TempDir(), discovery: listenOn(t), lists: make(chan map[string]any, 8),
-		watched: make(chan string, 64), reports: make(chan notice, 64),
-	}
+	s := &site{t: t, discovery: newDiscovery(t), dir: t.TempDir(), path: filepath.Join(t.TempDir(), "config.json")}
 	l := listenOn(t)
 	s.listen = l.Addr().String()
 	l.Close()
@@ -104,7 +106,7 @@
 		t.Fatal(err)
 	}
 	s.config = map[string]any{
-		"name": "n0", "listen": s.listen, "discovery": s.discovery.Addr().String(), "seed": "8c1f30d27a5be964",
+		"name": "n0", "listen": s.listen, "discovery": s.address(), "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 256, "disk_mb": 3},
 		"known":  list(1, true, providers...),
 		"settings": map[string]any{
@@ -117,11 +119,22 @@
 			"rules": map[string]any{"answer-slack": 20000, "drain-grace": 2000000},
 		},
 	}
-	go s.playDiscovery()
-	t.Cleanup(func() { s.discovery.Close() })
 	return s
 }
 
+func newDiscovery(t *testing.T) *discovery {
+	t.Helper()
+	d := &discovery{
+		listener: listenOn(t), lists: make(chan map[string]any, 8), watched: make(chan string, 64),
+		reports: make(chan notice, 64),
+	}
+	go d.play()
+	t.Cleanup(func() { d.listener.Close() })
+	return d
+}
+
+func (d *discovery) address() string { return d.listener.Addr().String() }
+
 func listenOn(t *testing.T) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -160,18 +173,33 @@
 	}
 }
 
-func (s *site) launch() {
+// write writes the configuration's file.
+func (s *site) write() {
 	s.t.Helper()
 	raw, err := json.Marshal(s.config)
+	if err == nil {
+		err = os.WriteFile(s.path, raw, 0o600)
+	}
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	path := filepath.Join(s.t.TempDir(), "config.json")
-	if err := os.WriteFile(path, raw, 0o600); err != nil {
-		s.t.Fatal(err)
+}
+
+// reload writes the configuration's file, sends SIGHUP and waits for what the log says of it.
+func (s *site) reload(wants string) {
+	s.t.Helper()
+	s.write()
+	s.cmd.Process.Signal(syscall.SIGHUP)
+	if !s.sees(wants) {
+		s.t.Fatalf("no %q:\n%s", wants, s.log)
 	}
+}
+
+func (s *site) launch() {
+	s.t.Helper()
+	s.write()
 	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), childMark+"=1", "ROUTER_CONFIG="+path, "ROUTER_STATE="+s.dir)
+	cmd.Env = append(os.Environ(), childMark+"=1", "ROUTER_CONFIG="+s.path, "ROUTER_STATE="+s.dir)
 	cmd.Env = append(cmd.Env, s.env...)
 	pipe, err := cmd.StderrPipe()
 	if err != nil {
@@ -220,10 +248,10 @@
 	return <-s.exited
 }
 
-// playDiscovery answers reports at once, and a watch when there is something in lists.
-func (s *site) playDiscovery() {
+// play answers reports at once, and a watch when there is something in lists.
+func (d *discovery) play() {
 	for {
-		conn, err := s.discovery.Accept()
+		conn, err := d.listener.Accept()
 		if err != nil {
 			return
 		}
@@ -237,11 +265,11 @@
 				}
 				body, _ := io.ReadAll(req.Body)
 				if req.URL.Path == "/v1/servers" {
-					s.watched <- req.URL.RawQuery
+					d.watched <- req.URL.RawQuery
 					gone := make(chan struct{}) // the next byte, or the end, of a connection that waits
 					go func() { defer close(gone); r.Peek(1) }()
 					select {
-					case l := <-s.lists:
+					case l := <-d.lists:
 						text, _ := json.Marshal(l)
 						fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
 						<-gone
@@ -250,7 +278,7 @@
 					}
 					continue
 				}
-				if s.refuse.Load() {
+				if d.refuse.Load() {
 					fmt.Fprint(conn, "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
 					continue
 				}
@@ -258,7 +286,7 @@
 				for line := range bytes.Lines(body) {
 					var n notice
 					if json.Unmarshal(line, &n) == nil {
-						s.reports <- n
+						d.reports <- n
 					}
 				}
 			}
--- a/cmd/larkreach/larkreach_test.go
+++ b/cmd/larkreach/larkreach_test.go
@@ -318,6 +318,53 @@
 	}
 }
 
+// SIGHUP moves the watch and the notices to the file's discovery at once, though it was the environment's that held
+// before; calls and connections stay, and a restart does not go back.
+func TestReload(t *testing.T) {
+	a, b := newProvider(t, "a", 7), newProvider(t, "b", 8)
+	s := newSite(t, a)
+	old := s.discovery
+	s.env = []string{"ROUTER_DISCOVERY=" + s.address()}
+	s.start()
+	<-old.watched // the long poll that is out all the time
+	old.refuse.Store(true)
+	s.hand("failed", "unsafe", 7)
+	(<-a.calls).answer("500 Error")
+	s.hand("out", "unsafe", 7)
+	out := <-a.calls
+	for _, wrong := range []any{"", "nowhere", 7} {
+		s.set(wrong, "discovery")
+		s.reload("reload: not used, the old configuration stands")
+	}
+	s.discovery = newDiscovery(t)
+	s.set(s.address(), "discovery")
+	s.reload("reload: discovery is at " + s.address())
+	if got := <-s.watched; got != "" { // the old address's versions mean nothing here
+		t.Errorf("watch at the new address: %q", got)
+	}
+	s.lists <- list(0, true, a, b) // a lower version than before
+	if got := <-s.watched; !strings.HasPrefix(got, "since=0&") {
+		t.Errorf("next watch: %q", got)
+	}
+	if diff := cmp.Diff(notice{Message: "failed", Outcome: "given_up"}, <-s.reports); diff != "" {
+		t.Error(diff)
+	}
+	out.answer("200 OK")
+	s.counts(" ok=1 ")
+	s.hand("next", "unsafe", 7)
+	if next := <-a.calls; next.connNumber != out.connNumber {
+		t.Errorf("a call before the reload on connection %d, one after it on %d", out.connNumber, next.connNumber)
+	}
+	s.hand("listed there", "unsafe", 8)
+	<-b.calls
+	old.listener.Close()
+	s.end(syscall.SIGKILL)
+	s.start()
+	if got := <-s.watched; !strings.HasPrefix(got, "since=1&") { // as the file's known list has it
+		t.Errorf("watch after the restart: %q", got)
+	}
+}
+
 // A connection that the provider has closed while it was idle is noticed: the next call goes on a new one, and only once.
 func TestIdleConnectionThatEnded(t *testing.T) {
 	p := newProvider(t, "a", 7)
@@ -370,7 +417,7 @@
 		"disk":         {func(s *site) { s.set(0.01, "limits", "disk_mb") }, "too few"},
 		"settings":     {func(s *site) { s.set(0, "settings", "family-info", "calls-out") }, "Slots must be at least 1"},
 		"known list":   {func(s *site) { s.set([]any{map[string]any{"name": ""}}, "known", "endpoints") }, "config: known"},
-		"address used": {func(s *site) { s.set(s.discovery.Addr().String(), "listen") }, "address already in use"},
+		"address used": {func(s *site) { s.set(s.address(), "listen") }, "address already in use"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSite(t)
--- a/cmd/larkreach/main.go
+++ b/cmd/larkreach/main.go
@@ -41,6 +41,8 @@
 
 // run serves until a signal ends it.
 func run(getenv func(string) string, out io.Writer) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP) // and never given back: from here to the exit it ends nothing
 	cfg, err := loadConfig(getenv)
 	if err != nil {
 		return err
@@ -64,7 +66,8 @@
 	room := cfg.Limits.Sockets - spareFiles - cfg.Settings.Slots
 	providers := transport.NewProviders(cfg.Settings.KeepAlive, cfg.Settings.ConnectTimeout, room/4)
 	defer providers.Close()
-	reporter := transport.NewReporter(cfg.Discovery, logger)
+	discovery := transport.NewAddress(cfg.Discovery)
+	reporter := transport.NewReporter(discovery, logger)
 	router, err := routing.New(routing.Config{
 		Settings: cfg.Settings, Seed: cfg.Seed, Known: directory(cfg.Known, true), Log: journal,
 		Invoker: invoker{providers}, Notifier: notifier{reporter}, Logger: logger, Drain: drainFor, Settle: settleFor,
@@ -72,14 +75,15 @@
 	if err != nil {
 		return err
 	}
-	err = serve(cfg, logger, router, reporter, listener, room*3/4)
+	reload := reloader{getenv: getenv, state: cfg.State, started: cfg.Told, address: discovery, logger: logger}
+	err = serve(cfg, logger, router, reporter, reload, hup, listener, room*3/4)
 	logger.Printf("counters at exit\n%v", router.Counters())
 	return err
 }
 
 // serve runs the parts and ends them in order: the consumers, the router, then what it still needs.
 func serve(cfg config, logger *log.Logger, router *routing.Router, reporter *transport.Reporter,
-	listener net.Listener, most int) error {
+	reload reloader, hup <-chan os.Signal, listener net.Listener, most int) error {
 	stop, cancelStop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancelStop()
 	usr := make(chan os.Signal, 1)
@@ -96,9 +100,10 @@
 		return router.Run(ctx, func() { close(ready) })
 	})
 	group.Go(func() error { return reporter.Run(after) })
+	group.Go(func() error { return reload.run(after, hup) })
 	group.Go(func() error {
 		watch := transport.Directory{
-			Address: cfg.Discovery, Since: cfg.Known.Index, Logger: logger,
+			Address: reload.address, Since: cfg.Known.Index, Logger: logger,
 			Learn: func(d protocol.Directory) { router.Learn(directory(d, false)) },
 		}
 		return watch.Watch(after)
--- /dev/null
+++ b/cmd/larkreach/reload.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log"
+	"net"
+	"os"
+	"path/filepath"
+
+	"mulleinbeam/internal/transport"
+)
+
+// movedName is the file in the state folder that tells the next life of a reload. It is small and counted in the
+// journal's slack.
+const movedName = "discovery.json"
+
+// moved says that a reload has replaced the address which this program was started with. The environment of the next
+// start may still name that one, though it is gone.
+type moved struct {
+	From string `json:"from"` // what the start had told
+	To   string `json:"to"`
+}
+
+// atStart gives discovery's address at a start. The environment's comes first, unless a reload has replaced just that
+// one: then the file's does, and without one the address that the reload had found.
+func atStart(state, told, filed string) string {
+	raw, err := os.ReadFile(filepath.Join(state, movedName))
+	var m moved
+	if err != nil || json.Unmarshal(raw, &m) != nil || m.From != told {
+		return told
+	}
+	if filed != "" {
+		return filed
+	}
+	return m.To
+}
+
+// remember leaves word of a reload for the next life.
+func remember(state string, m moved) error {
+	raw, err := json.Marshal(m)
+	if err != nil {
+		return err
+	}
+	name := filepath.Join(state, movedName)
+	if err := os.WriteFile(name+".new", raw, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(name+".new", name)
+}
+
+// reloader reads the configuration again at each SIGHUP.
+type reloader struct {
+	getenv  func(string) string
+	state   string
+	started string // discovery's address as the environment, or else the file, told it at the start
+	address *transport.Address
+	logger  *log.Logger
+}
+
+// run serves until ctx ends. A file that can't be used is logged, and what was told before stands.
+func (r reloader) run(ctx context.Context, hup <-chan os.Signal) error {
+	for {
+		select {
+		case <-hup:
+		case <-ctx.Done():
+			return nil
+		}
+		if err := r.reload(); err != nil {
+			r.logger.Printf("reload: not used, the old configuration stands: %v", err)
+		}
+	}
+}
+
+func (r reloader) reload() error {
+	cfg, err := loadConfig(r.getenv)
+	if err != nil {
+		return err
+	}
+	if _, port, err := net.SplitHostPort(cfg.Filed); err != nil || port == "" {
+		return fmt.Errorf("config: discovery %q is no address", cfg.Filed)
+	}
+	if err := remember(r.state, moved{From: r.started, To: cfg.Filed}); err != nil {
+		r.logger.Printf("reload: a restart may go back to %s: %v", r.started, err)
+	}
+	if r.address.Move(cfg.Filed) {
+		r.logger.Printf("reload: discovery is at %s", cfg.Filed)
+	} else {
+		r.logger.Printf("reload: discovery stays at %s", cfg.Filed)
+	}
+	return nil
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -312,8 +312,17 @@
 	case d.Whole:
 		scope = mb.ListWhole
 	}
-	if scope != mb.ListChanges {
-		clear(r.providers)
+	if scope != mb.ListChanges { // what is not in it is gone
+		listed := make(map[string]bool, len(d.Providers))
+		for _, p := range d.Providers {
+			listed[p.Name] = true
+		}
+		for name := range r.providers {
+			if !listed[name] {
+				r.cfg.Invoker.CloseIdle(name)
+				delete(r.providers, name)
+			}
+		}
 	}
 	entries := make([]mb.Entry, 0, len(d.Providers))
 	for _, p := range d.Providers {
--- a/internal/transport/agent.go
+++ b/internal/transport/agent.go
@@ -24,6 +24,46 @@
 	flushFor     = 300 * time.Millisecond // for the last report, after the end
 )
 
+// Address is where discovery's agent is reached. It may move while the program runs; whoever follows it then learns so
+// at once.
+type Address struct {
+	mu    sync.Mutex
+	at    string
+	epoch context.Context // ends when the address moves
+	move  context.CancelFunc
+}
+
+// NewAddress is an address that has not moved yet.
+func NewAddress(at string) *Address {
+	a := &Address{}
+	a.Move(at)
+	return a
+}
+
+// Move sets another address and cuts short what waits for the old one; false says that it stays where it is.
+func (a *Address) Move(to string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.at == to {
+		return false
+	}
+	if a.move != nil {
+		a.move()
+	}
+	a.at = to
+	a.epoch, a.move = context.WithCancel(context.Background())
+	return true
+}
+
+// follow gives the address and a context that ends with ctx or when the address moves; release frees it.
+func (a *Address) follow(ctx context.Context) (at string, here context.Context, release func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	here, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(a.epoch, cancel)
+	return a.at, here, func() { stop(); cancel() }
+}
+
 // agent is a connection to discovery's agent on this machine, opened when needed. One goroutine uses it.
 type agent struct {
 	address string
@@ -31,6 +71,16 @@
 	parser  *protocol.Parser
 }
 
+// at turns to an address; true says that it is another one than before.
+func (a *agent) at(address string) bool {
+	if a.address == address {
+		return false
+	}
+	a.close()
+	a.address = address
+	return true
+}
+
 // do sends a request and waits for its answer. After an error the next call opens a new connection.
 func (a *agent) do(ctx context.Context, request []byte, wait time.Duration) (*protocol.Message, error) {
 	if a.conn == nil {
@@ -43,9 +93,8 @@
 	}
 	conn := a.conn
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
 	m, err := a.exchange(request, wait)
-	if err != nil || m.Close {
+	if !stop() || err != nil || m.Close { // one that ctx has closed is of no further use, answered or not
 		a.close()
 	}
 	if err != nil {
@@ -85,47 +134,59 @@
 
 // Directory watches discovery's list.
 type Directory struct {
-	Address string
+	Address *Address
 	Since   int64 // the version known; below zero for none
 	Learn   func(protocol.Directory)
 	Logger  *log.Logger
 }
 
-// Watch passes on every change until ctx ends. While discovery is silent it keeps asking; nothing waits for it.
+// Watch passes on every change until ctx ends. While discovery is silent it keeps asking; nothing waits for it. When
+// the address moves, it turns there at once and asks for the whole list: versions are the old address's own.
 func (d *Directory) Watch(ctx context.Context) error {
-	a := &agent{address: d.Address}
+	a := &agent{}
 	defer a.close()
-	failing := false
+	failing, moved := false, false
 	for ctx.Err() == nil {
-		list, err := d.next(ctx, a)
-		if ctx.Err() != nil {
-			break
+		at, here, release := d.Address.follow(ctx)
+		if first := a.address == ""; a.at(at) && !first {
+			d.Since, moved = -1, true
 		}
-		if err != nil {
+		list, err := d.next(here, a)
+		switch {
+		case here.Err() != nil && err != nil: // the end, or another address
+		case err != nil:
 			if !failing {
 				d.Logger.Printf("directory: no answer, the list held stands: %v", err)
 			}
 			failing = true
-			select {
-			case <-time.After(retryPause):
-			case <-ctx.Done():
+			pause(here, retryPause)
+		default:
+			if failing || moved {
+				d.Logger.Printf("directory: %s answers, version %d", at, list.Index)
+			}
+			failing, moved = false, false
+			d.Since = list.Index
+			if list.Whole || len(list.Providers) > 0 {
+				d.Learn(list)
 			}
-			continue
-		}
-		if failing {
-			d.Logger.Printf("directory: answers again, version %d", list.Index)
-		}
-		failing = false
-		d.Since = list.Index
-		if list.Whole || len(list.Providers) > 0 {
-			d.Learn(list)
 		}
+		release()
 	}
 	return nil
 }
 
+// pause waits, but no longer than ctx.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 func (d *Directory) next(ctx context.Context, a *agent) (protocol.Directory, error) {
-	request := protocol.AppendWatch(nil, d.Address, d.Since, watchFor)
+	request := protocol.AppendWatch(nil, a.address, d.Since, watchFor)
 	m, err := a.do(ctx, request, watchFor+watchSlack)
 	if err != nil {
 		return protocol.Directory{}, err
@@ -139,7 +200,7 @@
 
 // Reporter sends notices to the platform until each is acknowledged.
 type Reporter struct {
-	Address string
+	Address *Address
 	Logger  *log.Logger
 
 	mu    sync.Mutex
@@ -154,7 +215,7 @@
 }
 
 // NewReporter reports to discovery's agent.
-func NewReporter(address string, logger *log.Logger) *Reporter {
+func NewReporter(address *Address, logger *log.Logger) *Reporter {
 	return &Reporter{Address: address, Logger: logger, wake: make(chan struct{}, 1)}
 }
 
@@ -169,9 +230,10 @@
 	}
 }
 
-// Run reports until ctx ends, and then once more what is left.
+// Run reports until ctx ends, and then for a moment what is left. When the address moves, what was not acknowledged
+// goes to the new one.
 func (r *Reporter) Run(ctx context.Context) error {
-	a := &agent{address: r.Address}
+	a := &agent{}
 	defer a.close()
 	for {
 		select {
@@ -179,7 +241,8 @@
 		case <-ctx.Done():
 			last, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushFor)
 			defer cancel()
-			r.report(last, a)
+			for r.report(last, a) {
+			}
 			return nil
 		}
 		for r.report(ctx, a) {
@@ -199,26 +262,28 @@
 	for i, p := range batch {
 		notices[i] = p.Notice
 	}
-	request, err := protocol.AppendReport(nil, r.Address, notices)
+	at, here, release := r.Address.follow(ctx)
+	defer release()
+	a.at(at)
+	request, err := protocol.AppendReport(nil, at, notices)
 	var m *protocol.Message
 	if err == nil {
-		m, err = a.do(ctx, request, reportFor)
+		m, err = a.do(here, request, reportFor)
 	}
 	if err == nil && m.Status() != 204 {
 		err = fmt.Errorf("transport: report answered %d", m.Status())
 	}
 	if err != nil {
-		if ctx.Err() == nil {
+		if here.Err() == nil {
 			r.Logger.Printf("notices: %d not acknowledged, sent again: %v", len(batch), err)
 		}
-		select {
-		case <-time.After(retryPause):
-		case <-ctx.Done():
-		}
+		pause(here, retryPause)
 		return true
 	}
 	r.mu.Lock()
-	r.queue = r.queue[len(batch):]
+	if r.queue = r.queue[len(batch):]; len(r.queue) == 0 {
+		r.queue = nil // the array goes with the notices
+	}
 	r.mu.Unlock()
 	for _, p := range batch {
 		p.Done()
