--- a/cmd/larkreach/larkreach_test.go
+++ b/cmd/larkreach/larkreach_test.go
@@ -200,6 +200,10 @@
 		"healthz's method":       {post("Content-Length: 0\r\n")[:5] + "/healthz HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 405},
 		"no length":              {post("X-Request-ID: m\r\n"), 411},
 		"length with a sign":     {post("Content-Length: +1\r\n"), 400},
+		"a length twice":         {post("Content-Length: 1\r\nContent-Length: 1\r\n"), 400},
+		"lengths in a list":      {post("Content-Length: 1, 1\r\n"), 400},
+		"length over all":        {post("Content-Length: 99999999999999999999\r\n"), 400},
+		"long id":                {request(strings.Repeat("m", 300), "safe", 7, time.Second, ""), 400},
 		"two lengths":            {post("Content-Length: 1\r\nContent-Length: 2\r\n"), 400},
 		"length and chunks":      {post("Content-Length: 1\r\nTransfer-Encoding: chunked\r\n"), 400},
 		"body over 64 KiB":       {post(fmt.Sprintf("Content-Length: %d\r\n", 64<<10+1)), 413},
@@ -432,22 +436,82 @@
 	}
 }
 
-// Connections beyond what the sockets allow are refused, not left waiting, and earlier ones are served on.
+const healthz = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
+
+// A flood of connections that ask for nothing gives way to consumers that ask; so do those that have asked and stay, once
+// they have been idle for 2 s. Whoever finds no room is told when to come again.
 func TestTooManyConsumers(t *testing.T) {
 	s := newSite(t, newProvider(t, "a", 7))
 	s.set(64, "limits", "sockets")
 	s.start()
 	first := s.consumer()
-	first.send("GET /healthz HTTP/1.1\r\n\r\n")
-	for range 64 {
+	first.send(healthz)
+	for range 200 {
+		s.consumer()
+	}
+	if res := s.consumer().send(request("m", "safe", 7, time.Second, "")); res.StatusCode != 202 {
+		t.Errorf("among connections that ask for nothing: %s", res.Status)
+	}
+	if res := first.send(healthz); res.StatusCode != 200 {
+		t.Errorf("an earlier connection: %s", res.Status)
+	}
+	for refused := false; ; {
+		res := s.consumer().send(healthz)
+		if refused && res.StatusCode == 200 {
+			break
+		}
+		if res.StatusCode == 503 {
+			refused = true
+		}
+		if refused && res.Header.Get("Retry-After") == "" {
+			t.Error("refused with no time to come again")
+		}
+	}
+	s.counts("consumers: connections=")
+	if text := s.log.String(); strings.Contains(text, " silent=0 ") || strings.Contains(text, " closed_idle=0 ") {
+		t.Errorf("counters:\n%s", text)
+	}
+}
+
+// A connection that asks for nothing is closed in time, and an error reaches a client that sends on and reads later.
+func TestBadConsumers(t *testing.T) {
+	s := newSite(t, newProvider(t, "a", 7))
+	s.start()
+	quiet := s.consumer()
+	for name, raw := range map[string]string{
+		"length":  fmt.Sprintf("Content-Length: %d\r\n\r\n", 60<<20),
+		"chunked": fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", 60<<20),
+	} {
 		c := s.consumer()
-		io.WriteString(c.conn, "GET /healthz HTTP/1.1\r\n\r\n")
-		if res := c.read(); res.StatusCode == 503 {
-			if res := first.send("GET /healthz HTTP/1.1\r\n\r\n"); res.StatusCode != 200 {
-				t.Errorf("an earlier connection: %s", res.Status)
-			}
-			return
+		raw = "POST /api HTTP/1.1\r\n" + raw + strings.Repeat("x", 60<<20)
+		if res := c.send(raw); res.StatusCode != 413 {
+			t.Errorf("60 MB, %s: %s", name, res.Status)
 		}
 	}
-	t.Error("64 connections within 64 sockets")
+	if _, err := quiet.r.ReadByte(); err != io.EOF {
+		t.Errorf("a connection that asks for nothing: %v", err)
+	}
+}
+
+// An id that is held or was delivered is not sent again, and one that ended otherwise is not taken on again.
+func TestKnownID(t *testing.T) {
+	p := newProvider(t, "a", 7)
+	s := newSite(t, p)
+	s.start()
+	s.hand("m1", "unsafe", 7)
+	c := <-p.calls
+	s.hand("m1", "unsafe", 7)
+	c.answer("200 OK")
+	s.counts(" ok=1 ")
+	s.hand("m1", "unsafe", 7)
+	s.hand("m2", "unsafe", 7)
+	if c = <-p.calls; c.id != "m2" {
+		t.Errorf("%s was sent once more", c.id)
+	}
+	c.answer("500 Error")
+	<-s.reports
+	if res := s.consumer().send(request("m2", "unsafe", 7, time.Second, "")); res.StatusCode != 409 {
+		t.Errorf("an id that was given up: %s", res.Status)
+	}
+	s.counts("in: requests=5 taken=2 repeated=3 ")
 }
--- a/cmd/larkreach/main.go
+++ b/cmd/larkreach/main.go
@@ -29,7 +29,7 @@
 	settleFor   = 700 * time.Millisecond  // after the stop: the router ends no earlier
 	drainFor    = 3300 * time.Millisecond // after the stop: calls may be out; the kill comes after 3.7 s
 	heapShare   = 0.6                     // of the memory limit: stacks, files and sockets take some too
-	spareFiles  = 24                      // descriptors beside connections
+	spareFiles  = 32                      // descriptors beside connections, and of consumers that are turned away
 )
 
 func main() {
@@ -75,15 +75,17 @@
 	if err != nil {
 		return err
 	}
+	consumers := &transport.Consumers{Desk: desk{router}, Most: room * 3 / 4}
+	counters := func() string { return fmt.Sprintf("%v\n%v", consumers.Counters(), router.Counters()) }
 	reload := reloader{getenv: getenv, state: cfg.State, started: cfg.Told, address: discovery, logger: logger}
-	err = serve(cfg, logger, router, reporter, reload, hup, listener, room*3/4)
-	logger.Printf("counters at exit\n%v", router.Counters())
+	err = serve(cfg, logger, router, reporter, reload, hup, consumers, listener, counters)
+	logger.Printf("counters at exit\n%v", counters())
 	return err
 }
 
 // serve runs the parts and ends them in order: the consumers, the router, then what it still needs.
 func serve(cfg config, logger *log.Logger, router *routing.Router, reporter *transport.Reporter,
-	reload reloader, hup <-chan os.Signal, listener net.Listener, most int) error {
+	reload reloader, hup <-chan os.Signal, consumers *transport.Consumers, listener net.Listener, counters func() string) error {
 	stop, cancelStop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancelStop()
 	usr := make(chan os.Signal, 1)
@@ -112,7 +114,7 @@
 		for {
 			select {
 			case <-usr:
-				logger.Printf("counters\n%v", router.Counters())
+				logger.Printf("counters\n%v", counters())
 			case <-after.Done():
 				return nil
 			}
@@ -126,7 +128,6 @@
 		}
 		logger.Printf("ready on %s", cfg.Listen)
 		defer context.AfterFunc(ctx, func() { time.AfterFunc(stillComing, stopServing) })()
-		consumers := transport.Consumers{Desk: desk{router}, Most: most}
 		return consumers.Serve(serving, ctx, listener)
 	})
 	return group.Wait()
--- a/cmd/larkreach/wiring.go
+++ b/cmd/larkreach/wiring.go
@@ -17,28 +17,31 @@
 // desk puts consumers' handovers before the router.
 type desk struct{ router *routing.Router }
 
-func (d desk) Take(h protocol.Handover) *protocol.Rejection {
+func (d desk) Take(h protocol.Handover) (*protocol.Rejection, func()) {
+	id := string(h.ID)
 	v := d.router.Take(routing.Message{
-		ID: string(h.ID), Key: string(h.Key), Class: string(h.Class), Destination: h.Destination, Left: h.Left,
+		ID: id, Key: string(h.Key), Class: string(h.Class), Destination: h.Destination, Left: h.Left,
 		Body: bytes.Clone(h.Body),
 	})
 	switch v.Kind {
 	case routing.Taken:
-		return nil
+		return nil, func() { d.router.Withdraw(id) }
+	case routing.Known:
+		return nil, nil // whoever handed it in first has been told
 	case routing.Failed:
-		return &protocol.Rejection{Status: 504, Reason: "can't be delivered"}
+		return &protocol.Rejection{Status: 504, Reason: "can't be delivered"}, nil
+	case routing.Ended:
+		return &protocol.Rejection{Status: 409, Reason: "this id has ended"}, nil
 	case routing.UnknownClass:
-		return &protocol.Rejection{Status: 422, Reason: "unknown class", Close: true}
+		return &protocol.Rejection{Status: 422, Reason: "unknown class", Close: true}, nil
 	case routing.UnknownDestination:
-		return &protocol.Rejection{Status: 422, Reason: "unknown destination", Close: true}
+		return &protocol.Rejection{Status: 422, Reason: "unknown destination", Close: true}, nil
 	case routing.Stopped:
-		return &protocol.Rejection{Status: 503, Reason: "going down", RetryAfter: v.RetryAfter, Close: true}
+		return &protocol.Rejection{Status: 503, Reason: "going down", RetryAfter: v.RetryAfter, Close: true}, nil
 	}
-	return &protocol.Rejection{Status: 503, Reason: "come again", RetryAfter: v.RetryAfter}
+	return &protocol.Rejection{Status: 503, Reason: "come again", RetryAfter: v.RetryAfter}, nil
 }
 
-func (d desk) Withdraw(id string) { d.router.Withdraw(id) }
-
 // notifier passes the router's notices to the reporter.
 type notifier struct{ reporter *transport.Reporter }
 
--- a/internal/protocol/handover.go
+++ b/internal/protocol/handover.go
@@ -24,6 +24,9 @@
 	Close      bool          // the connection ends with it
 }
 
+// mostName bounds an id and a key: they are kept beyond the request.
+const mostName = 256
+
 // mostLeft bounds a consumer's time; more is taken for an error.
 const mostLeft = 24 * time.Hour
 
@@ -72,8 +75,8 @@
 		return AskHandover, h, bad(411, "length required")
 	}
 	h = Handover{ID: m.Get("X-Request-ID"), Key: m.Get("Idempotency-Key"), Class: m.Get("X-Priority-Class"), Body: m.Body}
-	if len(h.ID) == 0 {
-		return AskHandover, h, bad(400, "no X-Request-ID")
+	if len(h.ID) == 0 || len(h.ID) > mostName || len(h.Key) > mostName {
+		return AskHandover, h, bad(400, "bad X-Request-ID or Idempotency-Key")
 	}
 	ms, ok := number(m.Get("X-Timeout-Ms"))
 	if !ok || ms > int(mostLeft/time.Millisecond) {
@@ -105,7 +108,7 @@
 
 var reasons = map[int]string{
 	200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
-	411: "Length Required", 413: "Content Too Large", 422: "Unprocessable Content",
+	409: "Conflict", 411: "Length Required", 413: "Content Too Large", 422: "Unprocessable Content",
 	431: "Request Header Fields Too Large", 503: "Service Unavailable", 504: "Gateway Timeout",
 }
 
--- a/internal/protocol/message.go
+++ b/internal/protocol/message.go
@@ -111,6 +111,13 @@
 	return p.buf[p.w:]
 }
 
+// Shrink gives up the room that a large message took; the parser has to be idle.
+func (p *Parser) Shrink() {
+	if len(p.buf) > firstRoom && p.Idle() {
+		p.buf, p.r, p.w = nil, 0, 0
+	}
+}
+
 // Commit tells how many bytes were put into Space.
 func (p *Parser) Commit(n int) { p.w += n }
 
@@ -252,7 +259,7 @@
 		switch {
 		case equalFold(name, "Content-Length"):
 			n, ok := number(f.Value)
-			if !ok || length >= 0 && length != n {
+			if !ok || length >= 0 { // a repeated one, too: others may read another of them
 				return 0, fmt.Errorf("%w: length", ErrMalformed)
 			}
 			length = n
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -55,6 +55,13 @@
 	cancel    context.CancelFunc
 }
 
+// pastID is the id of a message that has ended. It is known for as long as any message may live, so that nobody's repeat
+// of it is taken for a new message.
+type pastID struct {
+	id string
+	at time.Time
+}
+
 type timer struct {
 	at     time.Time
 	cookie uint64
@@ -68,11 +75,14 @@
 	startedAt time.Time
 	events    chan func()
 	done      chan struct{}
-	classes   map[string]bool
+	classes   map[string]time.Duration // how long a message may live
 	providers map[string]Provider
 	groups    map[int64]bool // destinations ever listed
 	messages  map[uint64]*held
 	ids       map[string]*held // by the consumers' id, until the end
+	past      map[string]bool  // ids that ended of late; true for those delivered
+	pastQueue []pastID         // the same, oldest first
+	longest   time.Duration    // of any class
 	calls     int
 	notices   int // not acknowledged yet
 	timers    []timer
@@ -91,11 +101,13 @@
 	}
 	r := &Router{
 		cfg: cfg, decider: decider, startedAt: time.Now(), events: make(chan func(), eventRoom),
-		done: make(chan struct{}), classes: map[string]bool{}, providers: map[string]Provider{},
+		done: make(chan struct{}), classes: map[string]time.Duration{}, providers: map[string]Provider{},
 		groups: map[int64]bool{}, messages: map[uint64]*held{}, ids: map[string]*held{},
+		past: map[string]bool{},
 	}
 	for _, c := range cfg.Settings.Classes {
-		r.classes[c.Name] = true
+		r.classes[c.Name] = c.GiveUp
+		r.longest = max(r.longest, c.GiveUp)
 	}
 	return r, nil
 }
@@ -210,6 +222,7 @@
 		if h := r.ids[id]; h != nil {
 			r.counters.Withdrawn++
 			r.end(h, wal.Over, 0)
+			delete(r.past, id)
 			r.decide(mb.Gone{ID: mb.MessageID(h.seq)})
 		}
 	})
@@ -378,11 +391,17 @@
 
 func (r *Router) take(m Message) Verdict {
 	r.counters.HandedIn++
+	r.forget()
+	longest, classed := r.classes[m.Class]
+	delivered, past := r.past[m.ID]
 	switch {
-	case r.ids[m.ID] != nil: // handed in twice: it is held already
+	case r.ids[m.ID] != nil || delivered: // handed in twice
+		r.counters.Repeated++
+		return Verdict{Kind: Known}
+	case past:
 		r.counters.Repeated++
-		return Verdict{Kind: Taken}
-	case !r.classes[m.Class]:
+		return Verdict{Kind: Ended}
+	case !classed:
 		r.counters.Unreadable++
 		return Verdict{Kind: UnknownClass}
 	case len(r.groups) > 0 && !r.groups[m.Destination]:
@@ -392,6 +411,7 @@
 		r.counters.TurnedAway++
 		return Verdict{Kind: Refused, RetryAfter: pushBack}
 	}
+	m.Left = min(m.Left, longest)
 	h := &held{Message: m, seq: r.cfg.Log.Next(), deadline: time.Now().Add(m.Left)}
 	entry := &wal.Message{
 		Seq: h.seq, Deadline: h.deadline, Destination: m.Destination, ID: m.ID, Key: m.Key, Class: m.Class, Body: m.Body,
@@ -435,6 +455,14 @@
 	return Verdict{Kind: Taken}
 }
 
+// forget drops the ids of messages that ended so long ago that nobody can mean them any more.
+func (r *Router) forget() {
+	for len(r.pastQueue) > 0 && time.Since(r.pastQueue[0].at) > r.longest {
+		delete(r.past, r.pastQueue[0].id)
+		r.pastQueue = r.pastQueue[1:]
+	}
+}
+
 // finish ends a message by a notice.
 func (r *Router) finish(h *held, e wal.Ending, retry time.Duration) {
 	if h.ended {
@@ -451,6 +479,8 @@
 	}
 	h.ended = true
 	delete(r.ids, h.ID)
+	r.past[h.ID] = e == wal.Over
+	r.pastQueue = append(r.pastQueue, pastID{h.ID, time.Now()})
 	if h.call == nil {
 		delete(r.messages, h.seq)
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -31,6 +31,8 @@
 // The verdicts. Unknown classes and destinations are the consumer's error.
 const (
 	Taken VerdictKind = iota
+	Known             // taken on before under this id, and held or delivered
+	Ended             // taken on before under this id, and given up or handed back
 	Refused
 	Failed
 	UnknownClass
--- a/internal/transport/consumers.go
+++ b/internal/transport/consumers.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -16,19 +17,24 @@
 )
 
 const (
-	idleFor     = 90 * time.Second // a consumer's connection between requests
-	requestFor  = 5 * time.Second  // a request from its first byte to its last
-	answerFor   = 5 * time.Second  // the writing of an answer
-	graceFor    = 300 * time.Millisecond
-	overloadGap = 50 * time.Millisecond // between two accepts that failed
+	idleFor     = 90 * time.Second        // a connection between requests, while there is room
+	idleLeast   = 2 * time.Second         // and where there is none
+	requestFor  = 2400 * time.Millisecond // a request from its first byte to its last, the first one from the accept on
+	answerFor   = 2 * time.Second         // the writing of an answer
+	graceFor    = 300 * time.Millisecond  // for a request that has begun, once consumers are to leave
+	drainFor    = 3 * time.Second         // after an error: what still comes is read for so long,
+	drainQuiet  = 500 * time.Millisecond  // while it does not pause for so long,
+	drainStep   = 1 << 20                 // in steps of so many bytes,
+	drainMost   = 64 << 20                // and up to so many bytes; a close under them would take the error away
+	overflow    = 12                      // connections beyond the most that are being turned away
+	overloadGap = 50 * time.Millisecond   // between two accepts that failed
 )
 
 // Desk decides on what consumers hand in.
 type Desk interface {
-	// Take answers a handover; a nil Rejection says that it is taken on. The handover's slices are the caller's.
-	Take(h protocol.Handover) *protocol.Rejection
-	// Withdraw tells that the consumer of a message that was taken on could not be told so.
-	Withdraw(id string)
+	// Take answers a handover; a nil Rejection says that it is taken on, and withdraw, unless it is nil, is to be called
+	// if its consumer could not be told so. The handover's slices are the caller's.
+	Take(h protocol.Handover) (r *protocol.Rejection, withdraw func())
 }
 
 // Consumers serves the clients' side.
@@ -36,16 +42,53 @@
 	Desk Desk
 	Most int // connections at once
 
-	mu      sync.Mutex
-	conns   map[net.Conn]bool // true while idle
-	leaving bool
+	mu       sync.Mutex
+	conns    map[*consumerConn]struct{}
+	endings  int // of them, those at their end
+	leaving  bool
+	counters ConsumerCounters
+}
+
+// ConsumerCounters counts connections and what became of those that did not just ask.
+type ConsumerCounters struct {
+	Accepted   int64
+	TurnedAway int64 // there was no room for one more
+	ClosedIdle int64 // to make room, after their idle time
+	Silent     int64 // nothing was asked in time, or others needed the room
+	Late       int64 // a request did not come whole in time
+	Unreadable int64 // a request can't be read, or asks for what there is not
+	Open       int   // now
+}
+
+// String is the counters' line for the log.
+func (c ConsumerCounters) String() string {
+	return fmt.Sprintf("consumers: connections=%d open=%d turned_away=%d closed_idle=%d silent=%d late=%d unreadable=%d",
+		c.Accepted, c.Open, c.TurnedAway, c.ClosedIdle, c.Silent, c.Late, c.Unreadable)
+}
+
+// standing is what a connection is at.
+type standing int
+
+const (
+	silent standing = iota // it has asked for nothing yet
+	asking                 // a request has begun, or is being answered
+	idle                   // between requests
+	ending                 // it has its last answer; what it still sends is drained
+)
+
+// consumerConn is one connection. Its goroutine owns it; Consumers.mu guards the rest.
+type consumerConn struct {
+	net.Conn
+	accepted time.Time
+	at       standing
+	since    time.Time
 }
 
 // Serve accepts connections until ctx ends. When leave ends, which comes first, connections end with their next answer
 // and idle ones at once: a request that crosses that comes again on a new connection, which is still answered.
 func (s *Consumers) Serve(ctx, leave context.Context, listener net.Listener) error {
 	s.mu.Lock()
-	s.conns = map[net.Conn]bool{}
+	s.conns = map[*consumerConn]struct{}{}
 	s.mu.Unlock()
 	var group errgroup.Group
 	defer context.AfterFunc(leave, s.leave)()
@@ -57,7 +100,12 @@
 	for {
 		conn, err := listener.Accept()
 		if err == nil {
-			group.Go(func() error { s.serve(conn); return nil })
+			c := &consumerConn{Conn: conn, accepted: time.Now()}
+			if room := s.admit(c); room {
+				group.Go(func() error { s.serve(c); return nil })
+			} else {
+				group.Go(func() error { s.turnAway(c); return nil })
+			}
 			continue
 		}
 		if ctx.Err() != nil {
@@ -67,45 +115,116 @@
 			failed = fmt.Errorf("transport: accept: %w", err)
 			break
 		}
-		select { // out of descriptors, or a connection that broke at once
-		case <-time.After(overloadGap):
-		case <-ctx.Done():
-		}
+		s.mu.Lock()
+		_ = s.drop(ending, 0) || s.drop(silent, 0) || s.drop(idle, 0) // out of descriptors, perhaps
+		s.mu.Unlock()
+		pause(ctx, overloadGap)
 	}
 	return errors.Join(failed, group.Wait())
 }
 
+// Counters gives the counters as they are now.
+func (s *Consumers) Counters() ConsumerCounters {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counters.Open = len(s.conns)
+	return s.counters
+}
+
+func (s *Consumers) count(which *int64) {
+	s.mu.Lock()
+	*which++
+	s.mu.Unlock()
+}
+
 // leave closes the idle connections and gives the others a moment to finish what they have begun.
 func (s *Consumers) leave() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leaving = true
-	for conn, idle := range s.conns {
-		until := time.Now()
-		if !idle {
-			until = until.Add(graceFor)
+	for c := range s.conns {
+		switch c.at {
+		case asking:
+			_ = c.SetReadDeadline(time.Now().Add(graceFor))
+		case silent, idle:
+			_ = c.SetReadDeadline(time.Now())
+		}
+	}
+}
+
+// admit books a new connection; false says that there is no room for it and it is to be turned away. Who gives way to
+// it is one that has asked for nothing, or else one that has been idle for long enough.
+func (s *Consumers) admit(c *consumerConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counters.Accepted++
+	c.since = c.accepted
+	_ = c.SetReadDeadline(c.accepted.Add(requestFor))
+	room := len(s.conns)-s.endings < s.Most || s.drop(silent, 0) || s.drop(idle, idleLeast)
+	s.conns[c] = struct{}{}
+	if !room {
+		s.counters.TurnedAway++
+		s.endings++
+		c.at = ending
+	}
+	if len(s.conns) > s.Most+overflow {
+		s.drop(ending, 0)
+	}
+	return room
+}
+
+// drop closes the connection that has been at something the longest, and for so long at least; s.mu is held.
+func (s *Consumers) drop(at standing, least time.Duration) bool {
+	var oldest *consumerConn
+	for c := range s.conns {
+		if c.at == at && (oldest == nil || c.since.Before(oldest.since)) {
+			oldest = c
 		}
-		_ = conn.SetReadDeadline(until)
 	}
+	if oldest == nil || time.Since(oldest.since) < least {
+		return false
+	}
+	switch at {
+	case silent:
+		s.counters.Silent++
+	case idle:
+		s.counters.ClosedIdle++
+	}
+	s.forget(oldest)
+	_ = oldest.Close()
+	return true
+}
+
+// forget takes a connection out of the books; s.mu is held.
+func (s *Consumers) forget(c *consumerConn) {
+	if _, known := s.conns[c]; known && c.at == ending {
+		s.endings--
+	}
+	delete(s.conns, c)
 }
 
-// mark books a connection's state and sets how long its next bytes may take; false says that it has to end.
-func (s *Consumers) mark(conn net.Conn, idle bool) bool {
+// mark books what a connection is at and sets how long its next bytes may take; false says that it has to end.
+func (s *Consumers) mark(c *consumerConn, at standing) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, known := s.conns[conn]
-	if !known && len(s.conns) >= s.Most || known && idle && s.leaving {
+	if _, known := s.conns[c]; !known || at == idle && s.leaving {
 		return false
 	}
-	s.conns[conn] = idle
-	wait := requestFor
+	now := time.Now()
+	until := now.Add(requestFor)
 	switch {
 	case s.leaving:
-		wait = graceFor
-	case idle:
-		wait = idleFor
+		until = now.Add(graceFor)
+	case at == idle:
+		until = now.Add(idleFor)
+	case c.at == silent: // its first request: trickled bytes buy no time
+		until = c.accepted.Add(requestFor)
+	}
+	if at == ending && c.at != ending {
+		s.endings++
 	}
-	return conn.SetReadDeadline(time.Now().Add(wait)) == nil
+	c.at, c.since = at, now
+	return c.SetReadDeadline(until) == nil
 }
 
 // last says whether connections end with their next answer.
@@ -115,50 +234,61 @@
 	return s.leaving
 }
 
-func (s *Consumers) serve(conn net.Conn) {
-	defer conn.Close()
-	defer func() {
-		s.mu.Lock()
-		delete(s.conns, conn)
-		s.mu.Unlock()
-	}()
-	if !s.mark(conn, true) {
-		s.answer(conn, 0, &protocol.Rejection{Status: 503, Reason: "too many connections", RetryAfter: time.Second, Close: true})
-		return
-	}
-	parser, idle := protocol.NewRequestParser(protocol.MostBody), true
+// end closes a connection and forgets it.
+func (s *Consumers) end(c *consumerConn) {
+	s.mu.Lock()
+	s.forget(c)
+	s.mu.Unlock()
+	_ = c.Close()
+}
+
+func (s *Consumers) turnAway(c *consumerConn) {
+	defer s.end(c)
+	s.farewell(c, &protocol.Rejection{Status: 503, Reason: "too many connections", RetryAfter: time.Second, Close: true})
+}
+
+func (s *Consumers) serve(c *consumerConn) {
+	defer s.end(c)
+	parser, quiet, first := protocol.NewRequestParser(protocol.MostBody), true, true
 	for {
 		m, err := parser.Next()
 		if err != nil {
-			s.answer(conn, 0, protocol.Unreadable(err))
+			s.count(&s.counters.Unreadable)
+			s.farewell(c, protocol.Unreadable(err))
 			return
 		}
 		if m != nil {
-			if !s.request(conn, m) {
+			if !s.request(c, m) {
 				return
 			}
-			if parser.Idle() {
-				if idle = true; !s.mark(conn, true) {
+			if first = false; parser.Idle() {
+				parser.Shrink()
+				if quiet = true; !s.mark(c, idle) {
 					return
 				}
 			}
 			continue
 		}
 		if parser.Continue() {
-			if _, err := conn.Write([]byte(protocol.GoOn)); err != nil {
+			if _, err := c.Write([]byte(protocol.GoOn)); err != nil {
 				return
 			}
 		}
-		n, err := conn.Read(parser.Space())
+		n, err := c.Read(parser.Space())
 		parser.Commit(n)
-		if n > 0 && idle {
-			if idle = false; !s.mark(conn, false) {
+		if n > 0 && quiet {
+			if quiet = false; !s.mark(c, asking) {
 				return
 			}
 		}
 		if err != nil && n == 0 {
-			if timeout := (net.Error)(nil); !parser.Idle() && errors.As(err, &timeout) && timeout.Timeout() {
-				s.answer(conn, 0, &protocol.Rejection{Status: 408, Reason: "request not complete in time", Close: true})
+			timeout := (net.Error)(nil)
+			switch late := errors.As(err, &timeout) && timeout.Timeout(); {
+			case late && !parser.Idle():
+				s.count(&s.counters.Late)
+				s.farewell(c, &protocol.Rejection{Status: 408, Reason: "request not complete in time", Close: true})
+			case late && first:
+				s.count(&s.counters.Silent)
 			}
 			return
 		}
@@ -166,42 +296,56 @@
 }
 
 // request answers one request; false ends the connection.
-func (s *Consumers) request(conn net.Conn, m *protocol.Message) bool {
+func (s *Consumers) request(c *consumerConn, m *protocol.Message) bool {
 	asked, handover, rejection := protocol.ReadRequest(m)
-	status := 200
-	if asked == protocol.AskHandover && rejection == nil {
+	status, withdraw := 200, func() {}
+	if rejection != nil {
+		s.count(&s.counters.Unreadable)
+	} else if asked == protocol.AskHandover {
 		status = 202
-		rejection = s.Desk.Take(handover)
+		rejection, withdraw = s.Desk.Take(handover)
 	}
-	taken := status == 202 && rejection == nil
-	last := m.Close || rejection != nil && rejection.Close || s.last()
-	if !s.answerTo(conn, status, rejection, last) {
-		if taken {
-			s.Desk.Withdraw(string(handover.ID))
+	if rejection != nil && rejection.Close {
+		s.farewell(c, rejection)
+		return false
+	}
+	last := m.Close || s.last()
+	if !s.answer(c, status, rejection, last) {
+		if withdraw != nil {
+			withdraw()
 		}
 		return false
 	}
 	return !last
 }
 
-func (s *Consumers) answer(conn net.Conn, status int, r *protocol.Rejection) {
-	s.answerTo(conn, status, r, true)
-	if tcp, ok := conn.(*net.TCPConn); ok { // what was not read would reset the connection under the answer
-		_ = tcp.CloseWrite()
-		_ = tcp.SetReadDeadline(time.Now().Add(graceFor))
-		rest := make([]byte, 4096)
-		for range 64 {
-			if _, err := tcp.Read(rest); err != nil {
-				return
-			}
+// farewell writes a connection's last answer, an error, and reads on for a while: a close while bytes come would
+// reset the connection and take the answer from a client that is still sending.
+func (s *Consumers) farewell(c *consumerConn, r *protocol.Rejection) {
+	s.mark(c, ending)
+	if !s.answer(c, 0, r, true) {
+		return
+	}
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil {
+		return
+	}
+	until := time.Now().Add(drainFor)
+	for left := int64(drainMost); left > 0 && time.Now().Before(until); {
+		if tcp.SetReadDeadline(time.Now().Add(drainQuiet)) != nil {
+			return
+		}
+		n, err := io.CopyN(io.Discard, tcp, min(left, drainStep))
+		if left -= n; err != nil {
+			return
 		}
 	}
 }
 
-func (s *Consumers) answerTo(conn net.Conn, status int, r *protocol.Rejection, last bool) bool {
-	if conn.SetWriteDeadline(time.Now().Add(answerFor)) != nil {
+func (s *Consumers) answer(c *consumerConn, status int, r *protocol.Rejection, last bool) bool {
+	if c.SetWriteDeadline(time.Now().Add(answerFor)) != nil {
 		return false
 	}
-	_, err := conn.Write(protocol.AppendAnswer(make([]byte, 0, 160), status, r, last))
+	_, err := c.Write(protocol.AppendAnswer(make([]byte, 0, 160), status, r, last))
 	return err == nil
 }
