--- a/cmd/larkreach/larkreach_test.go
+++ b/cmd/larkreach/larkreach_test.go
@@ -51,7 +51,11 @@
 func TestOutcomes(t *testing.T) {
 	answers := func(text string) func(*call) { return func(c *call) { c.answer(text) } }
 	drop := (*call).drop
+	stays := func(text string) func(*call) { // the connection stays open and is of no further use
+		return func(c *call) { io.WriteString(c.conn, text); close(c.next) }
+	}
 	halfHead := func(c *call) { io.WriteString(c.conn, "HTTP/1.1 200 OK\r\nContent-Le"); c.drop() }
+	huge := "Content-Length: 3221225472\r\n\r\n" + strings.Repeat("x", 100<<10)
 	for name, c := range map[string]struct {
 		class string
 		first func(*call)
@@ -66,6 +70,15 @@
 		"unsafe, attempts used":       {"unsafe", answers("504 No"), true, ""},
 		"unsafe, over":                {"unsafe", answers("410 Gone"), false, ""},
 		"unsafe, delivered, then cut": {"unsafe", halfHead, false, ""},
+		"unsafe, 200, then noise":     {"unsafe", stays("HTTP/1.1 200 OK\r\n\x00\x01\r\n\r\n"), false, ""},
+		"unsafe, 200 with 3 GB":       {"unsafe", stays("HTTP/1.1 200 OK\r\n" + huge), false, ""},
+		"unsafe, 200, never whole":    {"unsafe", stays("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"), false, ""},
+		"unsafe, 200 behind 1xx":      {"unsafe", stays("HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"), false, ""},
+		"unsafe, noise":               {"unsafe", stays("\x00\x01\r\n\r\n"), false, "given_up"},
+		"unsafe, 503 with 3 GB":       {"unsafe", stays("HTTP/1.1 503 Full\r\n" + huge), false, "given_up"},
+		"unsafe, 503, never whole":    {"unsafe", stays("HTTP/1.1 503 Full\r\nContent-Length: 9\r\n\r\n"), false, "given_up"},
+		"unsafe, load report":         {"unsafe", answers("503 Full\r\nX-Server-Load: {\x01"), true, ""},
+		"keyed, noise":                {"keyed", stays("\x00\x01\r\n\r\n"), true, ""},
 		"keyed, reset":                {"keyed", drop, true, ""},
 		"safe, error":                 {"safe", answers("500 Error\r\nConnection: close"), true, ""},
 	} {
@@ -384,6 +397,39 @@
 	}
 }
 
+// What stands behind an answer is never read as the next call's, whether it comes with the answer or later.
+func TestSurplus(t *testing.T) {
+	const ok, error500 = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
+	p := newProvider(t, "a", 7)
+	s := newSite(t, p)
+	s.start()
+	for i, extra := range []string{error500, "noise", ""} {
+		s.hand(fmt.Sprint("m", i), "unsafe", 7)
+		c := <-p.calls
+		if c.connNumber != i+1 {
+			t.Errorf("call %d on connection %d", i, c.connNumber)
+		}
+		io.WriteString(c.conn, ok+extra)
+		close(c.next)
+		s.counts(fmt.Sprintf(" ok=%d ", i+1))
+		if extra == "" {
+			io.WriteString(c.conn, error500) // on an idle connection
+		}
+	}
+	s.hand("last", "unsafe", 7)
+	c := <-p.calls
+	if c.answer("200 OK"); c.connNumber != 4 {
+		t.Errorf("after bytes on an idle connection: connection %d", c.connNumber)
+	}
+	s.counts(" surplus=2")
+	s.counts(" ok=4 ")
+	s.hand("spoilt", "unsafe", 7)
+	c = <-p.calls
+	io.WriteString(c.conn, "noise\r\n\r\n")
+	close(c.next)
+	s.counts(" error=1 ") // and no reset, from which the module learns of dead connections
+}
+
 // A connection closes before the provider would close it, and a call that is cut closes its own: slots are never kept.
 func TestConnectionsEndInTime(t *testing.T) {
 	p := newProvider(t, "a", 7)
--- a/cmd/larkreach/main.go
+++ b/cmd/larkreach/main.go
@@ -76,7 +76,9 @@
 		return err
 	}
 	consumers := &transport.Consumers{Desk: desk{router}, Most: room * 3 / 4}
-	counters := func() string { return fmt.Sprintf("%v\n%v", consumers.Counters(), router.Counters()) }
+	counters := func() string {
+		return fmt.Sprintf("%v\n%v\n%v", consumers.Counters(), providers.Counters(), router.Counters())
+	}
 	reload := reloader{getenv: getenv, state: cfg.State, started: cfg.Told, address: discovery, logger: logger}
 	err = serve(cfg, logger, router, reporter, reload, hup, consumers, listener, counters)
 	logger.Printf("counters at exit\n%v", counters())
--- a/cmd/larkreach/wiring.go
+++ b/cmd/larkreach/wiring.go
@@ -66,6 +66,8 @@
 		return routing.Result{Outcome: mb.ConnectFailed}
 	case transport.Broken:
 		return routing.Result{Outcome: mb.Reset}
+	case transport.Spoilt: // the provider is there and the connection was not a dead one
+		return routing.Result{Outcome: mb.Failed}
 	case transport.Abandoned:
 		return routing.Result{Outcome: mb.TimedOut}
 	}
--- a/internal/protocol/handover.go
+++ b/internal/protocol/handover.go
@@ -170,9 +170,13 @@
 	Load      []byte        // a load report as JSON, if there is one
 }
 
+// loadReport is the field in which a provider may tell of its load. What stands there is its own affair: an answer is
+// good whether or not it can be read.
+const loadReport = "X-Server-Load"
+
 // ReadReply reads a provider's answer.
 func ReadReply(m *Message) Reply {
-	r := Reply{Status: m.Status(), Load: bytes.Clone(m.Get("X-Server-Load"))}
+	r := Reply{Status: m.Status(), Load: bytes.Clone(m.Get(loadReport))}
 	if ms, ok := number(m.Get("X-RateLimit-Wait-Ms")); ok {
 		r.Wait = min(time.Duration(ms)*time.Millisecond, mostLeft)
 	}
--- a/internal/protocol/message.go
+++ b/internal/protocol/message.go
@@ -17,6 +17,8 @@
 	mostLines = 100      // lines of a head
 	mostChunk = 256      // bytes of a chunk's size line, or of a trailer line
 	firstRoom = 2 << 10  // bytes a parser starts with
+
+	mostInterim = 16 // answers with 1xx in front of one
 )
 
 // The errors of a message that can't be read. A Rejection's status follows from them.
@@ -36,7 +38,6 @@
 	Fields []Field
 	Body   []byte
 	Close  bool // the connection ends with it
-	Cut    bool // the connection ended before the message did; its start line holds all the same
 }
 
 // Get is the value of a head's field; nil if there is none.
@@ -82,6 +83,7 @@
 	head     int // the head's length, its empty line included
 	body     int // the body's bytes read into place
 	need     int // what is left of the body, or of the chunk with its line end
+	interim  int // answers with 1xx in front of the one that is read
 	expects  bool
 	msg      Message
 	err      error
@@ -138,28 +140,36 @@
 	return m, err
 }
 
-// End tells that the connection has ended. An answer whose body lasts until then is whole; of any other that has
-// begun, what came is given, since a provider's first line alone says how a call ended.
-func (p *Parser) End() *Message {
-	if p.err != nil || !p.answers {
+// End tells that no more bytes come. Where the connection has ended, an answer whose body lasts until then is whole.
+func (p *Parser) End(closed bool) *Message {
+	if !closed || p.err != nil || p.phase != toEnd {
 		return nil
 	}
+	p.body = p.w - p.r - p.head
+	m := p.finish(p.w)
+	m.Close = true
+	return m
+}
+
+// Status is what the first line says of an answer that has begun, also of one that can't be read further; 0 until that
+// line is there.
+func (p *Parser) Status() int {
 	if p.phase == inHead {
 		line, _, ok := bytes.Cut(p.buf[p.r:p.w], []byte("\r\n"))
-		p.msg.Fields = p.msg.Fields[:0]
-		if !ok || p.startLine(line) != nil || p.msg.Status() < 200 {
-			return nil
+		if !ok || p.startLine(line) != nil {
+			return 0
 		}
-		p.head = p.w - p.r
 	}
-	p.msg.Cut = p.phase != toEnd
-	switch p.phase {
-	case toEnd, inBody:
-		p.body = p.w - p.r - p.head
+	return p.msg.Status()
+}
+
+// Reset makes the parser ready for another connection.
+func (p *Parser) Reset() {
+	buf := p.buf
+	if len(buf) > firstRoom {
+		buf = nil
 	}
-	m := p.finish(p.w)
-	m.Close = true
-	return m
+	*p = Parser{answers: p.answers, mostBody: p.mostBody, buf: buf, msg: Message{Fields: p.msg.Fields[:0]}}
 }
 
 // Continue says, once, that a peer waits to be told to go on with its body.
@@ -227,11 +237,15 @@
 	if err != nil {
 		return false, err
 	}
-	if status := p.msg.Status(); p.answers && status >= 100 && status < 200 { // interim: the answer proper follows
+	if status := p.msg.Status(); p.answers && status < 200 { // interim: the answer proper follows
+		if p.interim++; p.interim > mostInterim || status < 100 || status == 101 {
+			return false, fmt.Errorf("%w: interim answers", ErrMalformed)
+		}
 		p.r += p.head
 		p.scanned, p.head = 0, 0
 		return p.findHead()
 	}
+	p.interim = 0
 	p.phase = next
 	return true, nil
 }
@@ -239,7 +253,7 @@
 // parseHead reads a head where it lies and tells how its body goes on.
 func (p *Parser) parseHead(head []byte) (phase, error) {
 	m := &p.msg
-	m.Fields, m.Close, m.Cut, p.expects = m.Fields[:0], false, false, false
+	m.Fields, m.Close, p.expects = m.Fields[:0], false, false
 	line, rest, _ := bytes.Cut(head, []byte("\r\n"))
 	if err := p.startLine(line); err != nil {
 		return 0, err
@@ -251,7 +265,7 @@
 			break
 		}
 		name, value, ok := bytes.Cut(line, []byte(":"))
-		if !ok || !isToken(name) || len(m.Fields) == mostLines || !isText(value) {
+		if !ok || !isToken(name) || len(m.Fields) == mostLines || !isText(value) && !(p.answers && equalFold(name, loadReport)) {
 			return 0, fmt.Errorf("%w: head line", ErrMalformed)
 		}
 		f := Field{Name: name, Value: bytes.Trim(value, " \t")}
@@ -304,7 +318,7 @@
 	switch {
 	case !ok || !isText(line):
 		return fmt.Errorf("%w: start line", ErrMalformed)
-	case !bytes.HasPrefix(version, []byte("HTTP/1.")) || len(version) != 8:
+	case string(version) != "HTTP/1.1" && string(version) != "HTTP/1.0":
 		return fmt.Errorf("%w: version", ErrMalformed)
 	case p.answers && (len(b) != 3 || !digits(b)):
 		return fmt.Errorf("%w: status", ErrMalformed)
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -558,6 +558,9 @@
 		r.counters.HeldBack++
 		return false
 	}
+	if c.begun { // on another connection now, with nothing written yet
+		return true
+	}
 	if err := r.cfg.Log.Started(c.msg.seq, time.Now(), p.Zone); err != nil {
 		r.journal(err) // a call that no later life would know of
 		r.journal(r.cfg.Log.Outcome(c.msg.seq, false))
--- a/internal/transport/agent.go
+++ b/internal/transport/agent.go
@@ -117,7 +117,7 @@
 		}
 		n, err := a.conn.Read(a.parser.Space())
 		if a.parser.Commit(n); err != nil && n == 0 {
-			if m := a.parser.End(); m != nil && !m.Cut && errors.Is(err, io.EOF) {
+			if m := a.parser.End(errors.Is(err, io.EOF)); m != nil {
 				return m, nil
 			}
 			return nil, err
--- a/internal/transport/providers.go
+++ b/internal/transport/providers.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"io"
 	"net"
 	"sync"
-	"sync/atomic"
+	"syscall"
 	"time"
 
 	"mulleinbeam/internal/protocol"
@@ -19,108 +22,218 @@
 	NotBegun                   // it was not let go
 	Unconnected                // no connection, or it broke before the call's last byte was written
 	Broken                     // the connection broke after that
+	Spoilt                     // what came can't be read, or is not whole: the call may have run
 	Abandoned                  // ctx ended before the answer came
 )
 
 const (
-	unread     = 4 << 10 // bytes of an answer's body that are read at the most, beside its head
-	idleMargin = 0.05    // of the keep-alive time: connections are closed so much before the provider would
+	mostAnswer = 64 << 10               // bytes of an answer's body
+	wholeFor   = time.Second            // an answer from its first byte to its last
+	restFor    = 200 * time.Millisecond // the rest of one that is known to be a delivery
+	idleMargin = 0.05                   // of the keep-alive time: connections are closed so much before the provider would
 	leastEarly = 300 * time.Millisecond
 )
 
 // Providers keeps the connections to providers. A connection carries one call at a time; the one used last is used
-// next, so that few stay warm.
+// next, so that few stay warm. One that is idle holds no buffer and no goroutine.
 type Providers struct {
 	keep    time.Duration
 	connect time.Duration
 	most    int // idle connections at once
+	parsers sync.Pool
 
-	mu      sync.Mutex
-	idle    map[string][]*providerConn // by provider, warmest last
-	idles   int
-	closed  bool
-	readers sync.WaitGroup
+	mu       sync.Mutex
+	idle     map[string][]*providerConn // by provider, warmest last
+	idles    int
+	closed   bool
+	counters ProviderCounters
+}
+
+// ProviderCounters counts connections and answers that were not as they should be.
+type ProviderCounters struct {
+	Opened  int64 // connections
+	Ended   int64 // idle ones that had ended, or held bytes that nobody asked for, when they were to be used
+	Spoilt  int64 // answers that can't be read or don't come whole
+	True    int64 // of these, those whose first line says that the message is delivered
+	Surplus int64 // answers with more behind them than belongs to them
+	Idle    int   // now
+}
+
+// String is the counters' line for the log.
+func (c ProviderCounters) String() string {
+	return fmt.Sprintf("providers: opened=%d idle=%d ended_idle=%d spoilt=%d delivered_all_the_same=%d surplus=%d",
+		c.Opened, c.Idle, c.Ended, c.Spoilt, c.True, c.Surplus)
 }
 
 // NewProviders keeps at most so many idle connections, each for less than keepAlive.
 func NewProviders(keepAlive, connectTimeout time.Duration, most int) *Providers {
 	early := max(leastEarly, time.Duration(idleMargin*float64(keepAlive)))
-	return &Providers{
+	p := &Providers{
 		keep: max(0, keepAlive-early), connect: connectTimeout, most: max(1, most), idle: map[string][]*providerConn{},
 	}
+	p.parsers.New = func() any { return protocol.NewAnswerParser(mostAnswer) }
+	return p
+}
+
+// Counters gives the counters as they are now.
+func (p *Providers) Counters() ProviderCounters {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counters.Idle = p.idles
+	return p.counters
 }
 
-// providerConn is one connection. Its reader goroutine owns the parser and ends with the connection.
+func (p *Providers) count(which *int64) {
+	p.mu.Lock()
+	*which++
+	p.mu.Unlock()
+}
+
+// providerConn is one connection: the call's that it carries, or the pool's while it is idle.
 type providerConn struct {
-	conn    net.Conn
+	net.Conn
 	name    string
 	address string
-	answers chan protocol.Reply
-	dead    chan struct{}
-	busy    atomic.Bool // a call is out on it
-	last    bool        // the provider said that it closes; written before the answer is passed on
+	kept    bool // it has been idle
 	expire  *time.Timer
 	since   time.Time // idle since then
 }
 
-// Invoke makes one call. begin is asked just before the first byte; nothing is ever written twice.
+// quiet says that nothing has come on an idle connection, not even its end: whatever comes there belongs to no call and
+// makes it unusable.
+func (c *providerConn) quiet() bool {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	nothing := false
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		nothing = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && nothing
+}
+
+// connection is the provider's warmest one, or a new one.
+func (p *Providers) connection(ctx context.Context, name, address string) (*providerConn, error) {
+	for c := p.warmest(name, address); c != nil; c = p.warmest(name, address) {
+		if c.quiet() {
+			return c, nil
+		}
+		_ = c.Close()
+		p.count(&p.counters.Ended)
+	}
+	dialer := net.Dialer{Timeout: p.connect}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	p.count(&p.counters.Opened)
+	return &providerConn{Conn: conn, name: name, address: address}, nil
+}
+
+// Invoke makes one call. begin is asked just before the first byte, and once more if the connection then turns out to
+// have ended; nothing is ever written twice.
 func (p *Providers) Invoke(ctx context.Context, name, address string, call protocol.Call, begin func() bool) (protocol.Reply, CallEnd) {
-	var none protocol.Reply
-	c := p.warmest(name, address)
-	if c == nil {
-		dialer := net.Dialer{Timeout: p.connect}
-		conn, err := dialer.DialContext(ctx, "tcp", address)
+	for {
+		c, err := p.connection(ctx, name, address)
 		if err != nil {
-			return none, Unconnected
+			return protocol.Reply{}, Unconnected
 		}
-		c = p.adopt(conn, name, address)
-	}
-	if !begin() {
-		p.keepIdle(c)
-		return none, NotBegun
+		if !begin() {
+			p.keepIdle(c)
+			return protocol.Reply{}, NotBegun
+		}
+		if c.kept && !c.quiet() {
+			_ = c.Close()
+			p.count(&p.counters.Ended)
+			continue
+		}
+		return p.exchange(ctx, c, call)
 	}
-	c.busy.Store(true)
-	stop := context.AfterFunc(ctx, func() { _ = c.conn.Close() })
+}
+
+// exchange writes a call and reads its answer. When ctx ends first, the connection is closed before it returns.
+func (p *Providers) exchange(ctx context.Context, c *providerConn, call protocol.Call) (protocol.Reply, CallEnd) {
 	if deadline, ok := ctx.Deadline(); ok {
 		call.Timeout = time.Until(deadline)
 	}
+	closed := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() { defer close(closed); _ = c.Close() })
 	pieces := call.Buffers()
 	total := int64(0)
 	for _, piece := range pieces {
 		total += int64(len(piece))
 	}
-	written, err := pieces.WriteTo(c.conn)
-	if err != nil {
-		_ = c.conn.Close()
-	}
-	select {
-	case reply := <-c.answers:
-		return p.settle(c, reply, stop() && err == nil)
-	case <-c.dead:
-	}
-	stop()
-	select {
-	case reply := <-c.answers: // it came before the connection ended
-		return p.settle(c, reply, false)
-	default:
+	written, err := pieces.WriteTo(c)
+	reply, end := protocol.Reply{}, Unconnected
+	keep := err == nil
+	if written == total {
+		var whole bool
+		reply, end, whole = p.read(ctx, c)
+		keep = keep && whole
 	}
 	switch {
-	case written < total:
-		return none, Unconnected
-	case ctx.Err() != nil:
-		return none, Abandoned
+	case !stop():
+		<-closed
+	case keep:
+		p.keepIdle(c)
+	default:
+		_ = c.Close()
 	}
-	return none, Broken
+	return reply, end
 }
 
-// settle keeps the connection of a call that was answered, if it can carry another.
-func (p *Providers) settle(c *providerConn, reply protocol.Reply, whole bool) (protocol.Reply, CallEnd) {
-	if whole && !c.last {
-		p.keepIdle(c)
-	} else {
-		_ = c.conn.Close()
+// read reads a call's answer; keep says that the connection can carry another call. A first line with 200 is a
+// delivery however the answer goes on. Any other answer that is not whole may stand for a call that ran.
+func (p *Providers) read(ctx context.Context, c *providerConn) (reply protocol.Reply, end CallEnd, keep bool) {
+	parser := p.parsers.Get().(*protocol.Parser)
+	defer func() {
+		parser.Reset()
+		p.parsers.Put(parser)
+	}()
+	var until time.Time // the answer's last byte
+	for {
+		m, err := parser.Next()
+		if m == nil && err == nil {
+			var n int
+			if n, err = c.Read(parser.Space()); n > 0 {
+				parser.Commit(n)
+				err = nil
+				now := time.Now()
+				if until.IsZero() {
+					until = now.Add(wholeFor)
+				}
+				if soon := now.Add(restFor); soon.Before(until) && parser.Status() == 200 {
+					until = soon
+				}
+				_ = c.SetReadDeadline(until) // if it is closed by now, the next read tells
+				continue
+			}
+			m = parser.End(errors.Is(err, io.EOF))
+		}
+		switch {
+		case m != nil:
+			surplus := !parser.Idle()
+			if surplus {
+				p.count(&p.counters.Surplus)
+			}
+			reply = protocol.ReadReply(m)
+			return reply, Answered, !m.Close && !surplus && c.SetReadDeadline(time.Time{}) == nil
+		case parser.Status() == 200:
+			p.count(&p.counters.Spoilt)
+			p.count(&p.counters.True)
+			return protocol.Reply{Status: 200}, Answered, false
+		case ctx.Err() != nil:
+			return reply, Abandoned, false
+		}
+		if parser.Idle() {
+			return reply, Broken, false
+		}
+		p.count(&p.counters.Spoilt)
+		return reply, Spoilt, false
 	}
-	return reply, Answered
 }
 
 // CloseIdle closes the idle connections to a provider.
@@ -132,67 +245,16 @@
 	}
 }
 
-// Close closes all idle connections, keeps no more, and waits until every connection has ended; call it after the
-// last Invoke has returned.
+// Close closes all idle connections and keeps no more.
 func (p *Providers) Close() {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.closed = true
 	for _, conns := range p.idle {
 		for _, c := range append([]*providerConn(nil), conns...) {
 			p.drop(c)
 		}
 	}
-	p.mu.Unlock()
-	p.readers.Wait()
-}
-
-func (p *Providers) adopt(conn net.Conn, name, address string) *providerConn {
-	c := &providerConn{
-		conn: conn, name: name, address: address,
-		answers: make(chan protocol.Reply, 1), dead: make(chan struct{}),
-	}
-	p.readers.Go(func() { p.read(c) })
-	return c
-}
-
-// read passes answers on until the connection ends. Bytes that answer nothing end it.
-func (p *Providers) read(c *providerConn) {
-	defer func() {
-		_ = c.conn.Close()
-		close(c.dead)
-		p.mu.Lock()
-		p.drop(c)
-		p.mu.Unlock()
-	}()
-	parser := protocol.NewAnswerParser(protocol.MostBody + unread)
-	for {
-		m, err := parser.Next()
-		if err != nil {
-			return
-		}
-		if m == nil {
-			n, err := c.conn.Read(parser.Space())
-			parser.Commit(n)
-			if err == nil {
-				continue
-			}
-			if m, _ = parser.Next(); m == nil {
-				// A first line with 200 is a delivery however the connection ends; any other answer has to be whole.
-				if m = parser.End(); m == nil || m.Cut && m.Status() != 200 {
-					return
-				}
-			}
-			m.Close = true
-		}
-		if !c.busy.Swap(false) { // an answer that nobody asked for must not be taken for the next call's
-			return
-		}
-		c.last = m.Close || !parser.Idle()
-		c.answers <- protocol.ReadReply(m)
-		if c.last {
-			return
-		}
-	}
 }
 
 // warmest takes the connection to a provider that was used last.
@@ -218,13 +280,8 @@
 func (p *Providers) keepIdle(c *providerConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	select {
-	case <-c.dead:
-		return
-	default:
-	}
 	if p.closed || p.keep == 0 {
-		_ = c.conn.Close()
+		_ = c.Close()
 		return
 	}
 	if p.idles >= p.most {
@@ -232,7 +289,7 @@
 	}
 	p.idle[c.name] = append(p.idle[c.name], c)
 	p.idles++
-	c.since = time.Now()
+	c.kept, c.since = true, time.Now()
 	c.expire = time.AfterFunc(p.keep, func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -255,7 +312,7 @@
 func (p *Providers) drop(c *providerConn) {
 	if p.remove(c) {
 		c.expire.Stop()
-		_ = c.conn.Close()
+		_ = c.Close()
 	}
 }
 
