--- a/cmd/larkreach/main.go
+++ b/cmd/larkreach/main.go
@@ -107,7 +107,7 @@
 	group.Go(func() error { return reload.run(after, hup) })
 	group.Go(func() error {
 		watch := transport.Directory{
-			Address: reload.address, Since: cfg.Known.Index, Logger: logger,
+			Address: reload.address, Since: -1, Logger: logger, // the known list's version may be another address's
 			Learn: func(d protocol.Directory) { router.Learn(directory(d, false)) },
 		}
 		return watch.Watch(after)
--- a/internal/protocol/handover.go
+++ b/internal/protocol/handover.go
@@ -6,6 +6,7 @@
 	"net"
 	"strconv"
 	"time"
+	"unicode/utf8"
 )
 
 // Handover is a message that a consumer hands in. Its slices lie in the parser's buffer.
@@ -24,7 +25,8 @@
 	Close      bool          // the connection ends with it
 }
 
-// mostName bounds an id and a key: they are kept beyond the request.
+// mostName bounds an id and a key: they are kept beyond the request. An id is UTF-8 as well, since notices name it in
+// JSON.
 const mostName = 256
 
 // mostLeft bounds a consumer's time; more is taken for an error.
@@ -75,7 +77,7 @@
 		return AskHandover, h, bad(411, "length required")
 	}
 	h = Handover{ID: m.Get("X-Request-ID"), Key: m.Get("Idempotency-Key"), Class: m.Get("X-Priority-Class"), Body: m.Body}
-	if len(h.ID) == 0 || len(h.ID) > mostName || len(h.Key) > mostName {
+	if len(h.ID) == 0 || !utf8.Valid(h.ID) || len(h.ID) > mostName || len(h.Key) > mostName {
 		return AskHandover, h, bad(400, "bad X-Request-ID or Idempotency-Key")
 	}
 	ms, ok := number(m.Get("X-Timeout-Ms"))
--- a/internal/transport/agent.go
+++ b/internal/transport/agent.go
@@ -203,9 +203,10 @@
 	Address *Address
 	Logger  *log.Logger
 
-	mu    sync.Mutex
-	queue []Pending
-	wake  chan struct{}
+	failing bool // Run's goroutine only
+	mu      sync.Mutex
+	queue   []Pending
+	wake    chan struct{}
 }
 
 // Pending is a notice with what to do once it is acknowledged.
@@ -274,12 +275,17 @@
 		err = fmt.Errorf("transport: report answered %d", m.Status())
 	}
 	if err != nil {
-		if here.Err() == nil {
+		if here.Err() == nil && !r.failing {
+			r.failing = true
 			r.Logger.Printf("notices: %d not acknowledged, sent again: %v", len(batch), err)
 		}
 		pause(here, retryPause)
 		return true
 	}
+	if r.failing {
+		r.failing = false
+		r.Logger.Printf("notices: acknowledged again")
+	}
 	r.mu.Lock()
 	if r.queue = r.queue[len(batch):]; len(r.queue) == 0 {
 		r.queue = nil // the array goes with the notices
--- a/internal/transport/consumers.go
+++ b/internal/transport/consumers.go
@@ -19,6 +19,7 @@
 const (
 	idleFor     = 90 * time.Second        // a connection between requests, while there is room
 	idleLeast   = 2 * time.Second         // and where there is none
+	askLeast    = 500 * time.Millisecond  // a request that is not whole, where there is no room
 	requestFor  = 2400 * time.Millisecond // a request from its first byte to its last, the first one from the accept on
 	answerFor   = 2 * time.Second         // the writing of an answer
 	graceFor    = 300 * time.Millisecond  // for a request that has begun, once consumers are to leave
@@ -70,10 +71,11 @@
 type standing int
 
 const (
-	silent standing = iota // it has asked for nothing yet
-	asking                 // a request has begun, or is being answered
-	idle                   // between requests
-	ending                 // it has its last answer; what it still sends is drained
+	silent    standing = iota // it has asked for nothing yet
+	asking                    // a request has begun and is not whole
+	answering                 // a whole one is being answered
+	idle                      // between requests
+	ending                    // it has its last answer; what it still sends is drained
 )
 
 // consumerConn is one connection. Its goroutine owns it; Consumers.mu guards the rest.
@@ -144,7 +146,7 @@
 	s.leaving = true
 	for c := range s.conns {
 		switch c.at {
-		case asking:
+		case asking, answering:
 			_ = c.SetReadDeadline(time.Now().Add(graceFor))
 		case silent, idle:
 			_ = c.SetReadDeadline(time.Now())
@@ -153,14 +155,14 @@
 }
 
 // admit books a new connection; false says that there is no room for it and it is to be turned away. Who gives way to
-// it is one that has asked for nothing, or else one that has been idle for long enough.
+// it is one that has asked for nothing, one that has been idle for long enough, or one whose request does not come on.
 func (s *Consumers) admit(c *consumerConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counters.Accepted++
 	c.since = c.accepted
 	_ = c.SetReadDeadline(c.accepted.Add(requestFor))
-	room := len(s.conns)-s.endings < s.Most || s.drop(silent, 0) || s.drop(idle, idleLeast)
+	room := len(s.conns)-s.endings < s.Most || s.drop(silent, 0) || s.drop(idle, idleLeast) || s.drop(asking, askLeast)
 	s.conns[c] = struct{}{}
 	if !room {
 		s.counters.TurnedAway++
@@ -189,6 +191,8 @@
 		s.counters.Silent++
 	case idle:
 		s.counters.ClosedIdle++
+	case asking:
+		s.counters.Late++
 	}
 	s.forget(oldest)
 	_ = oldest.Close()
@@ -258,7 +262,7 @@
 			return
 		}
 		if m != nil {
-			if !s.request(c, m) {
+			if !s.mark(c, answering) || !s.request(c, m) {
 				return
 			}
 			if first = false; parser.Idle() {
@@ -266,6 +270,8 @@
 				if quiet = true; !s.mark(c, idle) {
 					return
 				}
+			} else if quiet = false; !s.mark(c, asking) {
+				return
 			}
 			continue
 		}
--- a/internal/transport/providers.go
+++ b/internal/transport/providers.go
@@ -52,7 +52,7 @@
 // ProviderCounters counts connections and answers that were not as they should be.
 type ProviderCounters struct {
 	Opened  int64 // connections
-	Ended   int64 // idle ones that had ended, or held bytes that nobody asked for, when they were to be used
+	Ended   int64 // those that had ended, or held bytes that nobody asked for, when they were to be used
 	Spoilt  int64 // answers that can't be read or don't come whole
 	True    int64 // of these, those whose first line says that the message is delivered
 	Surplus int64 // answers with more behind them than belongs to them
@@ -61,7 +61,7 @@
 
 // String is the counters' line for the log.
 func (c ProviderCounters) String() string {
-	return fmt.Sprintf("providers: opened=%d idle=%d ended_idle=%d spoilt=%d delivered_all_the_same=%d surplus=%d",
+	return fmt.Sprintf("providers: opened=%d idle=%d ended_before_use=%d spoilt=%d delivered_all_the_same=%d surplus=%d",
 		c.Opened, c.Idle, c.Ended, c.Spoilt, c.True, c.Surplus)
 }
 
@@ -145,10 +145,13 @@
 			p.keepIdle(c)
 			return protocol.Reply{}, NotBegun
 		}
-		if c.kept && !c.quiet() {
+		if !c.quiet() {
 			_ = c.Close()
 			p.count(&p.counters.Ended)
-			continue
+			if c.kept {
+				continue
+			}
+			return protocol.Reply{}, Unconnected // accepted, and closed before anything was written
 		}
 		return p.exchange(ctx, c, call)
 	}
