--- a/cmd/larkreach/larkreach_test.go
+++ b/cmd/larkreach/larkreach_test.go
@@ -435,6 +435,30 @@
 	s.counts(" error=1 ") // and no reset, from which the module learns of dead connections
 }
 
+// Where kept connections are reset, a fee charge goes on a new one.
+func TestFreshConnections(t *testing.T) {
+	p := newProvider(t, "a", 7)
+	s := newSite(t, p)
+	s.start()
+	s.hand("first", "safe", 7)
+	(<-p.calls).answer("200 OK")
+	for i := range 4 { // each reset on a connection that had carried a call
+		s.counts(fmt.Sprintf(" ok=%d ", i+1))
+		s.hand(fmt.Sprint("lost", i), "safe", 7)
+		(<-p.calls).drop()
+		(<-p.calls).answer("200 OK")
+	}
+	s.counts(" ok=5 ")
+	s.hand("kept", "safe", 7)
+	kept := <-p.calls
+	kept.answer("200 OK")
+	s.counts(" ok=6 ")
+	s.hand("fresh", "unsafe", 7)
+	if fresh := <-p.calls; fresh.connNumber != kept.connNumber+1 {
+		t.Errorf("on connection %d, the one before on %d", fresh.connNumber, kept.connNumber)
+	}
+}
+
 // A connection closes before the provider would close it, and a call that is cut closes its own: slots are never kept.
 func TestConnectionsEndInTime(t *testing.T) {
 	p := newProvider(t, "a", 7)
--- a/cmd/larkreach/wiring.go
+++ b/cmd/larkreach/wiring.go
@@ -57,21 +57,23 @@
 func (i invoker) CloseIdle(provider string) { i.providers.CloseIdle(provider) }
 
 func (i invoker) Invoke(ctx context.Context, c routing.InvokerCall) routing.Result {
-	call := protocol.Call{ID: c.ID, Key: c.Key, Host: c.Address, Body: c.Body}
-	reply, end := i.providers.Invoke(ctx, c.Provider, c.Address, call, c.Begin)
-	switch end {
-	case transport.NotBegun:
-		return routing.Result{Outcome: mb.Moot}
-	case transport.Unconnected:
-		return routing.Result{Outcome: mb.ConnectFailed}
-	case transport.Broken:
-		return routing.Result{Outcome: mb.Reset}
-	case transport.Spoilt: // the provider is there and the connection was not a dead one
-		return routing.Result{Outcome: mb.Failed}
-	case transport.Abandoned:
-		return routing.Result{Outcome: mb.TimedOut}
+	r := i.providers.Invoke(ctx, transport.Call{
+		Call: protocol.Call{ID: c.ID, Key: c.Key, Host: c.Address, Body: c.Body},
+		Name: c.Provider, Address: c.Address, Fresh: c.Fresh, Begin: c.Begin,
+	})
+	res := routing.Result{Outcome: ends[r.End]}
+	if r.End == transport.Answered {
+		res = result(r.Reply)
 	}
-	return result(reply)
+	res.Kept = r.Kept
+	return res
+}
+
+// ends are the outcomes of calls that were not answered. One whose answer is spoilt is an error: the provider is there,
+// and its connection was not a dead one.
+var ends = map[transport.CallEnd]mb.Outcome{
+	transport.NotBegun: mb.Moot, transport.Unconnected: mb.ConnectFailed, transport.Broken: mb.Reset,
+	transport.Spoilt: mb.Failed, transport.Abandoned: mb.TimedOut,
 }
 
 // result reads a provider's answer as an outcome.
--- a/decide.go
+++ b/decide.go
@@ -12,49 +12,52 @@
 
 // Figures. Shares are of 1; "ours" marks starting values, "tuned" and "worse" name measured choices.
 const (
-	windowSize   = 20   // outcomes that a breaker remembers (source)
-	windowLeast  = 10   // outcomes before the failure rate is judged (source)
-	tripShare    = 0.5  // share of failures that opens a breaker (source)
-	runTrip      = 2    // further failures in a row that open it: a small slice fills the window slowly (ours)
-	runLeast     = 2    // failures or refusals in a row that raise the guard, at least (one: worse at size)
-	flukeShare   = 0.02 // chance of a run under which it is no chance (ours)
-	strayPrior   = 20.0 // calls, one of them lost, that a courier starts with in that reckoning (ours)
-	idleHitsMin  = 3    // calls lost after a pause before connections are closed for their age (tuned: hb)
-	idleRatio    = 3.0  // their share of losses over that of all other calls, at least (ours)
-	tallyMost    = 60.0 // calls after which a tally is halved: old evidence fades (ours)
-	idleMargin   = 0.8  // of the shortest pause that met a dead connection: the bound (ours)
-	tightRun     = 2    // failed connects in a row that may still be a full connection table (ours)
-	manyCouriers = 8    // from here on idle connections of all couriers fill a small table (ours)
-	trialsClose  = 3    // successful trials that close a half-open breaker (source: 5)
-	openGrow     = 1.5  // growth of the open period from failed trial to failed trial (ours)
-	capStart     = 0.25 // of the slots: where a cap starts and falls back to (0.34: worse on hb)
-	capTop       = 0.75 // of the slots: a cap stays under this (design)
-	capStep      = 0.5  // what a success within the aim adds to a cap (ours)
-	retryGrow    = 2.0  // growth of the retry wait from try to try (source)
-	jitterShare  = 0.5  // waits vary by up to this share (source)
-	paceCut      = 0.75 // the paced rate after a refusal at the limit, as a share (ours)
-	paceGrow     = 0.02 // of the base rate: what each success adds to the paced rate (ours)
-	paceTop      = 1.6  // of the base rate: the paced rate's top; hints may be half too low (ours)
-	paceFloor    = 0.1  // of the base rate: the paced rate's bottom (ours)
-	debtMost     = 4    // calls by which a run of refusals without a wait empties the bucket further (ours)
-	leftHigh     = 0.5  // reported share of the limit left from which a refusal is not the limit's doing (ours)
-	x0Low        = 0.1  // reported share of the limit left at which the bucket is emptied (ours)
-	leastRate    = 0.5  // calls a second that a lane is taken for where nothing tells, at least (ours)
-	servedPrior  = 0.5  // calls' weight of the mean lane in a lane's own rate (ours)
-	roughMargin  = 0.8  // of a rough hint, which may be half too high, counts as capacity (ours)
-	guardMargin  = 0.9  // of the fail-back budget is used at most (tuned: riga, hb)
-	usualLoad    = 0.7  // of a destination's rate is called for in the mean (ours)
-	unevenness   = 1.27 // of a few couriers' traffic: more than an even split of the fail-back budget (ours)
-	minBudget    = 0.01 // calls a span: the smallest part (ours)
-	timeoutScale = 8.0  // a repeatable call's time-out over its expected latency (ours)
-	silenceScale = 6.0  // silence over expected latency before a lane counts as stalled (ours)
-	silentCalls  = 2    // such calls that open a breaker; one twice as late counts double (ours)
-	latencyGain  = 0.2  // weight of a new latency in a lane's pace (ours)
-	classGain    = 0.05 // weight of a new latency in a class's mean (ours)
-	gatherShare  = 0.4  // of its aim: how long a message waits for others at a limited lane (ours)
-	growthFirst  = 0.25 // of a call's time: what each further message adds, before any is seen (ours)
-	firstGuess   = 0.15 // of a class's aim: its latency before any is seen (ours)
-	paceLeast    = 0.05 // bounds of a lane's pace
+	windowSize   = 20    // outcomes that a breaker remembers (source)
+	windowLeast  = 10    // outcomes before the failure rate is judged (source)
+	tripShare    = 0.5   // share of failures that opens a breaker (source)
+	runTrip      = 2     // further failures in a row that open it: a small slice fills the window slowly (ours)
+	runLeast     = 2     // failures or refusals in a row that raise the guard, at least (one: worse at size)
+	flukeShare   = 0.02  // chance of a run under which it is no chance (ours)
+	strayPrior   = 20.0  // calls, one of them lost, that a courier starts with in that reckoning (ours)
+	idleHitsMin  = 3     // calls lost after a pause before connections are closed for their age (tuned: hb)
+	idleRatio    = 3.0   // their share of losses over that of all other calls, at least (ours)
+	tallyMost    = 60.0  // calls after which a tally is halved: old evidence fades (ours)
+	keptMost     = 200.0 // calls after which a tally of resets is halved (ours)
+	freshLeast   = 50.0  // calls that a share of resets is taken of, at least (ours)
+	freshGain    = 0.03  // share of resets saved for which an unsafe message pays a handshake (ours)
+	idleMargin   = 0.8   // of the shortest pause that met a dead connection: the bound (ours)
+	tightRun     = 2     // failed connects in a row that may still be a full connection table (ours)
+	manyCouriers = 8     // from here on idle connections of all couriers fill a small table (ours)
+	trialsClose  = 3     // successful trials that close a half-open breaker (source: 5)
+	openGrow     = 1.5   // growth of the open period from failed trial to failed trial (ours)
+	capStart     = 0.25  // of the slots: where a cap starts and falls back to (0.34: worse on hb)
+	capTop       = 0.75  // of the slots: a cap stays under this (design)
+	capStep      = 0.5   // what a success within the aim adds to a cap (ours)
+	retryGrow    = 2.0   // growth of the retry wait from try to try (source)
+	jitterShare  = 0.5   // waits vary by up to this share (source)
+	paceCut      = 0.75  // the paced rate after a refusal at the limit, as a share (ours)
+	paceGrow     = 0.02  // of the base rate: what each success adds to the paced rate (ours)
+	paceTop      = 1.6   // of the base rate: the paced rate's top; hints may be half too low (ours)
+	paceFloor    = 0.1   // of the base rate: the paced rate's bottom (ours)
+	debtMost     = 4     // calls by which a run of refusals without a wait empties the bucket further (ours)
+	leftHigh     = 0.5   // reported share of the limit left from which a refusal is not the limit's doing (ours)
+	x0Low        = 0.1   // reported share of the limit left at which the bucket is emptied (ours)
+	leastRate    = 0.5   // calls a second that a lane is taken for where nothing tells, at least (ours)
+	servedPrior  = 0.5   // calls' weight of the mean lane in a lane's own rate (ours)
+	roughMargin  = 0.8   // of a rough hint, which may be half too high, counts as capacity (ours)
+	guardMargin  = 0.9   // of the fail-back budget is used at most (tuned: riga, hb)
+	usualLoad    = 0.7   // of a destination's rate is called for in the mean (ours)
+	unevenness   = 1.27  // of a few couriers' traffic: more than an even split of the fail-back budget (ours)
+	minBudget    = 0.01  // calls a span: the smallest part (ours)
+	timeoutScale = 8.0   // a repeatable call's time-out over its expected latency (ours)
+	silenceScale = 6.0   // silence over expected latency before a lane counts as stalled (ours)
+	silentCalls  = 2     // such calls that open a breaker; one twice as late counts double (ours)
+	latencyGain  = 0.2   // weight of a new latency in a lane's pace (ours)
+	classGain    = 0.05  // weight of a new latency in a class's mean (ours)
+	gatherShare  = 0.4   // of its aim: how long a message waits for others at a limited lane (ours)
+	growthFirst  = 0.25  // of a call's time: what each further message adds, before any is seen (ours)
+	firstGuess   = 0.15  // of a class's aim: its latency before any is seen (ours)
+	paceLeast    = 0.05  // bounds of a lane's pace
 	paceMost     = 200.0
 	urgencyShare = 0.8  // how much of what a wait would cost counts in the ranking (tuned: iecd0a0, from 0.6)
 	unsafeTrial  = 0.02 // weight of unsafe messages in the choice of trials (ours)
@@ -71,6 +74,7 @@
 	timeoutLeast  = 2 * time.Second         // shortest time-out; stalls pass (1.2 and 3 s: worse)
 	silenceLeast  = 1500 * time.Millisecond // shortest silence taken for a stall (1 s: no change)
 	unsafeStuck   = 4 * time.Second         // an unsafe call this old may be called off for its slot (ours)
+	briefFor      = 800 * time.Millisecond  // no outage is over so soon after its first sign (ours)
 	quietFor      = time.Second             // without success for this, refusals are no mere limit (ours)
 	longWait      = 2500 * time.Millisecond // a told wait above this tells of an outage, not of a limit (ours)
 	paceHold      = 500 * time.Millisecond  // at most one cut of the paced rate in this time (ours)
@@ -240,6 +244,29 @@
 	d.setState(ep, en.Readiness)
 }
 
+// departs clears a lane of what an endpoint that leaves the list has caused: until the list told it, its
+// refused connects looked like an outage of the destination. Where an endpoint that stays has failed as well,
+// or this one has served in between, breaker and guard stand. Harm: an outage that begins just as an endpoint
+// is replaced is seen some calls later.
+func (d *Decider) departs(ep *endpoint) {
+	l := ep.lane
+	if !l.guard || ep.failedAt < l.guardSince || ep.lastOK > l.guardSince {
+		return
+	}
+	for _, o := range l.eps {
+		if o.state == Serving && o.failedAt >= l.guardSince {
+			return
+		}
+	}
+	l.guard, l.guardFrom, l.badRun, l.fullRun, l.window = false, -1, 0, 0, nil
+	if l.rate > 0 {
+		l.rate = max(l.rate, d.base(l))
+	}
+	if l.state != closed {
+		d.setBreaker(l, closed)
+	}
+}
+
 // ---- messages ----
 
 func (d *Decider) submit(e Submit) {
@@ -438,13 +465,16 @@
 			l.bucket = math.Min(l.bucket, 0)
 		}
 	}
-	ep.usedAt = d.now
+	ep.lostConn = e.Outcome == ConnectFailed || e.Outcome == Reset
+	if ep.usedAt = d.now; ep.lostConn || e.Outcome == Full {
+		ep.failedAt = d.now
+	}
 	if (d.many() || d.now < ep.tightUntil) && len(m.dest.held) == 0 && len(c.msgs) == 0 {
 		d.do(Close{Endpoint: ep.id})
 	}
 	if !c.heard || e.Outcome == OK && !c.served { // a call has one fate; a success corrects a time-out
 		c.heard, c.served = e.Outcome != Moot, e.Outcome == OK
-		switch dead := d.deadIdle(c, e.Outcome, e.Latency); {
+		switch dead := d.deadIdle(c, e.Outcome, e.Latency) || d.deadKept(e); {
 		case dead || e.Outcome == Moot || e.Outcome == Cancelled: // they speak of no endpoint
 		case e.Outcome == OK:
 			d.learnOK(c, e.Latency)
@@ -498,6 +528,26 @@
 	return true
 }
 
+// deadKept tells a call that was reset with the connection that it shared with earlier ones: this speaks of
+// the connection, since an endpoint that is down refuses the next one. Both kinds of connection are tallied.
+func (d *Decider) deadKept(e Answer) bool {
+	t := &d.onFresh
+	if e.Kept {
+		t = &d.onKept
+	}
+	if e.Outcome == OK || e.Outcome == Reset {
+		t.add(e.Outcome == Reset, keptMost)
+	}
+	return e.Kept && e.Outcome == Reset
+}
+
+// wantsFresh says whether a message goes on a new connection: an unsafe one, which a reset ends, where kept
+// connections are reset more often than new ones by more than a handshake is worth.
+func (d *Decider) wantsFresh(m *message) bool {
+	share := func(t tally) float64 { return t.lost / math.Max(t.n, freshLeast) }
+	return m.class.Effect == Unsafe && share(d.onKept) > share(d.onFresh)+freshGain
+}
+
 // base is the lane's rate from all couriers: as reported or hinted, else what they likely serve there, by the
 // own calls served, drawn towards the mean lane's. What is served is never more than the lane can do.
 func (d *Decider) base(l *lane) float64 {
@@ -551,7 +601,8 @@
 		l.rate = math.Min(l.rate+paceGrow*base, paceTop*base)
 	}
 	d.record(l, false)
-	if l.guard && l.guardFrom < 0 {
+	if brief := d.now < l.guardSince+briefFor && k.sentAt >= l.guardSince; l.guard && l.guardFrom < 0 {
+		l.guard = !l.guardConn || !brief
 		if l.guardFrom = d.now; d.many() {
 			l.guardFrom = (l.lastBad + d.now) / 2
 		}
@@ -609,12 +660,14 @@
 	if l.badRun++; l.badRun == 1 {
 		l.badSince = d.now
 	}
+	l.runConn = ep.lostConn && (l.runConn || l.badRun == 1)
 	ep.run++
 	l.cap = d.capFloor()
 	d.record(l, true)
 	least := d.unlikely(&d.strayBad)
 	if l.badRun >= least {
 		d.raiseGuard(l, l.badSince, false)
+		l.guardConn = l.runConn
 	}
 	switch {
 	case l.state != closed:
@@ -633,7 +686,8 @@
 	return max(runLeast, int(math.Ceil(math.Log(flukeShare)/math.Log(share))))
 }
 
-// raiseGuard notes signs of an outage: until successes show otherwise, sends keep to the fail-back budget. A
+// raiseGuard notes signs of an outage: until successes show otherwise, sends keep to the fail-back budget.
+// Lost connections alone, with a success too soon after the first for an outage, take it back. A
 // run of refusals that the told share explains raises a weak guard, which keeps the sum at the rate itself.
 func (d *Decider) raiseGuard(l *lane, since time.Duration, weak bool) {
 	if d.s.OverloadFactor <= 0 || d.s.TipAfter <= 0 {
@@ -642,7 +696,7 @@
 	if l.weak = weak && (l.weak || !l.guard); !l.guard {
 		l.guard, l.guardSince, l.phase = true, since, d.rng.Float64()
 	}
-	l.guardFrom, l.lastBad = -1, d.now
+	l.guardFrom, l.lastBad, l.guardConn = -1, d.now, false
 }
 
 func (d *Decider) trip(l *lane, why string) {
@@ -954,7 +1008,7 @@
 		if d.closeAt > 0 {
 			cut = min(cut, d.closeAt)
 		}
-		d.do(Send{ID: o.id, Endpoint: ep.id, CutAt: cut})
+		d.do(Send{ID: o.id, Endpoint: ep.id, CutAt: cut, Fresh: d.wantsFresh(o)})
 	}
 }
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -534,6 +534,7 @@
 	c.cancel = cancel
 	call := InvokerCall{
 		ID: h.ID, Key: h.Key, Body: h.Body, Provider: c.provider, Address: r.providers[c.provider].Address, CutAt: c.cutAt,
+		Fresh: a.Fresh,
 		Begin: func() bool {
 			ok, served := ask(r, func() bool { return r.begin(c) })
 			return ok && served
@@ -600,5 +601,6 @@
 	r.decide(mb.Answer{
 		ID: mb.MessageID(h.seq), Attempt: c.number, Endpoint: mb.EndpointID(c.provider), Outcome: out,
 		Latency: time.Since(c.sentAt), Settled: over || h.ended, Wait: result.Wait, Limit: result.Limit,
+		Kept: result.Kept,
 	})
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -63,6 +63,7 @@
 	Provider string
 	Address  string
 	CutAt    time.Time // the attempt is abandoned then
+	Fresh    bool      // on a new connection
 	// Begin must be asked just before the first byte is written; false forbids it.
 	Begin func() bool
 }
@@ -73,6 +74,7 @@
 	Wait    time.Duration   // with Full: the wait told, zero if none
 	Limit   *mb.LimitReport // what the provider told of its limit, if anything
 	Over    bool            // the message is over: nothing more is owed
+	Kept    bool            // it went on a connection that had carried a call before
 }
 
 // Invoker makes calls. Invoke returns when the attempt has ended and nothing of it is on a connection any more; when
--- a/internal/transport/providers.go
+++ b/internal/transport/providers.go
@@ -115,9 +115,13 @@
 	return err == nil && nothing
 }
 
-// connection is the provider's warmest one, or a new one.
-func (p *Providers) connection(ctx context.Context, name, address string) (*providerConn, error) {
-	for c := p.warmest(name, address); c != nil; c = p.warmest(name, address) {
+// connection is the provider's warmest one, or a new one; with fresh a new one in any case.
+func (p *Providers) connection(ctx context.Context, name, address string, fresh bool) (*providerConn, error) {
+	for !fresh {
+		c := p.warmest(name, address)
+		if c == nil {
+			break
+		}
 		if c.quiet() {
 			return c, nil
 		}
@@ -133,27 +137,43 @@
 	return &providerConn{Conn: conn, name: name, address: address}, nil
 }
 
-// Invoke makes one call. begin is asked just before the first byte, and once more if the connection then turns out to
-// have ended; nothing is ever written twice.
-func (p *Providers) Invoke(ctx context.Context, name, address string, call protocol.Call, begin func() bool) (protocol.Reply, CallEnd) {
+// Call is one to a provider. Begin is asked just before the first byte, and once more if the connection then turns out
+// to have ended.
+type Call struct {
+	protocol.Call
+	Name, Address string
+	Fresh         bool // on a new connection
+	Begin         func() bool
+}
+
+// Result is how a call ended.
+type Result struct {
+	Reply protocol.Reply // with Answered
+	End   CallEnd
+	Kept  bool // its connection had carried a call before
+}
+
+// Invoke makes one call; nothing is ever written twice.
+func (p *Providers) Invoke(ctx context.Context, call Call) Result {
 	for {
-		c, err := p.connection(ctx, name, address)
+		c, err := p.connection(ctx, call.Name, call.Address, call.Fresh)
 		if err != nil {
-			return protocol.Reply{}, Unconnected
+			return Result{End: Unconnected}
 		}
-		if !begin() {
+		if !call.Begin() {
 			p.keepIdle(c)
-			return protocol.Reply{}, NotBegun
+			return Result{End: NotBegun}
 		}
-		if !c.quiet() {
-			_ = c.Close()
-			p.count(&p.counters.Ended)
-			if c.kept {
-				continue
-			}
-			return protocol.Reply{}, Unconnected // accepted, and closed before anything was written
+		if c.quiet() {
+			kept := c.kept
+			reply, end := p.exchange(ctx, c, call.Call)
+			return Result{reply, end, kept}
+		}
+		_ = c.Close()
+		p.count(&p.counters.Ended)
+		if !c.kept {
+			return Result{End: Unconnected} // accepted, and closed before anything was written
 		}
-		return p.exchange(ctx, c, call)
 	}
 }
 
--- a/mulleinbeam.go
+++ b/mulleinbeam.go
@@ -250,6 +250,7 @@
 	Settled  bool          // the message has had its final answer
 	Wait     time.Duration // with Full: the wait told, zero if none
 	Limit    *LimitReport  // what the endpoint told of its limit, if anything
+	Kept     bool          // it went on a connection that had carried a call before
 }
 
 // LimitReport is what an endpoint tells of its limit.
@@ -309,6 +310,7 @@
 	ID       MessageID
 	Endpoint EndpointID
 	CutAt    time.Duration
+	Fresh    bool // on a new connection
 }
 
 // Refuse ends a message; the client may safely try again, after RetryAfter if that is set.
--- a/rules_test.go
+++ b/rules_test.go
@@ -569,6 +569,99 @@
 	}
 }
 
+// An endpoint that was gone before the list told it is no outage of its destination: when the list tells it, breaker and
+// guard go with it, unless another endpoint failed as well.
+func TestWhatADepartedEndpointCausedGoesWithIt(t *testing.T) {
+	for name, c := range map[string]struct {
+		stays  Outcome // what the endpoint that stays answers
+		rounds int     // with both listed
+		clears bool
+	}{"alone to blame": {OK, 0, true}, "the other serves": {OK, 20, true}, "the other fails too": {ConnectFailed, 150, false}} {
+		r := newRig(t, testSettings())
+		l := r.d.dests[1].lanes[0]
+		fails := func(rounds int) {
+			for range rounds {
+				r.submit("safe", 1, 0)
+				for len(r.sends) > 0 {
+					s := r.sends[0]
+					r.sends = r.sends[1:]
+					o := ConnectFailed
+					if s.Endpoint != "a" {
+						o = c.stays
+					}
+					r.answer(s, o, 0)
+				}
+				r.pass(100 * ms)
+			}
+		}
+		fails(40)
+		if l.state == closed || !l.guard {
+			t.Fatalf("%s: breaker %s, guard %v with every connect refused", name, stateNames[l.state], l.guard)
+		}
+		r.do(Members{Scope: ListChanges, Entries: []Entry{{Endpoint: "b", Destination: 1, CapacityHint: 50}}})
+		fails(c.rounds)
+		r.do(Members{Scope: ListChanges, Entries: []Entry{{Endpoint: "a", Destination: 1, Readiness: Draining}}})
+		if (l.state == closed) != c.clears || l.guard == c.clears {
+			t.Errorf("%s: breaker %s, guard %v", name, stateNames[l.state], l.guard)
+		}
+	}
+}
+
+// Calls reset with connections that had carried others speak of no endpoint, and where that is common an unsafe message,
+// which a reset ends, goes on a new connection.
+func TestResetsOfKeptConnections(t *testing.T) {
+	r := newRig(t, testSettings())
+	r.submit("unsafe", 1, 0)
+	if r.last().Fresh {
+		t.Error("a new connection is asked for with nothing seen")
+	}
+	r.answer(r.last(), OK, 0)
+	for range 20 {
+		r.submit("safe", 1, 0)
+		s := r.last()
+		r.do(Answer{ID: s.ID, Attempt: r.sent[s.ID] - 1, Endpoint: s.Endpoint, Outcome: Reset, Latency: 50 * ms, Kept: true})
+		r.do(Gone{ID: s.ID})
+	}
+	if l := r.d.dests[1].lanes[0]; l.state != closed || l.guard {
+		t.Errorf("breaker %s, guard %v", stateNames[l.state], l.guard)
+	}
+	for class, want := range map[string]bool{"safe": false, "keyed": false, "unsafe": true} {
+		r.submit(class, 1, 0)
+		if got := r.last(); got.Fresh != want {
+			t.Errorf("%s: a new connection %v", class, got.Fresh)
+		}
+		r.answer(r.last(), OK, 0)
+	}
+}
+
+// Two connections lost in a row raise the guard; a success of a call sent after the first takes it back if it comes too
+// soon for an outage. Errors, or a later success, do not.
+func TestBriefRunsOfLostConnections(t *testing.T) {
+	for name, c := range map[string]struct {
+		lost  Outcome
+		after time.Duration
+		guard bool
+	}{"soon": {ConnectFailed, 200 * ms, false}, "resets": {Reset, 200 * ms, false}, "late": {ConnectFailed, time.Second, true},
+		"errors": {Failed, 200 * ms, true}} {
+		r := newRig(t, testSettings())
+		l := r.d.dests[1].lanes[0]
+		for range 2 {
+			r.submit("keyed", 1, 0)
+			s := r.last()
+			r.answer(s, c.lost, 0)
+			r.do(Gone{ID: s.ID})
+		}
+		if !l.guard {
+			t.Fatalf("%s: no guard after two", name)
+		}
+		k := &call{ep: l.eps[0], class: r.d.classes["safe"], size: 1, sentAt: r.now}
+		r.d.now = r.now + c.after
+		if r.d.learnOK(k, 50*ms); l.guard != c.guard {
+			t.Errorf("%s: guard %v", name, l.guard)
+		}
+	}
+}
+
 func TestCapStaysUnderThreeQuarters(t *testing.T) {
 	r := newRig(t, testSettings())
 	most := 0
--- a/state.go
+++ b/state.go
@@ -75,6 +75,8 @@
 	inflight   int
 	run        int // failures in a row
 	lastOK     time.Duration
+	failedAt   time.Duration // the latest refusal, failed connect or reset
+	lostConn   bool          // the latest outcome is a failed connect or a reset
 	usedAt     time.Duration // when a call to it last began or ended
 	latest     *call         // the last one sent there
 	bad        map[*classState]mark
@@ -127,6 +129,8 @@
 	weak       bool          // raised by refusals that may be a limit's
 	lastBad    time.Duration // latest sign of an outage
 	phase      float64       // of the gap between guarded calls: when the first goes after a told wait
+	runConn    bool          // the failures of the run are lost connections
+	guardConn  bool          // and raised the guard
 	guardSince time.Duration // first failure
 	guardFrom  time.Duration // first success since; negative while there is none
 	served     fading        // calls
@@ -216,6 +220,8 @@
 	paused    tally         // calls after a pause
 	others    tally         // all other calls
 	idleHitAt time.Duration
+	onKept    tally                    // calls on connections that had carried others, and those reset
+	onFresh   tally                    // the same on new ones
 	fullAt    map[string]time.Duration // by kind: the latest refusal
 	startAt   time.Duration
 	served    fading        // calls, anywhere
@@ -289,7 +295,10 @@
 		ep.lane.eps = slices.DeleteFunc(ep.lane.eps, func(o *endpoint) bool { return o == ep })
 		ep.goneAt = d.now
 	}
-	ep.state = r
+	served := ep.state == Serving
+	if ep.state = r; served && r != Serving {
+		d.departs(ep)
+	}
 }
 
 func (d *Decider) dest(id DestinationID) *destination {
