--- a/internal/transport/consumers.go
+++ b/internal/transport/consumers.go
@@ -27,6 +27,7 @@
 	drainQuiet  = 500 * time.Millisecond  // while it does not pause for so long,
 	drainStep   = 1 << 20                 // in steps of so many bytes,
 	drainMost   = 64 << 20                // and up to so many bytes; a close under them would take the error away
+	crowdShare  = 4                       // of the room, one part: with more connections than that they no longer stay
 	overflow    = 12                      // connections beyond the most that are being turned away
 	overloadGap = 50 * time.Millisecond   // between two accepts that failed
 )
@@ -219,6 +220,8 @@
 	switch {
 	case s.leaving:
 		until = now.Add(graceFor)
+	case at == idle && s.crowded():
+		until = now.Add(idleLeast)
 	case at == idle:
 		until = now.Add(idleFor)
 	case c.at == silent: // its first request: trickled bytes buy no time
@@ -231,11 +234,15 @@
 	return c.SetReadDeadline(until) == nil
 }
 
+// crowded says that many connections are open, most of them surely idle; s.mu is held. Clients have a bound of their own
+// on what they hold, so those that stay keep others from asking long before room is short here.
+func (s *Consumers) crowded() bool { return len(s.conns) > s.Most/crowdShare }
+
 // last says whether connections end with their next answer.
 func (s *Consumers) last() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.leaving
+	return s.leaving || s.crowded()
 }
 
 // end closes a connection and forgets it.
