--- /dev/null
+++ b/cmd/larkreach/cli.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"mulleinbeam/internal/settings"
+)
+
+// version is the program's own; CHANGELOG.md says what came with it.
+const version = "0.2.0"
+
+// cli is the command line. Without arguments the program serves, as the platform starts it.
+type cli struct {
+	Serve   serveCmd         `cmd:"" default:"withargs" help:"Forward messages until a signal ends the program (the default)."`
+	Config  configCmd        `cmd:"" help:"Look at settings."`
+	Version kong.VersionFlag `help:"Print the version and exit."`
+}
+
+type configCmd struct {
+	Check checkCmd `cmd:"" help:"Check a settings file and say what it turns on."`
+}
+
+type serveCmd struct {
+	Config string `name:"config" env:"LARKREACH_CONFIG" placeholder:"FILE" help:"The program's own settings, as TOML; ROUTER_CONFIG stays the platform's. Without it everything in them is off."`
+}
+
+// Run serves.
+func (c serveCmd) Run(io streams) error {
+	var own settings.File
+	if c.Config != "" {
+		var err error
+		if own, err = settings.Load(c.Config); err != nil {
+			return err
+		}
+	}
+	return run(os.Getenv, io.err, own, io.hup)
+}
+
+type checkCmd struct {
+	File string `arg:"" help:"The settings file."`
+}
+
+// Run checks a file.
+func (c checkCmd) Run(io streams) error {
+	f, err := settings.Load(c.File)
+	if err != nil {
+		return err
+	}
+	if b := f.Bodies; b != nil {
+		fmt.Fprintf(io.out, "%s: long bodies on: %d at once, %d of them out, %d bytes held of each direction\n",
+			c.File, b.AtOnce(), b.Slots, b.Window)
+	} else {
+		fmt.Fprintf(io.out, "%s: long bodies off\n", c.File)
+	}
+	return nil
+}
+
+// streams are what a command writes to, and the signals that it must not lose.
+type streams struct {
+	out, err io.Writer
+	hup      <-chan os.Signal
+}
+
+// errDone ends a command line that has been answered in full, such as --help.
+var errDone = errors.New("answered")
+
+// command reads the command line and carries it out.
+func command(args []string, io streams) error {
+	var c cli
+	parser, err := kong.New(&c, kong.Name("larkreach"),
+		kong.Description("Takes messages from clients and delivers them by calls to partner systems."),
+		kong.Vars{"version": "larkreach " + version}, kong.Writers(io.out, io.err), kong.UsageOnError(),
+		kong.Exit(func(int) { panic(errDone) }))
+	if err != nil {
+		return fmt.Errorf("command line: %w", err)
+	}
+	ctx, answered, err := parse(parser, args)
+	if err != nil || answered {
+		return err
+	}
+	return ctx.Run(io)
+}
+
+// parse is Parse but for what answers by itself: kong ends the program there, and is stopped short of it.
+func parse(parser *kong.Kong, args []string) (ctx *kong.Context, answered bool, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			if r != errDone {
+				panic(r)
+			}
+			answered = true
+		}
+	}()
+	ctx, err = parser.Parse(args)
+	return ctx, false, err
+}
--- a/cmd/larkreach/main.go
+++ b/cmd/larkreach/main.go
@@ -21,6 +21,7 @@
 	"mulleinbeam/internal/protocol"
 	"mulleinbeam/internal/routing"
 	"mulleinbeam/internal/routing/wal"
+	"mulleinbeam/internal/settings"
 	"mulleinbeam/internal/transport"
 )
 
@@ -33,20 +34,25 @@
 )
 
 func main() {
-	if err := run(os.Getenv, os.Stderr); err != nil {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP) // and never given back: from here to the exit it ends nothing
+	if err := command(os.Args[1:], streams{os.Stdout, os.Stderr, hup}); err != nil {
 		fmt.Fprintln(os.Stderr, "larkreach:", err)
 		os.Exit(1)
 	}
 }
 
 // run serves until a signal ends it.
-func run(getenv func(string) string, out io.Writer) error {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP) // and never given back: from here to the exit it ends nothing
+func run(getenv func(string) string, out io.Writer, own settings.File, hup <-chan os.Signal) error {
 	cfg, err := loadConfig(getenv)
 	if err != nil {
 		return err
 	}
+	long, passages, files, err := longBodies(own.Bodies, cfg.Limits)
+	if err != nil {
+		return err
+	}
+	cfg.Settings.LongSlots = long.Slots
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
 	debug.SetMemoryLimit(int64(heapShare * float64(cfg.Limits.MemoryMB<<20)))
 	logger := log.New(out, cfg.Name+" ", log.LstdFlags|log.Lmicroseconds|log.LUTC|log.Lmsgprefix)
@@ -63,7 +69,7 @@
 	}
 	defer listener.Close()
 
-	room := cfg.Limits.Sockets - spareFiles - cfg.Settings.Slots
+	room := cfg.Limits.Sockets - spareFiles - cfg.Settings.Slots - files
 	providers := transport.NewProviders(cfg.Settings.KeepAlive, cfg.Settings.ConnectTimeout, room/4)
 	defer providers.Close()
 	discovery := transport.NewAddress(cfg.Discovery)
@@ -71,13 +77,19 @@
 	router, err := routing.New(routing.Config{
 		Settings: cfg.Settings, Seed: cfg.Seed, Known: directory(cfg.Known, true), Log: journal,
 		Invoker: invoker{providers}, Notifier: notifier{reporter}, Logger: logger, Drain: drainFor, Settle: settleFor,
+		Long: long,
 	})
 	if err != nil {
 		return err
 	}
-	consumers := &transport.Consumers{Desk: desk{router}, Most: room * 3 / 4}
+	consumers := &transport.Consumers{Desk: desk{router}, Most: room * 3 / 4, Long: passages}
 	counters := func() string {
-		return fmt.Sprintf("%v\n%v\n%v", consumers.Counters(), providers.Counters(), router.Counters())
+		now := router.Counters()
+		text := fmt.Sprintf("%v\n%v\n%v", consumers.Counters(), providers.Counters(), now)
+		if passages != nil {
+			text = fmt.Sprintf("%v\n%v\n%v", now.Long(), passages, text)
+		}
+		return text
 	}
 	reload := reloader{getenv: getenv, state: cfg.State, started: cfg.Told, address: discovery, logger: logger}
 	err = serve(cfg, logger, router, reporter, reload, hup, consumers, listener, counters)
@@ -85,6 +97,24 @@
 	return err
 }
 
+// longBodies puts the settings of long bodies in the parts' terms, and tells how many descriptors they take. Without
+// settings there are none.
+func longBodies(b *settings.Bodies, l limits) (routing.LongLimits, *transport.Passages, int, error) {
+	if b == nil {
+		return routing.LongLimits{}, nil, 0, nil
+	}
+	limits := routing.LongLimits{Most: b.AtOnce(), Slots: b.Slots, Longest: time.Duration(b.Longest)}
+	files := limits.Most + limits.Slots
+	if files > l.Sockets/2 {
+		return limits, nil, 0, fmt.Errorf("settings: bodies.total: %d long messages at once and %d calls take more than half of"+
+			" the %d descriptors", limits.Most, limits.Slots, l.Sockets)
+	}
+	if share := int64(heapShare * float64(l.MemoryMB<<20)); int64(b.Total) > share {
+		return limits, nil, 0, fmt.Errorf("settings: bodies.total: %d bytes of %d that may be held in all", b.Total, share)
+	}
+	return limits, &transport.Passages{Most: int64(b.Most), Idle: time.Duration(b.Idle), Window: int(b.Window)}, files, nil
+}
+
 // serve runs the parts and ends them in order: the consumers, the router, then what it still needs.
 func serve(cfg config, logger *log.Logger, router *routing.Router, reporter *transport.Reporter,
 	reload reloader, hup <-chan os.Signal, consumers *transport.Consumers, listener net.Listener, counters func() string) error {
--- a/cmd/larkreach/wiring.go
+++ b/cmd/larkreach/wiring.go
@@ -7,6 +7,7 @@
 
 	mb "mulleinbeam"
 	"mulleinbeam/internal/protocol"
+	"mulleinbeam/internal/pump"
 	"mulleinbeam/internal/routing"
 	"mulleinbeam/internal/transport"
 	"mulleinbeam/internal/wire"
@@ -28,18 +29,58 @@
 		return nil, func() { d.router.Withdraw(id) }
 	case routing.Known:
 		return nil, nil // whoever handed it in first has been told
+	}
+	return rejection(v), nil
+}
+
+func (d desk) Pass(h protocol.Handover, up *transport.Upload) (*protocol.Rejection, <-chan transport.Passed) {
+	done := make(chan transport.Passed, 1) // the router does not wait
+	v := d.router.Pass(routing.Message{
+		ID: string(h.ID), Key: string(h.Key), Class: string(h.Class), Destination: h.Destination, Left: h.Left,
+		Long: &routing.Long{Source: up, Ended: func(e routing.Ending) { done <- passed(e) }},
+	})
+	if v.Kind == routing.Taken {
+		return nil, done
+	}
+	return rejection(v), nil
+}
+
+// rejection is the answer to a message that was not taken on.
+func rejection(v routing.Verdict) *protocol.Rejection {
+	switch v.Kind {
 	case routing.Failed:
-		return &protocol.Rejection{Status: 504, Reason: "can't be delivered"}, nil
+		return &protocol.Rejection{Status: 504, Reason: "can't be delivered"}
 	case routing.Ended:
-		return &protocol.Rejection{Status: 409, Reason: "this id has ended"}, nil
+		return &protocol.Rejection{Status: 409, Reason: "this id has ended"}
 	case routing.UnknownClass:
-		return &protocol.Rejection{Status: 422, Reason: "unknown class", Close: true}, nil
+		return &protocol.Rejection{Status: 422, Reason: "unknown class", Close: true}
 	case routing.UnknownDestination:
-		return &protocol.Rejection{Status: 422, Reason: "unknown destination", Close: true}, nil
+		return &protocol.Rejection{Status: 422, Reason: "unknown destination", Close: true}
 	case routing.Stopped:
-		return &protocol.Rejection{Status: 503, Reason: "going down", RetryAfter: v.RetryAfter, Close: true}, nil
+		return &protocol.Rejection{Status: 503, Reason: "going down", RetryAfter: v.RetryAfter, Close: true}
+	}
+	return &protocol.Rejection{Status: 503, Reason: "come again", RetryAfter: v.RetryAfter}
+}
+
+// passed is the answer to a long message that was taken on and has ended.
+func passed(e routing.Ending) transport.Passed {
+	if e.Kind == routing.Known {
+		return transport.Passed{}
+	}
+	r := &protocol.Rejection{Status: 502, Reason: "not delivered", Run: protocol.NeverRan, Close: true}
+	if e.MayHaveRun {
+		r.Run = protocol.MayHaveRun
 	}
-	return &protocol.Rejection{Status: 503, Reason: "come again", RetryAfter: v.RetryAfter}, nil
+	switch {
+	case e.Kind == routing.Refused: // it may be handed in again, harmlessly even where it may have run
+		r.RetryAfter = e.RetryAfter
+		if !e.MayHaveRun {
+			r.Status, r.Reason = 503, "come again"
+		}
+	case e.TimeUp:
+		r.Status = 504
+	}
+	return transport.Passed{Rejection: r, Told: e.Told}
 }
 
 // notifier passes the router's notices to the reporter.
@@ -57,6 +98,9 @@
 func (i invoker) CloseIdle(provider string) { i.providers.CloseIdle(provider) }
 
 func (i invoker) Invoke(ctx context.Context, c routing.InvokerCall) routing.Result {
+	if up, long := c.Source.(*transport.Upload); long {
+		return i.pass(ctx, c, up)
+	}
 	r := i.providers.Invoke(ctx, transport.Call{
 		Call: protocol.Call{ID: c.ID, Key: c.Key, Host: c.Address, Body: c.Body},
 		Name: c.Provider, Address: c.Address, Fresh: c.Fresh, Begin: c.Begin,
@@ -69,6 +113,37 @@
 	return res
 }
 
+// pass makes a call with a long message. What its client brought about speaks of no provider.
+func (i invoker) pass(ctx context.Context, c routing.InvokerCall, up *transport.Upload) routing.Result {
+	r := i.providers.Pass(ctx, transport.Passage{
+		Call: transport.Call{
+			Call: protocol.Call{ID: c.ID, Key: c.Key, Host: c.Address},
+			Name: c.Provider, Address: c.Address, Fresh: c.Fresh, Begin: c.Begin,
+		},
+		Upload: up, Settle: c.Settle,
+	})
+	res := routing.Result{Outcome: passEnds[r.End]}
+	switch {
+	case r.End == pump.Answered:
+		res = result(r.Reply)
+	case r.End == pump.TimeUp && r.Sent: // nothing but its answer was awaited
+		res.Outcome = mb.TimedOut
+	case !r.Begun && r.End == pump.Broken:
+		res.Outcome = mb.ConnectFailed
+	case !r.Begun:
+		res.Outcome = mb.Moot
+	}
+	res.Kept, res.Spent = r.Kept, !r.Again
+	return res
+}
+
+// passEnds are the outcomes of calls with long messages of which the first byte was written.
+var passEnds = map[pump.End]mb.Outcome{
+	pump.Delivered: mb.OK, pump.Spoilt: mb.Failed, pump.Broken: mb.Reset, pump.ProviderStalled: mb.TimedOut,
+	pump.ClientGone: mb.Cancelled, pump.ClientStalled: mb.Cancelled, pump.ClientBad: mb.Cancelled,
+	pump.TimeUp: mb.Cancelled, pump.Aborted: mb.Cancelled, pump.NotBegun: mb.Moot,
+}
+
 // ends are the outcomes of calls that were not answered. One whose answer is spoilt is an error: the provider is there,
 // and its connection was not a dead one.
 var ends = map[transport.CallEnd]mb.Outcome{
--- a/decide.go
+++ b/decide.go
@@ -100,25 +100,6 @@
 	heartbeatMark = 1                       // the cookie of the heartbeat timer
 )
 
-// New starts a courier's decisions with an empty memory.
-func New(s Settings, seed uint64) (*Decider, error) {
-	if err := s.Validate(); err != nil {
-		return nil, err
-	}
-	d := blank(s, seed)
-	d.growth = growthFirst
-	for _, c := range s.Classes {
-		d.classes[c.Name] = &classState{Class: c, mean: firstGuess * c.Target.Seconds()}
-		d.longest = max(d.longest, c.GiveUp)
-		d.meanWorth += c.Worth / float64(len(s.Classes))
-	}
-	for _, t := range s.Tenants {
-		rate := t.AllowancePerS / float64(s.Couriers)
-		d.tenants[t.Name] = &tenantState{rate: rate, bucket: math.Max(1, rate*tenantDepth.Seconds())}
-	}
-	return d, nil
-}
-
 // Handle takes what came in at now and returns what to do, in order.
 func (d *Decider) Handle(now time.Duration, events []Event) []Action {
 	d.now, d.out = now, nil
@@ -159,6 +140,7 @@
 	d.watchSilence()
 	d.shed()
 	d.dispatch()
+	d.dispatchLong()
 	d.settle()
 	d.arm()
 	return d.out
@@ -281,7 +263,10 @@
 	}
 	m := &message{
 		id: e.ID, class: c, key: e.Key, dest: d.dest(e.Destination), deadline: d.now + e.Left,
-		worth: c.Worth, notBefore: d.now, attempts: e.Attempts,
+		worth: c.Worth, notBefore: d.now, attempts: e.Attempts, long: e.Long, spent: e.Spent,
+	}
+	if m.until = m.deadline; m.long {
+		m.deadline = min(m.until, d.now+c.GiveUp)
 	}
 	if e.Ran != nil {
 		m.mayRun, m.ranAt, m.ranZone = true, d.now-e.Ran.Ago, e.Ran.Zone
@@ -295,7 +280,7 @@
 		}
 	}
 	d.msgs[m.id] = m
-	d.heldCount++
+	d.count(m, 1)
 	d.hold(m)
 	d.enqueue(m)
 }
@@ -378,7 +363,8 @@
 }
 
 // expire gives up at once what no allowed attempt can deliver: attempts used up, an unsafe message that may
-// have run, or no moment left, before its time or its key's ends, at which a send could go.
+// have run, a long one whose body is gone or goes with this life, or no moment left, before its time or its
+// key's ends, at which a send could go.
 func (d *Decider) expire() {
 	for _, dest := range d.busy {
 		free := time.Duration(0) // the earliest moment at which a lane may take a call
@@ -400,7 +386,7 @@
 				last = min(last, d.keyUntil(m))
 			}
 			if m.attempts >= d.s.MaxAttempts || m.mayRun && m.class.Effect == Unsafe ||
-				max(d.now, m.notBefore, free) >= last {
+				m.long && (m.spent || d.closeAt > 0) || max(d.now, m.notBefore, free) >= last {
 				d.giveUp(m)
 			}
 		}
@@ -420,7 +406,7 @@
 		for _, dest := range d.busy {
 			wait := d.delay(dest)
 			for _, m := range dest.held {
-				if v := d.value(m, d.now+wait); v < low {
+				if v := d.value(m, d.now+wait); !m.long && v < low {
 					worst, low = m, v
 				}
 			}
@@ -450,7 +436,7 @@
 		if t := d.turns[m.key]; t != nil && m.class.InOrder && e.Outcome != Failed {
 			t.restUntil, t.restFor = d.now+d.s.TurnGap, m
 		}
-		if m.avoid = ep; m.class.Name != "" {
+		if m.avoid = ep; m.class.Name != "" && !(m.long && e.Outcome == Cancelled) {
 			ep.bad[m.class] = mark{ep.bad[m.class].run + 1, d.now}
 		}
 	case ConnectFailed:
@@ -495,6 +481,9 @@
 	}
 	m.backoff = max(first, min(retryMost, time.Duration(retryGrow*float64(m.backoff))))
 	m.notBefore = d.now + time.Duration(c.spread*float64(m.backoff))
+	if m.spent = e.Spent; m.long {
+		m.deadline = min(m.until, d.now+m.class.GiveUp)
+	}
 	d.hold(m)
 }
 
@@ -577,23 +566,13 @@
 }
 
 func (d *Decider) learnOK(k *call, latency time.Duration) {
-	l, ep, c := k.ep.lane, k.ep, k.class
+	l, ep := k.ep.lane, k.ep
 	ep.run, ep.lastOK = 0, d.now
 	d.strayBad.addRun(l.badRun, d.unlikely(&d.strayBad), tallyMost)
 	d.strayFull.addRun(l.fullRun, d.unlikely(&d.strayFull), tallyMost)
 	l.badRun, l.fullRun, l.lastOK = 0, 0, d.now
-	if k.size > 1 {
-		more := (latency.Seconds()/(c.mean*l.pace) - 1) / float64(k.size-1)
-		d.growth = math.Max(0, d.growth+classGain*(math.Min(more, 1)-d.growth))
-	}
-	sec := latency.Seconds() / d.weight(k.size)
-	l.pace += latencyGain * (sec/c.mean - l.pace)
-	l.pace = math.Min(paceMost, math.Max(paceLeast, l.pace))
-	c.mean = math.Max(1e-4, c.mean+classGain*(math.Min(sec/l.pace, 3*c.mean)-c.mean))
-	if latency <= c.Target {
-		l.cap = math.Min(d.capCeil(), l.cap+capStep)
-	} else {
-		l.cap = math.Max(1, l.cap-capStep)
+	if !k.long {
+		d.learnPace(k, latency)
 	}
 	l.served.add(d.now, servedFor)
 	d.served.add(d.now, servedFor)
@@ -617,6 +596,24 @@
 	}
 }
 
+// learnPace takes a served call's time as its endpoint's pace.
+func (d *Decider) learnPace(k *call, latency time.Duration) {
+	l, c := k.ep.lane, k.class
+	if k.size > 1 {
+		more := (latency.Seconds()/(c.mean*l.pace) - 1) / float64(k.size-1)
+		d.growth = math.Max(0, d.growth+classGain*(math.Min(more, 1)-d.growth))
+	}
+	sec := latency.Seconds() / d.weight(k.size)
+	l.pace += latencyGain * (sec/c.mean - l.pace)
+	l.pace = math.Min(paceMost, math.Max(paceLeast, l.pace))
+	c.mean = math.Max(1e-4, c.mean+classGain*(math.Min(sec/l.pace, 3*c.mean)-c.mean))
+	if latency <= c.Target {
+		l.cap = math.Min(d.capCeil(), l.cap+capStep)
+	} else {
+		l.cap = math.Max(1, l.cap-capStep)
+	}
+}
+
 // learnFull tells a limit, which slows the pacing, from a destination that is shut. Refusals with no success,
 // or a long wait, are an outage. Where none has ever told a wait, a spent limit explains them and an outage
 // takes longer to show; else one that comes with the limit told as unspent is an outage's.
@@ -714,15 +711,6 @@
 	d.setBreaker(l, open)
 }
 
-func (d *Decider) setBreaker(l *lane, s breakerState) {
-	l.trialsOK = 0
-	if s == closed {
-		l.window = nil
-		d.logf("breaker %s: %s", l.name, stateNames[s])
-	}
-	l.state = s
-}
-
 // overdue is the age at which a call counts as stuck.
 func (d *Decider) overdue(c *call) time.Duration {
 	usual := c.class.mean * c.ep.lane.pace * d.weight(c.size)
@@ -901,7 +889,7 @@
 			continue
 		}
 		for _, m := range dest.held {
-			if !d.ready(m) || d.pickEndpoint(l, m) == nil {
+			if m.long || !d.ready(m) || d.pickEndpoint(l, m) == nil {
 				continue
 			}
 			took := d.expected(m.class, l)
@@ -958,6 +946,38 @@
 	}
 }
 
+// dispatchLong starts long messages, beside the slots, where a lane admits them. At a lane in doubt one at a
+// time is tried: a trial that lasts must not keep others from closing the breaker.
+func (d *Decider) dispatchLong() {
+	for _, dest := range d.busy {
+		for i := len(dest.held) - 1; i >= 0 && d.longUsed < d.s.LongSlots; i-- {
+			m := dest.held[len(dest.held)-1-i] // oldest first; what is sent leaves the list
+			for _, l := range dest.lanes {
+				if m.long && d.ready(m) && d.pickEndpoint(l, m) != nil &&
+					(l.state == closed || l.longs == 0) && d.admits(l) {
+					d.sendLong(m, l)
+					break
+				}
+			}
+		}
+	}
+}
+
+// sendLong calls an endpoint with a long message; only its time being up cuts it.
+func (d *Decider) sendLong(m *message, l *lane) {
+	ep := d.pickEndpoint(l, m)
+	if l.state == open {
+		d.setBreaker(l, halfOpen)
+	}
+	c := &call{ep: ep, class: m.class, sentAt: d.now, round: d.round, spread: d.vary(), tallied: true}
+	c.long = true
+	d.occupy(m, c)
+	l.bucket--
+	ep.usedAt = d.now
+	d.note(l, 1)
+	d.do(Send{ID: m.id, Endpoint: ep.id, CutAt: m.until, Fresh: d.wantsFresh(m)})
+}
+
 // send calls the endpoint with the message and all others ready for it, as far as its kind lets them share a
 // call and, under guard, the budget. They share its fate, so an unsafe message never joins a trial.
 func (d *Decider) send(m *message, l *lane) {
@@ -986,7 +1006,7 @@
 		}
 	}
 	for _, o := range m.dest.held {
-		if len(with) < most && o != m && d.ready(o) && d.pickEndpoint(l, o) == ep &&
+		if len(with) < most && o != m && !o.long && d.ready(o) && d.pickEndpoint(l, o) == ep &&
 			(!c.trial || o.class.Effect != Unsafe) {
 			with = append(with, o)
 		}
@@ -995,9 +1015,7 @@
 		d.occupy(o, c)
 	}
 	weight := d.weight(c.size)
-	l.lastSend, l.lastWeight = d.now, weight
-	old := func(s sent) bool { return s.at <= d.now-d.s.TipAfter }
-	l.sends = slices.DeleteFunc(append(l.sends, sent{d.now, weight}), old)
+	d.note(l, weight)
 	usual := c.class.mean * l.pace * weight
 	limit := max(timeoutLeast, time.Duration(timeoutScale*usual*float64(time.Second)))
 	for _, o := range with {
--- a/internal/protocol/handover.go
+++ b/internal/protocol/handover.go
@@ -23,8 +23,23 @@
 	Reason     string
 	RetryAfter time.Duration // with a refusal: when to come again
 	Close      bool          // the connection ends with it
+	Run        RunMark       // of a long message: whether it may have run
+	spoilt     bool          // the provider's answer was
 }
 
+// RunMark says whether a message that was not delivered may have run.
+type RunMark int
+
+// The marks.
+const (
+	RunUntold RunMark = iota
+	NeverRan
+	MayHaveRun
+)
+
+// Delivered is the answer to a long message that was delivered and whose provider's answer can't be passed on.
+func Delivered() *Rejection { return &Rejection{Status: 200, Close: true, spoilt: true} }
+
 // mostName bounds an id and a key: they are kept beyond the request. An id is UTF-8 as well, since notices name it in
 // JSON.
 const mostName = 256
@@ -111,7 +126,7 @@
 var reasons = map[int]string{
 	200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
 	409: "Conflict", 411: "Length Required", 413: "Content Too Large", 422: "Unprocessable Content",
-	431: "Request Header Fields Too Large", 503: "Service Unavailable", 504: "Gateway Timeout",
+	431: "Request Header Fields Too Large", 502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
 }
 
 // AppendAnswer writes an answer without a body; r nil stands for the plain status.
@@ -128,6 +143,13 @@
 		b = append(b, "\r\nRetry-After: "...)
 		b = strconv.AppendFloat(b, float64(ms)/1000, 'f', -1, 64)
 	}
+	if r != nil && r.Run != RunUntold {
+		b = append(b, "\r\nX-May-Have-Run: "...)
+		b = append(b, "01"[r.Run-NeverRan])
+	}
+	if r != nil && r.spoilt {
+		b = append(b, "\r\nX-Answer-Spoilt: 1"...)
+	}
 	if last {
 		b = append(b, "\r\nConnection: close"...)
 	}
--- a/internal/protocol/message.go
+++ b/internal/protocol/message.go
@@ -38,6 +38,7 @@
 	Fields []Field
 	Body   []byte
 	Close  bool // the connection ends with it
+	Long   bool // Body is only what came with the head; Parser.Rest gives what goes on
 }
 
 // Get is the value of a head's field; nil if there is none.
@@ -83,12 +84,27 @@
 	head     int // the head's length, its empty line included
 	body     int // the body's bytes read into place
 	need     int // what is left of the body, or of the chunk with its line end
+	long     Streaming
+	framing  Framing
 	interim  int // answers with 1xx in front of the one that is read
 	expects  bool
 	msg      Message
 	err      error
 }
 
+// Streaming says which messages Next gives with their heads alone, the rest of their bodies being read piece by piece.
+type Streaming int
+
+// The kinds of messages that are not drawn together.
+const (
+	StreamNone     Streaming = iota
+	StreamLong               // requests whose body is longer than the most, or is awaited and of no told length
+	StreamAnswered           // answers with 200
+)
+
+// Stream sets which messages are not drawn together. A length that no body may have is still an error.
+func (p *Parser) Stream(s Streaming) { p.long = s }
+
 // NewRequestParser reads requests with bodies of most bytes at the most.
 func NewRequestParser(most int) *Parser { return &Parser{mostBody: most} }
 
@@ -169,7 +185,7 @@
 	if len(buf) > firstRoom {
 		buf = nil
 	}
-	*p = Parser{answers: p.answers, mostBody: p.mostBody, buf: buf, msg: Message{Fields: p.msg.Fields[:0]}}
+	*p = Parser{answers: p.answers, mostBody: p.mostBody, long: p.long, buf: buf, msg: Message{Fields: p.msg.Fields[:0]}}
 }
 
 // Continue says, once, that a peer waits to be told to go on with its body.
@@ -187,6 +203,12 @@
 			if !ok || err != nil {
 				return nil, err
 			}
+			if p.streams() {
+				return p.longMessage(), nil
+			}
+			if p.need > p.mostBody {
+				return nil, ErrBodySize
+			}
 		case inBody:
 			if p.w-p.r-p.head < p.need {
 				return nil, nil
@@ -250,10 +272,44 @@
 	return true, nil
 }
 
+// streams says that the body of the message whose head was read is not to be drawn together.
+func (p *Parser) streams() bool {
+	switch p.long {
+	case StreamLong:
+		return p.need > p.mostBody || p.framing == Chunked && p.expects
+	case StreamAnswered:
+		return p.msg.Status() == 200
+	}
+	return false
+}
+
+// longMessage hands out a message whose body is not drawn together.
+func (p *Parser) longMessage() *Message {
+	p.msg.Long = true
+	at := p.r + p.head
+	p.msg.Body = p.buf[at : at+p.body : at+p.body]
+	return &p.msg
+}
+
+// Rest says how the body of a message with Long goes on, of most bytes in all: what follows Message.Body, and the bytes
+// of that which have come, which hold until the parser's next move. It reads nothing further until Reset.
+func (p *Parser) Rest(most int64) (body *Body, raw []byte, err error) {
+	if body, err = NewBody(p.framing, int64(p.need), most); err != nil {
+		return nil, nil, err
+	}
+	if p.phase == inData { // it was found to be long on the way, just behind a chunk's size line
+		body.phase, body.left, body.content = bodyData, int64(p.need-2), int64(p.body)
+		if body.left > most-body.content {
+			return nil, nil, ErrBodySize
+		}
+	}
+	return body, p.buf[p.r+p.head+p.body : p.w], nil
+}
+
 // parseHead reads a head where it lies and tells how its body goes on.
 func (p *Parser) parseHead(head []byte) (phase, error) {
 	m := &p.msg
-	m.Fields, m.Close, p.expects = m.Fields[:0], false, false
+	m.Fields, m.Close, m.Long, p.expects, p.framing = m.Fields[:0], false, false, false, ByLength
 	line, rest, _ := bytes.Cut(head, []byte("\r\n"))
 	if err := p.startLine(line); err != nil {
 		return 0, err
@@ -297,11 +353,10 @@
 		p.need = 0
 		return inBody, nil
 	case chunked:
+		p.framing = Chunked
 		return inChunk, nil
-	case length > p.mostBody:
-		return 0, ErrBodySize
 	case length < 0 && p.answers:
-		m.Close = true
+		m.Close, p.framing = true, ToEnd
 		return toEnd, nil
 	}
 	p.need = max(0, length)
@@ -367,17 +422,21 @@
 		return p.finish(at + 2), false, nil
 	}
 	size, _, _ := bytes.Cut(line, []byte(";"))
-	n, perr := strconv.ParseUint(string(bytes.Trim(size, " \t")), 16, 31)
-	if perr != nil {
+	n, ok := hexNumber(bytes.Trim(size, " \t"))
+	if !ok {
 		return nil, false, fmt.Errorf("%w: chunk size", ErrMalformed)
 	}
-	if int(n) > p.mostBody-p.body {
+	long := int(n) > p.mostBody-p.body
+	if long && p.long != StreamLong {
 		return nil, false, ErrBodySize
 	}
 	p.drop(at, len(line)+2)
 	if p.phase, p.need = inData, int(n)+2; n == 0 {
 		p.phase, p.need = inTail, 0
 	}
+	if long {
+		return p.longMessage(), false, nil
+	}
 	return nil, false, nil
 }
 
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -8,15 +8,18 @@
 
 // Counters counts what was taken in, sent and answered since the start.
 type Counters struct {
-	HandedIn, Taken, Repeated           int64 // requests; taken on; handed in again while held
-	RefusedAtOnce, FailedAtOnce         int64 // by the module, before anything was owed
-	TurnedAway, NoRoom, Unreadable      int64 // over most-held; no room on disk; unknown class or destination
-	Withdrawn, Resumed                  int64 // consumer gone before its 202; of an earlier life
-	Sends, HeldBack                     int64 // calls; those stopped before their first byte
-	Delivered, Errors, Full, TimedOut   int64 // outcomes
-	Unconnected, Reset, Cancelled, Moot int64
-	HandedBack, GivenUp, Acknowledged   int64 // notices
-	Held, CallsOut                      int   // now
+	HandedIn, Taken, Repeated            int64 // requests; taken on; handed in again while held
+	RefusedAtOnce, FailedAtOnce          int64 // by the module, before anything was owed
+	TurnedAway, NoRoom, Unreadable       int64 // over most-held; no room on disk; unknown class or destination
+	Withdrawn, Resumed                   int64 // consumer gone before its 202; of an earlier life
+	Sends, HeldBack                      int64 // calls; those stopped before their first byte
+	Delivered, Errors, Full, TimedOut    int64 // outcomes
+	Unconnected, Reset, Cancelled, Moot  int64
+	HandedBack, GivenUp, Acknowledged    int64 // notices
+	LongTaken, LongRefused, LongAnswered int64 // long messages: taken on; no room; given up or refused on their connection
+	LongCut                              int64 // of an earlier life, ended at the start
+	Held, CallsOut                       int   // now
+	LongHeld, LongOut                    int   // now
 }
 
 func (c *Counters) outcome(o mb.Outcome) {
@@ -27,6 +30,12 @@
 	*counts[o]++
 }
 
+// Long is the line of counters of long messages.
+func (c Counters) Long() string {
+	return fmt.Sprintf("long: taken=%d refused=%d answered=%d cut_by_restart=%d held=%d out=%d",
+		c.LongTaken, c.LongRefused, c.LongAnswered, c.LongCut, c.LongHeld, c.LongOut)
+}
+
 // String is the counters' lines for the log.
 func (c Counters) String() string {
 	return fmt.Sprintf("in: requests=%d taken=%d repeated=%d refused=%d failed=%d turned_away=%d no_room=%d unreadable=%d"+
--- /dev/null
+++ b/internal/routing/long.go
@@ -0,0 +1,112 @@
+package routing
+
+import (
+	"time"
+
+	mb "mulleinbeam"
+	"mulleinbeam/internal/routing/wal"
+)
+
+// Long marks a message whose body is passed on as it comes. Nothing of the body is held or journalled, so no later life
+// can send it: a restart ends it.
+type Long struct {
+	Source any // what the invoker takes the body from, and passes the answer to
+	// Ended is told, once and in the router's goroutine, how the message ended; it must not wait.
+	Ended func(Ending)
+}
+
+// Ending is the end of a long message.
+type Ending struct {
+	Kind       VerdictKind   // Known: delivered; Refused or Failed
+	RetryAfter time.Duration // with Refused: when to come again
+	MayHaveRun bool          // with Refused or Failed
+	TimeUp     bool          // with Failed
+	// Told must be called, unless it is nil: whether the consumer has its answer. If it has not, a notice ends the message.
+	Told func(bool)
+}
+
+// LongLimits bound the messages whose bodies are passed on. The zero value takes none.
+type LongLimits struct {
+	Most    int           // held or out at once
+	Slots   int           // calls out at once
+	Longest time.Duration // how long one may live
+}
+
+// toldFor is how long the end of this life waits for consumers to be told of their long messages' ends. It ends before
+// the kill that follows a stop.
+const toldFor = 300 * time.Millisecond
+
+// Pass decides on a long message, whose Body is left empty. When it says Taken, the message is journalled, and its end
+// is told to Long.Ended.
+func (r *Router) Pass(m Message) Verdict { return r.Take(m) }
+
+// admitLong says whether there is room for one more long message; beyond that it is told when to come again.
+func (r *Router) admitLong() bool {
+	return r.longs < r.cfg.Long.Most && r.longCalls < r.cfg.Long.Slots && r.stopAt.IsZero()
+}
+
+// bookLong counts a long message as held from its accept to its end.
+func (r *Router) bookLong(h *held, n int) {
+	if h.Long != nil {
+		r.longs += n
+	}
+}
+
+// settle books a delivery that a provider has told of, before the consumer can hear of it.
+func (r *Router) settle(c *invocation) {
+	if !c.msg.ended {
+		r.end(c.msg, wal.Over, 0)
+	}
+}
+
+// finishLong tells a long message's consumer of its end. The end is journalled by now; should this life end before the
+// consumer is told, the next one's notice tells it.
+func (r *Router) finishLong(h *held, e wal.Ending, retry time.Duration) {
+	end := Ending{Kind: Failed, RetryAfter: retry, MayHaveRun: h.mayRun, TimeUp: h.timeUp()}
+	if e == wal.Refused {
+		if end.Kind = Refused; retry <= 0 {
+			end.RetryAfter = pushBack
+		}
+	}
+	r.untold++
+	end.Told = func(told bool) {
+		r.post(func() {
+			if r.untold--; told {
+				r.counters.LongAnswered++
+				r.journal(r.cfg.Log.End(h.seq, wal.Over, 0))
+			} else {
+				r.notify(h, e == wal.Refused, retry)
+			}
+		})
+	}
+	h.Long.Ended(end)
+}
+
+// timeUp says that a message was given up because its time, or that of an attempt, was over.
+func (h *held) timeUp() bool {
+	return !time.Now().Before(h.deadline) || h.attempts > 0 && (h.last == mb.TimedOut || h.last == mb.Cancelled)
+}
+
+// overLong tells a long message's consumer that nothing more is owed: it was delivered, or nobody wants it.
+func (r *Router) overLong(h *held, delivered bool) {
+	end := Ending{Kind: Known}
+	if !delivered {
+		end = Ending{Kind: Failed, MayHaveRun: h.mayRun, TimeUp: true}
+	}
+	h.Long.Ended(end)
+}
+
+// endLongs ends the long messages that wait for a call when this life is over; those out have been cancelled.
+func (r *Router) endLongs() {
+	for _, h := range r.ids {
+		if h.Long == nil || h.call != nil {
+			continue
+		}
+		e := wal.Refused
+		if h.mayRun {
+			e = wal.Failed
+		}
+		r.finish(h, e, lateRefusal)
+		r.decide(mb.Gone{ID: mb.MessageID(h.seq)})
+	}
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -31,6 +31,7 @@
 	Logger   *log.Logger
 	Drain    time.Duration // after the stop: how long calls may be out, at the most
 	Settle   time.Duration // after the stop: how long consumers may still come, and are answered
+	Long     LongLimits
 }
 
 // held is a message that is taken on, or that still has a call out.
@@ -41,6 +42,9 @@
 	attempts int
 	call     *invocation // the attempt that is out
 	ended    bool
+	mayRun   bool       // an attempt may have run
+	last     mb.Outcome // of its latest attempt
+	cut      bool       // a long one of an earlier life
 }
 
 // invocation is a call that is out, from its Send until its connection has nothing of it any more.
@@ -81,8 +85,12 @@
 	messages  map[uint64]*held
 	ids       map[string]*held // by the consumers' id, until the end
 	past      map[string]bool  // ids that ended of late; true for those delivered
-	pastQueue []pastID         // the same, oldest first
+	pastQueue []pastID         // the same, oldest first,
+	pastLong  []pastID         // and those of long messages
 	longest   time.Duration    // of any class
+	longs     int              // long messages held or out
+	longCalls int              // of these, those out
+	untold    int              // ends of long messages of which the consumer has not been told
 	calls     int
 	notices   int // not acknowledged yet
 	timers    []timer
@@ -142,6 +150,7 @@
 	}
 	r.over = true
 	cancel() // what is out now would be out when the process is killed
+	r.endLongs()
 	finished := make(chan struct{})
 	go func() { defer close(finished); _ = r.tasks.Wait() }()
 	for {
@@ -149,14 +158,31 @@
 		case f := <-r.events:
 			f()
 		case <-finished:
-			for {
-				select {
-				case f := <-r.events:
-					f()
-				default:
-					return nil
-				}
-			}
+			r.drainEvents()
+			return nil
+		}
+	}
+}
+
+// drainEvents serves what is left after the last call: its outcome, and whether consumers of long messages were told.
+func (r *Router) drainEvents() {
+	late := time.NewTimer(toldFor)
+	defer late.Stop()
+	for {
+		select {
+		case f := <-r.events:
+			f()
+			continue
+		default:
+		}
+		if r.untold == 0 {
+			return
+		}
+		select {
+		case f := <-r.events:
+			f()
+		case <-late.C:
+			return
 		}
 	}
 }
@@ -235,6 +261,7 @@
 func (r *Router) Counters() Counters {
 	c, ok := ask(r, func() Counters {
 		r.counters.Held, r.counters.CallsOut = len(r.ids), r.calls
+		r.counters.LongHeld, r.counters.LongOut = r.longs-r.longCalls, r.longCalls
 		return r.counters
 	})
 	if !ok {
@@ -372,6 +399,10 @@
 		r.messages[h.seq], r.ids[h.ID] = h, h
 		r.counters.Resumed++
 		submit := r.submission(h, time.Until(m.Deadline))
+		if submit.Long, submit.Spent = m.Long, m.Long; m.Long { // its body went with that life
+			r.counters.LongCut++
+			h.cut = true
+		}
 		if submit.Attempts = m.Attempts; m.MayRun {
 			submit.Ran = &mb.PastRun{Ago: max(0, time.Since(m.RanAt)), Zone: m.RanZone}
 		}
@@ -386,6 +417,7 @@
 func (r *Router) submission(h *held, left time.Duration) mb.Submit {
 	return mb.Submit{
 		ID: mb.MessageID(h.seq), Class: h.Class, Left: left, Destination: mb.DestinationID(h.Destination),
+		Long: h.Long != nil,
 	}
 }
 
@@ -395,6 +427,9 @@
 	longest, classed := r.classes[m.Class]
 	delivered, past := r.past[m.ID]
 	switch {
+	case m.Long != nil && (r.ids[m.ID] != nil || past): // its answer is owed to whoever handed it in first
+		r.counters.Repeated++
+		return Verdict{Kind: Ended}
 	case r.ids[m.ID] != nil || delivered: // handed in twice
 		r.counters.Repeated++
 		return Verdict{Kind: Known}
@@ -407,14 +442,21 @@
 	case len(r.groups) > 0 && !r.groups[m.Destination]:
 		r.counters.Unreadable++
 		return Verdict{Kind: UnknownDestination}
-	case len(r.ids) >= r.cfg.Settings.MostHeld:
+	case m.Long != nil && !r.admitLong():
+		r.counters.LongRefused++
+		return Verdict{Kind: Refused, RetryAfter: pushBack}
+	case m.Long == nil && len(r.ids)-r.longs >= r.cfg.Settings.MostHeld:
 		r.counters.TurnedAway++
 		return Verdict{Kind: Refused, RetryAfter: pushBack}
 	}
+	if m.Long != nil {
+		longest = r.cfg.Long.Longest
+	}
 	m.Left = min(m.Left, longest)
 	h := &held{Message: m, seq: r.cfg.Log.Next(), deadline: time.Now().Add(m.Left)}
 	entry := &wal.Message{
 		Seq: h.seq, Deadline: h.deadline, Destination: m.Destination, ID: m.ID, Key: m.Key, Class: m.Class, Body: m.Body,
+		Long: m.Long != nil,
 	}
 	if !r.cfg.Log.Fits(entry) {
 		r.counters.NoRoom++
@@ -450,6 +492,9 @@
 		return Verdict{Kind: Refused, RetryAfter: pushBack}
 	}
 	r.counters.Taken++
+	if r.bookLong(h, 1); h.Long != nil {
+		r.counters.LongTaken++
+	}
 	r.messages[h.seq], r.ids[h.ID] = h, h
 	r.perform(actions)
 	return Verdict{Kind: Taken}
@@ -457,10 +502,16 @@
 
 // forget drops the ids of messages that ended so long ago that nobody can mean them any more.
 func (r *Router) forget() {
-	for len(r.pastQueue) > 0 && time.Since(r.pastQueue[0].at) > r.longest {
-		delete(r.past, r.pastQueue[0].id)
-		r.pastQueue = r.pastQueue[1:]
+	r.pastQueue = r.forgetPast(r.pastQueue, r.longest)
+	r.pastLong = r.forgetPast(r.pastLong, max(r.longest, r.cfg.Long.Longest))
+}
+
+func (r *Router) forgetPast(queue []pastID, after time.Duration) []pastID {
+	for len(queue) > 0 && time.Since(queue[0].at) > after {
+		delete(r.past, queue[0].id)
+		queue = queue[1:]
 	}
+	return queue
 }
 
 // finish ends a message by a notice.
@@ -469,6 +520,10 @@
 		return
 	}
 	r.end(h, e, retry)
+	if h.Long != nil {
+		r.finishLong(h, e, retry)
+		return
+	}
 	r.notify(h, e == wal.Refused, retry)
 }
 
@@ -480,7 +535,12 @@
 	h.ended = true
 	delete(r.ids, h.ID)
 	r.past[h.ID] = e == wal.Over
-	r.pastQueue = append(r.pastQueue, pastID{h.ID, time.Now()})
+	if past := (pastID{h.ID, time.Now()}); h.Long != nil || h.cut {
+		r.pastLong = append(r.pastLong, past)
+	} else {
+		r.pastQueue = append(r.pastQueue, past)
+	}
+	r.bookLong(h, -1)
 	if h.call == nil {
 		delete(r.messages, h.seq)
 	}
@@ -529,6 +589,9 @@
 	h.call = c
 	h.attempts++
 	r.calls++
+	if h.Long != nil {
+		r.longCalls++
+	}
 	r.counters.Sends++
 	ctx, cancel := context.WithDeadline(r.ctx, c.cutAt)
 	c.cancel = cancel
@@ -540,6 +603,13 @@
 			return ok && served
 		},
 	}
+	if h.Long != nil {
+		call.Source = h.Long.Source
+		call.Settle = func() bool {
+			_, served := ask(r, func() bool { r.settle(c); return true })
+			return served
+		}
+	}
 	r.tasks.Go(func() error {
 		result := r.cfg.Invoker.Invoke(ctx, call)
 		cancel()
@@ -576,6 +646,9 @@
 	h := c.msg
 	h.call = nil
 	r.calls--
+	if h.Long != nil {
+		r.longCalls--
+	}
 	out := result.Outcome
 	if out == mb.TimedOut && c.cancelled {
 		out = mb.Cancelled
@@ -584,13 +657,18 @@
 		out = mb.ConnectFailed
 	}
 	r.counters.outcome(out)
+	h.last = out
 	never := out == mb.Full || out == mb.ConnectFailed || out == mb.Moot
 	if c.begun {
+		h.mayRun = h.mayRun || !never
 		r.journal(r.cfg.Log.Outcome(h.seq, !never))
 	}
 	over := out == mb.OK || result.Over
 	if over {
 		r.end(h, wal.Over, 0)
+		if h.Long != nil {
+			r.overLong(h, out == mb.OK)
+		}
 	}
 	if h.ended {
 		delete(r.messages, h.seq)
@@ -601,6 +679,6 @@
 	r.decide(mb.Answer{
 		ID: mb.MessageID(h.seq), Attempt: c.number, Endpoint: mb.EndpointID(c.provider), Outcome: out,
 		Latency: time.Since(c.sentAt), Settled: over || h.ended, Wait: result.Wait, Limit: result.Limit,
-		Kept: result.Kept,
+		Kept: result.Kept, Spent: result.Spent,
 	})
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -17,6 +17,7 @@
 	Destination int64
 	Left        time.Duration // how long it may still be delivered
 	Body        []byte
+	Long        *Long // its body is passed on; nil for one that is held
 }
 
 // Verdict is the answer to a message that was handed in.
@@ -64,6 +65,9 @@
 	Address  string
 	CutAt    time.Time // the attempt is abandoned then
 	Fresh    bool      // on a new connection
+	Source   any       // of a long message: Long.Source; there is no Body then
+	// Settle must be asked, for a long message, once its delivery is known and before its consumer can hear of that.
+	Settle func() bool
 	// Begin must be asked just before the first byte is written; false forbids it.
 	Begin func() bool
 }
@@ -75,6 +79,7 @@
 	Limit   *mb.LimitReport // what the provider told of its limit, if anything
 	Over    bool            // the message is over: nothing more is owed
 	Kept    bool            // it went on a connection that had carried a call before
+	Spent   bool            // of a long message: its body is gone, and no further attempt can be made
 }
 
 // Invoker makes calls. Invoke returns when the attempt has ended and nothing of it is on a connection any more; when
--- a/internal/routing/wal/record.go
+++ b/internal/routing/wal/record.go
@@ -23,6 +23,7 @@
 	kindStarted
 	kindOutcome
 	kindEnded
+	kindAcceptedLong // of a message whose body is not journalled
 )
 
 var (
@@ -66,7 +67,11 @@
 
 func appendAccepted(b []byte, m *Message) []byte {
 	return seal(b, func(b []byte) []byte {
-		b = appendTime(start(b, kindAccepted, m.Seq), m.Deadline)
+		k := kindAccepted
+		if m.Long {
+			k = kindAcceptedLong
+		}
+		b = appendTime(start(b, k, m.Seq), m.Deadline)
 		b = binary.AppendVarint(b, m.Destination)
 		b = appendText(appendText(appendText(b, m.ID), m.Key), m.Class)
 		return appendText(b, m.Body)
@@ -153,8 +158,8 @@
 	s.next = max(s.next, seq+1)
 	m := s.live[seq]
 	switch k {
-	case kindAccepted:
-		m = &Message{Seq: seq, Deadline: r.time(), Destination: r.varint()}
+	case kindAccepted, kindAcceptedLong:
+		m = &Message{Seq: seq, Deadline: r.time(), Destination: r.varint(), Long: k == kindAcceptedLong}
 		m.ID, m.Key, m.Class = string(r.text()), string(r.text()), string(r.text())
 		m.Body = append([]byte(nil), r.text()...)
 		if !r.bad && seq < math.MaxUint64 {
--- a/internal/routing/wal/wal.go
+++ b/internal/routing/wal/wal.go
@@ -41,6 +41,7 @@
 	RanZone     string
 	Ending      Ending
 	RetryAfter  time.Duration
+	Long        bool // its body was passed on, and is not here
 
 	out     bool // an attempt is out
 	outAt   time.Time
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,220 @@
+// Package settings reads the program's own settings: a TOML file beside the platform's configuration. Every key is
+// checked against one schema, and an error names file, line and key. Nothing here opens a socket or starts anything.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// File is all that can be set. What a file does not name is off.
+type File struct {
+	Bodies *Bodies `toml:"bodies"`
+}
+
+// Bodies says how bodies longer than the journalled kind are passed on.
+type Bodies struct {
+	Most    Bytes    `toml:"most"`    // of one body, in either direction
+	Window  Bytes    `toml:"window"`  // held of one body, in either direction
+	Total   Bytes    `toml:"total"`   // of all windows
+	Slots   int      `toml:"slots"`   // calls with long bodies out at once
+	Idle    Duration `toml:"idle"`    // no byte moved in either direction for so long ends a call
+	Longest Duration `toml:"longest"` // how long a long message may live
+}
+
+// Defaults for the keys that a table leaves out.
+var bodiesDefaults = Bodies{
+	Most: 16 << 30, Window: 256 << 10, Total: 24 << 20, Slots: 4, Idle: Duration(20 * time.Second),
+	Longest: Duration(30 * time.Minute),
+}
+
+// Bounds of what can be meant.
+const (
+	leastWindow  = 128 << 10
+	mostWindow   = 64 << 20
+	mostBody     = 1 << 50
+	mostSlots    = 4096
+	leastIdle    = 100 * time.Millisecond
+	mostDuration = 24 * time.Hour
+)
+
+// AtOnce is how many long messages the total has room for, each with a window for either direction.
+func (b Bodies) AtOnce() int { return int(b.Total / (2 * b.Window)) }
+
+// Bytes is an amount: a whole number with one of the units B, KiB, MiB, GiB, TiB, KB, MB, GB, TB.
+type Bytes int64
+
+var units = []struct {
+	name string
+	size int64
+}{
+	{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30}, {"TiB", 1 << 40}, {"KB", 1e3}, {"MB", 1e6}, {"GB", 1e9}, {"TB", 1e12},
+	{"B", 1},
+}
+
+// UnmarshalText reads an amount; its errors say what is wrong with it.
+func (b *Bytes) UnmarshalText(text []byte) error {
+	s := string(text)
+	for _, u := range units {
+		digits, ok := strings.CutSuffix(s, u.name)
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseInt(strings.TrimSpace(digits), 10, 64)
+		if err != nil || n < 0 || n > mostBody/u.size {
+			break
+		}
+		*b = Bytes(n * u.size)
+		return nil
+	}
+	return fmt.Errorf("%q is no size: a whole number and a unit, such as 256KiB", s)
+}
+
+// Duration is a time such as 20s or 30m.
+type Duration time.Duration
+
+// UnmarshalText reads a time.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is no time: a number and a unit, such as 20s", text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Error is a setting that can't be used.
+type Error struct {
+	Path string
+	Line int    // 0: it is in no one line
+	Key  string // "" where there is none
+	What string
+}
+
+func (e *Error) Error() string {
+	at := e.Path
+	if e.Line > 0 {
+		at += ":" + strconv.Itoa(e.Line)
+	}
+	if e.Key != "" {
+		at += ": " + e.Key
+	}
+	return "settings: " + at + ": " + e.What
+}
+
+// Load reads and checks a file. Its errors are *Error, or say that the file can't be read.
+func Load(path string) (File, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return File{}, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(path, raw)
+}
+
+// Parse checks a file's content; path is for its errors.
+func Parse(path string, raw []byte) (File, error) {
+	var f File
+	lines := keyLines(raw)
+	if _, ok := lines["bodies"]; ok {
+		b := bodiesDefaults
+		f.Bodies = &b
+	}
+	dec := toml.NewDecoder(strings.NewReader(string(raw))).DisallowUnknownFields()
+	if err := dec.Decode(&f); err != nil {
+		return File{}, located(path, err)
+	}
+	bad := func(key, format string, args ...any) (File, error) {
+		return File{}, &Error{Path: path, Line: lineOf(lines, key), Key: key, What: fmt.Sprintf(format, args...)}
+	}
+	if b := f.Bodies; b != nil {
+		switch {
+		case b.Window < leastWindow || b.Window > mostWindow:
+			return bad("bodies.window", "%d bytes; from %d to %d are possible", b.Window, leastWindow, mostWindow)
+		case b.Total < 2*b.Window:
+			return bad("bodies.total", "%d bytes have no room for the two windows of one message, %d bytes", b.Total, 2*b.Window)
+		case b.Most < leastWindow:
+			return bad("bodies.most", "%d bytes; at least %d are needed", b.Most, leastWindow)
+		case b.Slots < 1 || b.Slots > mostSlots:
+			return bad("bodies.slots", "%d; from 1 to %d are possible", b.Slots, mostSlots)
+		case b.Slots > b.AtOnce():
+			return bad("bodies.slots", "%d calls at once; the windows of total have room for %d", b.Slots, b.AtOnce())
+		case time.Duration(b.Idle) < leastIdle || time.Duration(b.Idle) > mostDuration:
+			return bad("bodies.idle", "%v; from %v to %v are possible", time.Duration(b.Idle), leastIdle, mostDuration)
+		case b.Longest < b.Idle || time.Duration(b.Longest) > mostDuration:
+			return bad("bodies.longest", "%v; from idle, %v, to %v are possible", time.Duration(b.Longest),
+				time.Duration(b.Idle), mostDuration)
+		}
+	}
+	return f, nil
+}
+
+// located puts a decoder's error in this package's form.
+func located(path string, err error) error {
+	var unknown *toml.StrictMissingError
+	if errors.As(err, &unknown) && len(unknown.Errors) > 0 {
+		first := &unknown.Errors[0]
+		line, _ := first.Position()
+		return &Error{Path: path, Line: line, Key: strings.Join(first.Key(), "."), What: "no such key"}
+	}
+	var wrong *toml.DecodeError
+	if errors.As(err, &wrong) {
+		line, _ := wrong.Position()
+		return &Error{
+			Path: path, Line: line, Key: strings.Join(wrong.Key(), "."), What: strings.TrimPrefix(wrong.Error(), "toml: "),
+		}
+	}
+	return &Error{Path: path, What: err.Error()}
+}
+
+// lineOf is the line of a key, or else of the table it belongs in.
+func lineOf(lines map[string]int, key string) int {
+	if line, ok := lines[key]; ok {
+		return line
+	}
+	table, _, _ := strings.Cut(key, ".")
+	return lines[table]
+}
+
+// keyLines finds the line of each table and key. What can't be parsed ends it; the decoder tells of that.
+func keyLines(raw []byte) map[string]int {
+	lines := map[string]int{}
+	var p unstable.Parser
+	p.Reset(raw)
+	table := ""
+	for p.NextExpression() {
+		e := p.Expression()
+		var parts []string
+		line := 0
+		for it := e.Key(); it.Next(); {
+			if line == 0 {
+				line = p.Shape(it.Node().Raw).Start.Line
+			}
+			parts = append(parts, string(it.Node().Data))
+		}
+		key := strings.Join(parts, ".")
+		switch e.Kind {
+		case unstable.Table, unstable.ArrayTable:
+			table = key
+		case unstable.KeyValue:
+			if table != "" {
+				key = table + "." + key
+			}
+			if first, _, dotted := strings.Cut(key, "."); dotted && lines[first] == 0 {
+				lines[first] = line
+			}
+		default:
+			continue
+		}
+		if lines[key] == 0 {
+			lines[key] = line
+		}
+	}
+	return lines
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,66 @@
+package settings
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// An error names file, line and key; nothing that is off or half right gets through.
+func TestErrorsNameFileLineAndKey(t *testing.T) {
+	for name, c := range map[string]struct{ text, want string }{
+		"unknown key":        {"[bodies]\nwindow = \"256KiB\"\nwidth = 3\n", "settings: f.toml:3: bodies.width: no such key"},
+		"unknown table":      {"# hm\n\n[body]\n", "settings: f.toml:3: body: no such key"},
+		"bad size":           {"[bodies]\nmost = \"16 potatoes\"\n", `settings: f.toml:2: bodies.most: "16 potatoes" is no size: a whole number and a unit, such as 256KiB`},
+		"size without unit":  {"[bodies]\nmost = \"16\"\n", `settings: f.toml:2: bodies.most: "16" is no size: a whole number and a unit, such as 256KiB`},
+		"size too large":     {"[bodies]\nmost = \"9999999TiB\"\n", `settings: f.toml:2: bodies.most: "9999999TiB" is no size: a whole number and a unit, such as 256KiB`},
+		"negative size":      {"[bodies]\nmost = \"-1KiB\"\n", `settings: f.toml:2: bodies.most: "-1KiB" is no size: a whole number and a unit, such as 256KiB`},
+		"bad time":           {"[bodies]\nidle = \"soon\"\n", `settings: f.toml:2: bodies.idle: "soon" is no time: a number and a unit, such as 20s`},
+		"window over total":  {"[bodies]\nslots = 1\nwindow = \"16MiB\"\ntotal = \"16MiB\"\n", "settings: f.toml:4: bodies.total: 16777216 bytes have no room for the two windows of one message, 33554432 bytes"},
+		"window too small":   {"[bodies]\nwindow = \"4KiB\"\n", "settings: f.toml:2: bodies.window: 4096 bytes; from 131072 to 67108864 are possible"},
+		"slots over total":   {"[bodies]\ntotal = \"1MiB\"\n", "settings: f.toml:1: bodies.slots: 4 calls at once; the windows of total have room for 2"},
+		"no slots":           {"[bodies]\nslots = 0\n", "settings: f.toml:2: bodies.slots: 0; from 1 to 4096 are possible"},
+		"longest under idle": {"[bodies]\nidle = \"1m\"\nlongest = \"30s\"\n", "settings: f.toml:3: bodies.longest: 30s; from idle, 1m0s, to 24h0m0s are possible"},
+		"dotted":             {"bodies.slots = 0\n", "settings: f.toml:1: bodies.slots: 0; from 1 to 4096 are possible"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := Parse("f.toml", []byte(c.text))
+			if err == nil || err.Error() != c.want {
+				t.Errorf("got  %v\nwant %s", err, c.want)
+			}
+		})
+	}
+	for _, text := range []string{"[bodies\n", "[bodies]\nslots = \"4\"\n", "\x00"} {
+		if _, err := Parse("f.toml", []byte(text)); err == nil {
+			t.Errorf("%q was taken", text)
+		}
+	}
+}
+
+// A table's missing keys have defaults, a missing table is off, and the example is what the page shows.
+func TestDefaultsAndExample(t *testing.T) {
+	if f, err := Parse("f.toml", nil); err != nil || f.Bodies != nil {
+		t.Errorf("an empty file: %+v, %v", f.Bodies, err)
+	}
+	f, err := Parse("f.toml", []byte("[bodies]\nwindow = \"1MiB\"\nidle = \"90s\"\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := bodiesDefaults
+	want.Window, want.Idle = 1<<20, Duration(90*time.Second)
+	if diff := cmp.Diff(want, *f.Bodies); diff != "" || f.Bodies.AtOnce() != 12 {
+		t.Errorf("%d at once\n%s", f.Bodies.AtOnce(), diff)
+	}
+	raw, err := os.ReadFile("../../deploy/larkreach.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f, err = Parse("deploy/larkreach.toml", raw); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(&bodiesDefaults, f.Bodies); diff != "" {
+		t.Errorf("the example differs from the defaults:\n%s", diff)
+	}
+}
--- a/internal/transport/consumers.go
+++ b/internal/transport/consumers.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"mulleinbeam/internal/protocol"
+	"mulleinbeam/internal/pump"
 )
 
 const (
@@ -37,16 +38,26 @@
 	// Take answers a handover; a nil Rejection says that it is taken on, and withdraw, unless it is nil, is to be called
 	// if its consumer could not be told so. The handover's slices are the caller's.
 	Take(h protocol.Handover) (r *protocol.Rejection, withdraw func())
+	// Pass takes a long message, whose Body is not there. Without a Rejection it is taken on, and its end comes once.
+	Pass(h protocol.Handover, up *Upload) (*protocol.Rejection, <-chan Passed)
+}
+
+// Passed is the end of a long message.
+type Passed struct {
+	Rejection *protocol.Rejection // nil for a delivery
+	Told      func(bool)          // to be called unless it is nil: whether the client was told of the Rejection
 }
 
 // Consumers serves the clients' side.
 type Consumers struct {
 	Desk Desk
-	Most int // connections at once
+	Most int       // connections at once, beside those with long messages
+	Long *Passages // nil: no body may be longer than protocol.MostBody
 
 	mu       sync.Mutex
 	conns    map[*consumerConn]struct{}
-	endings  int // of them, those at their end
+	endings  int // of them, those at their end,
+	passings int // and those with a long message
 	leaving  bool
 	counters ConsumerCounters
 }
@@ -75,6 +86,7 @@
 	silent    standing = iota // it has asked for nothing yet
 	asking                    // a request has begun and is not whole
 	answering                 // a whole one is being answered
+	passing                   // a long one is passed on
 	idle                      // between requests
 	ending                    // it has its last answer; what it still sends is drained
 )
@@ -163,14 +175,14 @@
 	s.counters.Accepted++
 	c.since = c.accepted
 	_ = c.SetReadDeadline(c.accepted.Add(requestFor))
-	room := len(s.conns)-s.endings < s.Most || s.drop(silent, 0) || s.drop(idle, idleLeast) || s.drop(asking, askLeast)
+	room := len(s.conns)-s.endings-s.passings < s.Most || s.drop(silent, 0) || s.drop(idle, idleLeast) || s.drop(asking, askLeast)
 	s.conns[c] = struct{}{}
 	if !room {
 		s.counters.TurnedAway++
 		s.endings++
 		c.at = ending
 	}
-	if len(s.conns) > s.Most+overflow {
+	if len(s.conns)-s.passings > s.Most+overflow {
 		s.drop(ending, 0)
 	}
 	return room
@@ -202,12 +214,22 @@
 
 // forget takes a connection out of the books; s.mu is held.
 func (s *Consumers) forget(c *consumerConn) {
-	if _, known := s.conns[c]; known && c.at == ending {
-		s.endings--
+	if _, known := s.conns[c]; known {
+		s.tally(c.at, -1)
 	}
 	delete(s.conns, c)
 }
 
+// tally books a connection among those that count apart; s.mu is held.
+func (s *Consumers) tally(at standing, n int) {
+	switch at {
+	case ending:
+		s.endings += n
+	case passing:
+		s.passings += n
+	}
+}
+
 // mark books what a connection is at and sets how long its next bytes may take; false says that it has to end.
 func (s *Consumers) mark(c *consumerConn, at standing) bool {
 	s.mu.Lock()
@@ -227,16 +249,18 @@
 	case c.at == silent: // its first request: trickled bytes buy no time
 		until = c.accepted.Add(requestFor)
 	}
-	if at == ending && c.at != ending {
-		s.endings++
+	if at == passing { // from here on its exchange sets how long it may take
+		until = time.Time{}
 	}
+	s.tally(c.at, -1)
+	s.tally(at, 1)
 	c.at, c.since = at, now
 	return c.SetReadDeadline(until) == nil
 }
 
 // crowded says that many connections are open, most of them surely idle; s.mu is held. Clients have a bound of their own
 // on what they hold, so those that stay keep others from asking long before room is short here.
-func (s *Consumers) crowded() bool { return len(s.conns) > s.Most/crowdShare }
+func (s *Consumers) crowded() bool { return len(s.conns)-s.passings > s.Most/crowdShare }
 
 // last says whether connections end with their next answer.
 func (s *Consumers) last() bool {
@@ -261,6 +285,9 @@
 func (s *Consumers) serve(c *consumerConn) {
 	defer s.end(c)
 	parser, quiet, first := protocol.NewRequestParser(protocol.MostBody), true, true
+	if s.Long != nil {
+		parser.Stream(protocol.StreamLong)
+	}
 	for {
 		m, err := parser.Next()
 		if err != nil {
@@ -268,6 +295,14 @@
 			s.farewell(c, protocol.Unreadable(err))
 			return
 		}
+		if m != nil && m.Long {
+			if !s.mark(c, passing) || !s.pass(c, parser, m) || !s.mark(c, idle) {
+				return
+			}
+			parser.Reset()
+			quiet, first = true, false
+			continue
+		}
 		if m != nil {
 			if !s.mark(c, answering) || !s.request(c, m) {
 				return
@@ -308,6 +343,59 @@
 	}
 }
 
+// pass has a long message passed on and answers it once it has ended; false ends the connection.
+func (s *Consumers) pass(c *consumerConn, parser *protocol.Parser, m *protocol.Message) bool {
+	asked, handover, rejection := protocol.ReadRequest(m)
+	if rejection == nil && asked != protocol.AskHandover {
+		rejection = protocol.Unreadable(protocol.ErrBodySize)
+	}
+	body, raw, err := parser.Rest(s.Long.Most)
+	if rejection == nil && err != nil {
+		rejection = protocol.Unreadable(err)
+	}
+	if rejection != nil {
+		s.count(&s.counters.Unreadable)
+		s.farewell(c, rejection)
+		return false
+	}
+	framing, length := parser.Framing()
+	old := string(m.Start[2]) == "HTTP/1.0"
+	up := &Upload{
+		passages: s.Long, conn: c, body: body, content: m.Body, raw: raw, framing: framing, length: length,
+		expects: parser.Continue(), old: old, last: func() bool { return m.Close || s.last() },
+	}
+	defer up.release()
+	rejection, done := s.Desk.Pass(handover, up)
+	if rejection != nil { // the body that follows is nobody's
+		rejection.Close = true
+		s.farewell(c, rejection)
+		return false
+	}
+	end := <-done
+	switch {
+	case end.Rejection != nil:
+		if s.mark(c, ending); up.end == pump.ClientBad {
+			end.Rejection.Status, end.Rejection.Reason = 400, "malformed body"
+		}
+		told := up.end != pump.ClientGone && s.answer(c, 0, end.Rejection, true)
+		if end.Told != nil {
+			end.Told(told)
+		}
+		if told {
+			s.linger(c)
+		}
+		return false
+	case !up.heard: // delivered, and its answer was cut short
+		s.farewell(c, protocol.Delivered())
+		return false
+	case !up.reusable:
+		s.mark(c, ending)
+		s.linger(c)
+		return false
+	}
+	return true
+}
+
 // request answers one request; false ends the connection.
 func (s *Consumers) request(c *consumerConn, m *protocol.Message) bool {
 	asked, handover, rejection := protocol.ReadRequest(m)
@@ -336,9 +424,12 @@
 // reset the connection and take the answer from a client that is still sending.
 func (s *Consumers) farewell(c *consumerConn, r *protocol.Rejection) {
 	s.mark(c, ending)
-	if !s.answer(c, 0, r, true) {
-		return
+	if s.answer(c, 0, r, true) {
+		s.linger(c)
 	}
+}
+
+func (s *Consumers) linger(c *consumerConn) {
 	tcp, ok := c.Conn.(*net.TCPConn)
 	if !ok || tcp.CloseWrite() != nil {
 		return
--- /dev/null
+++ b/internal/transport/passage.go
@@ -0,0 +1,323 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mulleinbeam/internal/protocol"
+	"mulleinbeam/internal/pump"
+)
+
+// Passages are the settings and the memory of long messages: those whose bodies are passed on as they come.
+type Passages struct {
+	Most   int64         // bytes of one body, in either direction
+	Idle   time.Duration // no byte moved in either direction for so long ends a call
+	Window int           // bytes held of one body, in either direction
+
+	windows  sync.Pool
+	bytes    [2]atomic.Int64
+	counters [pump.Aborted + 1]atomic.Int64
+	answers  sync.Pool
+}
+
+// String is the counters' line for the log.
+func (p *Passages) String() string {
+	n := func(e pump.End) int64 { return p.counters[e].Load() }
+	return fmt.Sprintf("long calls: bytes_up=%d bytes_down=%d delivered=%d answered=%d spoilt=%d broken=%d not_begun=%d"+
+		" provider_stalled=%d client_gone=%d client_stalled=%d client_bad=%d time_up=%d aborted=%d",
+		p.bytes[pump.Up].Load(), p.bytes[pump.Down].Load(), n(pump.Delivered), n(pump.Answered), n(pump.Spoilt), n(pump.Broken),
+		n(pump.NotBegun), n(pump.ProviderStalled), n(pump.ClientGone), n(pump.ClientStalled), n(pump.ClientBad), n(pump.TimeUp),
+		n(pump.Aborted))
+}
+
+func (p *Passages) window() *[]byte {
+	if w, ok := p.windows.Get().(*[]byte); ok {
+		return w
+	}
+	w := make([]byte, p.Window)
+	return &w
+}
+
+// Upload is the client's side of a long message, from its head to its final answer. One attempt at a time uses it; between
+// them its consumer's goroutine waits.
+type Upload struct {
+	passages *Passages
+	conn     net.Conn
+	body     *protocol.Body
+	content  []byte // what came of the body with the head,
+	raw      []byte // and what of that was not decoded; both lie in the parser's buffer
+	framing  protocol.Framing
+	length   int64
+	expects  bool // the client waits to be told to go on
+	old      bool // it speaks HTTP/1.0
+	last     func() bool
+	pipe     *pump.Pipe
+	taken    []*[]byte // windows, to be given back
+	end      pump.End  // of the last attempt
+	heard    bool      // a byte of an answer has gone to the client
+	reusable bool
+}
+
+// prepare makes the window and tells a waiting client to go on: the decision has been made. An error says that what came
+// is no body.
+func (u *Upload) prepare() error {
+	if u.pipe == nil {
+		w := u.passages.window()
+		u.taken = append(u.taken, w)
+		pipe, err := pump.NewPipe(*w, u.body, u.content, u.raw)
+		if u.pipe = pipe; err != nil {
+			return err
+		}
+		u.content, u.raw = nil, nil
+	}
+	if u.expects && u.pipe.Empty() {
+		if u.conn.SetWriteDeadline(time.Now().Add(answerFor)) == nil {
+			_, _ = u.conn.Write([]byte(protocol.GoOn)) // if the client is gone, the next read tells
+		}
+	}
+	u.expects = false
+	return nil
+}
+
+// release gives the windows back.
+func (u *Upload) release() {
+	for _, w := range u.taken {
+		u.passages.windows.Put(w)
+	}
+	u.taken, u.pipe = nil, nil
+}
+
+// Passage is one attempt to pass a long message on.
+type Passage struct {
+	Call
+	Upload *Upload
+	Settle func() bool // books a delivery before the client can hear of it
+}
+
+// PassResult is how such an attempt ended.
+type PassResult struct {
+	End   pump.End
+	Reply protocol.Reply // with pump.Answered
+	Begun bool           // a byte may have gone to the provider
+	Sent  bool           // all of the body has
+	Again bool           // the body is kept: another attempt can be made
+	Kept  bool           // its connection had carried a call before
+}
+
+var errNoConnection = errors.New("transport: no connection")
+
+// Pass makes one call with a long message. It returns once neither connection has anything of it under way; the
+// provider's is then closed or idle, the client's is left to its consumer.
+func (p *Providers) Pass(ctx context.Context, call Passage) PassResult {
+	u := call.Upload
+	s := u.passages
+	c, err := p.connection(ctx, call.Name, call.Address, call.Fresh)
+	if err != nil {
+		return PassResult{End: pump.Broken, Again: true}
+	}
+	if err := u.prepare(); err != nil {
+		u.end = pump.ClientBad
+		s.counters[u.end].Add(1)
+		p.keepIdle(c)
+		return PassResult{End: u.end, Kept: c.kept}
+	}
+	d := &duplex{base: time.Now(), client: tcp(u.conn), provider: tcp(c), settle: call.Settle, passages: s}
+	cutAt := 24 * time.Hour
+	if deadline, ok := ctx.Deadline(); ok {
+		cutAt = time.Until(deadline)
+	}
+	call.Timeout = cutAt
+	framing, length := u.framing, u.length
+	if framing == protocol.Chunked && u.pipe.Whole() { // it came whole by now: its length can be told
+		framing, length = protocol.ByLength, u.pipe.Came()
+	}
+	u.pipe.Rewind()
+	u.pipe.Start(protocol.AppendPassage(nil, protocol.Passage{Call: call.Call.Call, Framing: framing, Length: length}), framing)
+	parser := p.longAnswers.Get().(*protocol.Parser)
+	defer func() { parser.Reset(); p.longAnswers.Put(parser) }()
+	d.x = pump.New(pump.Config{
+		Up: u.pipe, Answers: parser, Most: s.Most, Idle: s.Idle, CutAt: cutAt, Old: u.old, Last: u.last(),
+		Window: func() []byte {
+			w := s.window()
+			u.taken = append(u.taken, w)
+			return *w
+		},
+	})
+	d.begin = func() error {
+		for {
+			switch {
+			case !call.Begin():
+				return pump.ErrForbidden
+			case c.quiet():
+				return nil
+			}
+			_ = c.Close()
+			p.count(&p.counters.Ended)
+			if !c.kept {
+				return errNoConnection // accepted, and closed before anything was written
+			}
+			next, err := p.connection(ctx, call.Name, call.Address, call.Fresh)
+			if err != nil {
+				return errNoConnection
+			}
+			c, d.provider = next, tcp(next)
+		}
+	}
+	stop := context.AfterFunc(ctx, func() {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			d.abort(pump.TimeUp)
+		} else {
+			d.abort(pump.Aborted)
+		}
+	})
+	d.run()
+	stop()
+	return p.passed(d, c, u)
+}
+
+// passed puts the connections in order behind an exchange and tells how it ended.
+func (p *Providers) passed(d *duplex, c *providerConn, u *Upload) PassResult {
+	d.mu.Lock() // an abort may just be under way
+	defer d.mu.Unlock()
+	x := d.x
+	keep, reusable := x.Reusable()
+	if !x.Begun() && c.quiet() {
+		keep = true
+	}
+	if keep && c.SetDeadline(time.Time{}) == nil {
+		p.keepIdle(c)
+	} else {
+		_ = c.Close()
+	}
+	u.end, u.heard, u.reusable = x.End(), x.Heard(), reusable
+	u.passages.counters[u.end].Add(1)
+	return PassResult{
+		End: x.End(), Reply: x.Reply(), Begun: x.Begun(), Sent: u.pipe.Done(), Again: x.Again(), Kept: c.kept,
+	}
+}
+
+// tcp is the connection itself, whose writes gather pieces.
+func tcp(c net.Conn) net.Conn {
+	switch c := c.(type) {
+	case *consumerConn:
+		return c.Conn
+	case *providerConn:
+		return c.Conn
+	}
+	return c
+}
+
+// duplex drives an exchange's two directions over two sockets. Deadlines are set under the lock, so that a wake is never
+// overridden by a step that was decided before it.
+type duplex struct {
+	mu               sync.Mutex
+	x                *pump.Exchange
+	base             time.Time // the exchange's times count from it
+	client, provider net.Conn
+	begin            func() error
+	settle           func() bool
+	passages         *Passages
+}
+
+// run drives both directions until they stop. The way down begins once the call has.
+func (d *duplex) run() {
+	var up, down gather
+	for !d.x.Begun() {
+		if !d.step(pump.Up, &up) {
+			return
+		}
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for d.step(pump.Down, &down) {
+		}
+	}()
+	for d.step(pump.Up, &up) {
+	}
+	<-done
+}
+
+func (d *duplex) now() time.Duration { return time.Since(d.base) }
+
+// gather holds the pieces of a write.
+type gather struct {
+	pieces [4][]byte
+	vec    net.Buffers
+}
+
+func (g *gather) write(c net.Conn, out [][]byte) (int, error) {
+	if len(out) == 1 {
+		return c.Write(out[0])
+	}
+	g.vec = g.pieces[:copy(g.pieces[:], out)]
+	n, err := g.vec.WriteTo(c)
+	return int(n), err
+}
+
+// step does one step of a direction; false says that there is none any more.
+func (d *duplex) step(s pump.Side, g *gather) bool {
+	d.mu.Lock()
+	source, sink := d.client, d.provider
+	if s == pump.Down {
+		source, sink = sink, source
+	}
+	st := d.x.Next(s, d.now())
+	var err error
+	switch st.Op {
+	case pump.Read:
+		err = source.SetReadDeadline(d.base.Add(st.Until))
+	case pump.Write:
+		err = sink.SetWriteDeadline(d.base.Add(st.Until))
+	}
+	d.mu.Unlock()
+	n := 0
+	switch {
+	case err != nil:
+	case st.Op == pump.Stop:
+		return false
+	case st.Op == pump.Read:
+		n, err = source.Read(st.Space)
+	case st.Op == pump.Write:
+		n, err = g.write(sink, st.Out)
+		d.passages.bytes[s].Add(int64(n))
+	case st.Op == pump.Begin:
+		err = d.begin()
+	case st.Op == pump.Settle:
+		if !d.settle() {
+			err = errNoConnection
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.x.Did(s, n, err, d.now()) {
+		d.wake(1 - s)
+	}
+	return true
+}
+
+// wake ends what a direction is at; d.mu is held.
+func (d *duplex) wake(s pump.Side) {
+	source, sink := d.client, d.provider
+	if s == pump.Down {
+		source, sink = sink, source
+	}
+	_ = source.SetReadDeadline(longAgo)
+	_ = sink.SetWriteDeadline(longAgo)
+}
+
+var longAgo = time.Unix(1, 0)
+
+// abort ends the exchange from outside.
+func (d *duplex) abort(e pump.End) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.x.Abort(e)
+	d.wake(pump.Up)
+	d.wake(pump.Down)
+}
--- a/internal/transport/providers.go
+++ b/internal/transport/providers.go
@@ -41,6 +41,8 @@
 	connect time.Duration
 	most    int // idle connections at once
 	parsers sync.Pool
+	// longAnswers are parsers that leave the body of a delivery to be passed on.
+	longAnswers sync.Pool
 
 	mu       sync.Mutex
 	idle     map[string][]*providerConn // by provider, warmest last
@@ -72,6 +74,11 @@
 		keep: max(0, keepAlive-early), connect: connectTimeout, most: max(1, most), idle: map[string][]*providerConn{},
 	}
 	p.parsers.New = func() any { return protocol.NewAnswerParser(mostAnswer) }
+	p.longAnswers.New = func() any {
+		parser := protocol.NewAnswerParser(mostAnswer)
+		parser.Stream(protocol.StreamAnswered)
+		return parser
+	}
 	return p
 }
 
--- a/mulleinbeam.go
+++ b/mulleinbeam.go
@@ -71,6 +71,7 @@
 type Settings struct {
 	Couriers       int // how many couriers serve side by side, this one included
 	Slots          int // calls out at once
+	LongSlots      int // calls out with long messages, beside Slots; see Submit.Long
 	MostHeld       int // messages held at once, sent or not
 	MaxAttempts    int
 	Classes        []Class
@@ -116,6 +117,8 @@
 		return bad("MostHeld must be at least 1")
 	case s.MaxAttempts < 1:
 		return bad("MaxAttempts must be at least 1")
+	case s.LongSlots < 0:
+		return bad("LongSlots is negative")
 	case len(s.Classes) == 0:
 		return bad("Classes must name at least one class")
 	}
@@ -210,7 +213,7 @@
 	TimedOut              // no answer in time
 	ConnectFailed         // no connection in time (never ran)
 	Reset                 // the connection broke
-	Cancelled             // called off
+	Cancelled             // called off; of a long message also cut by its client, which is no endpoint's doing
 	Moot                  // not sent at all (never ran)
 )
 
@@ -229,6 +232,12 @@
 	// may have taken effect, if one may. Attempts are numbered on from these.
 	Attempts int
 	Ran      *PastRun
+	// Long marks a message whose body is passed on as it comes. Its calls take none of Slots but one of LongSlots, and how
+	// long they take is no endpoint's doing. It waits for a call for as long as its class lets a message live, and a call
+	// of it may last until Left is over.
+	Long bool
+	// Spent marks a long message whose body is gone, so that no attempt of it can begin: it ends at once.
+	Spent bool
 }
 
 // PastRun is an attempt of an earlier life that may have taken effect.
@@ -251,6 +260,7 @@
 	Wait     time.Duration // with Full: the wait told, zero if none
 	Limit    *LimitReport  // what the endpoint told of its limit, if anything
 	Kept     bool          // it went on a connection that had carried a call before
+	Spent    bool          // of a long message: its body is gone, and no further attempt can begin
 }
 
 // LimitReport is what an endpoint tells of its limit.
--- a/state.go
+++ b/state.go
@@ -39,6 +39,9 @@
 	ranAt     time.Duration // when the first such attempt was sent
 	ranZone   string
 	ended     bool
+	long      bool          // its body is passed on as it comes
+	until     time.Duration // of a long one: when its time is up; its deadline is that for the next call to begin
+	spent     bool          // its body is gone
 }
 
 // call is what goes to an endpoint as one: a message, or several that were sent there in one round.
@@ -57,6 +60,7 @@
 	idle      time.Duration // how long the endpoint's connections had idled; 0 if the connection is known to be new
 	tallied   bool          // it is in a tally
 	dead      bool          // it was lost to an old connection
+	long      bool          // it carries a long message
 }
 
 type classState struct {
@@ -111,7 +115,8 @@
 	trialsOut  int
 	trialsOK   int
 	cap        float64
-	inflight   []*call
+	inflight   []*call // but for those with long messages,
+	longs      int     // whose number this is
 	waitUntil  time.Duration
 	fullRun    int
 	fullSince  time.Duration // first refusal of the run
@@ -209,6 +214,7 @@
 	msgs      map[MessageID]*message
 	heldCount int
 	slotsUsed int
+	longUsed  int
 	dests     map[DestinationID]*destination
 	busy      []*destination // those with messages held or calls out, longest first
 	forgetAt  time.Duration
@@ -251,6 +257,25 @@
 
 func (d *Decider) logf(format string, args ...any) { d.do(Log{Text: fmt.Sprintf(format, args...)}) }
 
+// New starts a courier's decisions with an empty memory.
+func New(s Settings, seed uint64) (*Decider, error) {
+	if err := s.Validate(); err != nil {
+		return nil, err
+	}
+	d := blank(s, seed)
+	d.growth = growthFirst
+	for _, c := range s.Classes {
+		d.classes[c.Name] = &classState{Class: c, mean: firstGuess * c.Target.Seconds()}
+		d.longest = max(d.longest, c.GiveUp)
+		d.meanWorth += c.Worth / float64(len(s.Classes))
+	}
+	for _, t := range s.Tenants {
+		rate := t.AllowancePerS / float64(s.Couriers)
+		d.tenants[t.Name] = &tenantState{rate: rate, bucket: math.Max(1, rate*tenantDepth.Seconds())}
+	}
+	return d, nil
+}
+
 // blank is a courier with an empty memory.
 func blank(s Settings, seed uint64) *Decider {
 	return &Decider{
@@ -336,6 +361,16 @@
 	}
 }
 
+// setBreaker books a breaker's state; closing it forgets the outcomes that opened it.
+func (d *Decider) setBreaker(l *lane, s breakerState) {
+	l.trialsOK = 0
+	if s == closed {
+		l.window = nil
+		d.logf("breaker %s: %s", l.name, stateNames[s])
+	}
+	l.state = s
+}
+
 // settle drops the destinations that have nothing left from the busy ones.
 func (d *Decider) settle() {
 	d.busy = slices.DeleteFunc(d.busy, func(dest *destination) bool {
@@ -365,7 +400,7 @@
 func (d *Decider) end(m *message) {
 	if !m.ended {
 		m.ended = true
-		d.heldCount--
+		d.count(m, -1)
 	}
 	if m.call != nil {
 		return
@@ -397,9 +432,28 @@
 	return fails / float64(max(1, len(l.window)))
 }
 
+// count books a message as one of those held; long ones have a bound of their own.
+func (d *Decider) count(m *message, n int) {
+	if !m.long {
+		d.heldCount += n
+	}
+}
+
+// note books a call that goes out now, by its weight.
+func (d *Decider) note(l *lane, weight float64) {
+	l.lastSend, l.lastWeight = d.now, weight
+	old := func(s sent) bool { return s.at <= d.now-d.s.TipAfter }
+	l.sends = slices.DeleteFunc(append(l.sends, sent{d.now, weight}), old)
+}
+
 // occupy books a message into a call that is about to go out, or goes out in this round.
 func (d *Decider) occupy(m *message, c *call) {
-	if len(c.msgs) == 0 {
+	switch {
+	case c.long:
+		d.longUsed++
+		c.ep.inflight++
+		c.ep.lane.longs++
+	case len(c.msgs) == 0:
 		d.slotsUsed++
 		c.ep.inflight++
 		m.dest.inflight++
@@ -422,6 +476,11 @@
 		return
 	}
 	c.ep.inflight--
+	if c.long {
+		d.longUsed--
+		l.longs--
+		return
+	}
 	d.slotsUsed--
 	m.dest.inflight--
 	l.inflight = slices.DeleteFunc(l.inflight, func(o *call) bool { return o == c })
