--- /dev/null
+++ b/internal/lab/agent.go
@@ -0,0 +1,127 @@
+package lab
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+)
+
+// Notice is the end of a message as the platform is told of it.
+type Notice struct {
+	Message string `json:"message"`
+	Outcome string `json:"outcome"`
+	Retry   int64  `json:"retry_in_ms"`
+}
+
+// Agent is the platform's discovery on the forwarder's machine: it answers the watch and takes notices.
+type Agent struct {
+	// Told is called with each notice, unless it is nil; it must not wait.
+	Told func(Notice)
+
+	server   *http.Server
+	listener net.Listener
+	mu       sync.Mutex
+	index    int
+	list     []*Provider
+	changed  chan struct{} // closed with each change
+	notices  []Notice
+}
+
+// Listen starts an agent that lists providers.
+func (a *Agent) Listen(list ...*Provider) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	a.listener, a.index, a.list, a.changed = l, 1, list, make(chan struct{})
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/servers", a.servers)
+	mux.HandleFunc("POST /reports", a.reports)
+	a.server = &http.Server{Handler: mux}
+	go func() { _ = a.server.Serve(l) }()
+	return nil
+}
+
+// Address is where it listens.
+func (a *Agent) Address() string { return a.listener.Addr().String() }
+
+// Close ends it.
+func (a *Agent) Close() { _ = a.server.Close() }
+
+// List lists other providers from now on.
+func (a *Agent) List(list ...*Provider) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.index++
+	a.list = list
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+// Notices are those that came so far.
+func (a *Agent) Notices() []Notice {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append([]Notice(nil), a.notices...)
+}
+
+// Directory is the list in discovery's form.
+func (a *Agent) Directory() map[string]any {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	entries := []any{}
+	for _, p := range a.list {
+		entries = append(entries, map[string]any{
+			"name": p.Name, "address": p.Address(), "zone": "z", "type": "k", "group": p.Group, "status": p.Status,
+			"weight": 50.0, "since_ms": 0,
+		})
+	}
+	return map[string]any{"index": a.index, "snapshot": true, "endpoints": entries}
+}
+
+func (a *Agent) servers(w http.ResponseWriter, r *http.Request) {
+	since := r.URL.Query().Get("since")
+	for {
+		a.mu.Lock()
+		same, changed := since == fmt.Sprint(a.index), a.changed
+		a.mu.Unlock()
+		if !same {
+			break
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+	_ = json.NewEncoder(w).Encode(a.Directory())
+}
+
+func (a *Agent) reports(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	var got []Notice
+	for line := range bytes.Lines(body) {
+		var n Notice
+		if json.Unmarshal(line, &n) != nil {
+			http.Error(w, "unreadable", http.StatusBadRequest)
+			return
+		}
+		got = append(got, n)
+	}
+	a.mu.Lock()
+	a.notices = append(a.notices, got...)
+	a.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+	if a.Told != nil {
+		for _, n := range got {
+			a.Told(n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/forwarder.go
@@ -0,0 +1,268 @@
+package lab
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+)
+
+// Class is a message class in the platform's configuration; times are in microseconds there.
+type Class struct {
+	Name, Effect           string
+	Target, GiveUp, KeyTTL int64
+}
+
+// Classes are those that the laboratory's runs use.
+var Classes = []Class{
+	{"keyed", "keyed", 4e6, 20e6, 15e6}, {"safe", "safe", 8e5, 20e6, 0}, {"unsafe", "unsafe", 3e6, 20e6, 0},
+}
+
+// Forwarder is the real program as a process, with its configuration and folder.
+type Forwarder struct {
+	Command  []string // the program and its arguments
+	Env      []string // beside the platform's variables
+	Settings string   // its own settings, as TOML; "" for none
+	Sockets  int
+	MemoryMB int
+	Cores    float64
+	Slots    int
+
+	dir, listen string
+	agent       *Agent
+	cmd         *exec.Cmd
+	exited      chan error
+	mu          sync.Mutex
+	log         []string
+	grown       chan struct{} // closed with each line, and at the end
+	ended       bool
+	read        int // lines that Sees has gone through
+}
+
+// Prepare lays the program's folder out; dir has to exist.
+func (f *Forwarder) Prepare(dir string, agent *Agent) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	f.dir, f.listen, f.agent = dir, l.Addr().String(), agent
+	if f.Sockets == 0 {
+		f.Sockets = 512
+	}
+	if f.MemoryMB == 0 {
+		f.MemoryMB = 192
+	}
+	if f.Cores == 0 {
+		f.Cores = 1
+	}
+	if f.Slots == 0 {
+		f.Slots = 8
+	}
+	if err := os.MkdirAll(filepath.Join(dir, "state"), 0o700); err != nil {
+		return err
+	}
+	return l.Close()
+}
+
+// Address is where it takes messages.
+func (f *Forwarder) Address() string { return f.listen }
+
+func (f *Forwarder) configuration() map[string]any {
+	services := []any{}
+	for _, c := range Classes {
+		services = append(services, map[string]any{
+			"name": c.Name, "effect": c.Effect, "target": c.Target, "give-up": c.GiveUp, "key-ttl": c.KeyTTL, "group": "all",
+			"credit": 1, "late-worth": 0.4,
+		})
+	}
+	return map[string]any{
+		"name": "lab", "listen": f.listen, "discovery": f.agent.Address(), "seed": "8c1f30d27a5be964",
+		"limits": map[string]any{"cores": f.Cores, "memory_mb": f.MemoryMB, "sockets": f.Sockets, "disk_mb": 3},
+		"known":  f.agent.Directory(),
+		"settings": map[string]any{
+			"balancers": 1, "weight-source": "nominal", "azs": []string{"z"}, "kinds": []string{"k"}, "services": services,
+			"family-info": map[string]any{"calls-out": f.Slots, "fades": "even"},
+			"limits": map[string]any{
+				"cancel": true, "connect-timeout": 1000000, "keepalive": 10000000, "max-attempts": 6,
+				"max-retry-after": 3000000, "most-held": 200,
+			},
+			"rules": map[string]any{"answer-slack": 20000, "drain-grace": 2000000},
+		},
+	}
+}
+
+// Start starts the program, or starts it again in its folder, and waits until it is ready.
+func (f *Forwarder) Start() error {
+	config, own := filepath.Join(f.dir, "config.json"), filepath.Join(f.dir, "larkreach.toml")
+	raw, err := json.Marshal(f.configuration())
+	if err == nil {
+		err = os.WriteFile(config, raw, 0o600)
+	}
+	if err == nil && f.Settings != "" {
+		err = os.WriteFile(own, []byte(f.Settings), 0o600)
+	}
+	if err != nil {
+		return err
+	}
+	f.cmd = exec.Command(f.Command[0], f.Command[1:]...)
+	f.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+config, "ROUTER_STATE="+filepath.Join(f.dir, "state"),
+		"ROUTER_NAME=", "ROUTER_LISTEN=", "ROUTER_DISCOVERY=")
+	if f.Settings != "" {
+		f.cmd.Env = append(f.cmd.Env, "LARKREACH_CONFIG="+own)
+	}
+	f.cmd.Env = append(f.cmd.Env, f.Env...)
+	pipe, err := f.cmd.StderrPipe()
+	if err != nil {
+		return err
+	}
+	if err := f.cmd.Start(); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	f.log, f.read, f.grown, f.ended = nil, 0, make(chan struct{}), false
+	f.mu.Unlock()
+	exited := make(chan error, 1)
+	f.exited = exited
+	go func() {
+		scanner := bufio.NewScanner(pipe)
+		for scanner.Scan() {
+			f.grow(scanner.Text(), false)
+		}
+		err := f.cmd.Wait()
+		f.grow("", true)
+		exited <- err
+	}()
+	if _, ok := f.Sees("ready on"); !ok {
+		return fmt.Errorf("lab: the program did not start:\n%s", f.Log())
+	}
+	return nil
+}
+
+func (f *Forwarder) grow(line string, end bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ended = end; !end {
+		f.log = append(f.log, line)
+	}
+	close(f.grown)
+	f.grown = make(chan struct{})
+}
+
+// Log is what the program has logged since its start.
+func (f *Forwarder) Log() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return strings.Join(f.log, "\n")
+}
+
+// Sees waits for a line that holds a text, behind those seen before; false if the program ends first.
+func (f *Forwarder) Sees(text string) (string, bool) {
+	for {
+		f.mu.Lock()
+		for f.read < len(f.log) {
+			line := f.log[f.read]
+			f.read++
+			if strings.Contains(line, text) {
+				f.mu.Unlock()
+				return line, true
+			}
+		}
+		ended, grown := f.ended, f.grown
+		f.mu.Unlock()
+		if ended {
+			return "", false
+		}
+		<-grown
+	}
+}
+
+// Counter asks for the counters and gives one of them, named by its line and its key.
+func (f *Forwarder) Counter(line, key string) (int64, error) {
+	if err := f.cmd.Process.Signal(syscall.SIGUSR1); err != nil {
+		return 0, err
+	}
+	text, ok := f.Sees(line + ":")
+	if !ok {
+		return 0, fmt.Errorf("lab: the program ended before it told %s", line)
+	}
+	for word := range strings.FieldsSeq(text) {
+		if value, ok := strings.CutPrefix(word, key+"="); ok {
+			return strconv.ParseInt(value, 10, 64)
+		}
+	}
+	return 0, fmt.Errorf("lab: no %s in %q", key, text)
+}
+
+// AwaitCounter asks for a counter until it has a value.
+func (f *Forwarder) AwaitCounter(line, key string, want int64) error {
+	for {
+		if got, err := f.Counter(line, key); err != nil || got == want {
+			return err
+		}
+	}
+}
+
+// Signal sends the program a signal.
+func (f *Forwarder) Signal(sig syscall.Signal) error { return f.cmd.Process.Signal(sig) }
+
+// Wait waits for the program's end.
+func (f *Forwarder) Wait() error { return <-f.exited }
+
+// End sends a signal and waits for the program's end.
+func (f *Forwarder) End(sig syscall.Signal) error {
+	if err := f.Signal(sig); err != nil {
+		return err
+	}
+	return f.Wait()
+}
+
+// Kill ends the program, if it runs.
+func (f *Forwarder) Kill() {
+	if f.cmd != nil && f.cmd.Process != nil {
+		_ = f.cmd.Process.Kill()
+	}
+}
+
+// PeakMemory is the program's peak resident memory so far, in bytes.
+func (f *Forwarder) PeakMemory() (int64, error) {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", f.cmd.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(raw)) {
+		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kb, err := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
+			return kb << 10, err
+		}
+	}
+	return 0, fmt.Errorf("lab: no peak memory told")
+}
+
+// CPUSeconds is the processor time that the program has used, in seconds.
+func (f *Forwarder) CPUSeconds() (float64, error) { return processCPU(f.cmd.Process.Pid) }
+
+// processCPU reads a process's time from the kernel, which counts it in hundredths of a second.
+func processCPU(pid int) (float64, error) {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, _ := strings.Cut(string(raw), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) < 13 {
+		return 0, fmt.Errorf("lab: process times can't be read")
+	}
+	user, err := strconv.ParseFloat(fields[11], 64)
+	if err != nil {
+		return 0, err
+	}
+	system, err := strconv.ParseFloat(fields[12], 64)
+	return (user + system) / 100, err
+}
--- /dev/null
+++ b/long_test.go
@@ -0,0 +1,184 @@
+package mulleinbeam
+
+import (
+	"testing"
+	"time"
+)
+
+func longRig(t *testing.T) *rig {
+	t.Helper()
+	s := testSettings()
+	s.LongSlots = 2
+	return newRig(t, s)
+}
+
+// long hands a long message in and wants it sent at once.
+func (r *rig) long(class string, left time.Duration) Send {
+	r.t.Helper()
+	r.next++
+	sends := r.do(Submit{ID: r.next, Class: class, Destination: 1, Left: left, Long: true})
+	if len(sends) != 1 {
+		r.t.Fatalf("%d sends of a long message", len(sends))
+	}
+	return sends[0]
+}
+
+// A transfer of five minutes is no slow endpoint: it changes no pace, no cap and no class's time, is not taken for
+// silence, and is cut only by its own time.
+func TestLongTransfersTeachNoPace(t *testing.T) {
+	r := longRig(t)
+	for range 5 {
+		r.submit("unsafe", 1, 0)
+		r.settle(always(OK))
+	}
+	l := r.d.dests[1].lanes[0]
+	pace, limit, mean := l.pace, l.cap, r.d.classes["unsafe"].mean
+	s := r.long("unsafe", 30*time.Minute)
+	if got := s.CutAt - r.now; got != 30*time.Minute {
+		t.Errorf("cut after %v", got)
+	}
+	r.pass(5 * time.Minute)
+	r.do(Answer{ID: s.ID, Endpoint: s.Endpoint, Outcome: OK, Latency: 5 * time.Minute, Settled: true})
+	if l.pace != pace || l.cap != limit || r.d.classes["unsafe"].mean != mean || l.state != closed || len(r.logs) > 0 {
+		t.Errorf("pace %v to %v, cap %v to %v, mean %v to %v, %s, %v", pace, l.pace, limit, l.cap, mean,
+			r.d.classes["unsafe"].mean, stateNames[l.state], r.logs)
+	}
+}
+
+// Long calls take none of the slots, and short calls none of theirs.
+func TestLongCallsGoBesideTheSlots(t *testing.T) {
+	r := longRig(t)
+	first := r.long("safe", time.Minute)
+	r.long("safe", time.Minute)
+	r.next++
+	if sends := r.do(Submit{ID: r.next, Class: "safe", Destination: 1, Left: time.Minute, Long: true}); len(sends) != 0 {
+		t.Error("a third long call in two slots")
+	}
+	third := r.next
+	if r.d.slotsUsed != 0 || r.d.heldCount != 0 {
+		t.Errorf("%d slots used, %d held", r.d.slotsUsed, r.d.heldCount)
+	}
+	r.submit("safe", 1, 0)
+	if s := r.last(); s.ID == third || r.d.slotsUsed != 1 {
+		t.Errorf("sent %d, %d slots used", s.ID, r.d.slotsUsed)
+	}
+	r.answer(first, OK, 0)
+	if s := r.last(); s.ID != third {
+		t.Errorf("sent %d when a long slot was free", s.ID)
+	}
+}
+
+// The breaker counts long calls fairly: endpoints' failures as any, what clients did not at all.
+func TestBreakerAndLongCalls(t *testing.T) {
+	r := longRig(t)
+	l := r.d.dests[1].lanes[0]
+	for range 30 {
+		s := r.long("safe", time.Minute)
+		r.do(Answer{ID: s.ID, Endpoint: s.Endpoint, Outcome: Cancelled, Latency: time.Second, Spent: true})
+		r.pass(500 * ms)
+	}
+	if l.state != closed || len(l.window) != 0 {
+		t.Errorf("%s after clients went away, window %v", stateNames[l.state], l.window)
+	}
+	for range 10 {
+		if l.state != closed {
+			break
+		}
+		s := r.long("safe", time.Minute)
+		r.do(Answer{ID: s.ID, Endpoint: s.Endpoint, Outcome: TimedOut, Latency: 20 * time.Second, Spent: true})
+		r.pass(500 * ms)
+	}
+	if l.state != open {
+		t.Errorf("%s after calls that hung", stateNames[l.state])
+	}
+}
+
+// While a lane is in doubt one long message at a time is a trial, short trials go on beside it, and long ones alone can
+// close the breaker.
+func TestLongTrials(t *testing.T) {
+	r := longRig(t)
+	l := r.d.dests[1].lanes[0]
+	r.d.trip(l, "test")
+	l.guard = false
+	a, b := r.next+1, r.next+2
+	r.next = b
+	r.do(Submit{ID: a, Class: "safe", Destination: 1, Left: time.Minute, Long: true},
+		Submit{ID: b, Class: "safe", Destination: 1, Left: time.Minute, Long: true})
+	for len(r.sends) == 0 {
+		r.pass(100 * ms)
+	}
+	r.pass(time.Second)
+	if len(r.sends) != 1 || l.state != halfOpen {
+		t.Fatalf("%d trials, %s", len(r.sends), stateNames[l.state])
+	}
+	r.submit("safe", 1, 0)
+	r.pass(time.Second)
+	if len(r.sends) != 2 {
+		t.Errorf("%d sends: a short trial waits for a long one", len(r.sends))
+	}
+	for range trialsClose {
+		l.guard = false
+		r.answer(r.last(), OK, 0)
+		r.submit("safe", 1, 0)
+		r.pass(time.Second)
+	}
+	if l.state != closed {
+		t.Errorf("%s after trials", stateNames[l.state])
+	}
+}
+
+// A long message whose body is gone ends at once: refused if it can't have run, else as its class demands. One that has
+// not begun waits no longer than its class lets a message live, and not at all once this life is to end.
+func TestSpentLongMessagesEndAtOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		class string
+		o     Outcome
+		ends  string
+	}{
+		"unsafe, refused":  {"unsafe", Full, "refuse"},
+		"unsafe, reset":    {"unsafe", Reset, "fail"},
+		"unsafe, its time": {"unsafe", Cancelled, "fail"},
+		"safe, reset":      {"safe", Reset, "refuse"},
+		"safe, no connect": {"safe", ConnectFailed, "refuse"},
+	} {
+		r := longRig(t)
+		s := r.long(c.class, time.Minute)
+		r.do(Answer{ID: s.ID, Endpoint: s.Endpoint, Outcome: c.o, Latency: time.Second, Spent: true})
+		if got := r.ended(s.ID); got != c.ends {
+			t.Errorf("%s: %q", name, got)
+		}
+	}
+	r := longRig(t)
+	r.do(Submit{ID: 90, Class: "unsafe", Destination: 1, Left: time.Minute, Long: true, Spent: true, Attempts: 1, Ran: &PastRun{Ago: ms}})
+	if got := r.ended(90); got != "fail" {
+		t.Errorf("one that an earlier life had sent: %q", got)
+	}
+	r.do(Members{Scope: ListWhole})
+	r.do(Submit{ID: 91, Class: "safe", Destination: 1, Left: time.Hour, Long: true})
+	if r.pass(5 * time.Second); r.ended(91) != "" {
+		t.Error("given up before its class's time")
+	}
+	if r.pass(time.Second); r.ended(91) != "refuse" {
+		t.Error("held beyond its class's time")
+	}
+	r.do(Submit{ID: 92, Class: "safe", Destination: 1, Left: time.Hour, Long: true})
+	r.do(Closing{In: time.Second})
+	if r.ended(92) != "refuse" {
+		t.Error("held while this life ends")
+	}
+}
+
+// A long message that is kept may be sent again within its class's rules.
+func TestKeptLongMessagesAreSentAgain(t *testing.T) {
+	r := longRig(t)
+	s := r.long("safe", time.Minute)
+	r.do(Answer{ID: s.ID, Endpoint: s.Endpoint, Outcome: Failed, Latency: time.Second})
+	if sends := r.pass(2 * time.Second); len(sends) != 1 || sends[0].CutAt > s.CutAt {
+		t.Errorf("sent again %+v", sends)
+	}
+	u := r.long("unsafe", time.Minute)
+	r.do(Answer{ID: u.ID, Endpoint: u.Endpoint, Outcome: Failed, Latency: time.Second})
+	if r.ended(u.ID) != "fail" {
+		t.Error("an unsafe one that may have run did not end")
+	}
+}
--- a/property_test.go
+++ b/property_test.go
@@ -25,6 +25,7 @@
 	ranAt    time.Duration
 	ranZone  string
 	endTold  bool
+	spent    bool // its body is gone
 }
 
 // sharedCall is what went to one endpoint in one round, up to what its kind allows: one slot until all are answered.
@@ -47,6 +48,7 @@
 	bannedF map[EndpointID]time.Duration // no sends from here on
 	waits   map[string]time.Duration
 	out     int
+	longOut int
 	round   int
 	calls   map[EndpointID]*sharedCall // the latest to each
 	broken  []string
@@ -80,7 +82,7 @@
 func (c *checker) event(now time.Duration, e Event, fresh map[string]time.Duration) {
 	switch e := e.(type) {
 	case Submit:
-		m := &checkedMessage{submit: e, deadline: now + e.Left, class: Class{Effect: Unsafe}}
+		m := &checkedMessage{submit: e, deadline: now + e.Left, class: Class{Effect: Unsafe}, spent: e.Spent}
 		for _, cl := range c.s.Classes {
 			if cl.Name == e.Class {
 				m.class = cl
@@ -99,7 +101,10 @@
 			return
 		}
 		m.pending = nil
-		if m.in.left--; m.in.left == 0 {
+		m.spent = m.spent || e.Spent
+		if m.submit.Long {
+			c.longOut--
+		} else if m.in.left--; m.in.left == 0 {
 			c.out--
 		}
 		if !neverRan(e.Outcome) && e.Outcome != OK && !m.mayRun {
@@ -163,8 +168,16 @@
 		case m.attempts >= c.s.MaxAttempts:
 			c.breach("attempt beyond the limit")
 		}
+		if m.spent {
+			c.breach("twice: send of a message whose body is gone")
+		}
 		call := c.calls[a.Endpoint]
-		if call == nil || call.round != c.round || call.size >= max(1, c.s.BatchByKind[en.Kind]) {
+		if m.submit.Long {
+			if c.longOut++; c.longOut > c.s.LongSlots {
+				c.breach("long call beyond its slots")
+			}
+			call = &sharedCall{round: c.round}
+		} else if call == nil || call.round != c.round || call.size >= max(1, c.s.BatchByKind[en.Kind]) {
 			if c.out >= c.s.Slots {
 				c.breach("call beyond the slots")
 			}
@@ -356,10 +369,15 @@
 			if r.IntN(50) == 0 {
 				name = "unheard-of"
 			}
-			in = append(in, Submit{
+			submit := Submit{
 				ID: next, Class: name, Tenant: fmt.Sprint("t", r.IntN(3)), Key: OrderKey(r.IntN(4)),
 				Left: left, Destination: DestinationID(r.IntN(5)),
-			})
+			}
+			if s.LongSlots > 0 && r.IntN(3) == 0 {
+				submit.Long, submit.Left = true, time.Duration(1+r.IntN(15))*time.Second
+				submit.Spent = r.IntN(30) == 0
+			}
+			in = append(in, submit)
 			next++
 		}
 		if next > 1 && r.IntN(300) == 0 {
@@ -427,6 +445,12 @@
 					took = time.Hour
 				}
 				ans := Answer{ID: a.ID, Attempt: m.attempts - 1, Endpoint: a.Endpoint, Outcome: o}
+				if m.submit.Long {
+					took *= 10
+					if ans.Spent = r.IntN(3) == 0; ans.Spent && r.IntN(2) == 0 {
+						ans.Outcome = Cancelled // its client went away
+					}
+				}
 				if o == Full && r.IntN(2) == 0 {
 					ans.Wait = time.Duration(r.IntN(1500)) * time.Millisecond
 				}
@@ -447,6 +471,9 @@
 				}
 			}
 		}
+		if tamper == nil && d.longUsed != c.longOut {
+			c.breach("long slots: %d booked, %d calls out", d.longUsed, c.longOut)
+		}
 		if tamper == nil && d.slotsUsed != c.out {
 			c.breach("slots: %d booked, %d calls out", d.slotsUsed, c.out)
 		}
@@ -467,6 +494,17 @@
 	}
 }
 
+// Long messages go beside the others, under the same rules and within slots of their own.
+func TestRandomStreamsWithLongMessages(t *testing.T) {
+	for seed := range uint64(120) {
+		s := varied(rand.New(rand.NewPCG(seed, 2)))
+		s.LongSlots = 1 + int(seed%4)
+		if broken := drive(t, s, seed, nil); len(broken) > 0 {
+			t.Errorf("seed %d: %d breaches, first: %s", seed, len(broken), broken[0])
+		}
+	}
+}
+
 // The checker must catch builds that break each rule on purpose.
 func TestCheckerCatchesBrokenBuilds(t *testing.T) {
 	type spoil = func(now time.Duration, in []Event, out []Action) []Action
