--- a/internal/transport/passage_test.go
+++ b/internal/transport/passage_test.go
@@ -78,15 +78,18 @@
 
 // A cancelled call has closed its connection, and ended what it started, by the time it returns.
 func TestCancelledPassageLeavesNothing(t *testing.T) {
-	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	before := goleak.IgnoreCurrent()
+	t.Cleanup(func() { goleak.VerifyNone(t, before) }) // behind all other clean-ups
+	ctx, cancel := context.WithCancel(t.Context())
 	closed := make(chan error, 1)
 	address := partner(t, func(conn net.Conn, req *http.Request) {
+		_, _ = io.CopyN(io.Discard, req.Body, 1)
+		cancel()
 		_, err := io.Copy(io.Discard, req.Body)
 		closed <- err
 	})
 	client, conn := ends(t)
-	ctx, cancel := context.WithCancel(t.Context())
-	go func() { _, _ = client.Write(make([]byte, 1<<20)); cancel() }()
+	go func() { _, _ = client.Write(make([]byte, 1<<20)) }()
 	providers := NewProviders(time.Minute, time.Second, 8)
 	r := providers.Pass(ctx, passage(conn, address, 2<<20))
 	if r.End != pump.Aborted || !r.Begun || r.Sent || r.Again {
