--- a/cmd/larkreach/main.go
+++ b/cmd/larkreach/main.go
@@ -31,6 +31,8 @@
 	drainFor    = 3300 * time.Millisecond // after the stop: calls may be out; the kill comes after 3.7 s
 	heapShare   = 0.6                     // of the memory limit: stacks, files and sockets take some too
 	spareFiles  = 32                      // descriptors beside connections, and of consumers that are turned away
+	// filesPerLong are the descriptors of a long call: its connection, and a pipe for each direction.
+	filesPerLong = 5
 )
 
 func main() {
@@ -104,7 +106,7 @@
 		return routing.LongLimits{}, nil, 0, nil
 	}
 	limits := routing.LongLimits{Most: b.AtOnce(), Slots: b.Slots, Longest: time.Duration(b.Longest)}
-	files := limits.Most + limits.Slots
+	files := limits.Most + filesPerLong*limits.Slots
 	if files > l.Sockets/2 {
 		return limits, nil, 0, fmt.Errorf("settings: bodies.total: %d long messages at once and %d calls take more than half of"+
 			" the %d descriptors", limits.Most, limits.Slots, l.Sockets)
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -27,6 +27,9 @@
 	longRate  = 24 << 20 // bytes a second
 )
 
+// lostFee is a fee charge whose partner goes down with it: it may have run, so nothing sends it again.
+const lostFee = "fee-1"
+
 const own = `[bodies]
 slots = 1
 `
@@ -38,13 +41,13 @@
 
 // show collects what happened and prints it.
 type show struct {
-	out     io.Writer
-	began   time.Time
-	check   *lab.Checker
-	mu      sync.Mutex
-	counts  map[string]int
-	noticed chan lab.Notice
-	tasks   sync.WaitGroup
+	out    io.Writer
+	began  time.Time
+	check  *lab.Checker
+	mu     sync.Mutex
+	counts map[string]int
+	lost   chan struct{} // closed once the failing partner has the fee that it will not answer
+	tasks  sync.WaitGroup
 }
 
 func (s *show) line(format string, args ...any) {
@@ -67,7 +70,7 @@
 		return fmt.Errorf("demo: %w", err)
 	}
 	defer os.RemoveAll(dir)
-	s := &show{out: out, began: time.Now(), check: lab.NewChecker(), counts: map[string]int{}}
+	s := &show{out: out, began: time.Now(), check: lab.NewChecker(), counts: map[string]int{}, lost: make(chan struct{})}
 	partners := s.partners()
 	var list []*lab.Provider
 	for _, p := range partners {
@@ -130,10 +133,20 @@
 		return c.AnswerWith(receipt, "chunked") == nil
 	}
 	limit := &window{most: perSecond}
+	failing := &lab.Provider{Name: "failing", Group: 3}
+	failing.Handle = func(c *lab.Call) bool {
+		if c.ID != lostFee {
+			return serve(0)(c)
+		}
+		_ = c.ReadAll(0)
+		close(s.lost)
+		_, _ = c.Conn.Read(make([]byte, 1)) // until it is down
+		return false
+	}
 	return []partner{
 		{steady, "answers at once, and takes long bodies"},
 		{&lab.Provider{Name: "slow", Group: 2, Handle: serve(slowness)}, fmt.Sprintf("answers after %v", slowness)},
-		{&lab.Provider{Name: "failing", Group: 3, Handle: serve(0)}, fmt.Sprintf("is down for %v", downFor)},
+		{failing, fmt.Sprintf("is down for %v", downFor)},
 		{&lab.Provider{Name: "limited", Group: 4, Handle: func(c *lab.Call) bool {
 			if wait := limit.take(); wait > 0 {
 				_ = c.ReadAll(0)
@@ -174,8 +187,15 @@
 	go func() {
 		defer s.tasks.Done()
 		pause(ctx, downFrom)
+		s.hand(f, lab.Handover{
+			ID: lostFee, Key: "k", Class: "unsafe", Destination: 3, Left: 5 * time.Second, Body: lab.Content{Seed: 3, Size: 100},
+		})
+		select {
+		case <-s.lost:
+		case <-ctx.Done():
+		}
 		failing.Down()
-		s.line("failing is down: its connections end, and new ones are refused")
+		s.line("failing is down with %s in its hands: its connections end, and new ones are refused", lostFee)
 		pause(ctx, downFor)
 		if err := failing.Up(); err != nil {
 			failed <- err
--- a/internal/protocol/body.go
+++ b/internal/protocol/body.go
@@ -68,6 +68,22 @@
 // Content is how many bytes of content were read.
 func (b *Body) Content() int64 { return b.content }
 
+// Left is how many bytes of a body of told length are still to come; 0 with other framings.
+func (b *Body) Left() int64 {
+	if b.framing != ByLength {
+		return 0
+	}
+	return b.left
+}
+
+// Skip tells that n bytes of a body of told length, Left at the most, were moved on unseen.
+func (b *Body) Skip(n int64) {
+	b.content += n
+	if b.left -= n; b.left == 0 {
+		b.phase = bodyWhole
+	}
+}
+
 // Trailers are the lines behind the last chunk, each with its line end.
 func (b *Body) Trailers() []byte { return b.trailers }
 
--- a/internal/pump/exchange.go
+++ b/internal/pump/exchange.go
@@ -26,6 +26,8 @@
 	Stop   Op = iota // nothing more in this direction
 	Read             // read from the source into Step.Space
 	Write            // write Step.Out to the sink
+	Pull             // take up to Step.Most bytes from the source unseen, and hold them
+	Push             // give Step.Most of the bytes held to the sink
 	Begin            // ask whether the first byte may go; an error, ErrForbidden or another, says no
 	Settle           // the provider has said that the message is delivered: book that before its client can hear of it
 )
@@ -33,11 +35,15 @@
 // ErrForbidden tells Did that a call must not begin. Any other error there says that there is no connection to begin on.
 var ErrForbidden = errors.New("pump: not to begin")
 
+// ErrStraight tells Did that bytes can't be moved unseen; nothing was. They are read and written from then on.
+var ErrStraight = errors.New("pump: bytes can't be moved unseen")
+
 // Step is one operation, to be given up when Until is over.
 type Step struct {
 	Op    Op
 	Space []byte
 	Out   [][]byte
+	Most  int
 	Until time.Duration
 }
 
@@ -83,6 +89,7 @@
 	CutAt   time.Duration // the message's time is up
 	Old     bool          // the client speaks HTTP/1.0
 	Last    bool          // the client's connection ends with the answer
+	Unseen  bool          // the driver can move bytes unseen
 }
 
 type downPhase int
@@ -173,6 +180,9 @@
 		}
 		return Step{Op: Read, Space: up.buf}
 	}
+	if st, ok := x.straight(up); ok {
+		return st
+	}
 	if out := up.Out(); len(out) > 0 && !x.begun {
 		return Step{Op: Begin}
 	} else if len(out) > 0 {
@@ -184,6 +194,30 @@
 	return Step{}
 }
 
+// straight is the step by which a direction moves bytes unseen, if it may.
+func (x *Exchange) straight(p *Pipe) (Step, bool) {
+	if p.kernel > 0 {
+		return Step{Op: Push, Most: p.kernel}, true
+	}
+	if most := p.Straight(); x.cfg.Unseen && most > 0 {
+		return Step{Op: Pull, Most: most}, true
+	}
+	return Step{}, false
+}
+
+// moved books an unseen step of a direction; false says that it was none.
+func (x *Exchange) moved(s Side, p *Pipe, n int) bool {
+	switch x.step[s] {
+	case Pull:
+		p.Pulled(n)
+	case Push:
+		p.Pushed(n)
+	default:
+		return false
+	}
+	return true
+}
+
 func (x *Exchange) downward(now time.Duration) Step {
 	switch {
 	case x.end != Running:
@@ -197,6 +231,9 @@
 	case x.phase == settling:
 		return Step{Op: Settle, Until: now}
 	}
+	if st, ok := x.straight(x.down); ok {
+		return st
+	}
 	if out := x.down.Out(); len(out) > 0 {
 		x.heard = true
 		return Step{Op: Write, Out: out}
@@ -221,6 +258,10 @@
 	if n > 0 {
 		x.movedAt = now
 	}
+	if errors.Is(err, ErrStraight) {
+		x.cfg.Unseen = false
+		return false
+	}
 	if s == Up && x.step[Up] != Stop {
 		x.didUp(n, err)
 	} else if s == Down {
@@ -248,12 +289,13 @@
 		default:
 			x.begun = true
 		}
-	case x.step[Up] == Write:
-		if x.cfg.Up.Wrote(n); lost { // an answer may be there all the same
-			x.upOff = true
+	case x.step[Up] == Write, x.step[Up] == Push:
+		if !x.moved(Up, x.cfg.Up, n) {
+			x.cfg.Up.Wrote(n)
 		}
+		x.upOff = x.upOff || lost // an answer may be there all the same
 	default:
-		if x.cfg.Up.Fill(n) != nil {
+		if !x.moved(Up, x.cfg.Up, n) && x.cfg.Up.Fill(n) != nil {
 			x.finish(ClientBad)
 		} else if lost && !x.cfg.Up.Whole() {
 			x.finish(ClientGone)
@@ -272,12 +314,15 @@
 		x.phase = passing
 	case x.phase == awaiting:
 		x.answer(n, err, now)
-	case x.step[Down] == Write:
-		if x.down.Wrote(n); lost {
+	case x.step[Down] == Write, x.step[Down] == Push:
+		if !x.moved(Down, x.down, n) {
+			x.down.Wrote(n)
+		}
+		if lost {
 			x.deliveredCut()
 		}
 	default:
-		bad := x.down.Fill(n) != nil
+		bad := !x.moved(Down, x.down, n) && x.down.Fill(n) != nil
 		if bad || lost && !x.down.End() {
 			x.deliveredCut()
 		}
@@ -369,7 +414,7 @@
 	if now < min(x.movedAt+x.cfg.Idle, x.cfg.CutAt) {
 		return
 	}
-	clients := x.step[Up] == Read // the client's turn
+	clients := x.step[Up] == Read || x.step[Up] == Pull // the client's turn
 	switch {
 	case x.phase != awaiting:
 		x.deliveredCut()
--- a/internal/pump/pipe.go
+++ b/internal/pump/pipe.go
@@ -30,6 +30,7 @@
 	queued  [mostPieces][]byte
 	first   int // pieces queued[first:last] are to be written
 	last    int
+	kernel  int  // bytes that the driver holds unseen, on their way
 	closed  bool // the body's end was queued
 	written bool // and written
 	frame   [20]byte
@@ -77,9 +78,30 @@
 	return true
 }
 
+// Straight is how many bytes may now be moved from source to sink unseen: the body's length is told and goes on as it is,
+// the window was used up and all of it written, and much is still to come. The driver holds them meanwhile, no more than a
+// window.
+func (p *Pipe) Straight() int {
+	if p.out != protocol.ByLength || p.first < p.last || p.next < p.end || p.kept && p.end < len(p.buf) ||
+		p.body.Left() < LeastWindow {
+		return 0
+	}
+	return int(min(p.body.Left(), int64(len(p.buf))))
+}
+
+// Pulled tells that the driver took n bytes from the source unseen.
+func (p *Pipe) Pulled(n int) {
+	p.kept = false
+	p.kernel += n
+	p.body.Skip(int64(n))
+}
+
+// Pushed tells that the driver gave n of them to the sink.
+func (p *Pipe) Pushed(n int) { p.kernel -= n }
+
 // Space is where the source's next bytes go; nil says that what came has to be written first, or that all has come.
 func (p *Pipe) Space() []byte {
-	if p.body.Whole() || p.first < p.last || p.next < p.end {
+	if p.body.Whole() || p.first < p.last || p.next < p.end || p.kernel > 0 {
 		return nil
 	}
 	if !p.kept || p.end == len(p.buf) { // all of it was written: the room is used again, and a rewind is over
@@ -103,7 +125,7 @@
 // Out gives what is to be written next, in order; nothing if more has to come first, or all was written. The pieces hold
 // until Wrote.
 func (p *Pipe) Out() [][]byte {
-	if p.first == p.last {
+	if p.first == p.last && p.kernel == 0 {
 		p.queue()
 	}
 	return p.queued[p.first:p.last]
--- a/internal/pump/pump_test.go
+++ b/internal/pump/pump_test.go
@@ -149,6 +149,7 @@
 	resets   bool // it ends its connection there
 	provider []byte
 	client   []byte
+	held     [2][]byte // what the driver holds unseen, by side
 	settled  bool
 	steps    int
 }
@@ -159,6 +160,20 @@
 func (w *world) step(s Side) bool {
 	st := w.x.Next(s, w.now)
 	n, err := 0, error(nil)
+	unseen := st.Op == Pull || st.Op == Push
+	switch st.Op { // the driver moves bytes through room of its own
+	case Pull:
+		if len(w.held[s]) > 0 || st.Most > LeastWindow {
+			w.t.Fatalf("%d bytes held, %d more to take", len(w.held[s]), st.Most)
+		}
+		st.Op, st.Space = Read, make([]byte, st.Most)
+	case Push:
+		if st.Most != len(w.held[s]) {
+			w.t.Fatalf("%d bytes held, %d to give", len(w.held[s]), st.Most)
+		}
+		st.Op, st.Out = Write, [][]byte{w.held[s]}
+	}
+	from := st.Op
 	switch {
 	case st.Op == Stop:
 		return false
@@ -211,6 +226,11 @@
 		n = 1 + w.rng.IntN(len(all))
 		w.client = append(w.client, all[:n]...)
 	}
+	if unseen && from == Read {
+		w.held[s] = append([]byte(nil), st.Space[:n]...)
+	} else if unseen {
+		w.held[s] = w.held[s][n:]
+	}
 	w.x.Did(s, n, err, w.now)
 	return true
 }
@@ -221,12 +241,16 @@
 	const head = "HTTP/1.1 200 OK\r\n"
 	rapid.Check(t, func(t *rapid.T) {
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 2))
-		content := make([]byte, rapid.SampledFrom([]int{1, 1000, LeastWindow, 2*LeastWindow + 9}).Draw(t, "size"))
-		back := bytes.Repeat([]byte("answer"), rapid.SampledFrom([]int{0, 1, 50000}).Draw(t, "answer"))
+		content := make([]byte, rapid.SampledFrom([]int{1, 1000, LeastWindow, 2*LeastWindow + 9, 4 * LeastWindow}).Draw(t, "size"))
+		for i := range content {
+			content[i] = byte(rng.Uint32())
+		}
+		back := bytes.Repeat([]byte("answer"), rapid.SampledFrom([]int{0, 1, 50000, 100000}).Draw(t, "answer"))
 		f := rapid.SampledFrom([]protocol.Framing{protocol.ByLength, protocol.Chunked}).Draw(t, "framing")
 		w := &world{t: t, rng: rng, toSend: wire(content, f, "", rng)}
 		whole := len(w.toSend)
-		if cut := rapid.IntRange(0, 3).Draw(t, "client"); cut > 0 { // it sends a part, then closes or goes silent
+		cut := rapid.IntRange(0, 3).Draw(t, "client")
+		if cut > 0 { // it sends a part, then closes or goes silent
 			w.toSend, w.sendsEnd = w.toSend[:rng.IntN(whole)], cut == 1
 			if cut == 3 {
 				w.toSend = append(w.toSend[:len(w.toSend):len(w.toSend)], "\x00\x00\n\n\n"...)
@@ -269,7 +293,7 @@
 		answers.Stream(protocol.StreamAnswered)
 		w.x = New(Config{
 			Up: up, Answers: answers, Window: func() []byte { return make([]byte, LeastWindow) }, Most: 1 << 30,
-			Idle: time.Second, CutAt: time.Minute,
+			Idle: time.Second, CutAt: time.Minute, Unseen: rng.IntN(2) == 0,
 		})
 		for w.x.End() == Running {
 			if w.steps++; w.steps > 1_000_000 {
@@ -287,10 +311,13 @@
 		if up.Done() != (len(w.provider) > 4 && wholeCall(w.provider[4:], f, len(content))) {
 			t.Fatalf("%v: done %v with %d bytes at the provider", end, up.Done(), len(w.provider))
 		}
+		if sent := w.provider[min(4, len(w.provider)):]; f == protocol.ByLength && cut != 3 && !bytes.HasPrefix(content, sent) {
+			t.Fatalf("%v: the provider has other bytes", end)
+		}
 		if (end == ClientGone || end == ClientStalled || end == ClientBad) && up.Done() {
 			t.Fatalf("%v, and the provider has a whole call", end)
 		}
-		if end == Delivered != w.settled {
+		if w.settled && end != Delivered || w.x.Heard() && !w.settled {
 			t.Fatalf("%v, settled %v", end, w.settled)
 		}
 		if end == Delivered && w.x.Whole() {
--- /dev/null
+++ b/internal/routing/long_test.go
@@ -0,0 +1,161 @@
+package routing
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	mb "mulleinbeam"
+	"mulleinbeam/internal/routing/wal"
+)
+
+// longMessage is one whose ends come in the channel.
+func longMessage(id string) (Message, <-chan Ending) {
+	ends := make(chan Ending, 4)
+	return Message{
+		ID: id, Class: "unsafe", Destination: 7, Left: time.Minute, Long: &Long{Source: id, Ended: func(e Ending) { ends <- e }},
+	}, ends
+}
+
+// A delivery is journalled as over before its consumer can hear of it, and told once.
+func TestLongDeliveryIsBookedFirst(t *testing.T) {
+	dir := t.TempDir()
+	r, s, journal, end := newRouterIn(t, dir)
+	m, ends := longMessage("m")
+	if v := r.Pass(m); v.Kind != Taken {
+		t.Fatalf("%+v", v)
+	}
+	call := <-s.calls
+	if call.Source != "m" || call.Body != nil || !call.Begin() || !call.Settle() {
+		t.Errorf("call %+v", call)
+	}
+	if live, _ := ask(r, func() int { return len(journal.Live()) }); live != 0 || len(ends) != 0 {
+		t.Errorf("%d live messages when the consumer hears, %d ends", live, len(ends))
+	}
+	s.results <- Result{Outcome: mb.OK, Spent: true}
+	if e := <-ends; e.Kind != Known || e.Told != nil {
+		t.Errorf("end %+v", e)
+	}
+	if v := r.Pass(m); v.Kind != Ended {
+		t.Errorf("handed in again: %+v", v)
+	}
+	end()
+	if len(ends) != 0 || len(s.notices) != 0 {
+		t.Errorf("%d further ends, %d notices", len(ends), len(s.notices))
+	}
+}
+
+// A consumer that was told gets no notice, one that was not gets one; either way the id of what may have run is known
+// beyond a restart, and nothing is sent again.
+func TestLongEndsAreToldOnce(t *testing.T) {
+	for _, told := range []bool{true, false} {
+		dir := t.TempDir()
+		r, s, _, end := newRouterIn(t, dir)
+		m, ends := longMessage("m")
+		r.Pass(m)
+		(<-s.calls).Begin()
+		s.results <- Result{Outcome: mb.Reset, Spent: true}
+		e := <-ends
+		if diff := cmp.Diff(Ending{Kind: Failed, MayHaveRun: true}, Ending{Kind: e.Kind, MayHaveRun: e.MayHaveRun, TimeUp: e.TimeUp}); diff != "" {
+			t.Errorf("told %v:\n%s", told, diff)
+		}
+		e.Told(told)
+		if !told {
+			n := <-s.notices
+			if n.ID != "m" || n.HandedBack {
+				t.Errorf("notice %+v", n)
+			}
+			n.Done()
+		}
+		end()
+		if len(s.notices) != 0 {
+			t.Errorf("told %v: %d further notices", told, len(s.notices))
+		}
+		r, s, _, _ = newRouterIn(t, dir)
+		if v := r.Pass(m); v.Kind != Ended || len(s.calls) != 0 || len(s.notices) != 0 {
+			t.Errorf("told %v, in the next life: %+v, %d calls, %d notices", told, v, len(s.calls), len(s.notices))
+		}
+	}
+}
+
+// What a killed life had under way is ended at the next start: given up if it may have run, handed back if it had not
+// begun; and only once.
+func TestLongMessagesOfAnEarlierLife(t *testing.T) {
+	dir := t.TempDir()
+	journal, err := wal.Open(dir, 3e6, func(string) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range []string{"begun", "held", "ended"} {
+		m := &wal.Message{Seq: journal.Next(), Deadline: time.Now().Add(time.Minute), Destination: 7, ID: id, Class: "unsafe", Long: true}
+		if err := journal.Accept(m); err != nil {
+			t.Fatal(err)
+		}
+		if id != "held" {
+			_ = journal.Started(m.Seq, time.Now(), "z")
+		}
+		if id == "ended" {
+			_ = journal.Outcome(m.Seq, true)
+			_ = journal.End(m.Seq, wal.Failed, 0)
+		}
+	}
+	journal.Close() // as a kill would
+	r, s, _, end := newRouterIn(t, dir)
+	got := map[string]bool{}
+	for range 3 {
+		n := <-s.notices
+		got[n.ID] = n.HandedBack
+		n.Done()
+	}
+	if diff := cmp.Diff(map[string]bool{"begun": false, "held": true, "ended": false}, got); diff != "" {
+		t.Error(diff)
+	}
+	if c := r.Counters(); c.LongCut != 2 || c.Sends != 0 || c.LongHeld != 0 {
+		t.Errorf("counters %+v", c)
+	}
+	end()
+	r, s, _, _ = newRouterIn(t, dir)
+	for _, id := range []string{"begun", "ended"} {
+		if m, _ := longMessage(id); r.Pass(m).Kind != Ended {
+			t.Errorf("%s was taken on again", id)
+		}
+	}
+	if len(s.notices) != 0 || len(s.calls) != 0 {
+		t.Errorf("%d notices, %d calls", len(s.notices), len(s.calls))
+	}
+}
+
+// Long messages have bounds of their own, and a stop ends them with their answer.
+func TestLongBoundsAndStop(t *testing.T) {
+	r, s, journal, end := newRouterIn(t, t.TempDir())
+	m, ends := longMessage("out")
+	r.Pass(m)
+	call := <-s.calls
+	call.Begin()
+	if other, _ := longMessage("beyond"); r.Pass(other).Kind != Refused {
+		t.Error("a second one was taken with one slot")
+	}
+	for i := range 9 {
+		if v := r.Take(message(string(rune('a' + i)))); v.Kind != Taken {
+			t.Errorf("short message %d: %+v", i, v)
+		}
+	}
+	told := make(chan Ending, 1)
+	go func() {
+		e := <-ends
+		e.Told(true)
+		told <- e
+	}()
+	end()
+	if e := <-told; e.Kind != Failed || !e.MayHaveRun || !e.TimeUp {
+		t.Errorf("end %+v", e)
+	}
+	if left := journal.Live(); slices.ContainsFunc(left, func(m *wal.Message) bool { return m.ID == "out" && m.Ending != wal.Closed }) {
+		t.Errorf("journal %+v", left)
+	}
+	if late, _ := longMessage("late"); r.Pass(late).Kind != Stopped {
+		t.Error("taken on after the end")
+	}
+}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log"
+	"sync"
 	"testing"
 	"time"
 
@@ -20,9 +21,14 @@
 	notices chan Notice
 }
 
-func (s script) Invoke(_ context.Context, c InvokerCall) Result {
+func (s script) Invoke(ctx context.Context, c InvokerCall) Result {
 	s.calls <- c
-	return <-s.results
+	select {
+	case r := <-s.results:
+		return r
+	case <-ctx.Done():
+		return Result{Outcome: mb.TimedOut, Spent: c.Source != nil}
+	}
 }
 
 func (s script) CloseIdle(string) {}
@@ -32,18 +38,26 @@
 // newRouter runs a router with one provider, "a" of destination 7, on a journal in a folder of its own.
 func newRouter(t *testing.T) (*Router, script, *wal.Log) {
 	t.Helper()
-	journal, err := wal.Open(t.TempDir(), 3e6, func(string) {})
+	r, s, journal, _ := newRouterIn(t, t.TempDir())
+	return r, s, journal
+}
+
+// newRouterIn does so in a folder that may hold a journal, and with long messages allowed; end ends it.
+func newRouterIn(t *testing.T, dir string) (r *Router, s script, journal *wal.Log, end func()) {
+	t.Helper()
+	journal, err := wal.Open(dir, 3e6, func(string) {})
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := script{make(chan InvokerCall, 8), make(chan Result, 8), make(chan Notice, 8)}
-	r, err := New(Config{
+	s = script{make(chan InvokerCall, 8), make(chan Result, 8), make(chan Notice, 8)}
+	r, err = New(Config{
 		Settings: mb.Settings{
-			Couriers: 1, Slots: 4, MostHeld: 10, MaxAttempts: 6, MaxRetryAfter: time.Second,
+			Couriers: 1, Slots: 4, LongSlots: 1, MostHeld: 10, MaxAttempts: 6, MaxRetryAfter: time.Second,
 			Classes: []mb.Class{{Name: "unsafe", Target: time.Second, GiveUp: time.Minute, Worth: 1, Effect: mb.Unsafe}},
 		},
 		Known: Directory{Whole: true, Saved: true, Providers: []Provider{{Name: "a", Address: "a:1", Group: 7, Weight: 50}}},
 		Log:   journal, Invoker: s, Notifier: s, Logger: log.New(io.Discard, "", 0),
+		Long: LongLimits{Most: 2, Slots: 1, Longest: time.Hour},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -52,8 +66,9 @@
 	ready, ended := make(chan struct{}), make(chan struct{})
 	go func() { defer close(ended); _ = r.Run(ctx, func() { close(ready) }) }()
 	<-ready
-	t.Cleanup(func() { cancel(); <-ended; journal.Close() })
-	return r, s, journal
+	end = sync.OnceFunc(func() { cancel(); <-ended; journal.Close() })
+	t.Cleanup(end)
+	return r, s, journal, end
 }
 
 func message(id string) Message {
--- a/internal/transport/passage.go
+++ b/internal/transport/passage.go
@@ -141,7 +141,7 @@
 	parser := p.longAnswers.Get().(*protocol.Parser)
 	defer func() { parser.Reset(); p.longAnswers.Put(parser) }()
 	d.x = pump.New(pump.Config{
-		Up: u.pipe, Answers: parser, Most: s.Most, Idle: s.Idle, CutAt: cutAt, Old: u.old, Last: u.last(),
+		Up: u.pipe, Answers: parser, Most: s.Most, Idle: s.Idle, CutAt: cutAt, Old: u.old, Last: u.last(), Unseen: true,
 		Window: func() []byte {
 			w := s.window()
 			u.taken = append(u.taken, w)
@@ -222,10 +222,16 @@
 	begin            func() error
 	settle           func() bool
 	passages         *Passages
+	unseen           [2]*unseen // what each direction holds of bytes that go on unseen
 }
 
 // run drives both directions until they stop. The way down begins once the call has.
 func (d *duplex) run() {
+	defer func() {
+		for _, u := range d.unseen {
+			u.close()
+		}
+	}()
 	var up, down gather
 	for !d.x.Begun() {
 		if !d.step(pump.Up, &up) {
@@ -270,9 +276,9 @@
 	st := d.x.Next(s, d.now())
 	var err error
 	switch st.Op {
-	case pump.Read:
+	case pump.Read, pump.Pull:
 		err = source.SetReadDeadline(d.base.Add(st.Until))
-	case pump.Write:
+	case pump.Write, pump.Push:
 		err = sink.SetWriteDeadline(d.base.Add(st.Until))
 	}
 	d.mu.Unlock()
@@ -286,6 +292,16 @@
 	case st.Op == pump.Write:
 		n, err = g.write(sink, st.Out)
 		d.passages.bytes[s].Add(int64(n))
+	case st.Op == pump.Pull:
+		if d.unseen[s] == nil {
+			d.unseen[s], err = newUnseen(source, sink, st.Most)
+		}
+		if err == nil {
+			n, err = d.unseen[s].pull(st.Most)
+		}
+	case st.Op == pump.Push:
+		n, err = d.unseen[s].push(st.Most)
+		d.passages.bytes[s].Add(int64(n))
 	case st.Op == pump.Begin:
 		err = d.begin()
 	case st.Op == pump.Settle:
