--- a/internal/pump/pipe.go
+++ b/internal/pump/pipe.go
@@ -101,7 +101,7 @@
 
 // Space is where the source's next bytes go; nil says that what came has to be written first, or that all has come.
 func (p *Pipe) Space() []byte {
-	if p.body.Whole() || p.first < p.last || p.next < p.end || p.kernel > 0 {
+	if p.body.Whole() || p.first < p.last || p.next < p.end {
 		return nil
 	}
 	if !p.kept || p.end == len(p.buf) { // all of it was written: the room is used again, and a rewind is over
--- a/internal/pump/pump_test.go
+++ b/internal/pump/pump_test.go
@@ -337,6 +337,13 @@
 		for w.step(Up) || w.step(Down) {
 			t.Fatal("a step behind the end")
 		}
+		if w.x.Again() { // what another attempt would send is all that has come
+			up.Rewind()
+			up.Start(nil, protocol.ToEnd)
+			if again := bytes.Join(up.Out(), nil); int64(len(again)) != up.Came() || cut != 3 && !bytes.HasPrefix(content, again) {
+				t.Fatalf("%v: %d bytes kept of %d", end, len(again), up.Came())
+			}
+		}
 	})
 }
 
@@ -396,3 +403,57 @@
 		})
 	}
 }
+
+// Bytes may go on unseen only when their length is told and goes on as it is, and the window was used up and written;
+// what went so can't be sent again.
+func TestBytesGoOnUnseen(t *testing.T) {
+	const size = 4 * LeastWindow
+	body, err := protocol.NewBody(protocol.ByLength, size, size)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := NewPipe(make([]byte, LeastWindow), body, nil, make([]byte, LeastWindow-1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Start(nil, protocol.ByLength)
+	if p.Straight() != 0 {
+		t.Error("before the window was written")
+	}
+	p.Out()
+	p.Wrote(LeastWindow - 1)
+	if p.Straight() != 0 || !p.Kept() {
+		t.Error("while the window has room, so that all of it may be sent again")
+	}
+	if err := p.Fill(copy(p.Space(), "x")); err != nil {
+		t.Fatal(err)
+	}
+	p.Out()
+	p.Wrote(1)
+	if n := p.Straight(); n != LeastWindow {
+		t.Fatalf("%d bytes at once", n)
+	}
+	p.Pulled(100)
+	if p.Kept() || p.Rewind() || p.Came() != LeastWindow+100 || len(p.Out()) != 0 {
+		t.Errorf("kept %v, %d came", p.Kept(), p.Came())
+	}
+	p.Pushed(100)
+	for p.Straight() > 0 {
+		n := p.Straight()
+		p.Pulled(n)
+		p.Pushed(n)
+	}
+	for space := p.Space(); space != nil; space = p.Space() { // the rest is too little for that
+		if err := p.Fill(min(len(space), int(body.Left()))); err != nil {
+			t.Fatal(err)
+		}
+		n := 0
+		for _, piece := range p.Out() {
+			n += len(piece)
+		}
+		p.Wrote(n)
+	}
+	if p.Out(); !p.Done() || p.Came() != size {
+		t.Errorf("done %v, %d came", p.Done(), p.Came())
+	}
+}
--- a/long_test.go
+++ b/long_test.go
@@ -77,6 +77,9 @@
 		r.do(Answer{ID: s.ID, Endpoint: s.Endpoint, Outcome: Cancelled, Latency: time.Second, Spent: true})
 		r.pass(500 * ms)
 	}
+	if ep := r.d.eps["a"]; len(ep.bad) > 0 || ep.run > 0 {
+		t.Errorf("what clients did is held against their endpoint: %v, run %d", ep.bad, ep.run)
+	}
 	if l.state != closed || len(l.window) != 0 {
 		t.Errorf("%s after clients went away, window %v", stateNames[l.state], l.window)
 	}
