--- a/cmd/larkreach/long_test.go
+++ b/cmd/larkreach/long_test.go
@@ -535,3 +535,93 @@
 		t.Errorf("answered %s", res.Status)
 	}
 }
+
+// A client that ends its sending behind a whole body still gets its answer; one that does so earlier has not handed it in.
+func TestHalfClosedClients(t *testing.T) {
+	l := newLong(t, 20*time.Second)
+	h := upload("whole", "unsafe", large)
+	h.HalfClose = true
+	back := lab.Content{Seed: 4, Size: large}
+	l.check.Carries(h.ID, back)
+	answer := l.hand(h)
+	call := l.next()
+	must(t, call.ReadAll(0))
+	call.end(call.AnswerWith(back, "chunked") == nil)
+	if a := <-answer; a.Status != 200 || !a.Whole || a.Digest != back.Digest() {
+		t.Errorf("answered %d, whole %v, %d bytes", a.Status, a.Whole, a.Bytes)
+	}
+	h = upload("part", "unsafe", large)
+	h.HalfClose, h.CutAfter = true, 1<<20
+	answer = l.hand(h)
+	call = l.next()
+	if call.ReadAll(0) == nil {
+		t.Error("a part passed for whole")
+	}
+	call.end(false)
+	if a := <-answer; a.Status != 0 {
+		t.Errorf("answered %d beside the notice", a.Status)
+	}
+	if n := <-l.notices; n.Message != "part" || n.Outcome != "given_up" {
+		t.Errorf("notice %+v", n)
+	}
+}
+
+// A client that goes silent is no fault of its provider's: the call ends by idleness, and the next one goes at once.
+func TestClientGoesSilent(t *testing.T) {
+	l := newLong(t, 500*time.Millisecond)
+	resume := make(chan struct{})
+	for i := range 4 { // as many failures of an endpoint would open its breaker
+		h := upload(fmt.Sprint("silent ", i), "unsafe", large)
+		h.StallAfter, h.Resume = 1<<20, resume
+		answer := l.hand(h)
+		call := l.next()
+		if call.ReadAll(0) == nil {
+			t.Error("a part passed for whole")
+		}
+		call.end(false)
+		l.wants(<-answer, 504, true)
+	}
+	close(resume)
+	must(t, l.f.AwaitCounter("long calls", "client_stalled", 4))
+	answer := l.hand(upload("next", "unsafe", large))
+	call := l.next()
+	must(t, call.ReadAll(0))
+	must(t, call.Answer(200, ""))
+	call.end(true)
+	l.wants(<-answer, 200, false)
+	if strings.Contains(l.f.Log(), "breaker") {
+		t.Error("a breaker moved")
+	}
+}
+
+// A 200 that is cut on its way is a delivery, and its client can tell that the answer is not whole. One that can't be read
+// behind its first line reaches the client as such.
+func TestAnswersThatAreCut(t *testing.T) {
+	l := newLong(t, 20*time.Second)
+	for name, raw := range map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n" + strings.Repeat("x", 4000000),
+		"chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3d0900\r\n" + strings.Repeat("x", 4000000) + "\r\n",
+		"no size": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3d0900\r\n" + strings.Repeat("x", 4000000) + "\r\nxyz\r\n",
+	} {
+		answer := l.hand(upload(name, "unsafe", large))
+		call := l.next()
+		must(t, call.ReadAll(0))
+		_ = call.Raw(raw)
+		call.end(false)
+		if a := <-answer; a.Status != 200 || a.Whole || a.Bytes > 4000000 {
+			t.Errorf("%s: answered %d, whole %v, %d bytes", name, a.Status, a.Whole, a.Bytes)
+		}
+	}
+	answer := l.hand(upload("noise", "unsafe", large))
+	call := l.next()
+	must(t, call.ReadAll(0))
+	must(t, call.Raw("HTTP/1.1 200 OK\r\n\x00\x01\r\n\r\n"))
+	if a := <-answer; a.Status != 200 || a.Header.Get("X-Answer-Spoilt") != "1" || !a.Whole || a.Bytes != 0 {
+		t.Errorf("noise: answered %d with %v", a.Status, a.Header)
+	}
+	call.end(false)
+	l.free()
+	if n := l.agent.Notices(); len(n) != 0 {
+		t.Errorf("notices of what was delivered: %+v", n)
+	}
+}
