--- /dev/null
+++ b/internal/routing/wal/fsys/faults.go
@@ -0,0 +1,130 @@
+package fsys
+
+import "sync"
+
+// Op names an operation that may be made to fail.
+type Op string
+
+// The operations.
+const (
+	OpCreate   Op = "create"
+	OpOpen     Op = "open"
+	OpRename   Op = "rename"
+	OpRemove   Op = "remove"
+	OpSyncDir  Op = "sync folder"
+	OpWrite    Op = "write"
+	OpRead     Op = "read"
+	OpSync     Op = "sync"
+	OpTruncate Op = "truncate"
+)
+
+// Faults is a folder whose operations fail when Fail says so.
+type Faults struct {
+	FS
+	mu   sync.Mutex
+	fail func(op Op, name string, n int) (int, error)
+}
+
+// Set sets which operations fail from now on. fail gets the file's name and, of a write, how many bytes; with its error it
+// says how many of them are written all the same. Nil ends the faults.
+func (f *Faults) Set(fail func(op Op, name string, n int) (written int, err error)) {
+	f.mu.Lock()
+	f.fail = fail
+	f.mu.Unlock()
+}
+
+func (f *Faults) check(op Op, name string, n int) (int, error) {
+	f.mu.Lock()
+	fail := f.fail
+	f.mu.Unlock()
+	if fail == nil {
+		return n, nil
+	}
+	return fail(op, name, n)
+}
+
+// Create makes a file.
+func (f *Faults) Create(name string) (File, error) {
+	if _, err := f.check(OpCreate, name, 0); err != nil {
+		return nil, err
+	}
+	file, err := f.FS.Create(name)
+	return faultyFile{file, f, name}, err
+}
+
+// Open opens a file that is there.
+func (f *Faults) Open(name string) (File, error) {
+	if _, err := f.check(OpOpen, name, 0); err != nil {
+		return nil, err
+	}
+	file, err := f.FS.Open(name)
+	return faultyFile{file, f, name}, err
+}
+
+// Rename moves a file.
+func (f *Faults) Rename(from, to string) error {
+	if _, err := f.check(OpRename, from, 0); err != nil {
+		return err
+	}
+	return f.FS.Rename(from, to)
+}
+
+// Remove removes a file.
+func (f *Faults) Remove(name string) error {
+	if _, err := f.check(OpRemove, name, 0); err != nil {
+		return err
+	}
+	return f.FS.Remove(name)
+}
+
+// Sync syncs the folder.
+func (f *Faults) Sync() error {
+	if _, err := f.check(OpSyncDir, "", 0); err != nil {
+		return err
+	}
+	return f.FS.Sync()
+}
+
+type faultyFile struct {
+	File
+	faults *Faults
+	name   string
+}
+
+// Write appends, or a part.
+func (f faultyFile) Write(p []byte) (int, error) {
+	n, err := f.faults.check(OpWrite, f.name, len(p))
+	if err == nil {
+		return f.File.Write(p)
+	}
+	if n > 0 {
+		if m, werr := f.File.Write(p[:min(n, len(p))]); werr != nil {
+			return m, werr
+		}
+	}
+	return n, err
+}
+
+// ReadAt reads at an offset.
+func (f faultyFile) ReadAt(p []byte, at int64) (int, error) {
+	if _, err := f.faults.check(OpRead, f.name, len(p)); err != nil {
+		return 0, err
+	}
+	return f.File.ReadAt(p, at)
+}
+
+// Sync makes the content durable.
+func (f faultyFile) Sync() error {
+	if _, err := f.faults.check(OpSync, f.name, 0); err != nil {
+		return err
+	}
+	return f.File.Sync()
+}
+
+// Truncate cuts the file.
+func (f faultyFile) Truncate(size int64) error {
+	if _, err := f.faults.check(OpTruncate, f.name, int(size)); err != nil {
+		return err
+	}
+	return f.File.Truncate(size)
+}
--- /dev/null
+++ b/internal/routing/wal/fsys/fsys.go
@@ -0,0 +1,106 @@
+// Package fsys is the little of a file system that the journal needs: one folder of files that are appended to. Dir is a
+// real one; Mem is one in memory that can be left as a crash would leave it, and Faults makes any of them fail.
+package fsys
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"syscall"
+)
+
+// File is an open file: appended to, and read at any place.
+type File interface {
+	io.Writer // at the end; a write that fails may have written a part, as its count says
+	io.ReaderAt
+	// Sync makes what was written outlast the machine. After it has failed nothing that was not synced before may be
+	// trusted: the kernel may have dropped it and reports that once.
+	Sync() error
+	Truncate(size int64) error
+	Size() (int64, error)
+	Close() error
+}
+
+// FS is a folder. Its names have no separators.
+type FS interface {
+	Create(name string) (File, error) // fs.ErrExist if it is there
+	Open(name string) (File, error)   // fs.ErrNotExist if it is not
+	Rename(from, to string) error     // replaces what has that name
+	Remove(name string) error
+	List() ([]string, error) // in order
+	// Sync makes the creates, renames and removes so far outlast the machine.
+	Sync() error
+}
+
+// Full says that an error tells of a full disk, quota or size limit: what is asked for may succeed once there is room.
+func Full(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) || errors.Is(err, syscall.EFBIG)
+}
+
+// Dir is a folder of the real file system.
+type Dir string
+
+type osFile struct{ *os.File }
+
+// Size is how many bytes the file has.
+func (f osFile) Size() (int64, error) {
+	info, err := f.Stat()
+	if err != nil {
+		return 0, err
+	}
+	return info.Size(), nil
+}
+
+func (d Dir) open(name string, flags int) (File, error) {
+	f, err := os.OpenFile(filepath.Join(string(d), name), os.O_RDWR|os.O_APPEND|flags, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	return osFile{f}, nil
+}
+
+// Create makes a file.
+func (d Dir) Create(name string) (File, error) { return d.open(name, os.O_CREATE|os.O_EXCL) }
+
+// Open opens a file that is there.
+func (d Dir) Open(name string) (File, error) { return d.open(name, 0) }
+
+// Rename moves a file.
+func (d Dir) Rename(from, to string) error {
+	return os.Rename(filepath.Join(string(d), from), filepath.Join(string(d), to))
+}
+
+// Remove removes a file.
+func (d Dir) Remove(name string) error { return os.Remove(filepath.Join(string(d), name)) }
+
+// List names the files.
+func (d Dir) List() ([]string, error) {
+	entries, err := os.ReadDir(string(d))
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, e := range entries {
+		if e.Type().IsRegular() {
+			names = append(names, e.Name())
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+// Sync syncs the folder.
+func (d Dir) Sync() error {
+	f, err := os.Open(string(d))
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := f.Sync(); err != nil {
+		return fmt.Errorf("sync of %s: %w", d, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/routing/wal/plan/plan.go
@@ -0,0 +1,152 @@
+// Package plan decides on the journal's space: what is admitted, when the active segment is sealed, which sealed segment
+// is compacted next and how fast. It does no input or output and has no clock: equal states give equal decisions.
+//
+// The rules it keeps, whatever comes:
+//
+//   - All files together, each in whole blocks, stay within the bound at every instant, a compaction's output included.
+//   - A compaction that was begun can always finish: room for its output is never given to anything else.
+//   - What ends a message that was admitted can always be written: room for that is set aside with its admission.
+package plan
+
+import (
+	"math"
+	"time"
+)
+
+// Config is what does not change while a store is open.
+type Config struct {
+	Bound   int64 // bytes of all files together
+	Segment int64 // size at which the active segment is sealed
+	Block   int64 // files are counted in whole ones of these
+	Head    int64 // bytes of a segment beside its records
+}
+
+// Segment is a sealed one.
+type Segment struct {
+	Number uint64
+	Size   int64         // of its file, in bytes
+	Live   int64         // of its records, those that are still needed
+	Age    time.Duration // since it was sealed
+}
+
+// State is the store as it is now.
+type State struct {
+	Active  int64     // bytes of the active segment's file
+	Sealed  []Segment // but for the one that is being compacted,
+	Victim  *Segment  // which is this
+	Written int64     // bytes of the file that its compaction has written so far, its head included; 0 is no file yet
+	Owed    int64     // bytes that the records which end all live messages may take, at the most
+	Rate    float64   // bytes a second that are appended, of late
+	Other   int64     // bytes of all other files, in whole blocks
+}
+
+const (
+	startShare = 0.25 // of the bound: with less free, compaction begins
+	startLeast = 4.0  // segments free, at the least, before it may wait
+	hurryLeast = 2.0  // segments free under which the cheapest is taken, whatever its age
+	gainLeast  = 16   // a compaction frees this part of a segment at the least, unless work is refused
+	slackTime  = 0.5  // of the time until the room is used up: within this a compaction is to be over
+	leastPace  = 1 << 20
+)
+
+// blocks is a file's size as it counts.
+func (c Config) blocks(n int64) int64 { return (n + c.Block - 1) / c.Block * c.Block }
+
+// Used is what all files take now.
+func (c Config) Used(s State) int64 {
+	used := c.blocks(s.Active) + s.Other + c.blocks(s.Written)
+	for _, g := range s.Sealed {
+		used += c.blocks(g.Size)
+	}
+	if s.Victim != nil {
+		used += c.blocks(s.Victim.Size)
+	}
+	return used
+}
+
+// largest is the largest output that a compaction may need: of the victim, or of any segment that may become one.
+func (c Config) largest(s State) int64 {
+	most := c.Segment // the active one is sealed some day, and may be all live then
+	most = max(most, s.Active)
+	for _, g := range s.Sealed {
+		most = max(most, g.Live)
+	}
+	if s.Victim != nil {
+		most = max(most, s.Victim.Live)
+	}
+	return c.blocks(most + c.Head)
+}
+
+// Free is what may still be appended for new messages: the bound less what is used, what ends messages, and what a
+// compaction needs. It may be negative.
+func (c Config) Free(s State) int64 {
+	free := c.Bound - c.Used(s) - s.Owed - c.largest(s) + c.blocks(s.Written)
+	return free - c.Block - c.Head // the active segment's last block, and the head of the next
+}
+
+// Admit says whether a message may be taken on: need bytes now, and owed bytes for what ends it.
+func (c Config) Admit(s State, need, owed int64) bool {
+	after := s
+	after.Active, after.Owed = s.Active+need, s.Owed+owed
+	return c.Free(after) >= 0
+}
+
+// Seal says whether a record of need bytes goes into a new segment.
+func (c Config) Seal(s State, need int64) bool { return s.Active > c.Head && s.Active+need > c.Segment }
+
+// gain is what compacting a segment frees.
+func (c Config) gain(g Segment) int64 {
+	if g.Live == 0 {
+		return c.blocks(g.Size)
+	}
+	return c.blocks(g.Size) - c.blocks(g.Live+c.Head)
+}
+
+// Pick chooses the segment to compact next; false is none for now. refused says that work is turned away for want of
+// room. A segment with nothing live in it costs nothing and is always taken. Else it waits until room gets short: the
+// longer it waits, the more has died by itself. Then what counts is the room freed for the bytes moved, and how long the
+// rest has stayed, since what is old will stay; when room is very short only the former.
+func (c Config) Pick(s State, refused bool) (Segment, bool) {
+	if s.Victim != nil {
+		return Segment{}, false
+	}
+	free := float64(c.Free(s))
+	begin := math.Max(startShare*float64(c.Bound), startLeast*float64(c.Segment))
+	least := c.Segment / gainLeast
+	if refused {
+		least = c.Block
+	}
+	var best Segment
+	found, score := false, 0.0
+	for _, g := range s.Sealed {
+		gain := c.gain(g)
+		if g.Live == 0 {
+			return g, true
+		}
+		if gain < max(1, least) || free > begin && !refused {
+			continue
+		}
+		value := float64(gain) / float64(g.Size+g.Live)
+		if !refused && free > hurryLeast*float64(c.Segment) {
+			value *= 1 + g.Age.Seconds()
+		}
+		if !found || value > score {
+			best, found, score = g, true, value
+		}
+	}
+	return best, found
+}
+
+// Pace is how many bytes a second the compaction under way should move; +Inf is as many as it can. It is to be over well
+// before what is free is used up at the present rate.
+func (c Config) Pace(s State, refused bool) float64 {
+	if s.Victim == nil {
+		return 0
+	}
+	free := float64(c.Free(s))
+	if refused || free <= 0 {
+		return math.Inf(1)
+	}
+	left := math.Max(0, float64(s.Victim.Live+c.Head-s.Written))
+	return math.Max(leastPace, left*s.Rate/(slackTime*free))
+}
--- /dev/null
+++ b/internal/routing/wal/segment/segment_test.go
@@ -0,0 +1,279 @@
+package segment
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"math/rand/v2"
+	"testing"
+	"testing/iotest"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+var head = Head{Store: 0x1234, Number: 7}
+
+// build writes a segment and tells where its records stand.
+func build(t testing.TB, h Head, payloads ...[]byte) (b []byte, at []int64) {
+	t.Helper()
+	b = AppendHead(nil, h)
+	for _, p := range payloads {
+		at = append(at, int64(len(b)))
+		var err error
+		if b, err = Append(b, h, int64(len(b)), p); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return b, at
+}
+
+// scan reads a segment whole.
+func scan(t testing.TB, r io.Reader) (got map[int64]string, s *Scanner) {
+	t.Helper()
+	s, err := NewScanner(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got = map[int64]string{}
+	for {
+		rec, ok := s.Next()
+		if !ok {
+			return got, s
+		}
+		got[rec.Offset] = string(rec.Payload)
+	}
+}
+
+// What was written is read, however the bytes come; one record can be read alone.
+func TestRecordsInAnyPieces(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	var payloads [][]byte
+	for _, n := range []int{1, 2, 300, 16 << 10, MostRecord, 1, MostRecord - 1, 77} {
+		p := make([]byte, n)
+		for i := range p {
+			p[i] = byte(rng.Uint32())
+		}
+		payloads = append(payloads, p)
+	}
+	b, at := build(t, head, payloads...)
+	want := map[int64]string{}
+	for i, p := range payloads {
+		want[at[i]] = string(p)
+		if got, err := Read(b[at[i]:], head, at[i]); err != nil || !bytes.Equal(got, p) {
+			t.Errorf("record %d alone: %v", i, err)
+		}
+	}
+	for name, r := range map[string]io.Reader{
+		"whole": bytes.NewReader(b), "halves": iotest.HalfReader(bytes.NewReader(b)), "data with its end": iotest.DataErrReader(bytes.NewReader(b)),
+	} {
+		got, s := scan(t, r)
+		if !cmp.Equal(want, got) || len(s.Findings()) != 0 || s.End() != int64(len(b)) || s.Head() != head || s.Err() != nil {
+			t.Errorf("%s: %d records, %v, end %d of %d", name, len(got), s.Findings(), s.End(), len(b))
+		}
+	}
+	for _, n := range []int{0, MostRecord + 1} {
+		if _, err := Append(nil, head, 0, make([]byte, n)); !errors.Is(err, ErrSize) {
+			t.Errorf("a payload of %d bytes: %v", n, err)
+		}
+	}
+	s, err := NewScanner(io.MultiReader(bytes.NewReader(b[:100]), iotest.ErrReader(errors.New("bad disk"))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, ok := s.Next(); ok; _, ok = s.Next() {
+	}
+	if s.Err() == nil {
+		t.Error("a read that failed was taken for the end")
+	}
+}
+
+// One bit flipped anywhere behind the head costs the record it stands in, and no other; in the head it costs the segment.
+func TestAnyBitFlipped(t *testing.T) {
+	b, at := build(t, head, []byte("first"), []byte("second record"), []byte("third"))
+	ends := append(at[1:len(at):len(at)], int64(len(b)))
+	for i := range b {
+		for bit := range 8 {
+			hurt := bytes.Clone(b)
+			hurt[i] ^= 1 << bit
+			if i < HeadSize {
+				if _, err := NewScanner(bytes.NewReader(hurt)); !errors.Is(err, ErrNotSegment) && !errors.Is(err, ErrVersion) {
+					t.Fatalf("byte %d: %v", i, err)
+				}
+				continue
+			}
+			got, s := scan(t, bytes.NewReader(hurt))
+			lost := 0
+			for r := range at {
+				if _, ok := got[at[r]]; !ok {
+					if lost++; int64(i) < at[r] || int64(i) >= ends[r] {
+						t.Fatalf("byte %d: the record at %d is lost", i, at[r])
+					}
+				}
+			}
+			if lost != 1 || len(s.Findings()) != 1 {
+				t.Fatalf("byte %d, bit %d: %d records lost, %v", i, bit, lost, s.Findings())
+			}
+		}
+	}
+}
+
+// Cut anywhere, a segment holds what stands whole before the cut, and the rest is a tail.
+func TestCutAnywhere(t *testing.T) {
+	b, at := build(t, head, []byte("first"), []byte("second record"))
+	for cut := HeadSize; cut <= len(b); cut++ {
+		got, s := scan(t, bytes.NewReader(b[:cut]))
+		whole := 0
+		end := int64(HeadSize)
+		for i, size := range []int64{Size(5), Size(13)} {
+			if at[i]+size <= int64(cut) {
+				whole, end = whole+1, at[i]+size
+			}
+		}
+		if len(got) != whole || s.End() != end || (int64(cut) > end) != (len(s.Findings()) == 1 && s.Findings()[0].Tail) {
+			t.Fatalf("cut at %d: %d records, end %d, %v", cut, len(got), s.End(), s.Findings())
+		}
+	}
+	for cut := range HeadSize {
+		if _, err := NewScanner(bytes.NewReader(b[:cut])); !errors.Is(err, ErrNotSegment) {
+			t.Errorf("a head of %d bytes: %v", cut, err)
+		}
+	}
+}
+
+// A record reads in no other place: not at another offset, in another segment or store, and not out of a payload.
+func TestRecordsReadOnlyInTheirPlace(t *testing.T) {
+	b, at := build(t, head, []byte("first"), []byte("second"))
+	for name, other := range map[string]Head{"segment": {head.Store, 8}, "store": {0x1235, head.Number}} {
+		moved := append(AppendHead(nil, other), b[HeadSize:]...)
+		if got, s := scan(t, bytes.NewReader(moved)); len(got) != 0 || len(s.Findings()) != 1 {
+			t.Errorf("in another %s: %v", name, got)
+		}
+	}
+	doubled := append(bytes.Clone(b), b[at[0]:]...)
+	if got, s := scan(t, bytes.NewReader(doubled)); len(got) != 2 || s.End() != int64(len(b)) {
+		t.Errorf("doubled: %v", got)
+	}
+	inner, _ := build(t, head, []byte("handed in"))
+	outer, _ := build(t, head, inner[HeadSize:])
+	outer[HeadSize] ^= 1 // the outer record's length: now the bytes of its payload are searched
+	if got, _ := scan(t, bytes.NewReader(outer)); len(got) != 0 {
+		t.Errorf("out of a payload: %v", got)
+	}
+}
+
+// A later version is refused by name, whatever follows.
+func TestLaterVersion(t *testing.T) {
+	b, _ := build(t, head, []byte("x"))
+	binary.LittleEndian.PutUint32(b[8:], Version+1)
+	if _, err := NewScanner(bytes.NewReader(b)); !errors.Is(err, ErrVersion) {
+		t.Errorf("%v", err)
+	}
+}
+
+// Any damage at all: what is read is some of what was written, in place, and every byte is read or told of.
+func TestAnyDamage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 3))
+		var payloads [][]byte
+		for range rng.IntN(20) {
+			payloads = append(payloads, bytes.Repeat([]byte{byte(rng.Uint32())}, 1+rng.IntN(3000)))
+		}
+		b := AppendHead(nil, head)
+		want := map[int64]string{}
+		for _, p := range payloads {
+			want[int64(len(b))] = string(p)
+			b, _ = Append(b, head, int64(len(b)), p)
+		}
+		for range rapid.IntRange(0, 6).Draw(t, "damages") {
+			at := HeadSize + rng.IntN(len(b)-HeadSize+1)
+			n := min(rng.IntN(500), len(b)-at)
+			switch rng.IntN(4) {
+			case 0: // noise
+				for i := range n {
+					b[at+i] = byte(rng.Uint32())
+				}
+			case 1: // zeros
+				clear(b[at : at+n])
+			case 2: // a part is gone
+				b = append(b[:at:at], b[at+n:]...)
+			case 3: // a part stands twice
+				b = append(b[:at+n:at+n], b[at:]...)
+			}
+		}
+		s, err := NewScanner(bytes.NewReader(b))
+		if err != nil {
+			t.Fatal(err)
+		}
+		covered := int64(HeadSize)
+		for {
+			rec, ok := s.Next()
+			if !ok {
+				break
+			}
+			if got, ok := want[rec.Offset]; !ok || got != string(rec.Payload) {
+				t.Fatalf("at %d stands what was not written there", rec.Offset)
+			}
+			covered += Size(len(rec.Payload))
+		}
+		for _, f := range s.Findings() {
+			covered += f.Bytes
+		}
+		if covered != int64(len(b)) {
+			t.Fatalf("%d bytes of %d accounted for", covered, len(b))
+		}
+	})
+}
+
+// FuzzScanner reads any bytes behind a good head: nothing panics, and all bytes are accounted for.
+func FuzzScanner(f *testing.F) {
+	good, _ := build(f, head, []byte("first"), []byte("second"))
+	f.Add(good[HeadSize:])
+	f.Add([]byte{1, 0, 0, 0, 0, 0, 0, 0})
+	f.Add(good[HeadSize+3:])
+	f.Fuzz(func(t *testing.T, tail []byte) {
+		b := append(AppendHead(nil, head), tail...)
+		got, s := scan(t, bytes.NewReader(b))
+		covered := int64(HeadSize)
+		for _, p := range got {
+			covered += Size(len(p))
+		}
+		for _, f := range s.Findings() {
+			covered += f.Bytes
+		}
+		if covered != int64(len(b)) {
+			t.Fatalf("%d bytes of %d accounted for", covered, len(b))
+		}
+	})
+}
+
+// BenchmarkScan gives the speed of a scan, of good records and of damage made to be slow: heads that would each ask for a
+// checksum of all that follows, were their seals not looked at first.
+func BenchmarkScan(b *testing.B) {
+	const size = 3 << 20
+	small := AppendHead(nil, head)
+	for len(small) < size {
+		small, _ = Append(small, head, int64(len(small)), bytes.Repeat([]byte("x"), 300))
+	}
+	crafted := AppendHead(nil, head)
+	for len(crafted) < size {
+		crafted = binary.LittleEndian.AppendUint32(crafted, 200<<10)
+		crafted = binary.LittleEndian.AppendUint32(crafted, crc32.Checksum(nil, castagnoli))
+	}
+	for name, data := range map[string][]byte{"records of 300 bytes": small, "crafted damage": crafted} {
+		b.Run(fmt.Sprint(name), func(b *testing.B) {
+			b.SetBytes(int64(len(data)))
+			for b.Loop() {
+				s, err := NewScanner(bytes.NewReader(data))
+				if err != nil {
+					b.Fatal(err)
+				}
+				for _, ok := s.Next(); ok; _, ok = s.Next() {
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/routing/wal/store/append.go
@@ -0,0 +1,302 @@
+package store
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"time"
+
+	"mulleinbeam/internal/routing/wal/plan"
+	"mulleinbeam/internal/routing/wal/segment"
+)
+
+// openActive begins a segment; s.mu is held, or nobody else is there yet.
+func (s *Store) openActive() error {
+	g := &file{number: s.next, name: segName(s.next)}
+	s.next++ // also where it fails: what it may leave has that name
+	f, err := s.o.FS.Create(g.name)
+	if err != nil {
+		return fmt.Errorf("store: segment: %w", err)
+	}
+	head := segment.AppendHead(nil, segment.Head{Store: s.head, Number: g.number})
+	if _, err = f.Write(head); err == nil {
+		err = s.syncDir() // else a power cut could take the file with all that is synced in it
+	}
+	if err != nil {
+		s.trash[g.name] = int64(len(head))
+		return errors.Join(fmt.Errorf("store: segment: %w", err), f.Close())
+	}
+	g.f, g.size = f, int64(len(head))
+	s.files[g.number], s.active = g, g
+	return nil
+}
+
+// state is what the planner is shown; s.mu is held.
+func (s *Store) state() plan.State {
+	st := plan.State{Active: s.active.size, Written: s.written, Owed: s.owed, Other: 2 * paper(len(s.files))}
+	for _, size := range s.trash {
+		st.Other += (size + block - 1) / block * block
+	}
+	st.Active += s.active.torn
+	for _, g := range s.files {
+		switch g {
+		case s.active:
+		case s.victim:
+			v := s.planned(g)
+			st.Victim = &v
+		default:
+			st.Sealed = append(st.Sealed, s.planned(g))
+		}
+	}
+	return st
+}
+
+// paper is what a manifest of so many segments takes, at the most.
+func paper(segments int) int64 { return int64((segments+4)*24+256+block-1) / block * block }
+
+// planned is a sealed segment in the planner's terms. Its age is told by the records since: they stand for time, so that
+// equal runs give equal choices.
+func (s *Store) planned(g *file) plan.Segment {
+	return plan.Segment{Number: g.number, Size: g.size, Live: g.live, Age: time.Duration(s.record-g.sealed) * time.Millisecond}
+}
+
+// write appends a record to the active segment; s.mu is held. No half of one is left before the next.
+func (s *Store) write(k kind, key uint64, payload []byte) (num uint64, size int64, err error) {
+	switch {
+	case s.closed:
+		return 0, 0, ErrClosed
+	case s.failed != nil:
+		return 0, 0, s.failed
+	}
+	num = s.record
+	b := append(s.buf[:0], byte(k))
+	b = binary.AppendUvarint(binary.AppendUvarint(b, num), key)
+	b = append(b, payload...)
+	s.buf = b[:0]
+	size = segment.Size(len(b))
+	if err := s.repair(); err != nil {
+		return 0, 0, err
+	}
+	if s.plan.Seal(plan.State{Active: s.active.size}, size) {
+		if err := s.seal(); err != nil {
+			return 0, 0, err
+		}
+	}
+	g := s.active
+	rec, err := segment.Append(make([]byte, 0, size), segment.Head{Store: s.head, Number: g.number}, g.size, b)
+	if err != nil {
+		return 0, 0, fmt.Errorf("store: %w", err)
+	}
+	n, err := g.f.Write(rec)
+	if err != nil {
+		g.torn = int64(n)
+		_ = s.repair() // else before the next write
+		return 0, 0, fmt.Errorf("store: write: %w", err)
+	}
+	g.size += size
+	s.record++
+	if s.o.Durability == Each {
+		if err := s.syncLocked(); err != nil {
+			return 0, 0, err
+		}
+	}
+	return num, size, nil
+}
+
+// repair takes away the part of a record that a failed write has left, or leaves it behind as the end of its segment, where
+// a scan passes over it.
+func (s *Store) repair() error {
+	g := s.active
+	if g.torn == 0 {
+		return nil
+	}
+	cut := g.f.Truncate(g.size)
+	if cut == nil {
+		g.torn = 0
+		return nil
+	}
+	g.size += g.torn
+	if err := s.seal(); err != nil {
+		g.size -= g.torn
+		return errors.Join(cut, err)
+	}
+	g.torn = 0
+	return nil
+}
+
+// seal ends the active segment and begins the next.
+func (s *Store) seal() error {
+	old := s.active
+	if s.o.Durability != Process {
+		if err := s.syncLocked(); err != nil {
+			return err
+		}
+	}
+	if err := s.openActive(); err != nil {
+		return err
+	}
+	old.sealed = s.record
+	return nil
+}
+
+// syncLocked makes all records durable. A sync that failed is final: nobody can tell what of the segment is on the disk.
+func (s *Store) syncLocked() error {
+	if err := s.active.f.Sync(); err != nil {
+		s.failed = fmt.Errorf("%w: sync of %s: %w", ErrFailed, s.active.name, err)
+		return s.failed
+	}
+	s.synced = s.record - 1
+	return nil
+}
+
+// Commit returns once all records up to a number outlast what the store's durability says. Those that wait at once are
+// served by one sync.
+func (s *Store) Commit(num uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.o.Durability == Process || s.synced >= num:
+		return nil
+	case s.failed != nil:
+		return s.failed
+	}
+	return s.syncLocked()
+}
+
+// Fits says whether a key with a first payload of so many bytes could be put, with owed bytes for all that will follow:
+// see Put.
+func (s *Store) Fits(payload int, owed int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fits(payload, owed)
+}
+
+func (s *Store) fits(payload int, owed int64) bool {
+	return s.plan.Admit(s.state(), segment.Size(payload+mostFixed), owed+EndSize)
+}
+
+// Put appends the first record of a key that lives from now on, and sets room aside for what follows it: its end, and owed
+// bytes for further records, each with segment.RecordHead and some 20 bytes of its own. ErrFull says that there is no room
+// for all of that now. It gives the record's number, for Commit.
+func (s *Store) Put(key uint64, payload []byte, owed int64) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := s.keys[key]; e != nil {
+		return 0, fmt.Errorf("store: key %d is there", key)
+	}
+	if !s.fits(len(payload), owed) {
+		s.refused = true
+		return 0, ErrFull
+	}
+	num, size, err := s.write(kindData, key, payload)
+	if err != nil {
+		return 0, err
+	}
+	e := &entry{owed: owed + EndSize}
+	s.owed += e.owed
+	s.addPart(e, s.active, size, true)
+	s.keys[key] = e
+	s.lastKey = max(s.lastKey, key)
+	return num, nil
+}
+
+// Add appends a further record of a living key, out of the room that is set aside for it; beyond that it needs room as a
+// new key does.
+func (s *Store) Add(key uint64, payload []byte) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.keys[key]
+	if e == nil || e.ended {
+		return 0, ErrUnknown
+	}
+	most := segment.Size(len(payload) + mostFixed)
+	if e.owed < most+EndSize && !s.plan.Admit(s.state(), most, 0) {
+		s.refused = true
+		return 0, ErrFull
+	}
+	num, size, err := s.write(kindData, key, payload)
+	if err != nil {
+		return 0, err
+	}
+	if e.owed >= size+EndSize {
+		e.owed -= size
+		s.owed -= size
+	}
+	s.addPart(e, s.active, size, true)
+	return num, nil
+}
+
+// End ends a key: none of its records is given at a later start. Room for it is always set aside.
+func (s *Store) End(key uint64) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.keys[key]
+	if e == nil || e.ended {
+		return 0, ErrUnknown
+	}
+	num, size, err := s.write(kindEnd, key, nil)
+	if err != nil {
+		return 0, err
+	}
+	s.owed -= e.owed
+	for _, p := range e.parts {
+		s.files[p.seg].live -= p.bytes
+	}
+	e.owed, e.ended, e.tomb, e.size = 0, true, s.active.number, size
+	if s.needed(e) {
+		s.active.live += size
+	} else {
+		delete(s.keys, key) // all of it stands in one segment, and goes with it
+	}
+	s.refused = false
+	return num, nil
+}
+
+// LastKey is the highest key ever put, as far as is known: keys above it were never used.
+func (s *Store) LastKey() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastKey
+}
+
+// Stats tells how the store stands.
+type Stats struct {
+	Keys, Segments, Compactions int
+	Used, Live, Free            int64 // bytes
+}
+
+// Stats tells how the store stands now.
+func (s *Store) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := Stats{Segments: len(s.files), Compactions: s.compacts}
+	for _, e := range s.keys {
+		if !e.ended {
+			st.Keys++
+		}
+	}
+	for _, g := range s.files {
+		st.Live += g.live
+	}
+	if !s.closed {
+		state := s.state()
+		st.Used, st.Free = s.plan.Used(state), s.plan.Free(state)
+	}
+	return st
+}
+
+// Close ends the store; with a durability beyond the process's end all of it is durable then.
+func (s *Store) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return nil
+	}
+	var err error
+	if s.o.Durability != Process && s.failed == nil {
+		err = s.syncLocked()
+	}
+	s.closed = true
+	s.closeFiles()
+	return err
+}
--- /dev/null
+++ b/internal/routing/wal/store/compact.go
@@ -0,0 +1,221 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+
+	"mulleinbeam/internal/routing/wal/segment"
+)
+
+const outStep = 128 << 10 // bytes that a compaction writes at once
+
+// moved is a record that a compaction has copied.
+type moved struct {
+	key   uint64
+	k     kind
+	bytes int64
+}
+
+// Compact compacts one segment, if there is one worth it: what is still needed of it goes to a new one, and the old one
+// goes. pace is asked before each further step of so many bytes and may wait; nil does not. One compaction at a time; the
+// store goes on beside it.
+func (s *Store) Compact(pace func(bytes int)) (did bool, err error) {
+	s.mu.Lock()
+	if s.closed || s.failed != nil || s.victim != nil || s.stuck {
+		defer s.mu.Unlock()
+		return false, s.failed
+	}
+	s.empty()
+	pick, ok := s.plan.Pick(s.state(), s.refused)
+	if !ok {
+		s.mu.Unlock()
+		return false, nil
+	}
+	victim := s.files[pick.Number]
+	s.victim = victim
+	out := &file{number: s.next, name: outName(s.next), sealed: victim.sealed}
+	s.next++
+	s.mu.Unlock()
+
+	list, keys, err := s.copyLive(victim, out, pace)
+	if err == nil {
+		err = s.publish(victim, out)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.victim, s.written = nil, 0
+	if err != nil {
+		if out.f != nil {
+			_ = out.f.Close()
+			s.trash[out.name] = out.size
+		}
+		if s.stuck = errors.Is(err, errUncertain); s.stuck {
+			s.o.Report(fmt.Sprintf("journal: no compaction until the next start: %v", err))
+		} else {
+			s.empty()
+		}
+		return false, fmt.Errorf("store: compaction of %s: %w", victim.name, err)
+	}
+	s.replace(victim, out, list, keys)
+	s.compacts++
+	s.refused = false
+	_ = victim.f.Close()
+	s.trash[victim.name] = victim.size
+	s.empty()
+	return true, nil
+}
+
+// empty removes files that count no more; what can't be removed now is tried again. s.mu is held.
+func (s *Store) empty() {
+	for name := range s.trash {
+		if err := s.o.FS.Remove(name); err == nil || errors.Is(err, fs.ErrNotExist) {
+			delete(s.trash, name)
+		}
+	}
+}
+
+// copyLive copies what is needed of a segment; keys are all that it has records of. A victim that nothing is needed of
+// gives no file.
+func (s *Store) copyLive(victim, out *file, pace func(int)) (list []moved, keys map[uint64]bool, err error) {
+	keys = map[uint64]bool{}
+	sc, err := segment.NewScanner(io.NewSectionReader(victim.f, 0, victim.size))
+	if err != nil {
+		if errors.Is(err, segment.ErrNotSegment) { // it was reported at the start
+			return nil, keys, nil
+		}
+		return nil, nil, err
+	}
+	head := segment.Head{Store: s.head, Number: out.number}
+	var buf []byte
+	flush := func() error {
+		if len(buf) == 0 {
+			return nil
+		}
+		if pace != nil {
+			pace(len(buf))
+		}
+		if out.f == nil {
+			if out.f, err = s.o.FS.Create(out.name); err != nil {
+				return err
+			}
+		}
+		s.mu.Lock() // room for it is kept free already; what counts is that it is seen as used
+		s.written = out.size
+		s.mu.Unlock()
+		n, err := out.f.Write(buf)
+		if err == nil && n < len(buf) {
+			err = io.ErrShortWrite
+		}
+		buf = buf[:0]
+		return err
+	}
+	for rec, ok := sc.Next(); ok; rec, ok = sc.Next() {
+		k, _, key, _, err := decode(rec.Payload)
+		if err != nil {
+			continue // it was reported at the start
+		}
+		keys[key] = true
+		if !s.wants(k, key, victim) {
+			continue
+		}
+		if out.size == 0 {
+			buf = segment.AppendHead(buf, head)
+			out.size = segment.HeadSize
+		}
+		before := len(buf)
+		if buf, err = segment.Append(buf, head, out.size, rec.Payload); err != nil {
+			return nil, nil, err
+		}
+		bytes := int64(len(buf) - before)
+		out.size += bytes
+		list = append(list, moved{key, k, bytes})
+		if len(buf) >= outStep {
+			if err := flush(); err != nil {
+				return nil, nil, err
+			}
+		}
+	}
+	if err := errors.Join(sc.Err(), flush()); err != nil {
+		return nil, nil, err
+	}
+	if out.f != nil && s.o.Durability != Process {
+		if err := out.f.Sync(); err != nil {
+			return nil, nil, err
+		}
+	}
+	return list, keys, nil
+}
+
+// wants says whether a record of a segment is still needed.
+func (s *Store) wants(k kind, key uint64, victim *file) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.keys[key]
+	switch {
+	case e == nil:
+		return false
+	case k == kindEnd:
+		return e.ended && e.tomb == victim.number && s.needed(e)
+	}
+	return !e.ended
+}
+
+// publish makes the manifest count the output in the victim's place. Until it returns, both are there; a start in between
+// finds one of the two. With errUncertain either may be found: both stay then, and no other compaction begins.
+func (s *Store) publish(victim, out *file) error {
+	s.mu.Lock()
+	delete(s.files, victim.number)
+	if out.f != nil {
+		s.files[out.number] = out
+	}
+	text := s.manifestBytes()
+	s.files[victim.number] = victim
+	delete(s.files, out.number)
+	s.mu.Unlock()
+	return s.replaceManifest(text)
+}
+
+// replace books an output in its victim's place; s.mu is held.
+func (s *Store) replace(victim, out *file, list []moved, keys map[uint64]bool) {
+	delete(s.files, victim.number)
+	if out.f != nil {
+		s.files[out.number] = out
+	}
+	for key := range keys { // what the victim had of them is gone
+		if e := s.keys[key]; e != nil {
+			for i, p := range e.parts {
+				if p.seg == victim.number {
+					e.parts = append(e.parts[:i], e.parts[i+1:]...)
+					break
+				}
+			}
+		}
+	}
+	for _, m := range list {
+		e := s.keys[m.key]
+		switch {
+		case e == nil:
+		case m.k == kindEnd:
+			if e.ended && e.tomb == victim.number {
+				e.tomb, e.size = out.number, m.bytes
+				out.live += m.bytes
+			}
+		default: // dead bytes, too, if the key has ended meanwhile: its end must outlive them
+			s.addPart(e, out, m.bytes, !e.ended)
+		}
+	}
+	for key := range keys {
+		e := s.keys[key]
+		if e == nil || !e.ended {
+			continue
+		}
+		if !s.needed(e) {
+			if g := s.files[e.tomb]; g != nil {
+				g.live -= e.size
+			}
+			delete(s.keys, key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/routing/wal/store/store.go
@@ -0,0 +1,482 @@
+// Package store keeps records of many keys in segments on disk: appended to an active one, and compacted out of sealed
+// ones beside that. A key lives from its first record to its end; what is asked of the store is that a living key's
+// records are all there at the next start, in their order, and that an ended key stays ended.
+//
+// Records are copied as they are by a compaction, with the number that orders them, so that a copy beside its original
+// changes nothing. A small manifest says which segments count; it is replaced whole, and a file goes only when the
+// manifest without it lasts.
+package store
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	"mulleinbeam/internal/routing/wal/fsys"
+	"mulleinbeam/internal/routing/wal/plan"
+	"mulleinbeam/internal/routing/wal/segment"
+)
+
+// Durability says what an append that has returned, or been committed, outlasts.
+type Durability int
+
+// The durabilities.
+const (
+	Process Durability = iota // the process's end: nothing is synced
+	Batch                     // the machine's end, once Commit has returned
+	Each                      // the machine's end, once the append has returned
+)
+
+// Options are what a store is opened with.
+type Options struct {
+	FS         fsys.FS
+	Bound      int64 // bytes of all files together, each in whole blocks
+	Segment    int64 // size at which a segment is sealed
+	Durability Durability
+	Other      int64        // bytes set aside for files that are not the store's
+	Seed       uint64       // draws the store's number, if there is none yet
+	Report     func(string) // told of what was damaged or cut off
+}
+
+// Record is one of a key.
+type Record struct {
+	Key     uint64
+	Number  uint64 // orders the records of a store
+	Payload []byte // holds until the visit returns
+}
+
+// The errors of a store. Those of the file system come wrapped.
+var (
+	ErrFull    = errors.New("store: no room")
+	ErrUnknown = errors.New("store: no such key")
+	ErrFailed  = errors.New("store: a write failed and could not be taken back")
+	ErrClosed  = errors.New("store: closed")
+)
+
+const (
+	block      = 512
+	manifest   = "manifest"
+	manifestIn = "manifest.new"
+	segPrefix  = "seg-"
+	outPrefix  = "out-"
+	mostFixed  = 1 + 2*binary.MaxVarintLen64 // in front of a payload: kind, number, key
+	mostPaper  = 64 << 10                    // of a manifest
+)
+
+type kind byte
+
+const (
+	kindData kind = iota + 1 // of a key that lives
+	kindEnd                  // ends its key
+)
+
+// EndSize is what ending a key may take, at the most.
+const EndSize = segment.RecordHead + mostFixed
+
+// part is what a segment has of a key.
+type part struct {
+	seg   uint64
+	bytes int64
+}
+
+// entry is what is known of a key: of a living one, and of an ended one as long as a segment has records that its end
+// must outlive.
+type entry struct {
+	parts []part
+	owed  int64  // set aside for its records to come
+	ended bool   //
+	tomb  uint64 // the segment that has the end
+	size  int64  // the end's bytes
+}
+
+// file is a segment that counts.
+type file struct {
+	number uint64
+	name   string
+	size   int64
+	live   int64  // bytes of its records that are still needed
+	torn   int64  // bytes behind size that a failed write has left
+	sealed uint64 // the record number at which it was sealed: its age, counted in records
+	f      fsys.File
+}
+
+// Store is an open one. Its methods may be called from any goroutine; an append never waits for a compaction's input or
+// output.
+type Store struct {
+	o    Options
+	plan plan.Config
+
+	mu       sync.Mutex
+	head     uint64 // the store's number
+	files    map[uint64]*file
+	active   *file
+	next     uint64 // number of the next segment
+	record   uint64 // and of the next record
+	keys     map[uint64]*entry
+	owed     int64
+	victim   *file
+	written  int64 // by the compaction under way
+	refused  bool
+	failed   error
+	closed   bool
+	buf      []byte
+	synced   uint64 // records up to this number are durable
+	synsize  int64  // of the active file
+	compacts int
+	stuck    bool             // no compaction until the next start
+	trash    map[string]int64 // files that count no more and could not be removed, with their size
+	lastKey  uint64
+}
+
+// Open reads a store, and gives each living key's records, in their order, to visit. A folder without one becomes one.
+func Open(o Options, visit func(Record)) (*Store, error) {
+	if o.Report == nil {
+		o.Report = func(string) {}
+	}
+	s := &Store{
+		o: o, files: map[uint64]*file{}, keys: map[uint64]*entry{}, trash: map[string]int64{}, next: 1, record: 1,
+		plan: plan.Config{Bound: o.Bound - o.Other, Segment: o.Segment, Block: block, Head: segment.HeadSize},
+	}
+	if o.Bound-o.Other < 4*(o.Segment+block) || o.Segment < segment.HeadSize+EndSize {
+		return nil, fmt.Errorf("store: %d bytes are too few for segments of %d", o.Bound-o.Other, o.Segment)
+	}
+	if err := s.load(visit); err != nil {
+		s.closeFiles()
+		return nil, err
+	}
+	return s, nil
+}
+
+func segName(n uint64) string { return fmt.Sprintf("%s%016x", segPrefix, n) }
+func outName(n uint64) string { return fmt.Sprintf("%s%016x", outPrefix, n) }
+
+// number reads a segment's file name.
+func number(name, prefix string) (uint64, bool) {
+	hex, ok := strings.CutPrefix(name, prefix)
+	if !ok || len(hex) != 16 {
+		return 0, false
+	}
+	n, err := strconv.ParseUint(hex, 16, 64)
+	return n, err == nil
+}
+
+// load finds the segments that count, removes the others, and reads them.
+func (s *Store) load(visit func(Record)) error {
+	names, err := s.o.FS.List()
+	if err != nil {
+		return fmt.Errorf("store: list: %w", err)
+	}
+	listed, err := s.readManifest(names)
+	if err != nil {
+		return err
+	}
+	for _, name := range names {
+		n, seg := number(name, segPrefix)
+		m, out := number(name, outPrefix)
+		switch {
+		case seg && (listed[name] || n >= s.next), out && listed[name]:
+			n = max(n, m)
+			s.files[n] = &file{number: n, name: name}
+		case seg, out, name == manifestIn: // replaced, or never finished
+			if err := s.o.FS.Remove(name); err != nil {
+				return fmt.Errorf("store: leftover: %w", err)
+			}
+		}
+	}
+	for name := range listed {
+		if !slices.Contains(names, name) {
+			s.o.Report(fmt.Sprintf("journal: segment %s is missing", name))
+		}
+	}
+	if err := s.read(visit); err != nil {
+		return err
+	}
+	for n := range s.files {
+		s.next = max(s.next, n+1)
+	}
+	if s.head == 0 {
+		s.head = rand.New(rand.NewPCG(s.o.Seed, 1)).Uint64() | 1
+	}
+	if err := s.replaceManifest(s.manifestBytes()); err != nil {
+		return err
+	}
+	return s.openActive()
+}
+
+// found is a record of a living key, where it stands.
+type found struct {
+	number uint64
+	seg    *file
+	offset int64
+	size   int64
+}
+
+// read goes through all segments twice: once for what there is, once more, segment by segment, only where payloads are
+// asked for.
+func (s *Store) read(visit func(Record)) error {
+	records := map[uint64][]found{} // by key
+	ends := map[uint64]found{}
+	order := s.ordered()
+	for _, g := range order {
+		var err error
+		if g.f, err = s.o.FS.Open(g.name); err != nil {
+			return fmt.Errorf("store: open: %w", err)
+		}
+		size, err := g.f.Size()
+		if err != nil {
+			return fmt.Errorf("store: size: %w", err)
+		}
+		sc, err := segment.NewScanner(io.NewSectionReader(g.f, 0, size))
+		switch {
+		case errors.Is(err, segment.ErrVersion):
+			return fmt.Errorf("store: %s: %w", g.name, err)
+		case err != nil:
+			if size > 0 { // of an empty one nothing was promised: the process ended between its create and its head
+				s.o.Report(fmt.Sprintf("journal: segment %s: %v; %d bytes passed over", g.name, err, size))
+			}
+			g.size = size
+			continue
+		case sc.Head().Number != g.number || s.head != 0 && sc.Head().Store != s.head:
+			s.o.Report(fmt.Sprintf("journal: segment %s belongs elsewhere; %d bytes passed over", g.name, size))
+			g.size = size
+			continue
+		}
+		s.head = sc.Head().Store
+		for rec, ok := sc.Next(); ok; rec, ok = sc.Next() {
+			k, num, key, _, err := decode(rec.Payload)
+			if err != nil {
+				s.o.Report(fmt.Sprintf("journal: segment %s: record at %d has no known form, passed over", g.name, rec.Offset))
+				continue
+			}
+			s.record, s.lastKey = max(s.record, num+1), max(s.lastKey, key)
+			f := found{num, g, rec.Offset, segment.Size(len(rec.Payload))}
+			if k == kindEnd {
+				if old, twice := ends[key]; !twice || old.number < num {
+					ends[key] = f
+				}
+			} else {
+				records[key] = append(records[key], f)
+			}
+		}
+		if err := sc.Err(); err != nil {
+			return fmt.Errorf("store: %s: %w", g.name, err)
+		}
+		for _, finding := range sc.Findings() {
+			s.o.Report(fmt.Sprintf("journal: segment %s: %v passed over", g.name, finding))
+		}
+		g.size = size
+	}
+	return s.index(records, ends, visit)
+}
+
+// index books what was found, and gives the living keys' records out.
+func (s *Store) index(records map[uint64][]found, ends map[uint64]found, visit func(Record)) error {
+	type item struct {
+		key uint64
+		found
+	}
+	var living []item
+	for key, list := range records {
+		end, ended := ends[key]
+		e := &entry{ended: ended, tomb: 0, size: end.size}
+		seen := map[uint64]bool{}
+		for _, f := range list {
+			s.addPart(e, f.seg, f.size, !ended)
+			if !ended && !seen[f.number] { // a copy beside its original
+				seen[f.number] = true
+				living = append(living, item{key, f})
+			}
+		}
+		if ended {
+			e.tomb = end.seg.number
+			if s.needed(e) {
+				end.seg.live += e.size
+			} else {
+				continue
+			}
+		}
+		s.keys[key] = e
+	}
+	slices.SortFunc(living, func(a, b item) int {
+		if a.number < b.number {
+			return -1
+		}
+		return 1
+	})
+	var buf []byte
+	for _, it := range living {
+		if int64(len(buf)) < it.size {
+			buf = make([]byte, it.size)
+		}
+		b := buf[:it.size]
+		if _, err := it.seg.f.ReadAt(b, it.offset); err != nil && !errors.Is(err, io.EOF) {
+			return fmt.Errorf("store: %s: %w", it.seg.name, err)
+		}
+		payload, err := segment.Read(b, segment.Head{Store: s.head, Number: it.seg.number}, it.offset)
+		if err != nil {
+			return fmt.Errorf("store: %w", err)
+		}
+		if _, _, _, data, err := decode(payload); err == nil && visit != nil {
+			visit(Record{Key: it.key, Number: it.number, Payload: data})
+		}
+	}
+	return nil
+}
+
+// ordered gives the segments by number.
+func (s *Store) ordered() []*file {
+	list := make([]*file, 0, len(s.files))
+	for _, g := range s.files {
+		list = append(list, g)
+	}
+	slices.SortFunc(list, func(a, b *file) int {
+		if a.number < b.number {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// addPart books bytes of a key in a segment.
+func (s *Store) addPart(e *entry, g *file, bytes int64, live bool) {
+	if live {
+		g.live += bytes
+	}
+	for i := range e.parts {
+		if e.parts[i].seg == g.number {
+			e.parts[i].bytes += bytes
+			return
+		}
+	}
+	e.parts = append(e.parts, part{g.number, bytes})
+}
+
+// needed says whether an ended key's end has to outlive a segment other than its own.
+func (s *Store) needed(e *entry) bool {
+	return slices.ContainsFunc(e.parts, func(p part) bool { return p.seg != e.tomb })
+}
+
+func decode(payload []byte) (k kind, num, key uint64, data []byte, err error) {
+	if len(payload) < 3 {
+		return 0, 0, 0, nil, errors.New("store: record too short")
+	}
+	k = kind(payload[0])
+	num, n := binary.Uvarint(payload[1:])
+	if n <= 0 || k != kindData && k != kindEnd {
+		return 0, 0, 0, nil, errors.New("store: record of no known form")
+	}
+	key, m := binary.Uvarint(payload[1+n:])
+	if m <= 0 {
+		return 0, 0, 0, nil, errors.New("store: record of no known form")
+	}
+	return k, num, key, payload[1+n+m:], nil
+}
+
+// ---- the manifest ----
+
+const manifestMark = "larkreach journal manifest 1\n"
+
+// readManifest reads which segments count. Without one all that are there do: the store is new, or its making was cut
+// short.
+func (s *Store) readManifest(names []string) (map[string]bool, error) {
+	if !slices.Contains(names, manifest) {
+		return map[string]bool{}, nil
+	}
+	f, err := s.o.FS.Open(manifest)
+	if err != nil {
+		return nil, fmt.Errorf("store: manifest: %w", err)
+	}
+	defer f.Close()
+	raw, err := io.ReadAll(io.NewSectionReader(f, 0, mostPaper))
+	if err != nil {
+		return nil, fmt.Errorf("store: manifest: %w", err)
+	}
+	sc, err := segment.NewScanner(strings.NewReader(string(raw)))
+	if err != nil {
+		return nil, fmt.Errorf("store: manifest: %w", err)
+	}
+	rec, ok := sc.Next()
+	text, marked := strings.CutPrefix(string(rec.Payload), manifestMark)
+	if !ok || !marked {
+		return nil, fmt.Errorf("store: manifest: %w", segment.ErrNotSegment)
+	}
+	s.head = sc.Head().Store
+	listed := map[string]bool{}
+	for i, line := range strings.Split(strings.TrimSuffix(text, "\n"), "\n") {
+		if i > 0 {
+			listed[line] = true
+			continue
+		}
+		if _, err := fmt.Sscanf(line, "next %d record %d key %d", &s.next, &s.record, &s.lastKey); err != nil {
+			return nil, fmt.Errorf("store: manifest: %w", err)
+		}
+	}
+	return listed, nil
+}
+
+// manifestBytes is a manifest that lists the present segments; s.mu is held, or nobody else is there yet.
+func (s *Store) manifestBytes() []byte {
+	text := []byte(manifestMark)
+	text = fmt.Appendf(text, "next %d record %d key %d\n", s.next, s.record, s.lastKey)
+	for _, g := range s.ordered() {
+		text = fmt.Appendf(text, "%s\n", g.name)
+	}
+	return text
+}
+
+// replaceManifest replaces the manifest whole.
+func (s *Store) replaceManifest(text []byte) error {
+	h := segment.Head{Store: s.head}
+	b := segment.AppendHead(nil, h)
+	b, err := segment.Append(b, h, int64(len(b)), text)
+	if err != nil {
+		return fmt.Errorf("store: manifest: %w", err)
+	}
+	if err := s.o.FS.Remove(manifestIn); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return fmt.Errorf("store: manifest: %w", err)
+	}
+	f, err := s.o.FS.Create(manifestIn)
+	if err != nil {
+		return fmt.Errorf("store: manifest: %w", err)
+	}
+	_, err = f.Write(b)
+	if err == nil && s.o.Durability != Process {
+		err = f.Sync()
+	}
+	if err = errors.Join(err, f.Close()); err == nil {
+		err = s.o.FS.Rename(manifestIn, manifest)
+	}
+	if err != nil {
+		return fmt.Errorf("store: manifest: %w", err)
+	}
+	if err := s.syncDir(); err != nil {
+		return fmt.Errorf("store: manifest: %w: %w", errUncertain, err)
+	}
+	return nil
+}
+
+// errUncertain says that either manifest may be found by the next start.
+var errUncertain = errors.New("replaced, and perhaps not for good")
+
+func (s *Store) syncDir() error {
+	if s.o.Durability == Process {
+		return nil
+	}
+	return s.o.FS.Sync()
+}
+
+func (s *Store) closeFiles() {
+	for _, g := range s.files {
+		if g.f != nil {
+			_ = g.f.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/routing/wal/store/store_test.go
@@ -0,0 +1,387 @@
+package store
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"syscall"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"mulleinbeam/internal/routing/wal/fsys"
+)
+
+const testSegment = 4 << 10
+
+func options(m fsys.FS, d Durability) Options {
+	return Options{FS: m, Bound: 64 << 10, Segment: testSegment, Durability: d, Seed: 7}
+}
+
+// open opens a store and gives what it holds: by key, its payloads in order.
+func open(t fataler, o Options) (*Store, map[uint64][]string) {
+	got := map[uint64][]string{}
+	last := uint64(0)
+	s, err := Open(o, func(r Record) {
+		if r.Number <= last {
+			t.Fatalf("record %d behind record %d", r.Number, last)
+		}
+		last = r.Number
+		got[r.Key] = append(got[r.Key], string(r.Payload))
+	})
+	if err != nil {
+		t.Fatalf("open: %v", err)
+	}
+	return s, got
+}
+
+type fataler interface{ Fatalf(string, ...any) }
+
+// used is what the files of a folder take, in whole blocks.
+func used(t fataler, m fsys.FS) int64 {
+	names, err := m.List()
+	if err != nil {
+		t.Fatalf("%v", err)
+	}
+	total := int64(0)
+	for _, name := range names {
+		f, err := m.Open(name)
+		if err != nil {
+			t.Fatalf("%v", err)
+		}
+		n, _ := f.Size()
+		_ = f.Close()
+		total += (n + block - 1) / block * block
+	}
+	return total
+}
+
+// model is what a plain map holds of the same operations.
+type model struct {
+	keys   map[uint64][]string // living
+	ended  map[uint64]bool
+	next   uint64
+	refuse int
+}
+
+func newModel() *model { return &model{keys: map[uint64][]string{}, ended: map[uint64]bool{}, next: 1} }
+
+func (m *model) living() []uint64 {
+	var keys []uint64
+	for k := range m.keys {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// operate does one random operation on both. before is told of what the operation will make of a key, once it is sure
+// which that is.
+func (m *model) operate(t fataler, s *Store, rng *rand.Rand, before func(key uint64, after []string, ends bool)) {
+	living := m.living()
+	body := string(bytes.Repeat([]byte{byte(rng.Uint32())}, 1+rng.IntN(900)))
+	switch r := rng.IntN(10); {
+	case r < 4 || len(living) == 0:
+		key := m.next
+		before(key, []string{body}, false)
+		_, err := s.Put(key, []byte(body), 100)
+		if errors.Is(err, ErrFull) {
+			m.refuse++
+			return
+		} else if err != nil {
+			t.Fatalf("put: %v", err)
+		}
+		m.next++
+		m.keys[key] = []string{body}
+	case r < 6:
+		key := living[rng.IntN(len(living))]
+		small := fmt.Sprint("n", rng.IntN(1000))
+		before(key, append(slices.Clone(m.keys[key]), small), false)
+		if _, err := s.Add(key, []byte(small)); errors.Is(err, ErrFull) {
+			m.refuse++
+		} else if err != nil {
+			t.Fatalf("add: %v", err)
+		} else {
+			m.keys[key] = append(m.keys[key], small)
+		}
+	case r < 9:
+		key := living[0]
+		if r == 8 {
+			key = living[rng.IntN(len(living))]
+		}
+		before(key, nil, true)
+		if _, err := s.End(key); err != nil {
+			t.Fatalf("end: %v", err)
+		}
+		delete(m.keys, key)
+		m.ended[key] = true
+	default:
+		before(0, nil, false)
+		if _, err := s.Compact(nil); err != nil {
+			t.Fatalf("compact: %v", err)
+		}
+	}
+}
+
+func nothing(uint64, []string, bool) {}
+
+// A store holds what a plain map does, over compactions and starts, within its bound, and takes work again once enough has
+// ended.
+func TestModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 4))
+		m := newModel()
+		mem := fsys.NewMem()
+		d := rapid.SampledFrom([]Durability{Process, Batch, Each}).Draw(t, "durability")
+		mem.Step = func() {
+			if n := used(t, mem); n > 64<<10 {
+				t.Fatalf("%d bytes on disk", n)
+			}
+		}
+		s, _ := open(t, options(mem, d))
+		for range rapid.IntRange(1, 400).Draw(t, "operations") {
+			if m.operate(t, s, rng, nothing); rng.IntN(60) == 0 {
+				if rng.IntN(2) == 0 {
+					_ = s.Close()
+				}
+				var got map[uint64][]string
+				if s, got = open(t, options(mem, d)); !cmp.Equal(m.keys, got) {
+					t.Fatalf("after a start:\n%s", cmp.Diff(m.keys, got))
+				}
+				if s.LastKey() < m.next-1 {
+					t.Fatalf("key %d would be used twice", s.LastKey()+1)
+				}
+			}
+		}
+		for _, key := range m.living() {
+			if _, err := s.End(key); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for {
+			if did, err := s.Compact(nil); err != nil {
+				t.Fatal(err)
+			} else if !did {
+				break
+			}
+		}
+		if _, err := s.Put(m.next, make([]byte, 900), 100); err != nil {
+			t.Fatalf("nothing lives, and %v: %+v", err, s.Stats())
+		}
+	})
+}
+
+// At every single operation of the disk, and for each way in which a crash may leave it, the store opens and every promise
+// holds: what was accepted and is durable is there, what ended stays ended, nothing is doubled or torn.
+func TestCrashAtEveryInstant(t *testing.T) {
+	states := 0
+	for _, d := range []Durability{Process, Batch, Each} {
+		for seed := range uint64(2) {
+			rng := rand.New(rand.NewPCG(seed, uint64(d)))
+			crashes := rand.New(rand.NewPCG(seed, 99))
+			mem := fsys.NewMem()
+			m := newModel()
+			durable, sure := map[uint64][]string{}, map[uint64]bool{} // as of the last commit, and ended then
+			var touched map[uint64]bool                               // keys changed since
+			touched = map[uint64]bool{}
+			var inKey uint64
+			var inAfter []string
+			var inEnds bool
+			check := func() {
+				for _, how := range []fsys.Loss{fsys.LoseProcess, fsys.LoseUnsynced, fsys.LoseTail, fsys.LoseAnyUnsync, fsys.LoseAnyUnsync} {
+					if d == Process && how != fsys.LoseProcess {
+						continue
+					}
+					states++
+					left := mem.Crash(how, crashes)
+					s, got := open(t, options(left, d))
+					for key, list := range got {
+						now, lives := m.keys[key]
+						ok := lives && slices.Equal(now, list) || key == inKey && !inEnds && slices.Equal(inAfter, list)
+						if how != fsys.LoseProcess && d == Batch && touched[key] { // any of its records since the commit may be gone
+							all := now
+							if key == inKey && !inEnds {
+								all = inAfter
+							}
+							ok = ok || subset(list, all) || m.ended[key] || inEnds && key == inKey
+							ok = ok && (len(durable[key]) == 0 || len(list) >= len(durable[key]) && slices.Equal(list[:len(durable[key])], durable[key]))
+						}
+						if !ok || sure[key] {
+							t.Fatalf("seed %d, durability %d, loss %d: key %d has %d records, %d wanted; ended %v",
+								seed, d, how, key, len(list), len(now), sure[key])
+						}
+					}
+					want := m.keys
+					if d == Batch && how != fsys.LoseProcess {
+						want = durable
+					}
+					for key := range want {
+						if _, there := got[key]; !there && !(key == inKey && inEnds) && !(d == Batch && m.ended[key]) {
+							t.Fatalf("seed %d, durability %d, loss %d: key %d is lost", seed, d, how, key)
+						}
+					}
+					if err := s.Close(); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+			s, _ := open(t, options(mem, d))
+			mem.Step = check
+			for i := range 120 {
+				m.operate(t, s, rng, func(key uint64, after []string, ends bool) {
+					inKey, inAfter, inEnds = key, after, ends
+					if key > 0 {
+						touched[key] = true
+					}
+				})
+				inKey, inAfter, inEnds = 0, nil, false
+				if d == Batch && i%7 == 0 {
+					if err := s.Commit(1 << 60); err != nil {
+						t.Fatal(err)
+					}
+					durable, touched = map[uint64][]string{}, map[uint64]bool{}
+					for key, list := range m.keys {
+						durable[key] = slices.Clone(list)
+					}
+					for key := range m.ended {
+						sure[key] = true
+					}
+				}
+				if d != Batch {
+					for key := range m.ended {
+						sure[key] = true
+					}
+				}
+			}
+			if st := s.Stats(); st.Compactions == 0 {
+				t.Errorf("seed %d, durability %d: no compaction in the workload", seed, d)
+			}
+		}
+	}
+	if t.Logf("%d states", states); states < 2000 {
+		t.Errorf("only %d states", states)
+	}
+}
+
+// subset says that a list is part of another, in its order.
+func subset(part, all []string) bool {
+	i := 0
+	for _, v := range all {
+		if i < len(part) && part[i] == v {
+			i++
+		}
+	}
+	return i == len(part)
+}
+
+// Whatever operation of the disk fails, whole or half-way, nothing that was accepted is lost, no half record stands before
+// the next, and once the disk takes writes again so does the store, without a start.
+func TestDiskFails(t *testing.T) {
+	for _, why := range []error{syscall.ENOSPC, syscall.EDQUOT, syscall.EIO} {
+		for seed := range uint64(40) {
+			rng := rand.New(rand.NewPCG(seed, 8))
+			mem := &fsys.Faults{FS: fsys.NewMem()}
+			s, _ := open(t, options(mem, Process))
+			m := newModel()
+			for range 250 {
+				mem.Set(nil)
+				if rng.IntN(3) == 0 {
+					after := rng.IntN(4)
+					mem.Set(func(op fsys.Op, _ string, n int) (int, error) {
+						if after--; after >= 0 || op == fsys.OpRead {
+							return n, nil
+						}
+						return rng.IntN(n + 1), why
+					})
+				}
+				key, body := m.next, string(bytes.Repeat([]byte("x"), 1+rng.IntN(700)))
+				living := m.living()
+				var err error
+				switch r := rng.IntN(10); {
+				case r < 5 || len(living) == 0:
+					if _, err = s.Put(key, []byte(body), 100); err == nil {
+						m.keys[key] = []string{body}
+						m.next++
+					}
+				case r < 8:
+					if _, err = s.End(living[0]); err == nil {
+						delete(m.keys, living[0])
+					}
+				default:
+					_, _ = s.Compact(nil)
+				}
+				if errors.Is(err, ErrFailed) {
+					t.Fatalf("%v, seed %d: %v", why, seed, err)
+				}
+			}
+			mem.Set(nil)
+			if living := m.living(); len(living) > 0 {
+				if _, err := s.End(living[0]); err != nil {
+					t.Fatalf("%v, seed %d, with the disk back: %v", why, seed, err)
+				}
+				delete(m.keys, living[0])
+			}
+			if _, got := open(t, options(mem, Process)); !cmp.Equal(m.keys, got) {
+				t.Fatalf("%v, seed %d:\n%s", why, seed, cmp.Diff(m.keys, got))
+			}
+		}
+	}
+}
+
+// After a sync that failed nothing more is promised, and what was durable before is there at the next start.
+func TestSyncFails(t *testing.T) {
+	mem := fsys.NewMem()
+	faults := &fsys.Faults{FS: mem}
+	s, _ := open(t, options(faults, Batch))
+	num, err := s.Put(1, []byte("kept"), 100)
+	if err != nil || s.Commit(num) != nil {
+		t.Fatal(err)
+	}
+	faults.Set(func(op fsys.Op, _ string, n int) (int, error) {
+		if op == fsys.OpSync {
+			return 0, syscall.EIO
+		}
+		return n, nil
+	})
+	if num, err = s.Put(2, []byte("lost"), 100); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Commit(num); !errors.Is(err, ErrFailed) || !errors.Is(err, syscall.EIO) {
+		t.Errorf("commit: %v", err)
+	}
+	faults.Set(nil)
+	if err := s.Commit(num); !errors.Is(err, ErrFailed) {
+		t.Errorf("a sync that failed was taken back: %v", err)
+	}
+	if _, err := s.Put(3, nil, 0); !errors.Is(err, ErrFailed) {
+		t.Errorf("put: %v", err)
+	}
+	left := mem.Crash(fsys.LoseUnsynced, rand.New(rand.NewPCG(1, 1)))
+	if _, got := open(t, options(left, Batch)); !cmp.Equal(map[uint64][]string{1: {"kept"}}, got) {
+		t.Errorf("%v", got)
+	}
+}
+
+// A segment of a later version ends the start with a clear error, and is left as it is.
+func TestLaterVersionIsLeftAlone(t *testing.T) {
+	mem := fsys.NewMem()
+	s, _ := open(t, options(mem, Process))
+	if _, err := s.Put(1, []byte("x"), 0); err != nil {
+		t.Fatal(err)
+	}
+	_ = s.Close()
+	f, err := mem.Create(segName(1 << 40))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = f.Write([]byte("larkseg\n\x02\x00\x00\x00something else"))
+	if _, err := Open(options(mem, Process), nil); err == nil || !bytes.Contains([]byte(err.Error()), []byte("later version")) {
+		t.Fatalf("%v", err)
+	}
+	if n, _ := f.Size(); n != 26 {
+		t.Errorf("%d bytes are left", n)
+	}
+}
