--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -24,7 +24,6 @@
 	HalfClose      bool   // ends its sending behind the body, or behind CutAfter bytes of it, and still reads
 	StallAfter     int64  // bytes of the body after which it sends nothing until Resume is closed; 0 is never
 	Resume         <-chan struct{}
-	Extra          string // further lines of the head, each with its line end
 }
 
 // Answer is what a client heard.
@@ -66,7 +65,7 @@
 func (h Handover) Head() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "POST /api HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: %s\r\nX-Priority-Class: %s\r\nX-Timeout-Ms: %d\r\n"+
-		"X-Addressing: dest=%d\r\n%s", h.ID, h.Class, h.Left.Milliseconds(), h.Destination, h.Extra)
+		"X-Addressing: dest=%d\r\n", h.ID, h.Class, h.Left.Milliseconds(), h.Destination)
 	if h.Key != "" {
 		fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", h.Key)
 	}
--- a/internal/lab/experiment/long.go
+++ b/internal/lab/experiment/long.go
@@ -35,12 +35,11 @@
 
 // bench is a forwarder with one provider, ready to be measured.
 type bench struct {
-	f        *lab.Forwarder
-	p        *lab.Provider
-	quick    *lab.Provider
-	agent    *lab.Agent
-	dir      string
-	received chan *lab.Call
+	f     *lab.Forwarder
+	p     *lab.Provider
+	quick *lab.Provider
+	agent *lab.Agent
+	dir   string
 }
 
 // start lays out one run. handle answers long calls.
--- a/internal/lab/provider.go
+++ b/internal/lab/provider.go
@@ -234,6 +234,3 @@
 	_, err := io.WriteString(c.Conn, text)
 	return err
 }
-
-// Refuse marks the call as one that told its sender that it never ran, where Raw said so.
-func (c *Call) Refuse() { c.refused = true }
--- a/internal/transport/passage.go
+++ b/internal/transport/passage.go
@@ -22,7 +22,6 @@
 	windows  sync.Pool
 	bytes    [2]atomic.Int64
 	counters [pump.Aborted + 1]atomic.Int64
-	answers  sync.Pool
 }
 
 // String is the counters' line for the log.
