--- a/internal/routing/wal/store/append.go
+++ b/internal/routing/wal/store/append.go
@@ -34,7 +34,7 @@
 
 // state is what the planner is shown; s.mu is held.
 func (s *Store) state() plan.State {
-	st := plan.State{Sealed: s.sealed[:0], Active: s.active.size, Written: s.written, Owed: s.owed, Other: 2 * paper(len(s.files))}
+	st := plan.State{Active: s.active.size, Written: s.written, Owed: s.owed, Other: 2 * paper(len(s.files))}
 	for _, size := range s.trash {
 		st.Other += (size + block - 1) / block * block
 	}
@@ -49,7 +49,6 @@
 			st.Sealed = append(st.Sealed, s.planned(g))
 		}
 	}
-	s.sealed = st.Sealed[:0]
 	return st
 }
 
@@ -74,9 +73,7 @@
 	b := append(s.buf[:0], byte(k))
 	b = binary.AppendUvarint(binary.AppendUvarint(b, num), key)
 	b = append(b, payload...)
-	if s.buf = b[:0]; cap(b) > mostKept {
-		s.buf = nil
-	}
+	s.buf = b[:0]
 	size = segment.Size(len(b))
 	if err := s.repair(); err != nil {
 		return 0, 0, err
@@ -87,13 +84,10 @@
 		}
 	}
 	g := s.active
-	rec, err := segment.Append(s.rec[:0], segment.Head{Store: s.head, Number: g.number}, g.size, b)
+	rec, err := segment.Append(make([]byte, 0, size), segment.Head{Store: s.head, Number: g.number}, g.size, b)
 	if err != nil {
 		return 0, 0, fmt.Errorf("store: %w", err)
 	}
-	if s.rec = rec[:0]; cap(rec) > mostKept {
-		s.rec = nil
-	}
 	n, err := g.f.Write(rec)
 	if err != nil {
 		g.torn = int64(n)
--- a/internal/routing/wal/store/store.go
+++ b/internal/routing/wal/store/store.go
@@ -68,7 +68,6 @@
 	outPrefix  = "out-"
 	mostFixed  = 1 + 2*binary.MaxVarintLen64 // in front of a payload: kind, number, key
 	mostPaper  = 64 << 10                    // of a manifest
-	mostKept   = 128 << 10                   // of a buffer that is kept for the next record
 )
 
 type kind byte
@@ -127,9 +126,9 @@
 	refused  bool
 	failed   error
 	closed   bool
-	buf, rec []byte         // for the next record
-	sealed   []plan.Segment // for the next state
-	synced   uint64         // records up to this number are durable
+	buf      []byte
+	synced   uint64 // records up to this number are durable
+	synsize  int64  // of the active file
 	compacts int
 	stuck    bool             // no compaction until the next start
 	trash    map[string]int64 // files that count no more and could not be removed, with their size
--- a/internal/routing/wal/wal.go
+++ b/internal/routing/wal/wal.go
@@ -85,9 +85,7 @@
 
 const (
 	slack        = 16 * 1024 // never used: the folder itself, and the files that are not the journal's
-	leastBound   = 256 << 10 // some messages of the largest size fit
-	usualSegment = 128 << 10 // at the least, but on very small disks,
-	fewest       = 6         // which are divided into so many
+	leastSegment = 128 << 10 // a message of the largest size fits
 	mostSegment  = 64 << 20
 	segments     = 24  // that the disk is divided into, so that one set aside for compaction is little of it
 	owedFor      = 640 // bytes set aside with a message: its end, and some attempts
@@ -121,8 +119,8 @@
 // Torn tails are passed over; any other damage is told to report as well, which may be called from another goroutine.
 func Open(dir string, most int64, report func(string)) (*Log, error) {
 	bound := most - slack
-	size := min(max(usualSegment, bound/segments), bound/fewest, mostSegment)
-	if bound < leastBound {
+	size := min(max(leastSegment, bound/segments), mostSegment)
+	if bound < 5*size {
 		return nil, fmt.Errorf("wal: %d bytes of disk are too few", most)
 	}
 	l := &Log{
