--- a/cmd/larkreach/cli.go
+++ b/cmd/larkreach/cli.go
@@ -33,6 +33,7 @@
 
 type serveCmd struct {
 	Config string `name:"config" env:"LARKREACH_CONFIG" placeholder:"FILE" help:"The program's own settings, as TOML; ROUTER_CONFIG stays the platform's. Without it everything in them is off."`
+	Log    string `name:"log" env:"LARKREACH_LOG" enum:"auto,json,text" default:"auto" help:"The log's form: json, text, or auto for text on a terminal and json elsewhere."`
 }
 
 // Run serves.
@@ -44,7 +45,7 @@
 			return err
 		}
 	}
-	return run(os.Getenv, io.err, own, io.hup)
+	return run(os.Getenv, io.err, c.Log, own, io.hup)
 }
 
 type checkCmd struct {
@@ -63,9 +64,22 @@
 	} else {
 		fmt.Fprintf(io.out, "%s: long bodies off\n", c.File)
 	}
+	if j := f.Journal; j != nil {
+		fmt.Fprintf(io.out, "%s: journal: durability %s, %s of disk, %s a segment, %d bytes of bodies in memory\n", c.File, j.Durability,
+			orElse(j.Disk, "what the platform tells"), orElse(j.Segment, "a share of that"), j.Memory)
+	} else {
+		fmt.Fprintf(io.out, "%s: journal as the platform tells: durability none, all bodies in memory\n", c.File)
+	}
 	return nil
 }
 
+func orElse(b settings.Bytes, none string) string {
+	if b == 0 {
+		return none
+	}
+	return fmt.Sprint(int64(b), " bytes")
+}
+
 type demoCmd struct{}
 
 // Run plays the demonstration with this very program.
--- a/cmd/larkreach/main.go
+++ b/cmd/larkreach/main.go
@@ -6,21 +6,24 @@
 	"context"
 	"fmt"
 	"io"
-	"log"
 	"math"
 	"net"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
+	"github.com/mattn/go-isatty"
+	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
 	"mulleinbeam/internal/protocol"
 	"mulleinbeam/internal/routing"
 	"mulleinbeam/internal/routing/wal"
+	"mulleinbeam/internal/routing/wal/store"
 	"mulleinbeam/internal/settings"
 	"mulleinbeam/internal/transport"
 )
@@ -33,11 +36,15 @@
 	spareFiles  = 32                      // descriptors beside connections, and of consumers that are turned away
 	// filesPerLong are the descriptors of a long call: its connection, and a pipe for each direction.
 	filesPerLong = 5
+	logTime      = "2006-01-02T15:04:05.000000Z07:00"
 )
 
 func main() {
+	zerolog.TimeFieldFormat = logTime
+	zerolog.TimestampFunc = func() time.Time { return time.Now().UTC() }
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP) // and never given back: from here to the exit it ends nothing
+	signal.Ignore(syscall.SIGXFSZ)     // a file that may not grow is an error of its write, and no reason to end
 	if err := command(os.Args[1:], streams{os.Stdout, os.Stderr, hup}); err != nil {
 		fmt.Fprintln(os.Stderr, "larkreach:", err)
 		os.Exit(1)
@@ -45,7 +52,7 @@
 }
 
 // run serves until a signal ends it.
-func run(getenv func(string) string, out io.Writer, own settings.File, hup <-chan os.Signal) error {
+func run(getenv func(string) string, out io.Writer, form string, own settings.File, hup <-chan os.Signal) error {
 	cfg, err := loadConfig(getenv)
 	if err != nil {
 		return err
@@ -57,9 +64,11 @@
 	cfg.Settings.LongSlots = long.Slots
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
 	debug.SetMemoryLimit(int64(heapShare * float64(cfg.Limits.MemoryMB<<20)))
-	logger := log.New(out, cfg.Name+" ", log.LstdFlags|log.Lmicroseconds|log.LUTC|log.Lmsgprefix)
+	logger := newLogger(out, form, cfg.Name)
 
-	journal, err := wal.Open(cfg.State, int64(cfg.Limits.DiskMB*1e6), func(line string) { logger.Print(line) })
+	journal, err := wal.Open(cfg.State, journalOptions(own.Journal, cfg.Limits), func(line string) {
+		logger.Warn().Str("part", "journal").Msg(strings.TrimPrefix(line, "journal: "))
+	})
 	if err != nil {
 		return err
 	}
@@ -85,20 +94,48 @@
 		return err
 	}
 	consumers := &transport.Consumers{Desk: desk{router}, Most: room * 3 / 4, Long: passages}
-	counters := func() string {
-		now := router.Counters()
-		text := fmt.Sprintf("%v\n%v\n%v", consumers.Counters(), providers.Counters(), now)
+	counters := func(when string) {
+		now, line := router.Counters(), logger.Info()
 		if passages != nil {
-			text = fmt.Sprintf("%v\n%v\n%v", now.Long(), passages, text)
+			line.Object("long calls", passages)
 		}
-		return text
+		line.Object("consumers", consumers.Counters()).Object("providers", providers.Counters())
+		now.Log(line, passages != nil)
+		line.Msg(when)
+	}
+	reload := reloader{
+		getenv: getenv, state: cfg.State, started: cfg.Told, address: discovery,
+		logger: logger.With().Str("part", "reload").Logger(),
 	}
-	reload := reloader{getenv: getenv, state: cfg.State, started: cfg.Told, address: discovery, logger: logger}
 	err = serve(cfg, logger, router, reporter, reload, hup, consumers, listener, counters)
-	logger.Printf("counters at exit\n%v", counters())
+	counters("counters at exit")
 	return err
 }
 
+// newLogger writes one JSON object a line, or, on a terminal or where it is asked for, lines for people.
+func newLogger(out io.Writer, form, name string) zerolog.Logger {
+	if f, ok := out.(*os.File); form == "text" || form == "auto" && ok && isatty.IsTerminal(f.Fd()) {
+		out = zerolog.ConsoleWriter{Out: out, TimeFormat: logTime, NoColor: form == "text"}
+	}
+	return zerolog.New(out).With().Str("name", name).Timestamp().Logger()
+}
+
+// journalOptions puts the settings of the journal in its terms. Without settings it is as the platform tells.
+func journalOptions(j *settings.Journal, l limits) wal.Options {
+	o := wal.Options{Most: int64(l.DiskMB * 1e6)}
+	if j != nil {
+		o.Durability, o.Segment, o.Memory = durabilities[j.Durability], int64(j.Segment), int64(j.Memory)
+		if j.Disk > 0 {
+			o.Most = int64(j.Disk)
+		}
+	}
+	return o
+}
+
+var durabilities = map[settings.Durability]store.Durability{
+	settings.DurabilityNone: store.Process, settings.DurabilityBatch: store.Batch, settings.DurabilityEach: store.Each,
+}
+
 // longBodies puts the settings of long bodies in the parts' terms, and tells how many descriptors they take. Without
 // settings there are none.
 func longBodies(b *settings.Bodies, l limits) (routing.LongLimits, *transport.Passages, int, error) {
@@ -118,8 +155,8 @@
 }
 
 // serve runs the parts and ends them in order: the consumers, the router, then what it still needs.
-func serve(cfg config, logger *log.Logger, router *routing.Router, reporter *transport.Reporter,
-	reload reloader, hup <-chan os.Signal, consumers *transport.Consumers, listener net.Listener, counters func() string) error {
+func serve(cfg config, logger zerolog.Logger, router *routing.Router, reporter *transport.Reporter,
+	reload reloader, hup <-chan os.Signal, consumers *transport.Consumers, listener net.Listener, counters func(string)) error {
 	stop, cancelStop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancelStop()
 	usr := make(chan os.Signal, 1)
@@ -148,7 +185,7 @@
 		for {
 			select {
 			case <-usr:
-				logger.Printf("counters\n%v", counters())
+				counters("counters")
 			case <-after.Done():
 				return nil
 			}
@@ -160,7 +197,7 @@
 		case <-after.Done():
 			return nil
 		}
-		logger.Printf("ready on %s", cfg.Listen)
+		logger.Info().Str("listen", cfg.Listen).Msg("ready")
 		defer context.AfterFunc(ctx, func() { time.AfterFunc(stillComing, stopServing) })()
 		return consumers.Serve(serving, ctx, listener)
 	})
--- a/cmd/larkreach/reload.go
+++ b/cmd/larkreach/reload.go
@@ -4,11 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"log"
 	"net"
 	"os"
 	"path/filepath"
 
+	"github.com/rs/zerolog"
+
 	"mulleinbeam/internal/transport"
 )
 
@@ -56,7 +57,7 @@
 	state   string
 	started string // discovery's address as the environment, or else the file, told it at the start
 	address *transport.Address
-	logger  *log.Logger
+	logger  zerolog.Logger
 }
 
 // run serves until ctx ends. A file that can't be used is logged, and what was told before stands.
@@ -68,7 +69,7 @@
 			return nil
 		}
 		if err := r.reload(); err != nil {
-			r.logger.Printf("reload: not used, the old configuration stands: %v", err)
+			r.logger.Warn().Err(err).Msg("not used, the old configuration stands")
 		}
 	}
 }
@@ -82,12 +83,12 @@
 		return fmt.Errorf("config: discovery %q is no address", cfg.Filed)
 	}
 	if err := remember(r.state, moved{From: r.started, To: cfg.Filed}); err != nil {
-		r.logger.Printf("reload: a restart may go back to %s: %v", r.started, err)
+		r.logger.Warn().Str("address", r.started).Err(err).Msg("a restart may go back")
 	}
 	if r.address.Move(cfg.Filed) {
-		r.logger.Printf("reload: discovery is at %s", cfg.Filed)
+		r.logger.Info().Str("address", cfg.Filed).Msg("discovery has moved")
 	} else {
-		r.logger.Printf("reload: discovery stays at %s", cfg.Filed)
+		r.logger.Info().Str("address", cfg.Filed).Msg("discovery stays")
 	}
 	return nil
 }
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -1,7 +1,7 @@
 package routing
 
 import (
-	"fmt"
+	"github.com/rs/zerolog"
 
 	mb "mulleinbeam"
 )
@@ -12,6 +12,7 @@
 	RefusedAtOnce, FailedAtOnce          int64 // by the module, before anything was owed
 	TurnedAway, NoRoom, Unreadable       int64 // over most-held; no room on disk; unknown class or destination
 	Withdrawn, Resumed                   int64 // consumer gone before its 202; of an earlier life
+	Lost                                 int64 // body not readable in the journal any more
 	Sends, HeldBack                      int64 // calls; those stopped before their first byte
 	Delivered, Errors, Full, TimedOut    int64 // outcomes
 	Unconnected, Reset, Cancelled, Moot  int64
@@ -30,19 +31,19 @@
 	*counts[o]++
 }
 
-// Long is the line of counters of long messages.
-func (c Counters) Long() string {
-	return fmt.Sprintf("long: taken=%d refused=%d answered=%d cut_by_restart=%d held=%d out=%d",
-		c.LongTaken, c.LongRefused, c.LongAnswered, c.LongCut, c.LongHeld, c.LongOut)
-}
-
-// String is the counters' lines for the log.
-func (c Counters) String() string {
-	return fmt.Sprintf("in: requests=%d taken=%d repeated=%d refused=%d failed=%d turned_away=%d no_room=%d unreadable=%d"+
-		" withdrawn=%d resumed=%d held=%d\n"+
-		"sent: calls=%d held_back=%d out=%d ok=%d error=%d full=%d timed_out=%d connect_failed=%d reset=%d cancelled=%d moot=%d\n"+
-		"notices: handed_back=%d given_up=%d acknowledged=%d",
-		c.HandedIn, c.Taken, c.Repeated, c.RefusedAtOnce, c.FailedAtOnce, c.TurnedAway, c.NoRoom, c.Unreadable,
-		c.Withdrawn, c.Resumed, c.Held, c.Sends, c.HeldBack, c.CallsOut, c.Delivered, c.Errors, c.Full, c.TimedOut,
-		c.Unconnected, c.Reset, c.Cancelled, c.Moot, c.HandedBack, c.GivenUp, c.Acknowledged)
+// Log adds the counters to a line of the log, long messages' only if there are any such. Each group is an object.
+func (c Counters) Log(e *zerolog.Event, long bool) {
+	if long {
+		e.Dict("long", zerolog.Dict().Int64("taken", c.LongTaken).Int64("refused", c.LongRefused).
+			Int64("answered", c.LongAnswered).Int64("cut_by_restart", c.LongCut).Int("held", c.LongHeld).Int("out", c.LongOut))
+	}
+	e.Dict("in", zerolog.Dict().Int64("requests", c.HandedIn).Int64("taken", c.Taken).Int64("repeated", c.Repeated).
+		Int64("refused", c.RefusedAtOnce).Int64("failed", c.FailedAtOnce).Int64("turned_away", c.TurnedAway).
+		Int64("no_room", c.NoRoom).Int64("unreadable", c.Unreadable).Int64("withdrawn", c.Withdrawn).
+		Int64("resumed", c.Resumed).Int64("lost", c.Lost).Int("held", c.Held))
+	e.Dict("sent", zerolog.Dict().Int64("calls", c.Sends).Int64("held_back", c.HeldBack).Int("out", c.CallsOut).
+		Int64("ok", c.Delivered).Int64("error", c.Errors).Int64("full", c.Full).Int64("timed_out", c.TimedOut).
+		Int64("connect_failed", c.Unconnected).Int64("reset", c.Reset).Int64("cancelled", c.Cancelled).Int64("moot", c.Moot))
+	e.Dict("notices", zerolog.Dict().Int64("handed_back", c.HandedBack).Int64("given_up", c.GivenUp).
+		Int64("acknowledged", c.Acknowledged))
 }
--- a/internal/routing/long.go
+++ b/internal/routing/long.go
@@ -12,7 +12,7 @@
 // can send it: a restart ends it.
 type Long struct {
 	Source any // what the invoker takes the body from, and passes the answer to
-	// Ended is told, once and in the router's goroutine, how the message ended; it must not wait.
+	// Ended is told, once, how the message ended, which outlasts what the journal's durability says; it must not wait.
 	Ended func(Ending)
 }
 
@@ -83,7 +83,7 @@
 			}
 		})
 	}
-	h.Long.Ended(end)
+	r.cfg.Log.AfterCommit(func(error) { h.Long.Ended(end) }) // told even if nobody knows: its consumer waits
 }
 
 // timeUp says that a message was given up because its time, or that of an attempt, was over.
@@ -119,7 +119,7 @@
 	if !delivered {
 		end = Ending{Kind: Failed, MayHaveRun: h.mayRun, TimeUp: true}
 	}
-	h.Long.Ended(end)
+	r.cfg.Log.AfterCommit(func(error) { h.Long.Ended(end) })
 }
 
 // endLongs ends the long messages that wait for a call when this life is over; those out have been cancelled.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"log"
 	"time"
 
+	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
 	mb "mulleinbeam"
@@ -28,7 +28,7 @@
 	Log      *wal.Log
 	Invoker  Invoker
 	Notifier Notifier
-	Logger   *log.Logger
+	Logger   zerolog.Logger
 	Drain    time.Duration // after the stop: how long calls may be out, at the most
 	Settle   time.Duration // after the stop: how long consumers may still come, and are answered
 	Long     LongLimits
@@ -38,6 +38,8 @@
 type held struct {
 	Message
 	seq      uint64
+	onDisk   bool   // its Body is read from the journal for each call
+	record   uint64 // of its accept; 0 is one of an earlier life
 	deadline time.Time
 	attempts int
 	call     *invocation // the attempt that is out
@@ -192,7 +194,7 @@
 // close begins the end of this life.
 func (r *Router) close(in time.Duration) {
 	r.stopAt = time.Now().Add(in)
-	r.cfg.Logger.Printf("stop: %d held, %d calls out, ending within %v", len(r.ids), r.calls, in)
+	r.cfg.Logger.Info().Int("held", len(r.ids)).Int("calls", r.calls).Stringer("within", in).Msg("stopping")
 	r.decide(mb.Closing{In: in})
 }
 
@@ -234,12 +236,22 @@
 	return none, false
 }
 
-// Take decides on a message that is handed in; when it says Taken, the message is journalled.
+// Take decides on a message that is handed in; when it says Taken, the message is journalled and outlasts what the
+// journal's durability says.
 func (r *Router) Take(m Message) Verdict {
 	v, ok := ask(r, func() Verdict { return r.take(m) })
 	if !ok {
 		return Verdict{Kind: Stopped, RetryAfter: lateRefusal}
 	}
+	if v.Kind != Taken && v.Kind != Known || v.record == 0 {
+		return v
+	}
+	if err := r.cfg.Log.Commit(v.record); err != nil { // no call of it has left, and none will
+		if v.Kind == Taken {
+			r.Withdraw(m.ID)
+		}
+		return Verdict{Kind: Refused, RetryAfter: lateRefusal}
+	}
 	return v
 }
 
@@ -304,7 +316,7 @@
 		case mb.SetTimer:
 			r.timers = append(r.timers, timer{time.Now().Add(a.After), a.Cookie})
 		case mb.Log:
-			r.cfg.Logger.Printf("module: %s", a.Text)
+			r.cfg.Logger.Info().Str("part", "module").Msg(a.Text)
 		case mb.Probe, mb.Subscribe: // probing is ruled out; the directory's watch always runs
 		}
 	}
@@ -393,6 +405,7 @@
 			Message: Message{ID: m.ID, Key: m.Key, Class: m.Class, Destination: m.Destination, Body: m.Body},
 			seq:     m.Seq, deadline: m.Deadline, attempts: m.Attempts,
 		}
+		h.onDisk = m.OnDisk
 		if h.cut, h.mayRun = m.Long, m.MayRun; m.Ending == wal.Closed {
 			r.past[h.ID] = false
 			r.pastLong = append(r.pastLong, pastID{h.ID, time.Now(), h.seq})
@@ -419,8 +432,8 @@
 		r.decide(submit)
 	}
 	if len(live) > 0 {
-		r.cfg.Logger.Printf("resume: %d messages and %d notices of an earlier life", r.counters.Resumed,
-			len(live)-int(r.counters.Resumed)-r.closed)
+		r.cfg.Logger.Info().Int64("messages", r.counters.Resumed).Int("notices", len(live)-int(r.counters.Resumed)-r.closed).
+			Msg("resumed what an earlier life had left")
 	}
 }
 
@@ -440,7 +453,10 @@
 	case m.Long != nil && (r.ids[m.ID] != nil || past): // its answer is owed to whoever handed it in first
 		r.counters.Repeated++
 		return Verdict{Kind: Ended}
-	case r.ids[m.ID] != nil || delivered: // handed in twice
+	case r.ids[m.ID] != nil: // handed in twice
+		r.counters.Repeated++
+		return Verdict{Kind: Known, record: r.ids[m.ID].record}
+	case delivered:
 		r.counters.Repeated++
 		return Verdict{Kind: Known}
 	case past:
@@ -496,7 +512,7 @@
 	}
 	if err := r.cfg.Log.Accept(entry); err != nil { // and no call of it may leave
 		r.counters.NoRoom++
-		r.cfg.Logger.Printf("journal: message not taken on: %v", err)
+		r.trouble().Err(err).Msg("message not taken on")
 		r.perform(actions) // its send finds no such message
 		r.decide(mb.Gone{ID: mb.MessageID(h.seq)})
 		return Verdict{Kind: Refused, RetryAfter: pushBack}
@@ -505,9 +521,10 @@
 	if r.bookLong(h, 1); h.Long != nil {
 		r.counters.LongTaken++
 	}
+	h.Body, h.onDisk, h.record = entry.Body, entry.OnDisk, r.cfg.Log.Last()
 	r.messages[h.seq], r.ids[h.ID] = h, h
 	r.perform(actions)
-	return Verdict{Kind: Taken}
+	return Verdict{Kind: Taken, record: h.record}
 }
 
 // forget drops the ids of messages that ended so long ago that nobody can mean them any more.
@@ -568,19 +585,27 @@
 		r.counters.GivenUp++
 	}
 	r.notices++
-	r.cfg.Notifier.Notify(Notice{ID: h.ID, HandedBack: back, RetryAfter: retry, Done: func() {
+	n := Notice{ID: h.ID, HandedBack: back, RetryAfter: retry, Done: func() {
 		r.post(func() {
 			r.notices--
 			r.counters.Acknowledged++
 			r.told(h)
 		})
-	}})
+	}}
+	r.cfg.Log.AfterCommit(func(err error) { // else a power cut could have it live again behind its notice
+		if err == nil {
+			r.cfg.Notifier.Notify(n)
+		}
+	})
 }
 
+// trouble begins a line of the log on the journal.
+func (r *Router) trouble() *zerolog.Event { return r.cfg.Logger.Warn().Str("part", "journal") }
+
 // journal logs a record that could not be written. The file that replaces this one will have it.
 func (r *Router) journal(err error) {
 	if err != nil {
-		r.cfg.Logger.Printf("journal: record not written: %v", err)
+		r.trouble().Err(err).Msg("record not written")
 	}
 }
 
@@ -592,7 +617,7 @@
 		return
 	}
 	if h.call != nil {
-		r.cfg.Logger.Printf("module: a second call of a message was not made")
+		r.cfg.Logger.Error().Str("part", "module").Msg("a second call of a message was not made")
 		return
 	}
 	now := time.Now()
@@ -612,26 +637,67 @@
 	call := InvokerCall{
 		ID: h.ID, Key: h.Key, Body: h.Body, Provider: c.provider, Address: r.providers[c.provider].Address, CutAt: c.cutAt,
 		Fresh: a.Fresh,
-		Begin: func() bool {
-			ok, served := ask(r, func() bool { return r.begin(c) })
-			return ok && served
-		},
+		Begin: func() bool { return r.letGo(c) },
 	}
 	if h.Long != nil {
 		call.Source = h.Long.Source
 		call.Settle = func() bool {
-			_, served := ask(r, func() bool { r.settle(c); return true })
+			record, served := ask(r, func() uint64 { r.settle(c); return r.cfg.Log.Last() })
+			if served {
+				_ = r.cfg.Log.Commit(record) // it is delivered, whatever this says
+			}
 			return served
 		}
 	}
 	r.tasks.Go(func() error {
+		defer cancel()
+		if h.onDisk {
+			body, err := r.cfg.Log.Body(h.seq)
+			if err != nil {
+				r.post(func() { r.unreadable(c, err) })
+				return nil
+			}
+			call.Body = body
+		}
 		result := r.cfg.Invoker.Invoke(ctx, call)
-		cancel()
 		r.post(func() { r.answered(c, result) })
 		return nil
 	})
 }
 
+// letGo lets a call's first byte go, in its own goroutine. Its start outlasts what the journal's durability says by then;
+// where that took its time, all is looked at again.
+func (r *Router) letGo(c *invocation) bool {
+	begin := func() (record uint64) {
+		if r.begin(c) {
+			record = r.cfg.Log.Last()
+		}
+		return record
+	}
+	record, _ := ask(r, begin)
+	if record == 0 || !r.cfg.Log.Waits() {
+		return record > 0
+	}
+	if r.cfg.Log.Commit(record) != nil {
+		return false
+	}
+	record, _ = ask(r, begin)
+	return record > 0
+}
+
+// unreadable ends a message whose body can't be read back for a call: no later one could be made either.
+func (r *Router) unreadable(c *invocation, err error) {
+	h := c.msg
+	r.counters.Lost++
+	r.trouble().Uint64("message", h.seq).Err(err).Msg("body not readable, message ended")
+	e := wal.Refused
+	if h.mayRun {
+		e = wal.Failed
+	}
+	r.finish(h, e, pushBack)
+	r.answered(c, Result{Outcome: mb.Moot})
+}
+
 // begin lets a call's first byte go. Between the module's send and this moment the list may have changed, the message
 // may have ended, or its time may be up.
 func (r *Router) begin(c *invocation) bool {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -24,6 +24,7 @@
 type Verdict struct {
 	Kind       VerdictKind
 	RetryAfter time.Duration // with Refused: when to come again
+	record     uint64        // with Taken and Known: what has to be durable before it is told
 }
 
 // VerdictKind says what became of a message that was handed in.
--- a/internal/routing/wal/inspect.go
+++ b/internal/routing/wal/inspect.go
@@ -17,7 +17,7 @@
 	s := state{live: map[uint64]*Message{}, next: 1}
 	spoilt := 0
 	in, err := store.Inspect(fsys.Dir(dir), func(r store.Record) {
-		if s.apply(r.Payload) != nil {
+		if s.apply(r.Payload) != nil { // bodies are not kept
 			spoilt++
 		}
 	})
@@ -39,8 +39,8 @@
 }
 
 // Compact compacts the journal in a folder that no program has open, until nothing is gained any more.
-func Compact(dir string, most int64, report func(string)) (segments int, err error) {
-	l, err := Open(dir, most, report)
+func Compact(dir string, o Options, report func(string)) (segments int, err error) {
+	l, err := Open(dir, o, report)
 	if err != nil {
 		return 0, err
 	}
@@ -56,11 +56,14 @@
 
 var endings = map[Ending]string{Unended: "held", Refused: "refused", Failed: "failed", Closed: "closed"}
 
+// BodySize is the bytes of a message's body, of one that Inspect gives.
+func (m *Message) BodySize() int { return m.size }
+
 // String is a message on one line, without its key and its body.
 func (m *Message) String() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%d id=%q class=%q destination=%d %s deadline=%s attempts=%d body=%d", m.Seq, m.ID, m.Class, m.Destination,
-		endings[m.Ending], m.Deadline.UTC().Format(time.RFC3339Nano), m.Attempts, len(m.Body))
+		endings[m.Ending], m.Deadline.UTC().Format(time.RFC3339Nano), m.Attempts, m.size)
 	if m.Long {
 		b.WriteString(" long")
 	}
--- a/internal/routing/wal/legacy.go
+++ b/internal/routing/wal/legacy.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/crc32"
 	"io/fs"
+	"math"
 	"os"
 	"path/filepath"
 )
@@ -50,7 +51,7 @@
 	} else if err != nil {
 		return fmt.Errorf("wal: old journal: %w", err)
 	}
-	old := &Log{state: state{live: map[uint64]*Message{}, next: 1}, report: l.report}
+	old := &Log{state: state{live: map[uint64]*Message{}, next: 1, memory: math.MaxInt64}, report: l.report}
 	old.replay(data)
 	live := old.Live()
 	for _, m := range live {
@@ -77,6 +78,12 @@
 				return fmt.Errorf("wal: old journal: %w", err)
 			}
 		}
+		if there {
+			l.kept -= int64(len(l.live[m.Seq].Body))
+		}
+		if m.Ending == Unended {
+			l.keep(m)
+		}
 		l.live[m.Seq] = m
 	}
 	l.next = max(l.next, old.next)
--- a/internal/routing/wal/plan/plan.go
+++ b/internal/routing/wal/plan/plan.go
@@ -38,6 +38,15 @@
 	Owed    int64     // bytes that the records which end all live messages may take, at the most
 	Rate    float64   // bytes a second that are appended, of late
 	Other   int64     // bytes of all other files, in whole blocks
+	// Totals are those of Sealed and Victim, for who asks often; nil has them worked out, and a state that carries them
+	// needs the segments themselves only for Pick and Pace.
+	Totals *Totals
+}
+
+// Totals are what admission needs of the sealed segments, the victim among them.
+type Totals struct {
+	Blocks  int64 // bytes of their files, in whole blocks
+	Largest int64 // bytes that are live in any of them, at the most
 }
 
 const (
@@ -52,29 +61,35 @@
 // blocks is a file's size as it counts.
 func (c Config) blocks(n int64) int64 { return (n + c.Block - 1) / c.Block * c.Block }
 
-// Used is what all files take now.
-func (c Config) Used(s State) int64 {
-	used := c.blocks(s.Active) + s.Other + c.blocks(s.Written)
+// Add books a segment of so many bytes, of which so many are live at the most.
+func (t *Totals) Add(c Config, size, live int64) {
+	t.Blocks += c.blocks(size)
+	t.Largest = max(t.Largest, live)
+}
+
+func (c Config) totals(s State) Totals {
+	if s.Totals != nil {
+		return *s.Totals
+	}
+	var t Totals
 	for _, g := range s.Sealed {
-		used += c.blocks(g.Size)
+		t.Add(c, g.Size, g.Live)
 	}
 	if s.Victim != nil {
-		used += c.blocks(s.Victim.Size)
+		t.Add(c, s.Victim.Size, s.Victim.Live)
 	}
-	return used
+	return t
+}
+
+// Used is what all files take now.
+func (c Config) Used(s State) int64 {
+	return c.blocks(s.Active) + s.Other + c.blocks(s.Written) + c.totals(s).Blocks
 }
 
 // largest is the largest output that a compaction may need: of the victim, or of any segment that may become one.
 func (c Config) largest(s State) int64 {
-	most := c.Segment // the active one is sealed some day, and may be all live then
-	most = max(most, s.Active)
-	for _, g := range s.Sealed {
-		most = max(most, g.Live)
-	}
-	if s.Victim != nil {
-		most = max(most, s.Victim.Live)
-	}
-	return c.blocks(most + c.Head)
+	// The active one is sealed some day, and may be all live then.
+	return c.blocks(max(c.Segment, s.Active, c.totals(s).Largest) + c.Head)
 }
 
 // Free is what may still be appended for new messages: the bound less what is used, what ends messages, and what a
--- a/internal/routing/wal/record.go
+++ b/internal/routing/wal/record.go
@@ -119,8 +119,14 @@
 	case kindAccepted, kindAcceptedLong:
 		m = &Message{Seq: seq, Deadline: r.time(), Destination: r.varint(), Long: k == kindAcceptedLong}
 		m.ID, m.Key, m.Class = string(r.text()), string(r.text()), string(r.text())
-		m.Body = append([]byte(nil), r.text()...)
+		body := r.text()
+		if m.size = len(body); s.kept+int64(len(body)) <= s.memory {
+			m.Body = append([]byte(nil), body...)
+		} else {
+			m.OnDisk = true
+		}
 		if !r.bad && seq < math.MaxUint64 {
+			s.kept += int64(len(m.Body))
 			s.live[seq] = m
 		}
 	case kindProgress:
--- a/internal/routing/wal/store/compact.go
+++ b/internal/routing/wal/store/compact.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"io/fs"
+	"maps"
+	"slices"
 
 	"mulleinbeam/internal/routing/wal/segment"
 )
@@ -16,18 +18,20 @@
 	key   uint64
 	k     kind
 	bytes int64
+	from  int64 // its offset in the victim,
+	to    int64 // and in the output
 }
 
 // Compact compacts one segment, if there is one worth it: what is still needed of it goes to a new one, and the old one
 // goes. pace is asked before each further step of so many bytes and may wait; nil does not. One compaction at a time; the
 // store goes on beside it.
 func (s *Store) Compact(pace func(bytes int)) (did bool, err error) {
+	s.empty()
 	s.mu.Lock()
 	if s.closed || s.failed != nil || s.victim != nil || s.stuck {
 		defer s.mu.Unlock()
 		return false, s.failed
 	}
-	s.empty()
 	pick, ok := s.plan.Pick(s.state(), s.refused)
 	if !ok {
 		s.mu.Unlock()
@@ -43,35 +47,50 @@
 	if err == nil {
 		err = s.publish(victim, out)
 	}
+	stuck := s.conclude(victim, out, list, keys, err)
+	if stuck {
+		s.o.Report(fmt.Sprintf("journal: no compaction until the next start: %v", err))
+	} else {
+		s.empty()
+	}
+	if err != nil {
+		return false, fmt.Errorf("store: compaction of %s: %w", victim.name, err)
+	}
+	return true, nil
+}
+
+// conclude books a compaction's end.
+func (s *Store) conclude(victim, out *file, list []moved, keys map[uint64]bool, err error) (stuck bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.victim, s.written = nil, 0
+	s.victim, s.written, s.totals = nil, 0, nil
 	if err != nil {
 		if out.f != nil {
-			_ = out.f.Close()
+			s.forsake(out)
 			s.trash[out.name] = out.size
 		}
-		if s.stuck = errors.Is(err, errUncertain); s.stuck {
-			s.o.Report(fmt.Sprintf("journal: no compaction until the next start: %v", err))
-		} else {
-			s.empty()
-		}
-		return false, fmt.Errorf("store: compaction of %s: %w", victim.name, err)
+		s.stuck = errors.Is(err, errUncertain)
+		return s.stuck
 	}
 	s.replace(victim, out, list, keys)
 	s.compacts++
 	s.refused = false
-	_ = victim.f.Close()
+	s.forsake(victim)
 	s.trash[victim.name] = victim.size
-	s.empty()
-	return true, nil
+	return false
 }
 
-// empty removes files that count no more; what can't be removed now is tried again. s.mu is held.
+// empty removes files that count no more; what can't be removed now is tried again. Large files take their time, and
+// appends go on meanwhile.
 func (s *Store) empty() {
-	for name := range s.trash {
+	s.mu.Lock()
+	names := slices.Sorted(maps.Keys(s.trash))
+	s.mu.Unlock()
+	for _, name := range names {
 		if err := s.o.FS.Remove(name); err == nil || errors.Is(err, fs.ErrNotExist) {
+			s.mu.Lock()
 			delete(s.trash, name)
+			s.mu.Unlock()
 		}
 	}
 }
@@ -129,8 +148,8 @@
 			return nil, nil, err
 		}
 		bytes := int64(len(buf) - before)
+		list = append(list, moved{key, k, bytes, rec.Offset, out.size})
 		out.size += bytes
-		list = append(list, moved{key, k, bytes})
 		if len(buf) >= outStep {
 			if err := flush(); err != nil {
 				return nil, nil, err
@@ -145,6 +164,7 @@
 			return nil, nil, err
 		}
 	}
+	out.synced = out.size
 	return list, keys, nil
 }
 
@@ -166,6 +186,10 @@
 // finds one of the two. With errUncertain either may be found: both stay then, and no other compaction begins.
 func (s *Store) publish(victim, out *file) error {
 	s.mu.Lock()
+	if s.failed != nil { // what was not durable was taken back, perhaps under the copying's hands
+		defer s.mu.Unlock()
+		return s.failed
+	}
 	delete(s.files, victim.number)
 	if out.f != nil {
 		s.files[out.number] = out
@@ -204,6 +228,9 @@
 			}
 		default: // dead bytes, too, if the key has ended meanwhile: its end must outlive them
 			s.addPart(e, out, m.bytes, !e.ended)
+			if e.first.seg == victim.number && e.first.offset == m.from {
+				e.first = place{out.number, m.to, m.bytes}
+			}
 		}
 	}
 	for key := range keys {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,9 +16,30 @@
 
 // File is all that can be set. What a file does not name is off.
 type File struct {
-	Bodies *Bodies `toml:"bodies"`
+	Bodies  *Bodies  `toml:"bodies"`
+	Journal *Journal `toml:"journal"`
 }
 
+// Journal says how what was taken on is kept.
+type Journal struct {
+	Durability Durability `toml:"durability"`
+	Disk       Bytes      `toml:"disk"`    // of all files in the state folder; 0 is the platform's disk_mb
+	Segment    Bytes      `toml:"segment"` // of one file; 0 is a share of the disk
+	Memory     Bytes      `toml:"memory"`  // of bodies that are kept in memory as well as on the disk
+}
+
+// Durability says what a message that was taken on outlasts.
+type Durability string
+
+// The durabilities.
+const (
+	DurabilityNone  Durability = "none"  // the process's end
+	DurabilityBatch Durability = "batch" // the machine's end: one sync for all that came within a few milliseconds
+	DurabilityEach  Durability = "each"  // the machine's end: a sync for each record
+)
+
+var journalDefaults = Journal{Durability: DurabilityNone, Memory: 16 << 20}
+
 // Bodies says how bodies longer than the journalled kind are passed on.
 type Bodies struct {
 	Most    Bytes    `toml:"most"`    // of one body, in either direction
@@ -41,6 +62,10 @@
 	mostWindow   = 64 << 20
 	mostBody     = 1 << 50
 	mostSlots    = 4096
+	leastDisk    = 288 << 10
+	leastSegment = 64 << 10
+	mostSegment  = 1 << 30
+	leastShares  = 8 // segments that a disk must have room for
 	leastIdle    = 100 * time.Millisecond
 	mostDuration = 24 * time.Hour
 )
@@ -126,6 +151,10 @@
 		b := bodiesDefaults
 		f.Bodies = &b
 	}
+	if _, ok := lines["journal"]; ok {
+		j := journalDefaults
+		f.Journal = &j
+	}
 	dec := toml.NewDecoder(strings.NewReader(string(raw))).DisallowUnknownFields()
 	if err := dec.Decode(&f); err != nil {
 		return File{}, located(path, err)
@@ -152,6 +181,18 @@
 				time.Duration(b.Idle), mostDuration)
 		}
 	}
+	if j := f.Journal; j != nil {
+		switch {
+		case j.Durability != DurabilityNone && j.Durability != DurabilityBatch && j.Durability != DurabilityEach:
+			return bad("journal.durability", "%q is no durability: none, batch or each", j.Durability)
+		case j.Disk != 0 && j.Disk < leastDisk:
+			return bad("journal.disk", "%d bytes; at least %d are needed", j.Disk, leastDisk)
+		case j.Segment != 0 && (j.Segment < leastSegment || j.Segment > mostSegment):
+			return bad("journal.segment", "%d bytes; from %d to %d are possible", j.Segment, leastSegment, mostSegment)
+		case j.Segment != 0 && j.Disk != 0 && j.Segment > j.Disk/leastShares:
+			return bad("journal.segment", "%d bytes; a disk of %d has room for segments of %d", j.Segment, j.Disk, j.Disk/leastShares)
+		}
+	}
 	return f, nil
 }
 
--- a/internal/transport/agent.go
+++ b/internal/transport/agent.go
@@ -5,11 +5,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
 	"net"
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"mulleinbeam/internal/protocol"
 )
 
@@ -137,7 +138,7 @@
 	Address *Address
 	Since   int64 // the version known; below zero for none
 	Learn   func(protocol.Directory)
-	Logger  *log.Logger
+	Logger  zerolog.Logger
 }
 
 // Watch passes on every change until ctx ends. While discovery is silent it keeps asking; nothing waits for it. When
@@ -156,13 +157,13 @@
 		case here.Err() != nil && err != nil: // the end, or another address
 		case err != nil:
 			if !failing {
-				d.Logger.Printf("directory: no answer, the list held stands: %v", err)
+				d.Logger.Warn().Str("part", "directory").Err(err).Msg("no answer, the list held stands")
 			}
 			failing = true
 			pause(here, retryPause)
 		default:
 			if failing || moved {
-				d.Logger.Printf("directory: %s answers, version %d", at, list.Index)
+				d.Logger.Info().Str("part", "directory").Str("address", at).Int64("version", list.Index).Msg("answers")
 			}
 			failing, moved = false, false
 			d.Since = list.Index
@@ -201,7 +202,7 @@
 // Reporter sends notices to the platform until each is acknowledged.
 type Reporter struct {
 	Address *Address
-	Logger  *log.Logger
+	Logger  zerolog.Logger
 
 	failing bool // Run's goroutine only
 	mu      sync.Mutex
@@ -216,7 +217,7 @@
 }
 
 // NewReporter reports to discovery's agent.
-func NewReporter(address *Address, logger *log.Logger) *Reporter {
+func NewReporter(address *Address, logger zerolog.Logger) *Reporter {
 	return &Reporter{Address: address, Logger: logger, wake: make(chan struct{}, 1)}
 }
 
@@ -277,14 +278,14 @@
 	if err != nil {
 		if here.Err() == nil && !r.failing {
 			r.failing = true
-			r.Logger.Printf("notices: %d not acknowledged, sent again: %v", len(batch), err)
+			r.Logger.Warn().Str("part", "notices").Int("notices", len(batch)).Err(err).Msg("not acknowledged, sent again")
 		}
 		pause(here, retryPause)
 		return true
 	}
 	if r.failing {
 		r.failing = false
-		r.Logger.Printf("notices: acknowledged again")
+		r.Logger.Info().Str("part", "notices").Msg("acknowledged again")
 	}
 	r.mu.Lock()
 	if r.queue = r.queue[len(batch):]; len(r.queue) == 0 {
--- a/internal/transport/consumers.go
+++ b/internal/transport/consumers.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
 	"mulleinbeam/internal/protocol"
@@ -73,10 +74,10 @@
 	Open       int   // now
 }
 
-// String is the counters' line for the log.
-func (c ConsumerCounters) String() string {
-	return fmt.Sprintf("consumers: connections=%d open=%d turned_away=%d closed_idle=%d silent=%d late=%d unreadable=%d",
-		c.Accepted, c.Open, c.TurnedAway, c.ClosedIdle, c.Silent, c.Late, c.Unreadable)
+// MarshalZerologObject writes the counters' group of the log.
+func (c ConsumerCounters) MarshalZerologObject(e *zerolog.Event) {
+	e.Int64("connections", c.Accepted).Int("open", c.Open).Int64("turned_away", c.TurnedAway).Int64("closed_idle", c.ClosedIdle).
+		Int64("silent", c.Silent).Int64("late", c.Late).Int64("unreadable", c.Unreadable)
 }
 
 // standing is what a connection is at.
--- a/internal/transport/passage.go
+++ b/internal/transport/passage.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"mulleinbeam/internal/protocol"
 	"mulleinbeam/internal/pump"
 )
@@ -24,14 +25,21 @@
 	counters [pump.Aborted + 1]atomic.Int64
 }
 
-// String is the counters' line for the log.
-func (p *Passages) String() string {
-	n := func(e pump.End) int64 { return p.counters[e].Load() }
-	return fmt.Sprintf("long calls: bytes_up=%d bytes_down=%d delivered=%d answered=%d spoilt=%d broken=%d not_begun=%d"+
-		" provider_stalled=%d client_gone=%d client_stalled=%d client_bad=%d time_up=%d aborted=%d",
-		p.bytes[pump.Up].Load(), p.bytes[pump.Down].Load(), n(pump.Delivered), n(pump.Answered), n(pump.Spoilt), n(pump.Broken),
-		n(pump.NotBegun), n(pump.ProviderStalled), n(pump.ClientGone), n(pump.ClientStalled), n(pump.ClientBad), n(pump.TimeUp),
-		n(pump.Aborted))
+// MarshalZerologObject writes the counters' group of the log.
+func (p *Passages) MarshalZerologObject(e *zerolog.Event) {
+	n := func(name string, end pump.End) { e.Int64(name, p.counters[end].Load()) }
+	e.Int64("bytes_up", p.bytes[pump.Up].Load()).Int64("bytes_down", p.bytes[pump.Down].Load())
+	n("delivered", pump.Delivered)
+	n("answered", pump.Answered)
+	n("spoilt", pump.Spoilt)
+	n("broken", pump.Broken)
+	n("not_begun", pump.NotBegun)
+	n("provider_stalled", pump.ProviderStalled)
+	n("client_gone", pump.ClientGone)
+	n("client_stalled", pump.ClientStalled)
+	n("client_bad", pump.ClientBad)
+	n("time_up", pump.TimeUp)
+	n("aborted", pump.Aborted)
 }
 
 func (p *Passages) window() *[]byte {
--- a/internal/transport/providers.go
+++ b/internal/transport/providers.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"mulleinbeam/internal/protocol"
 )
 
@@ -61,10 +62,10 @@
 	Idle    int   // now
 }
 
-// String is the counters' line for the log.
-func (c ProviderCounters) String() string {
-	return fmt.Sprintf("providers: opened=%d idle=%d ended_before_use=%d spoilt=%d delivered_all_the_same=%d surplus=%d",
-		c.Opened, c.Idle, c.Ended, c.Spoilt, c.True, c.Surplus)
+// MarshalZerologObject writes the counters' group of the log.
+func (c ProviderCounters) MarshalZerologObject(e *zerolog.Event) {
+	e.Int64("opened", c.Opened).Int("idle", c.Idle).Int64("ended_before_use", c.Ended).Int64("spoilt", c.Spoilt).
+		Int64("delivered_all_the_same", c.True).Int64("surplus", c.Surplus)
 }
 
 // NewProviders keeps at most so many idle connections, each for less than keepAlive.
