--- a/internal/routing/wal/store/append.go
+++ b/internal/routing/wal/store/append.go
@@ -249,7 +249,9 @@
 }
 
 func (s *Store) fits(payload int, owed int64) bool {
-	return s.plan.Admit(s.space(), segment.Size(payload+mostFixed), owed+EndSize)
+	st := s.space()
+	st.Other += s.o.Spare
+	return s.plan.Admit(st, segment.Size(payload+mostFixed), owed+EndSize)
 }
 
 // Refused tells that work was turned away for want of room: what can be gained is compacted now, and as fast as it goes.
@@ -304,17 +306,23 @@
 	return num, nil
 }
 
-// Add appends a further record of a living key, out of the room that is set aside for it; beyond that it needs room as a
-// new key does.
-func (s *Store) Add(key uint64, payload []byte) (uint64, error) {
-	num, err := s.add(key, payload)
+// Add appends a further record of a living key, if there is room; what new keys leave is for these.
+func (s *Store) Add(key uint64, payload []byte) (uint64, error) { return s.addOut(key, payload, false) }
+
+// AddOwed appends one out of the room that is set aside for its key, and beyond that as Add does.
+func (s *Store) AddOwed(key uint64, payload []byte) (uint64, error) {
+	return s.addOut(key, payload, true)
+}
+
+func (s *Store) addOut(key uint64, payload []byte, owed bool) (uint64, error) {
+	num, err := s.add(key, payload, owed)
 	if err != nil {
 		return 0, err
 	}
 	return num, s.settle(num)
 }
 
-func (s *Store) add(key uint64, payload []byte) (uint64, error) {
+func (s *Store) add(key uint64, payload []byte, owed bool) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.keys[key]
@@ -322,7 +330,7 @@
 		return 0, ErrUnknown
 	}
 	most := segment.Size(len(payload) + mostFixed)
-	if e.owed < most+EndSize && !s.plan.Admit(s.space(), most, 0) {
+	if owed = owed && e.owed >= most+EndSize; !owed && !s.plan.Admit(s.space(), most, 0) {
 		s.refused = true
 		return 0, ErrFull
 	}
@@ -330,7 +338,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if e.owed >= size+EndSize {
+	if owed {
 		e.owed -= size
 		s.owed -= size
 	}
--- a/internal/routing/wal/store/store.go
+++ b/internal/routing/wal/store/store.go
@@ -42,6 +42,7 @@
 	Segment    int64 // size at which a segment is sealed
 	Durability Durability
 	Other      int64        // bytes set aside for files that are not the store's
+	Spare      int64        // bytes that new keys leave to the further records of those that live
 	Seed       uint64       // draws the store's number, if there is none yet
 	Report     func(string) // told of what was damaged or cut off
 }
--- a/internal/routing/wal/wal.go
+++ b/internal/routing/wal/wal.go
@@ -106,7 +106,8 @@
 	mostSegment  = 64 << 20  // unless it is told
 	segments     = 24        // that the disk is divided into, so that one set aside for compaction is little of it
 	leastShares  = 6         // and at the least
-	owedFor      = 640       // bytes set aside with a message: its end, and some attempts
+	owedFor      = 64        // bytes set aside with a message beside its end: how it was given up
+	spareShare   = 20        // of the disk, one part: left to the attempts of messages that were taken on
 	kickEvery    = 32        // records after which the worker looks whether there is something to do
 	mostPending  = 4096
 	longestPause = 50 * time.Millisecond // of a compaction that is paced
@@ -180,7 +181,7 @@
 	}
 	l.store, err = store.Open(store.Options{
 		FS: o.FS, Bound: bound, Segment: size, Durability: o.Durability, Seed: uint64(time.Now().UnixNano()),
-		Report: report,
+		Spare: bound / spareShare, Report: report,
 	}, func(r store.Record) {
 		l.last = max(l.last, r.Number)
 		if err := l.apply(r.Payload); err != nil {
@@ -359,6 +360,9 @@
 	return l.change(seq, appendEnded(l.buf[:0], seq, e, retry))
 }
 
+// ends says whether a record is one that ends a message, for which room is set aside.
+func ends(payload []byte) bool { return len(payload) > 0 && kind(payload[0]) == kindEnded }
+
 // change writes a record, or an end, which is written later if it can't be now.
 func (l *Log) change(seq uint64, payload []byte) error {
 	l.retry()
@@ -385,7 +389,11 @@
 }
 
 func (l *Log) add(seq uint64, payload []byte) error {
-	num, err := l.store.Add(seq, payload)
+	add := l.store.Add
+	if ends(payload) {
+		add = l.store.AddOwed
+	}
+	num, err := add(seq, payload)
 	l.wrote(num, len(payload))
 	if err != nil {
 		return fmt.Errorf("wal: %w", err)
