--- a/cmd/larkreach/main.go
+++ b/cmd/larkreach/main.go
@@ -20,9 +20,11 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"mulleinbeam/internal/memory"
 	"mulleinbeam/internal/protocol"
 	"mulleinbeam/internal/routing"
 	"mulleinbeam/internal/routing/wal"
+	"mulleinbeam/internal/routing/wal/fsys"
 	"mulleinbeam/internal/routing/wal/store"
 	"mulleinbeam/internal/settings"
 	"mulleinbeam/internal/transport"
@@ -66,7 +68,7 @@
 	debug.SetMemoryLimit(int64(heapShare * float64(cfg.Limits.MemoryMB<<20)))
 	logger := newLogger(out, form, cfg.Name)
 
-	journal, err := wal.Open(cfg.State, journalOptions(own.Journal, cfg.Limits), func(line string) {
+	journal, err := wal.Open(cfg.State, journalOptions(own.Journal, own.Learned, cfg.Limits), func(line string) {
 		logger.Warn().Str("part", "journal").Msg(strings.TrimPrefix(line, "journal: "))
 	})
 	if err != nil {
@@ -74,6 +76,7 @@
 	}
 	defer journal.Close()
 
+	remembered := openMemory(own, cfg, logger)
 	listener, err := net.Listen("tcp", cfg.Listen) // nobody is answered before what an earlier life left is resumed
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -85,11 +88,16 @@
 	defer providers.Close()
 	discovery := transport.NewAddress(cfg.Discovery)
 	reporter := transport.NewReporter(discovery, logger)
-	router, err := routing.New(routing.Config{
+	setup := routing.Config{
 		Settings: cfg.Settings, Seed: cfg.Seed, Known: directory(cfg.Known, true), Log: journal,
 		Invoker: invoker{providers}, Notifier: notifier{reporter}, Logger: logger, Drain: drainFor, Settle: settleFor,
 		Long: long,
-	})
+	}
+	if remembered != nil {
+		learned := remembered.Learned()
+		setup.Recall, setup.Past = &learned, remembered.Ended
+	}
+	router, err := routing.New(setup)
 	if err != nil {
 		return err
 	}
@@ -101,13 +109,21 @@
 		}
 		line.Object("consumers", consumers.Counters()).Object("providers", providers.Counters())
 		now.Log(line, passages != nil)
+		if remembered != nil {
+			line.Object("learned", saves(remembered.Saves()))
+		}
 		line.Msg(when)
 	}
 	reload := reloader{
 		getenv: getenv, state: cfg.State, started: cfg.Told, address: discovery,
 		logger: logger.With().Str("part", "reload").Logger(),
 	}
-	err = serve(cfg, logger, router, reporter, reload, hup, consumers, listener, counters)
+	keep := func(ctx context.Context) {
+		if remembered != nil {
+			remembered.Run(ctx, time.Duration(own.Learned.Interval), func() memory.Snapshot { return snapshot(router) })
+		}
+	}
+	err = serve(cfg, logger, router, reporter, reload, hup, consumers, listener, counters, keep)
 	counters("counters at exit")
 	return err
 }
@@ -121,8 +137,11 @@
 }
 
 // journalOptions puts the settings of the journal in its terms. Without settings it is as the platform tells.
-func journalOptions(j *settings.Journal, l limits) wal.Options {
+func journalOptions(j *settings.Journal, learned *settings.Learned, l limits) wal.Options {
 	o := wal.Options{Most: int64(l.DiskMB * 1e6)}
+	if learned != nil {
+		o.Other = 2 * (int64(learned.Size) + 512) // the old file and the new one
+	}
 	if j != nil {
 		o.Durability, o.Segment, o.Memory = durabilities[j.Durability], int64(j.Segment), int64(j.Memory)
 		if j.Disk > 0 {
@@ -132,6 +151,48 @@
 	return o
 }
 
+// openMemory reads what an earlier life has learned; without settings there is no such thing. It comes behind the journal's
+// lock of the folder.
+func openMemory(own settings.File, cfg config, logger zerolog.Logger) *memory.Memory {
+	if own.Learned == nil {
+		return nil
+	}
+	o := memory.Options{
+		FS: fsys.Dir(cfg.State), Name: cfg.Name, Most: int64(own.Learned.Size), Ids: own.Learned.Ids,
+		Sync: own.Journal != nil && own.Journal.Durability != settings.DurabilityNone, Figures: memory.DefaultFigures,
+		Report: func(line string) { logger.Warn().Str("part", "learned").Msg(line) },
+	}
+	for _, c := range cfg.Settings.Classes {
+		o.IdFor = max(o.IdFor, c.GiveUp)
+	}
+	if own.Bodies != nil {
+		o.IdFor = max(o.IdFor, time.Duration(own.Bodies.Longest))
+	}
+	m := memory.Open(o)
+	if l := m.Learned(); len(l.Lanes) > 0 || m.Ids() > 0 {
+		logger.Info().Str("part", "learned").Int("partners", len(l.Lanes)).Int("ids", m.Ids()).Msg("recalled from an earlier life")
+	}
+	return m
+}
+
+// snapshot is what there is to keep now.
+func snapshot(router *routing.Router) memory.Snapshot {
+	l, ids := router.Learned()
+	s := memory.Snapshot{Learned: l}
+	for _, id := range ids {
+		s.Ended = append(s.Ended, memory.Ended{ID: id.ID, Delivered: id.Delivered, Ago: id.Ago})
+	}
+	return s
+}
+
+// saves is the counters' group of what was written.
+type saves memory.Saves
+
+// MarshalZerologObject writes the group.
+func (s saves) MarshalZerologObject(e *zerolog.Event) {
+	e.Int64("files", s.Files).Int64("bytes", s.Bytes).Int64("last", s.Last).Int64("failed", s.Failed)
+}
+
 var durabilities = map[settings.Durability]store.Durability{
 	settings.DurabilityNone: store.Process, settings.DurabilityBatch: store.Batch, settings.DurabilityEach: store.Each,
 }
@@ -156,7 +217,8 @@
 
 // serve runs the parts and ends them in order: the consumers, the router, then what it still needs.
 func serve(cfg config, logger zerolog.Logger, router *routing.Router, reporter *transport.Reporter,
-	reload reloader, hup <-chan os.Signal, consumers *transport.Consumers, listener net.Listener, counters func(string)) error {
+	reload reloader, hup <-chan os.Signal, consumers *transport.Consumers, listener net.Listener, counters func(string),
+	keep func(context.Context)) error {
 	stop, cancelStop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancelStop()
 	usr := make(chan os.Signal, 1)
@@ -173,6 +235,7 @@
 		return router.Run(ctx, func() { close(ready) })
 	})
 	group.Go(func() error { return reporter.Run(after) })
+	group.Go(func() error { keep(after); return nil })
 	group.Go(func() error { return reload.run(after, hup) })
 	group.Go(func() error {
 		watch := transport.Directory{
--- a/internal/lab/forwarder.go
+++ b/internal/lab/forwarder.go
@@ -214,6 +214,15 @@
 	}
 }
 
+// AwaitCounterOver asks for a counter until it is above a value.
+func (f *Forwarder) AwaitCounterOver(line, key string, than int64) error {
+	for {
+		if got, err := f.Counter(line, key); err != nil || got > than {
+			return err
+		}
+	}
+}
+
 // Pid is the process's number.
 func (f *Forwarder) Pid() int { return f.cmd.Process.Pid }
 
--- /dev/null
+++ b/internal/memory/memory.go
@@ -0,0 +1,273 @@
+// Package memory keeps what a forwarder has learned over its lives: breakers, waits, paces and guards of its partners, what
+// connections were like, and the ids of messages that have ended of late. It is a help, not a promise: a file that is
+// missing, damaged or somebody else's means a cold start, and nothing else.
+//
+// The file is replaced whole, under another name first. What is read from it is weighed by its age (Figures) before it is
+// given out.
+package memory
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	mb "mulleinbeam"
+	"mulleinbeam/internal/routing/wal/fsys"
+)
+
+const (
+	fileName = "learned"
+	fileNew  = "learned.new"
+	// perEnded and perLane are what one takes in the file, at the most for one of usual names.
+	perEnded = endedSize
+)
+
+// Options are what a memory is opened with.
+type Options struct {
+	FS      fsys.FS
+	Name    string        // the forwarder's: what another has learned is not taken over
+	Most    int64         // bytes of the file; while it is replaced two of them are there
+	Ids     int           // ended ids that are kept at the most
+	IdFor   time.Duration // how long an ended id may still be meant
+	Sync    bool          // it is to outlast the machine as well
+	Figures Figures
+	Now     func() time.Time
+	Report  func(string)
+}
+
+// Snapshot is what is kept.
+type Snapshot struct {
+	Learned mb.Learned
+	Ended   []Ended // oldest first
+}
+
+// Ended is a message that has ended.
+type Ended struct {
+	ID        string
+	Delivered bool
+	Ago       time.Duration
+}
+
+// Memory is what an earlier life has left, and where this one leaves its own. Its methods may be called from any goroutine.
+type Memory struct {
+	o       Options
+	learned mb.Learned
+	mu      sync.Mutex
+	ids     map[xxh3.Uint128]ended // of earlier lives
+	saves   Saves
+}
+
+// Saves counts what was written.
+type Saves struct {
+	Files  int64
+	Bytes  int64 // of all of them
+	Last   int64 // bytes of the last
+	Failed int64
+}
+
+// Open reads what an earlier life has left. It has no error: what can't be used is told to Report, and the start is cold.
+func Open(o Options) *Memory {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	m := &Memory{o: o, ids: map[xxh3.Uint128]ended{}}
+	if err := o.FS.Remove(fileNew); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		o.Report(fmt.Sprintf("leftover: %v", err))
+	}
+	c, err := m.read()
+	switch {
+	case errors.Is(err, fs.ErrNotExist):
+		return m
+	case err != nil:
+		o.Report(fmt.Sprintf("cold start: %v", err))
+		return m
+	case c.name != o.Name:
+		o.Report(fmt.Sprintf("cold start: the file is %q's", c.name))
+		return m
+	}
+	now := o.Now()
+	age := now.Sub(c.saved)
+	jumped := age < -o.Figures.Behind
+	if jumped {
+		o.Report(fmt.Sprintf("the clock is %v behind the file's: what says go is not believed", -age))
+	}
+	m.learned = o.Figures.Weigh(c.learned, max(0, age), jumped)
+	for _, e := range c.ended {
+		if jumped { // its time counts anew: rather too long than not at all
+			e.until = now.Add(o.IdFor)
+		}
+		if left := e.until.Sub(now); left > 0 && left <= o.IdFor {
+			m.ids[e.id] = e
+		}
+	}
+	return m
+}
+
+// read reads the file.
+func (m *Memory) read() (content, error) {
+	f, err := m.o.FS.Open(fileName)
+	if err != nil {
+		return content{}, err
+	}
+	defer f.Close()
+	size, err := f.Size()
+	if err != nil {
+		return content{}, err
+	}
+	if size > m.o.Most {
+		return content{}, fmt.Errorf("%w: %d bytes, %d are the most", ErrDamaged, size, m.o.Most)
+	}
+	b, err := io.ReadAll(io.NewSectionReader(f, 0, size))
+	if err != nil {
+		return content{}, err
+	}
+	return decode(b)
+}
+
+// Learned is what an earlier life had learned, weighed by its age when it was read.
+func (m *Memory) Learned() mb.Learned { return m.learned }
+
+// hash names an id in the file. It is bound to the forwarder's name, and 128 bits wide: ids that differ don't meet.
+func (m *Memory) hash(id string) xxh3.Uint128 { return xxh3.HashString128(m.o.Name + "\x00" + id) }
+
+// Ids is how many ids of ended messages are known of earlier lives.
+func (m *Memory) Ids() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.ids)
+}
+
+// Ended says whether a message of that id has ended in an earlier life, and how.
+func (m *Memory) Ended(id string) (delivered, known bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.ids) == 0 {
+		return false, false
+	}
+	e, known := m.ids[m.hash(id)]
+	if known && !m.o.Now().Before(e.until) {
+		return false, false
+	}
+	return e.delivered, known
+}
+
+// Save replaces the file.
+func (m *Memory) Save(s Snapshot) error {
+	b := m.encode(s)
+	err := m.replace(b)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err != nil {
+		m.saves.Failed++
+		return fmt.Errorf("memory: %w", err)
+	}
+	m.saves.Files++
+	m.saves.Bytes += int64(len(b))
+	m.saves.Last = int64(len(b))
+	return nil
+}
+
+// Saves tells what was written.
+func (m *Memory) Saves() Saves {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.saves
+}
+
+// encode writes what fits: lanes first, those seen last before the others, then ids, the youngest before the others.
+func (m *Memory) encode(s Snapshot) []byte {
+	now := m.o.Now()
+	c := content{name: m.o.Name, saved: now, learned: s.Learned}
+	c.ended = m.endedNow(s.Ended, now)
+	for {
+		b := encode(c)
+		over := int64(len(b)) - m.o.Most
+		switch {
+		case over <= 0:
+			return b
+		case len(c.ended) > 0:
+			c.ended = c.ended[min(len(c.ended), int(over/perEnded)+1):]
+		case len(c.learned.Lanes) > 0:
+			lanes := slices.Clone(c.learned.Lanes)
+			slices.SortStableFunc(lanes, func(a, b mb.LearnedLane) int { return int(min(1, max(-1, a.Seen-b.Seen))) })
+			c.learned.Lanes = lanes[:len(lanes)*9/10]
+		default:
+			return b
+		}
+	}
+}
+
+// endedNow are the ids that may still be meant, oldest first: this life's and those of earlier ones.
+func (m *Memory) endedNow(list []Ended, now time.Time) []ended {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]ended, 0, len(list)+len(m.ids))
+	for id, e := range m.ids {
+		if !now.Before(e.until) {
+			delete(m.ids, id)
+			continue
+		}
+		out = append(out, e)
+	}
+	for _, e := range list {
+		if until := now.Add(m.o.IdFor - e.Ago); now.Before(until) {
+			out = append(out, ended{m.hash(e.ID), e.Delivered, until})
+		}
+	}
+	slices.SortFunc(out, func(a, b ended) int { return a.until.Compare(b.until) })
+	return out[max(0, len(out)-m.o.Ids):]
+}
+
+func (m *Memory) replace(b []byte) error {
+	if err := m.o.FS.Remove(fileNew); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	f, err := m.o.FS.Create(fileNew)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(b)
+	if err == nil && m.o.Sync {
+		err = f.Sync()
+	}
+	if err = errors.Join(err, f.Close()); err != nil {
+		return errors.Join(err, m.o.FS.Remove(fileNew)) // its room is the journal's
+	}
+	if err := m.o.FS.Rename(fileNew, fileName); err != nil {
+		return err
+	}
+	if m.o.Sync {
+		return m.o.FS.Sync()
+	}
+	return nil
+}
+
+// Run saves what take gives, at intervals and once more when ctx ends. A failure is reported once until a save succeeds.
+func (m *Memory) Run(ctx context.Context, interval time.Duration, take func() Snapshot) {
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	failing := false
+	save := func() {
+		err := m.Save(take())
+		if err != nil && !failing {
+			m.o.Report(fmt.Sprintf("not saved, tried again: %v", err))
+		}
+		failing = err != nil
+	}
+	for {
+		select {
+		case <-tick.C:
+			save()
+		case <-ctx.Done():
+			save()
+			return
+		}
+	}
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -14,6 +14,7 @@
 
 const (
 	clockStart   = time.Second     // the module takes a reading of zero for "never"
+	pastRoom     = 24 * time.Hour  // of the module's clock, before a life that recalls an earlier one
 	pushBack     = time.Second     // when to come again to a forwarder that is full, beside the module's say
 	eventRoom    = 256             // events waiting for the router's goroutine
 	lateRefusal  = 3 * time.Second // when to come again to a forwarder that is going down
@@ -32,6 +33,16 @@
 	Drain    time.Duration // after the stop: how long calls may be out, at the most
 	Settle   time.Duration // after the stop: how long consumers may still come, and are answered
 	Long     LongLimits
+	Recall   *mb.Learned // what an earlier life had learned; nil is nothing
+	// Past says whether a message of that id has ended in an earlier life, and whether it was delivered; nil knows of none.
+	Past func(id string) (delivered, known bool)
+}
+
+// PastID is the id of a message that has ended of late.
+type PastID struct {
+	ID        string
+	Delivered bool
+	Ago       time.Duration
 }
 
 // held is a message that is taken on, or that still has a call out.
@@ -118,6 +129,9 @@
 		groups: map[int64]bool{}, messages: map[uint64]*held{}, ids: map[string]*held{},
 		past: map[string]bool{},
 	}
+	if cfg.Recall != nil { // the past that the module is told of lies before its clock's beginning, else
+		r.startedAt = r.startedAt.Add(-pastRoom)
+	}
 	for _, c := range cfg.Settings.Classes {
 		r.classes[c.Name] = c.GiveUp
 		r.longest = max(r.longest, c.GiveUp)
@@ -132,6 +146,9 @@
 	callCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	r.ctx = callCtx
+	if r.cfg.Recall != nil {
+		r.decider.Recall(r.now(), *r.cfg.Recall)
+	}
 	r.learn(r.cfg.Known)
 	r.resume()
 	ready()
@@ -285,6 +302,25 @@
 	return c
 }
 
+// Learned gives what was learned up to now, and the ids of messages that have ended of late, oldest first of each kind.
+func (r *Router) Learned() (l mb.Learned, ids []PastID) {
+	take := func() bool {
+		l, ids = r.decider.Learned(r.now()), nil
+		for _, queue := range [][]pastID{r.pastQueue, r.pastLong} {
+			for _, p := range queue {
+				if delivered, known := r.past[p.id]; known {
+					ids = append(ids, PastID{p.id, delivered, time.Since(p.at)})
+				}
+			}
+		}
+		return true
+	}
+	if _, served := ask(r, take); !served {
+		take() // the goroutine that owned them has ended
+	}
+	return l, ids
+}
+
 // ---- the router's goroutine only, from here on ----
 
 func (r *Router) now() time.Duration { return clockStart + time.Since(r.startedAt) }
@@ -450,6 +486,9 @@
 	r.forget()
 	longest, classed := r.classes[m.Class]
 	delivered, past := r.past[m.ID]
+	if !past && r.cfg.Past != nil {
+		delivered, past = r.cfg.Past(m.ID)
+	}
 	switch {
 	case m.Long != nil && (r.ids[m.ID] != nil || past): // its answer is owed to whoever handed it in first
 		r.counters.Repeated++
--- a/internal/routing/wal/store/append.go
+++ b/internal/routing/wal/store/append.go
@@ -368,7 +368,9 @@
 	}
 	s.owed -= e.owed
 	for _, p := range e.parts {
-		s.files[p.seg].live -= p.bytes
+		if g := s.files[p.seg]; g != nil { // it can be gone if it was damaged under this store's hands
+			g.live -= p.bytes
+		}
 	}
 	e.owed, e.ended, e.tomb, e.size = 0, true, s.active.number, size
 	if s.needed(e) {
--- a/internal/routing/wal/store/compact.go
+++ b/internal/routing/wal/store/compact.go
@@ -61,6 +61,9 @@
 
 // conclude books a compaction's end.
 func (s *Store) conclude(victim, out *file, list []moved, keys map[uint64]bool, err error) (stuck bool) {
+	if err == nil {
+		s.replace(victim, out, list, keys)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.victim, s.written, s.totals = nil, 0, nil
@@ -72,7 +75,7 @@
 		s.stuck = errors.Is(err, errUncertain)
 		return s.stuck
 	}
-	s.replace(victim, out, list, keys)
+	delete(s.files, victim.number)
 	s.compacts++
 	s.refused = false
 	s.forsake(victim)
@@ -205,48 +208,64 @@
 	return s.replaceManifest(text)
 }
 
-// replace books an output in its victim's place; s.mu is held.
+// atOnce is how many records or keys are booked under the lock in one go: appends come in between.
+const atOnce = 256
+
+// replace books an output in its victim's place, a little at a time. Until it is done both are in the books: what was copied
+// counts in the output first, and only then no longer in the victim, so that a key that ends in between never lacks the
+// part that its end must outlive.
 func (s *Store) replace(victim, out *file, list []moved, keys map[uint64]bool) {
-	delete(s.files, victim.number)
+	s.mu.Lock()
 	if out.f != nil {
 		s.files[out.number] = out
 	}
-	for key := range keys { // what the victim had of them is gone
-		if e := s.keys[key]; e != nil {
-			for i, p := range e.parts {
-				if p.seg == victim.number {
-					e.parts = append(e.parts[:i], e.parts[i+1:]...)
-					break
-				}
-			}
+	s.written, s.totals = 0, nil
+	s.mu.Unlock()
+	for chunk := range slices.Chunk(list, atOnce) {
+		s.mu.Lock()
+		for _, m := range chunk {
+			s.arrive(victim, out, m)
 		}
+		s.mu.Unlock()
 	}
-	for _, m := range list {
-		e := s.keys[m.key]
-		switch {
-		case e == nil:
-		case m.k == kindEnd:
-			if e.ended && e.tomb == victim.number {
-				e.tomb, e.size = out.number, m.bytes
-				out.live += m.bytes
-			}
-		default: // dead bytes, too, if the key has ended meanwhile: its end must outlive them
-			s.addPart(e, out, m.bytes, !e.ended)
-			if e.first.seg == victim.number && e.first.offset == m.from {
-				e.first = place{out.number, m.to, m.bytes}
-			}
+	for chunk := range slices.Chunk(slices.Collect(maps.Keys(keys)), atOnce) {
+		s.mu.Lock()
+		for _, key := range chunk {
+			s.leave(victim, key)
 		}
+		s.mu.Unlock()
 	}
-	for key := range keys {
-		e := s.keys[key]
-		if e == nil || !e.ended {
-			continue
+}
+
+// arrive books a record that was copied; s.mu is held.
+func (s *Store) arrive(victim, out *file, m moved) {
+	e := s.keys[m.key]
+	switch {
+	case e == nil:
+	case m.k == kindEnd:
+		if e.ended && e.tomb == victim.number {
+			e.tomb, e.size = out.number, m.bytes
+			out.live += m.bytes
 		}
-		if !s.needed(e) {
-			if g := s.files[e.tomb]; g != nil {
-				g.live -= e.size
-			}
-			delete(s.keys, key)
+	default: // dead bytes, too, if the key has ended meanwhile: its end must outlive them
+		s.addPart(e, out, m.bytes, !e.ended)
+		if e.first.seg == victim.number && e.first.offset == m.from {
+			e.first = place{out.number, m.to, m.bytes}
+		}
+	}
+}
+
+// leave takes what a segment had of a key out of the books; s.mu is held.
+func (s *Store) leave(victim *file, key uint64) {
+	e := s.keys[key]
+	if e == nil {
+		return
+	}
+	e.parts = slices.DeleteFunc(e.parts, func(p part) bool { return p.seg == victim.number })
+	if e.ended && !s.needed(e) {
+		if g := s.files[e.tomb]; g != nil {
+			g.live -= e.size
 		}
+		delete(s.keys, key)
 	}
 }
--- a/internal/routing/wal/wal.go
+++ b/internal/routing/wal/wal.go
@@ -140,6 +140,7 @@
 // Options are what a journal is opened with.
 type Options struct {
 	Most       int64            // bytes of all files in its folder together
+	Other      int64            // of these, bytes of files that are not the journal's
 	Segment    int64            // bytes of one segment; 0 is a share of Most
 	Durability store.Durability // what an append outlasts
 	Memory     int64            // bytes of bodies that are kept in memory as well; 0 keeps all
@@ -148,7 +149,7 @@
 
 // sizes gives the bytes of all the journal's files, and of one segment.
 func (o Options) sizes() (bound, segment int64, err error) {
-	bound, segment = o.Most-slack, o.Segment
+	bound, segment = o.Most-o.Other-slack, o.Segment
 	if segment == 0 {
 		segment = min(max(usualSegment, bound/segments), bound/leastShares, mostSegment)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,8 +18,18 @@
 type File struct {
 	Bodies  *Bodies  `toml:"bodies"`
 	Journal *Journal `toml:"journal"`
+	Learned *Learned `toml:"learned"`
 }
 
+// Learned says how what was learned of partners is kept over restarts.
+type Learned struct {
+	Interval Duration `toml:"interval"` // between two saves
+	Size     Bytes    `toml:"size"`     // of the file; for a moment two of them are there
+	Ids      int      `toml:"ids"`      // of ended messages, at the most
+}
+
+var learnedDefaults = Learned{Interval: Duration(2 * time.Second), Size: 256 << 10, Ids: 4096}
+
 // Journal says how what was taken on is kept.
 type Journal struct {
 	Durability Durability `toml:"durability"`
@@ -66,6 +76,11 @@
 	leastSegment = 64 << 10
 	mostSegment  = 1 << 30
 	leastShares  = 8 // segments that a disk must have room for
+	leastLearned = 4 << 10
+	mostLearned  = 64 << 20
+	mostIds      = 1 << 20
+	leastSave    = 200 * time.Millisecond
+	mostSave     = 10 * time.Minute
 	leastIdle    = 100 * time.Millisecond
 	mostDuration = 24 * time.Hour
 )
@@ -155,6 +170,10 @@
 		j := journalDefaults
 		f.Journal = &j
 	}
+	if _, ok := lines["learned"]; ok {
+		l := learnedDefaults
+		f.Learned = &l
+	}
 	dec := toml.NewDecoder(strings.NewReader(string(raw))).DisallowUnknownFields()
 	if err := dec.Decode(&f); err != nil {
 		return File{}, located(path, err)
@@ -181,6 +200,16 @@
 				time.Duration(b.Idle), mostDuration)
 		}
 	}
+	if l := f.Learned; l != nil {
+		switch {
+		case time.Duration(l.Interval) < leastSave || time.Duration(l.Interval) > mostSave:
+			return bad("learned.interval", "%v; from %v to %v are possible", time.Duration(l.Interval), leastSave, mostSave)
+		case l.Size < leastLearned || l.Size > mostLearned:
+			return bad("learned.size", "%d bytes; from %d to %d are possible", l.Size, leastLearned, mostLearned)
+		case l.Ids < 0 || l.Ids > mostIds:
+			return bad("learned.ids", "%d; from 0 to %d are possible", l.Ids, mostIds)
+		}
+	}
 	if j := f.Journal; j != nil {
 		switch {
 		case j.Durability != DurabilityNone && j.Durability != DurabilityBatch && j.Durability != DurabilityEach:
--- /dev/null
+++ b/learned_test.go
@@ -0,0 +1,171 @@
+package mulleinbeam
+
+import (
+	"testing"
+	"time"
+)
+
+func learnedSettings() Settings {
+	return Settings{
+		Couriers: 1, Slots: 8, MostHeld: 50, MaxAttempts: 5, MaxRetryAfter: time.Second, OverloadFactor: 1.3, TipAfter: time.Second,
+		ColdFrom: 0.2, WarmWithin: 10 * time.Second, HintKnown: true, TellRetryAfter: true,
+		Classes: []Class{{Name: "c", Target: time.Second, GiveUp: 20 * time.Second, Worth: 1, Effect: Safe}},
+	}
+}
+
+// life is a courier with one partner, "a" of destination 1, on a clock that the test sets.
+type life struct {
+	t    *testing.T
+	d    *Decider
+	now  time.Duration
+	next MessageID
+	out  map[MessageID]Send
+	tell map[MessageID]int
+}
+
+func newLife(t *testing.T, recall *Learned, endpoints ...EndpointID) *life {
+	t.Helper()
+	d, err := New(learnedSettings(), 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &life{t: t, d: d, now: 24 * time.Hour, out: map[MessageID]Send{}, tell: map[MessageID]int{}}
+	if recall != nil {
+		d.Recall(l.now, *recall)
+	}
+	var entries []Entry
+	for _, id := range endpoints {
+		entries = append(entries, Entry{Endpoint: id, Destination: 1, Readiness: Serving, CapacityHint: 100})
+	}
+	l.handle(Members{Scope: ListWhole, Entries: entries})
+	return l
+}
+
+func (l *life) handle(events ...Event) {
+	for _, a := range l.d.Handle(l.now, events) {
+		if s, ok := a.(Send); ok {
+			l.out[s.ID] = s
+		}
+	}
+}
+
+// submit hands messages in and gives how many calls are out then.
+func (l *life) submit(n int) int {
+	for range n {
+		l.next++
+		l.handle(Submit{ID: l.next, Class: "c", Left: 20 * time.Second, Destination: 1})
+	}
+	return len(l.out)
+}
+
+// answer ends all calls that are out.
+func (l *life) answer(o Outcome, wait time.Duration) {
+	for id, s := range l.out {
+		delete(l.out, id)
+		l.tell[id]++
+		l.handle(Answer{ID: id, Attempt: l.tell[id] - 1, Endpoint: s.Endpoint, Outcome: o, Wait: wait, Latency: 20 * time.Millisecond, Settled: o == OK})
+	}
+}
+
+// pass lets time go by, with the module's looks in between.
+func (l *life) pass(d time.Duration) {
+	for end := l.now + d; l.now < end; {
+		l.now += 20 * time.Millisecond
+		l.handle(Timer{Cookie: 1})
+	}
+}
+
+// A told wait that has not ended holds in the next life to its last moment, and not longer.
+func TestRecalledWaitHolds(t *testing.T) {
+	first := newLife(t, nil, "a")
+	if first.submit(1) != 1 {
+		t.Fatal("no call")
+	}
+	first.answer(Full, 5*time.Second)
+	first.now += time.Second
+	learned := first.d.Learned(first.now)
+	if cold := newLife(t, nil, "a"); cold.submit(1) != 1 {
+		t.Error("a cold life holds the call back, so this shows nothing")
+	}
+	second := newLife(t, &learned, "a")
+	if second.submit(3) != 0 {
+		t.Error("called within a told wait")
+	}
+	second.pass(3900 * time.Millisecond)
+	if len(second.out) != 0 {
+		t.Error("called 0.1 s before a told wait's end")
+	}
+	second.pass(3 * time.Second)
+	if len(second.out) == 0 {
+		t.Error("not called behind the wait's end")
+	}
+}
+
+// A breaker that was open is still careful: one trial, and no burst.
+func TestRecalledBreakerIsCareful(t *testing.T) {
+	first := newLife(t, nil, "a")
+	for range 12 {
+		first.submit(1)
+		first.answer(ConnectFailed, 0)
+		first.pass(40 * time.Millisecond)
+	}
+	learned := first.d.Learned(first.now)
+	if len(learned.Lanes) != 1 || learned.Lanes[0].Breaker == BreakerClosed || !learned.Lanes[0].Guard {
+		t.Fatalf("%+v", learned.Lanes)
+	}
+	cold := newLife(t, nil, "a").submit(6)
+	second := newLife(t, &learned, "a")
+	second.submit(6)
+	most := len(second.out)
+	for range 100 {
+		second.pass(20 * time.Millisecond)
+		most = max(most, len(second.out))
+	}
+	if most != 1 || cold < 2 {
+		t.Errorf("%d trials at once, %d calls of a life that knows nothing", most, cold)
+	}
+}
+
+// What was learned belongs to names: a partner of which no endpoint is listed any more is a new one, and one that has an
+// endpoint left is the same.
+func TestRecalledPartnerIsRenamed(t *testing.T) {
+	first := newLife(t, nil, "a", "b")
+	first.submit(1)
+	first.answer(Full, 5*time.Second)
+	learned := first.d.Learned(first.now)
+	for _, c := range []struct {
+		listed []EndpointID
+		want   int
+	}{{[]EndpointID{"x", "y"}, 1}, {[]EndpointID{"x", "b"}, 0}, {[]EndpointID{"a", "b"}, 0}} {
+		if got := newLife(t, &learned, c.listed...).submit(1); got != c.want {
+			t.Errorf("listed %v: %d calls", c.listed, got)
+		}
+	}
+}
+
+// A partner that may have gone cold unseen is met as after an outage: within the fail-back budget, until it has answered.
+func TestColdPartnerIsMetAsSuch(t *testing.T) {
+	first := newLife(t, nil, "a")
+	for range 20 {
+		first.submit(1)
+		first.answer(OK, 0)
+		first.pass(40 * time.Millisecond)
+	}
+	learned := first.d.Learned(first.now)
+	calls := func(cold bool) (n int) {
+		learned.Lanes[0].Cold = cold
+		l := newLife(t, &learned, "a")
+		for range 50 {
+			l.submit(1)
+			n += len(l.out)
+			l.answer(Moot, 0) // which speaks of nothing
+			l.pass(20 * time.Millisecond)
+		}
+		return n
+	}
+	warm, cold := calls(false), calls(true)
+	budget := int(1.3 * 0.2 * 100) // overload factor, cold share, capacity a second
+	if cold > budget || cold == 0 || warm <= cold {
+		t.Errorf("%d calls in a second to a cold partner, %d to a warm one; the budget is %d", cold, warm, budget)
+	}
+}
--- /dev/null
+++ b/snapshot.go
@@ -0,0 +1,202 @@
+package mulleinbeam
+
+// What a courier has learned, as plain values that may outlast its life. Nothing here decides: what a value is still worth
+// is for who kept it to say, and what follows from it is in decide.go.
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Breaker is a lane's breaker.
+type Breaker int
+
+// The states of a breaker.
+const (
+	BreakerClosed Breaker = iota
+	BreakerOpen
+	BreakerTrying // half open
+)
+
+// Learned is what a courier has learned. Times are told as ago, or as left.
+type Learned struct {
+	Lanes   []LearnedLane
+	Classes []LearnedClass
+	Lost    LearnedLosses
+}
+
+// LearnedLane is what was learned of a destination, or of one route where routes are apart.
+type LearnedLane struct {
+	Destination DestinationID
+	Endpoint    EndpointID    // of a route; "" is the whole destination
+	Endpoints   []EndpointID  // that were listed: it holds only where one of them still is
+	Seen        time.Duration // ago: its latest outcome
+	Breaker     Breaker
+	OpenFor     time.Duration // the open period, which grows from failed trial to failed trial
+	OpenLeft    time.Duration // of it
+	Wait        time.Duration // left of a told wait
+	Rate        float64       // calls a second to which it is paced; 0 is not
+	Limit       float64       // calls a second, as reported; 0 is none
+	Pace        float64       // latency relative to the classes' means
+	Cap         float64       // calls out at once
+	Guard       bool          // an outage may not be over
+	Weak        bool          // the guard was raised by what may be a limit
+	GuardSince  time.Duration // ago: its first sign
+	GuardFrom   time.Duration // ago: the first success since; negative is none
+	LastBad     time.Duration // ago: its latest sign; negative is never
+	LastOK      time.Duration // ago; negative is never
+	// Trust is how far Rate, Pace and Cap are believed, from 0 to 1; a snapshot says 1.
+	Trust float64
+	// Cold says that the destination may have gone cold unseen: it is met as after an outage.
+	Cold bool
+}
+
+// LearnedClass is what was learned of a class.
+type LearnedClass struct {
+	Name  string
+	Mean  float64 // seconds that a call takes at a lane of pace 1
+	Trust float64
+}
+
+// LearnedLosses are the tallies that tell a dead connection or a chance failure from one that speaks of an endpoint. Each is
+// calls, and how many of them were lost.
+type LearnedLosses struct {
+	Paused, Others, OnKept, OnFresh, StrayBad, StrayFull [2]float64
+	IdleBound                                            time.Duration // connections that idled longer are taken for dead; 0 is none known
+	Tells                                                bool          // a refusal has told a wait
+}
+
+// laneName names a lane over lives.
+type laneName struct {
+	destination DestinationID
+	endpoint    EndpointID
+}
+
+func (d *Decider) nameOf(l *lane) laneName {
+	if l.apart {
+		return laneName{l.dest.id, EndpointID(l.name)}
+	}
+	return laneName{destination: l.dest.id}
+}
+
+// Learned gives what was learned up to now.
+func (d *Decider) Learned(now time.Duration) Learned {
+	var out Learned
+	ago := func(at time.Duration) time.Duration { return max(0, now-at) }
+	for _, dest := range d.dests {
+		for _, l := range dest.lanes {
+			seen := time.Duration(math.MinInt64)
+			for _, at := range []time.Duration{l.lastBad, l.cutAt, l.fullSince, l.badSince} {
+				if at != 0 { // which is never; what an earlier life has seen lies before this one's clock began
+					seen = max(seen, at)
+				}
+			}
+			if l.lastOK != neverOK {
+				seen = max(seen, l.lastOK)
+			}
+			if seen == math.MinInt64 {
+				continue
+			}
+			name := d.nameOf(l)
+			f := LearnedLane{
+				Destination: name.destination, Endpoint: name.endpoint, Seen: ago(seen), Breaker: Breaker(l.state),
+				OpenFor: l.openFor, OpenLeft: max(0, l.openUntil-now), Wait: max(0, l.waitUntil-now), Rate: l.rate, Limit: l.x1,
+				Pace: l.pace, Cap: l.cap, Guard: l.guard, Weak: l.weak, GuardSince: ago(l.guardSince), GuardFrom: -1,
+				LastBad: -1, LastOK: -1, Trust: 1,
+			}
+			if l.lastBad != 0 {
+				f.LastBad = ago(l.lastBad)
+			}
+			if l.lastOK != neverOK {
+				f.LastOK = ago(l.lastOK)
+			}
+			if l.guardFrom >= 0 {
+				f.GuardFrom = ago(l.guardFrom)
+			}
+			for _, ep := range l.eps {
+				f.Endpoints = append(f.Endpoints, ep.id)
+			}
+			slices.Sort(f.Endpoints)
+			out.Lanes = append(out.Lanes, f)
+		}
+	}
+	slices.SortFunc(out.Lanes, func(a, b LearnedLane) int {
+		return cmp.Or(cmp.Compare(a.Destination, b.Destination), cmp.Compare(a.Endpoint, b.Endpoint))
+	})
+	for _, c := range d.s.Classes {
+		out.Classes = append(out.Classes, LearnedClass{Name: c.Name, Mean: d.classes[c.Name].mean, Trust: 1})
+	}
+	two := func(t tally) [2]float64 { return [2]float64{t.n, t.lost} }
+	out.Lost = LearnedLosses{
+		Paused: two(d.paused), Others: two(d.others), OnKept: two(d.onKept), OnFresh: two(d.onFresh),
+		StrayBad: two(d.strayBad), StrayFull: two(d.strayFull), IdleBound: d.idleBound, Tells: d.tells,
+	}
+	return out
+}
+
+// Recall has the courier start from what an earlier life had learned. It comes before the first Members; each lane takes its
+// part up when an endpoint that it had then is listed.
+func (d *Decider) Recall(now time.Duration, l Learned) {
+	d.now = now
+	d.recalled = map[laneName]LearnedLane{}
+	for _, f := range l.Lanes {
+		d.recalled[laneName{f.Destination, f.Endpoint}] = f
+	}
+	for _, f := range l.Classes {
+		if c := d.classes[f.Name]; c != nil && f.Mean > 0 {
+			c.mean = toward(c.mean, f.Mean, f.Trust)
+		}
+	}
+	one := func(t [2]float64) tally { return tally{n: t[0], lost: t[1]} }
+	d.paused, d.others, d.onKept, d.onFresh = one(l.Lost.Paused), one(l.Lost.Others), one(l.Lost.OnKept), one(l.Lost.OnFresh)
+	d.strayBad, d.strayFull, d.tells = one(l.Lost.StrayBad), one(l.Lost.StrayFull), l.Lost.Tells
+	if d.idleBound = l.Lost.IdleBound; d.idleBound > 0 {
+		d.idleHitAt = now
+	}
+}
+
+// toward is what lies a share of the way from one value to another.
+func toward(from, to, share float64) float64 { return from + share*(to-from) }
+
+// recall has a lane take up what is known of it, once one of its endpoints is listed again.
+func (d *Decider) recall(ep *endpoint) {
+	l := ep.lane
+	f, known := d.recalled[d.nameOf(l)]
+	if !known || !slices.Contains(f.Endpoints, ep.id) {
+		return
+	}
+	delete(d.recalled, d.nameOf(l))
+	at := func(ago time.Duration) time.Duration { return d.now - ago }
+	l.waitUntil = max(l.waitUntil, d.now+f.Wait)
+	if f.Limit > 0 && f.Trust > 0 {
+		l.x1 = f.Limit
+	}
+	if base := d.base(l); f.Rate > 0 {
+		l.rate, l.bucketAt, l.bucket = math.Max(paceFloor*base, toward(base, f.Rate, f.Trust)), d.now, 1
+	}
+	if f.Pace > 0 {
+		l.pace = math.Min(paceMost, math.Max(paceLeast, toward(1, f.Pace, f.Trust)))
+	}
+	l.cap = math.Min(d.capCeil(), math.Max(1, toward(d.capFloor(), f.Cap, f.Trust)))
+	if f.LastOK >= 0 {
+		l.lastOK = at(f.LastOK)
+	}
+	if f.LastBad >= 0 {
+		l.lastBad = at(f.LastBad)
+	}
+	if f.Breaker != BreakerClosed {
+		l.state, l.openFor, l.openUntil = open, min(openMost, max(openFirst, f.OpenFor)), d.now+f.OpenLeft
+	}
+	if (f.Guard || f.Cold) && d.s.OverloadFactor > 0 && d.s.TipAfter > 0 {
+		l.guard, l.weak, l.phase = true, f.Weak && !f.Cold, d.rng.Float64()
+		l.guardSince, l.guardFrom = at(f.GuardSince), -1
+		if f.GuardFrom >= 0 {
+			l.guardFrom = max(0, at(f.GuardFrom))
+		}
+		if f.Cold {
+			l.guardSince, l.guardFrom, l.lastBad = d.now, -1, d.now
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -12,6 +12,12 @@
 	"time"
 )
 
+// recallFor is how long what an earlier life knew of a lane waits for it to be listed.
+const recallFor = 10 * time.Minute
+
+// neverOK is a lane's lastOK before its first success.
+const neverOK = -time.Hour
+
 type breakerState int
 
 const (
@@ -108,6 +114,7 @@
 	kind       string
 	hint       float64
 	fee        float64
+	apart      bool // it is one route
 	state      breakerState
 	window     []bool // true is a failure
 	openUntil  time.Duration
@@ -237,7 +244,8 @@
 	askAt     time.Duration // when to ask for the list next; 0 is never
 	askWait   time.Duration
 	shedLogAt time.Duration
-	closeAt   time.Duration // when this life ends; 0 is not known
+	closeAt   time.Duration            // when this life ends; 0 is not known
+	recalled  map[laneName]LearnedLane // of an earlier life, not taken up yet
 }
 
 // enqueue gives a message of an ordered class its turn.
@@ -295,10 +303,10 @@
 	} else {
 		l = &lane{
 			name: fmt.Sprintf("destination %d", dest.id), dest: dest, kind: en.Kind, pace: 1, cap: d.capFloor(),
-			batch: max(1, d.s.BatchByKind[en.Kind]), guardFrom: -1, lastOK: -time.Hour, lastSend: -time.Hour,
+			batch: max(1, d.s.BatchByKind[en.Kind]), guardFrom: -1, lastOK: neverOK, lastSend: -time.Hour,
 		}
 		if apart {
-			l.name, l.fee = string(en.Endpoint), d.s.ZoneFee[en.Zone]
+			l.name, l.fee, l.apart = string(en.Endpoint), d.s.ZoneFee[en.Zone], true
 		}
 		dest.lanes = append(dest.lanes, l)
 	}
@@ -315,6 +323,7 @@
 func (d *Decider) setState(ep *endpoint, r Readiness) {
 	if ep.state == Deleted && r != Deleted && !slices.Contains(ep.lane.eps, ep) {
 		ep.lane.eps = append(ep.lane.eps, ep)
+		d.recall(ep)
 	}
 	if r == Deleted {
 		ep.lane.eps = slices.DeleteFunc(ep.lane.eps, func(o *endpoint) bool { return o == ep })
@@ -389,6 +398,9 @@
 		}
 		return old
 	})
+	if before > d.startAt+recallFor { // whoever is not listed by now will not be
+		d.recalled = nil
+	}
 	maps.DeleteFunc(d.turns, func(_ OrderKey, t *turn) bool { return len(t.queue) == 0 && d.now >= t.restUntil })
 	maps.DeleteFunc(d.dests, func(_ DestinationID, dest *destination) bool {
 		dest.lanes = slices.DeleteFunc(dest.lanes, func(l *lane) bool { return l.known == 0 })
