--- a/internal/routing/wal/store/compact.go
+++ b/internal/routing/wal/store/compact.go
@@ -101,12 +101,12 @@
 // copyLive copies what is needed of a segment; keys are all that it has records of. A victim that nothing is needed of
 // gives no file.
 func (s *Store) copyLive(victim, out *file, pace func(int)) (list []moved, keys map[uint64]bool, err error) {
-	keys = map[uint64]bool{}
+	wanted, keys, err := s.survey(victim)
+	if err != nil || len(wanted) == 0 {
+		return nil, keys, err
+	}
 	sc, err := segment.NewScanner(io.NewSectionReader(victim.f, 0, victim.size))
 	if err != nil {
-		if errors.Is(err, segment.ErrNotSegment) { // it was reported at the start
-			return nil, keys, nil
-		}
 		return nil, nil, err
 	}
 	head := segment.Head{Store: s.head, Number: out.number}
@@ -138,8 +138,7 @@
 		if err != nil {
 			continue // it was reported at the start
 		}
-		keys[key] = true
-		if !s.wants(k, key, victim) {
+		if !wanted[rec.Offset] {
 			continue
 		}
 		if out.size == 0 {
@@ -175,10 +174,49 @@
 	return list, keys, nil
 }
 
-// wants says whether a record of a segment is still needed.
+// survey goes through a segment for what is still needed of it, by offset, and for all keys that it has records of. It asks
+// the books about many records at a time, since who appends wants the same lock.
+func (s *Store) survey(victim *file) (wanted map[int64]bool, keys map[uint64]bool, err error) {
+	wanted, keys = map[int64]bool{}, map[uint64]bool{}
+	sc, err := segment.NewScanner(io.NewSectionReader(victim.f, 0, victim.size))
+	if err != nil {
+		if errors.Is(err, segment.ErrNotSegment) { // it was reported at the start
+			return nil, keys, nil
+		}
+		return nil, nil, err
+	}
+	type seen struct {
+		key    uint64
+		offset int64
+		k      kind
+	}
+	list := make([]seen, 0, atOnce)
+	ask := func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, r := range list {
+			if s.wants(r.k, r.key, victim) {
+				wanted[r.offset] = true
+			}
+		}
+		list = list[:0]
+	}
+	for rec, ok := sc.Next(); ok; rec, ok = sc.Next() {
+		k, _, key, _, err := decode(rec.Payload)
+		if err != nil {
+			continue // it was reported at the start
+		}
+		keys[key] = true
+		if list = append(list, seen{key, rec.Offset, k}); len(list) == atOnce {
+			ask()
+		}
+	}
+	ask()
+	return wanted, keys, sc.Err()
+}
+
+// wants says whether a record of a segment is still needed; s.mu is held.
 func (s *Store) wants(k kind, key uint64, victim *file) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	e := s.keys[key]
 	switch {
 	case e == nil:
