--- a/cmd/larklab/main.go
+++ b/cmd/larklab/main.go
@@ -3,21 +3,31 @@
 package main
 
 import (
+	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"runtime"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
 
 	"mulleinbeam/internal/lab/experiment"
+	"mulleinbeam/internal/lab/report"
+	"mulleinbeam/internal/lab/scenario"
+	"mulleinbeam/internal/lab/world"
 	"mulleinbeam/internal/settings"
 )
 
 type cli struct {
 	LongBodies longCmd    `cmd:"" help:"Move long bodies through the forwarder: memory, throughput, processor time, and what short messages notice."`
 	Journal    journalCmd `cmd:"" help:"Take messages through their whole life in the journal: accepts a second, longest stop, bytes written, opening, memory."`
+	Run        runCmd     `cmd:"" help:"Play a scenario in virtual time; status 1 if a rule was broken."`
+	Compare    compareCmd `cmd:"" help:"Play a scenario with and without a change, paired by seed."`
 	Relay      relayCmd   `cmd:"" hidden:"" help:"A bare relay to compare with."`
 }
 
@@ -72,6 +82,131 @@
 	return j.Run()
 }
 
+type runCmd struct {
+	File  string `arg:"" type:"existingfile" help:"The scenario, as TOML; deploy/scenarios has examples."`
+	Seed  uint64 `default:"1" help:"The first seed."`
+	Seeds int    `default:"1" help:"How many, one behind the other."`
+	JSON  bool   `name:"json" help:"The results as JSON."`
+	HTML  string `name:"html" placeholder:"FILE" help:"A report as one page."`
+}
+
+var errBroken = errors.New("a rule was broken")
+
+// Run plays.
+func (c runCmd) Run() error {
+	s, err := scenario.Read(c.File)
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	variants := []world.Variant{{Name: s.Name, Scenario: s}}
+	results, err := play(variants, c.Seed, c.Seeds)
+	if err != nil {
+		return err
+	}
+	if err := write(c.HTML, report.Page{Title: s.Name, Variants: variants, Results: results}); err != nil {
+		return err
+	}
+	events, broken := int64(0), false
+	for _, r := range results[0] {
+		events += r.Events
+		if c.JSON {
+			if err := json.NewEncoder(os.Stdout).Encode(r); err != nil {
+				return err
+			}
+		}
+		for _, b := range r.Broken {
+			broken = true
+			fmt.Printf("seed %d: rule broken at %s\n", r.Seed, b)
+		}
+	}
+	if !c.JSON {
+		for _, f := range world.Figures {
+			var values []float64
+			for _, r := range results[0] {
+				values = append(values, f.Of(r))
+			}
+			i := world.Bootstrap(values, 1)
+			fmt.Printf("%-45s %12.3f  (%.3f to %.3f)\n", f.Name, i.Mean, i.Low, i.High)
+		}
+		fmt.Printf("%d events in %v\n", events, time.Since(began).Round(time.Millisecond))
+	}
+	if broken {
+		return errBroken
+	}
+	return nil
+}
+
+// write writes a report, if one is wanted.
+func write(path string, p report.Page) error {
+	if path == "" {
+		return nil
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(p.Write(f), f.Close())
+}
+
+// play plays variants with seeds, and tells how far it is.
+func play(variants []world.Variant, seed uint64, n int) ([][]world.Result, error) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	var seeds []uint64
+	for i := range n {
+		seeds = append(seeds, seed+uint64(i))
+	}
+	return world.Sweep(ctx, variants, seeds, runtime.GOMAXPROCS(0), func(done, of int, left time.Duration) {
+		if of > 1 {
+			fmt.Fprintf(os.Stderr, "\r%d of %d, %v left   ", done, of, left.Round(time.Second))
+			if done == of {
+				fmt.Fprintln(os.Stderr)
+			}
+		}
+	})
+}
+
+type compareCmd struct {
+	File  string `arg:"" type:"existingfile" help:"The scenario, as TOML."`
+	With  string `enum:"learned" default:"learned" help:"The change: learned state kept over kills."`
+	Seed  uint64 `default:"1" help:"The first seed."`
+	Seeds int    `default:"30" help:"How many."`
+	HTML  string `name:"html" placeholder:"FILE" help:"A report as one page."`
+}
+
+// Run plays both.
+func (c compareCmd) Run() error {
+	s, err := scenario.Read(c.File)
+	if err != nil {
+		return err
+	}
+	a, b := s, s
+	a.Learned.Keep, b.Learned.Keep = false, true
+	variants := []world.Variant{{Name: "without", Scenario: a}, {Name: "with " + c.With, Scenario: b}}
+	results, err := play(variants, c.Seed, c.Seeds)
+	if err != nil {
+		return err
+	}
+	title := fmt.Sprintf("%s, with and without %s state", s.Name, c.With)
+	if err := write(c.HTML, report.Page{Title: title, Variants: variants, Results: results}); err != nil {
+		return err
+	}
+	list, err := world.Compare(results[0], results[1])
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%-45s %12s %12s   difference\n", fmt.Sprintf("%s, %d seeds", s.Name, c.Seeds), "without", "with "+c.With)
+	for _, d := range list {
+		note := ""
+		if d.Diff.Noise() {
+			note = "  may be chance"
+		}
+		fmt.Printf("%-45s %12.3f %12.3f   %+.3f (%+.3f to %+.3f)%s\n", d.Figure, d.A, d.B, d.Diff.Mean, d.Diff.Low, d.Diff.High, note)
+	}
+	return nil
+}
+
 type relayCmd struct {
 	To string `arg:"" help:"Where to pass on to."`
 }
--- /dev/null
+++ b/internal/lab/report/report_test.go
@@ -0,0 +1,56 @@
+package report
+
+import (
+	"bytes"
+	"encoding/xml"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"mulleinbeam/internal/lab/world"
+)
+
+// The page has each figure, each class, the plots as whole SVG, and what was broken, with nothing fetched from elsewhere and
+// names taken for text.
+func TestPage(t *testing.T) {
+	result := func(seed uint64, worth float64) world.Result {
+		return world.Result{
+			Seed: seed, Worth: world.Worth{Offered: 10, Delivered: worth}, Classes: map[string]*world.ClassResult{"fee": {Offered: 3, Delivered: 2}},
+			Seconds: []world.Second{{Worth: 1}, {Worth: worth}}, Broken: []string{"1s: message 4 has a second end"},
+		}
+	}
+	p := Page{
+		Title: "a <b>trial</b>", Variants: []world.Variant{{Name: "without"}, {Name: "with"}},
+		Results: [][]world.Result{{result(1, 5), result(2, 6)}, {result(1, 7), result(2, 8)}},
+	}
+	var b bytes.Buffer
+	if err := p.Write(&b); err != nil {
+		t.Fatal(err)
+	}
+	text := b.String()
+	for _, want := range []string{
+		"a &lt;b&gt;trial", "worth delivered, share of offered<td>0.550<td>0.750<td>&#43;0.200", "<td>fee<td>with<td>6<td>4",
+		"without, seed 2: 1s: message 4 has a second end",
+	} {
+		if !strings.Contains(text, want) {
+			t.Errorf("no %q", want)
+		}
+	}
+	if strings.Count(text, "<svg") != 4 || strings.Contains(text, "src=") || strings.Contains(text, "<script") {
+		t.Errorf("%d plots", strings.Count(text, "<svg"))
+	}
+	svg := text[strings.Index(text, "<svg"):]
+	dec := xml.NewDecoder(strings.NewReader(svg[:strings.Index(svg, "</svg>")+6]))
+	for {
+		if _, err := dec.Token(); errors.Is(err, io.EOF) {
+			break
+		} else if err != nil {
+			t.Fatal(err)
+		}
+	}
+	p.Results[1][0].Seed = 9
+	if err := p.Write(io.Discard); err == nil {
+		t.Error("other seeds were compared")
+	}
+}
--- /dev/null
+++ b/internal/lab/scenario/sample.go
@@ -0,0 +1,35 @@
+package scenario
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// Sampler gives draws in the distribution's unit, out of src.
+func (d Distribution) Sampler(src rand.Source) (func() float64, error) {
+	if d.Mean <= 0 || d.Spread < 0 || math.IsNaN(d.Mean) || math.IsInf(d.Mean, 0) {
+		return nil, fmt.Errorf("mean %v and spread %v can't be", d.Mean, d.Spread)
+	}
+	switch kind := d.Kind; {
+	case kind == "exponential":
+		return distuv.Exponential{Rate: 1 / d.Mean, Src: src}.Rand, nil
+	case kind == "constant" || d.Spread == 0 && (kind == "lognormal" || kind == "gamma" || kind == "uniform"):
+		return func() float64 { return d.Mean }, nil
+	case kind == "lognormal":
+		s2 := math.Log(1 + d.Spread*d.Spread)
+		return distuv.LogNormal{Mu: math.Log(d.Mean) - s2/2, Sigma: math.Sqrt(s2), Src: src}.Rand, nil
+	case kind == "gamma":
+		shape := 1 / (d.Spread * d.Spread)
+		return distuv.Gamma{Alpha: shape, Beta: shape / d.Mean, Src: src}.Rand, nil
+	case kind == "uniform":
+		half := d.Mean * d.Spread * math.Sqrt(3)
+		if half > d.Mean {
+			return nil, fmt.Errorf("a uniform spread of %v reaches below 0", d.Spread)
+		}
+		return distuv.Uniform{Min: d.Mean - half, Max: d.Mean + half, Src: src}.Rand, nil
+	}
+	return nil, fmt.Errorf("no distribution %q", d.Kind)
+}
--- /dev/null
+++ b/internal/lab/scenario/scenario.go
@@ -0,0 +1,225 @@
+// Package scenario reads what the laboratory plays: a fleet of forwarders, partners, traffic, faults on a timeline and the
+// settings under trial, as one TOML file. It starts nothing.
+package scenario
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Duration is a time such as 20s.
+type Duration time.Duration
+
+// UnmarshalText reads a time.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	*d = Duration(v)
+	return err
+}
+
+// MarshalText writes a time.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// D is the time.
+func (d Duration) D() time.Duration { return time.Duration(d) }
+
+// Scenario is one.
+type Scenario struct {
+	Name     string     `toml:"name"`
+	Length   Duration   `toml:"length"` // of the traffic; what is held then still ends
+	Fleet    Fleet      `toml:"fleet"`
+	Partners []Partners `toml:"partners"`
+	Classes  []Class    `toml:"classes"`
+	Traffic  Traffic    `toml:"traffic"`
+	Faults   []Fault    `toml:"faults"`
+	Rules    Rules      `toml:"rules"`
+	Learned  Learned    `toml:"learned"`
+}
+
+// Fleet is the forwarders.
+type Fleet struct {
+	Forwarders int `toml:"forwarders"`
+	Slots      int `toml:"slots"`
+	MostHeld   int `toml:"most-held"`
+}
+
+// Partners is a number of partners that are alike.
+type Partners struct {
+	Count     int          `toml:"count"`
+	Endpoints int          `toml:"endpoints"` // of each
+	Capacity  float64      `toml:"capacity"`  // calls a second, of one partner
+	Hint      float64      `toml:"hint"`      // what the list says of that, as a share of it; 0 says nothing
+	Service   Distribution `toml:"service"`   // of a call's time, in milliseconds
+	Limit     float64      `toml:"limit"`     // calls a second that are taken; 0 is none
+	Counts    bool         `toml:"counts"`    // refused calls count for the limit
+	Tells     Duration     `toml:"tells"`     // the wait told with a refusal; 0 tells none
+	Resets    float64      `toml:"resets"`    // share of calls whose answer is lost
+}
+
+// Distribution names one of gonum's, by its mean and its spread.
+type Distribution struct {
+	Kind   string  `toml:"kind"`   // constant, exponential, lognormal, gamma, uniform
+	Mean   float64 `toml:"mean"`   //
+	Spread float64 `toml:"spread"` // standard deviation over mean; exponential has none of its own
+}
+
+// Class is one of messages.
+type Class struct {
+	Name   string   `toml:"name"`
+	Effect string   `toml:"effect"` // safe, keyed, unsafe
+	Share  float64  `toml:"share"`
+	Worth  float64  `toml:"worth"`
+	Target Duration `toml:"target"`
+	GiveUp Duration `toml:"give-up"`
+	KeyTTL Duration `toml:"key-ttl"`
+}
+
+// Traffic is what clients hand in.
+type Traffic struct {
+	Rate    float64 `toml:"rate"`    // messages a second, at all forwarders together
+	Skew    float64 `toml:"skew"`    // of the partners: the nth gets n^-skew
+	Returns int     `toml:"returns"` // how often a client comes again after a refusal
+}
+
+// Fault is something that goes wrong, from a moment on and for a time.
+type Fault struct {
+	At    Duration `toml:"at"`
+	For   Duration `toml:"for"`
+	Kind  string   `toml:"kind"`
+	Share float64  `toml:"share"` // of the partners, or of the forwarders
+	By    float64  `toml:"by"`    // a factor: of load, or of service times
+	Back  Duration `toml:"back"`  // killed forwarders are back between Back
+	Until Duration `toml:"until"` // and Until after
+}
+
+// The kinds of faults.
+const (
+	Outage  = "outage"  // partners refuse connections; cold when they are back
+	Silence = "silence" // partners take calls and never answer; cold when they are back
+	Slow    = "slow"    // partners take By times as long
+	Load    = "load"    // By times the traffic
+	Kill    = "kill"    // forwarders are killed
+	Drain   = "drain"   // an endpoint of each leaves the list and is replaced by one of another name
+)
+
+// Rules are the users' figures of outages and of partners that come back cold.
+type Rules struct {
+	ColdFrom   float64  `toml:"cold-from"`   // share of the capacity that a partner has as it comes back
+	WarmWithin Duration `toml:"warm-within"` // until it has all of it
+	Overload   float64  `toml:"overload"`    // calls over the present share, in TipAfter, at which it falls over
+	TipAfter   Duration `toml:"tip-after"`
+	TipFor     Duration `toml:"tip-for"` // how long it is down then
+}
+
+// Learned says whether what was learned outlasts a kill.
+type Learned struct {
+	Keep     bool     `toml:"keep"`
+	Interval Duration `toml:"interval"` // between two saves
+}
+
+// defaults stand where a file says nothing.
+func defaults() Scenario {
+	return Scenario{
+		Length: Duration(time.Minute), Fleet: Fleet{Forwarders: 4, Slots: 24, MostHeld: 400},
+		Rules: Rules{
+			ColdFrom: 0.3, WarmWithin: Duration(14 * time.Second), Overload: 1.5, TipAfter: Duration(1500 * time.Millisecond), TipFor: Duration(4 * time.Second),
+		},
+		Traffic: Traffic{Returns: 2}, Learned: Learned{Interval: Duration(2 * time.Second)},
+	}
+}
+
+// Read reads a file.
+func Read(path string) (Scenario, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Scenario{}, fmt.Errorf("scenario: %w", err)
+	}
+	return Parse(path, raw)
+}
+
+// Parse reads a file's content; path is for its errors, which name the line.
+func Parse(path string, raw []byte) (Scenario, error) {
+	s := defaults()
+	if err := toml.NewDecoder(bytes.NewReader(raw)).DisallowUnknownFields().Decode(&s); err != nil {
+		var unknown *toml.StrictMissingError
+		var wrong *toml.DecodeError
+		switch {
+		case errors.As(err, &unknown) && len(unknown.Errors) > 0:
+			line, _ := unknown.Errors[0].Position()
+			return s, fmt.Errorf("scenario: %s:%d: %s: no such key", path, line, strings.Join(unknown.Errors[0].Key(), "."))
+		case errors.As(err, &wrong):
+			line, _ := wrong.Position()
+			return s, fmt.Errorf("scenario: %s:%d: %w", path, line, err)
+		}
+		return s, fmt.Errorf("scenario: %s: %w", path, err)
+	}
+	if err := s.Check(); err != nil {
+		return s, fmt.Errorf("scenario: %s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Check says what can't be played.
+func (s Scenario) Check() error {
+	bad := func(format string, args ...any) error { return fmt.Errorf(format, args...) }
+	if s.Length <= 0 || s.Length.D() > 24*time.Hour {
+		return bad("length: %v", s.Length.D())
+	}
+	if s.Fleet.Forwarders < 1 || s.Fleet.Slots < 1 || s.Fleet.MostHeld < 1 {
+		return bad("fleet: forwarders, slots and most-held are 1 at least")
+	}
+	if len(s.Partners) == 0 || len(s.Classes) == 0 {
+		return bad("partners and classes are needed")
+	}
+	for i, p := range s.Partners {
+		if p.Count < 1 || p.Endpoints < 1 || p.Capacity <= 0 {
+			return bad("partners %d: count, endpoints and capacity are needed", i+1)
+		}
+		if _, err := p.Service.Sampler(nil); err != nil {
+			return bad("partners %d: service: %w", i+1, err)
+		}
+		if p.Resets < 0 || p.Resets >= 1 || p.Limit < 0 || p.Hint < 0 {
+			return bad("partners %d: resets is a share, limit and hint are not below 0", i+1)
+		}
+	}
+	total := 0.0
+	for _, c := range s.Classes {
+		if c.Effect != "safe" && c.Effect != "keyed" && c.Effect != "unsafe" {
+			return bad("class %s: effect %q is not safe, keyed or unsafe", c.Name, c.Effect)
+		}
+		if c.Target <= 0 || c.GiveUp < c.Target || c.Share < 0 || c.Effect == "keyed" && c.KeyTTL <= 0 {
+			return bad("class %s: target, give-up from target on, share and, if keyed, key-ttl are needed", c.Name)
+		}
+		total += c.Share
+	}
+	if total <= 0 || s.Traffic.Rate <= 0 {
+		return bad("traffic: no class has a share, or no rate is said")
+	}
+	for i, f := range s.Faults {
+		switch f.Kind {
+		case Outage, Silence, Kill, Drain:
+		case Slow, Load:
+			if f.By <= 0 {
+				return bad("fault %d: %s needs by", i+1, f.Kind)
+			}
+		default:
+			return bad("fault %d: no kind %q", i+1, f.Kind)
+		}
+		if f.Share < 0 || f.Share > 1 || f.At < 0 || f.For < 0 || f.Back < 0 || f.Until < f.Back {
+			return bad("fault %d: share is from 0 to 1, times are not below 0, until is not before back", i+1)
+		}
+	}
+	if r := s.Rules; r.ColdFrom <= 0 || r.ColdFrom > 1 || r.Overload <= 0 || r.TipAfter <= 0 || r.WarmWithin < 0 {
+		return bad("rules: cold-from is a share, overload and tip-after are needed")
+	}
+	if s.Learned.Keep && s.Learned.Interval <= 0 {
+		return bad("learned: interval is needed")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/scenario/scenario_test.go
@@ -0,0 +1,85 @@
+package scenario
+
+import (
+	"math"
+	"math/rand/v2"
+	"strings"
+	"testing"
+)
+
+const least = `
+[[partners]]
+count = 1
+endpoints = 1
+capacity = 10.0
+service = { kind = "constant", mean = 5.0 }
+[[classes]]
+name = "c"
+effect = "safe"
+share = 1.0
+target = "1s"
+give-up = "5s"
+[traffic]
+rate = 5.0
+`
+
+// What can't be played is said with its file and its place.
+func TestErrors(t *testing.T) {
+	if _, err := Parse("s.toml", []byte(least)); err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct{ old, new, want string }{
+		"unknown key":     {"count = 1", "cuont = 1", "s.toml:3: partners.cuont: no such key"},
+		"no time":         {`target = "1s"`, `target = "soon"`, "s.toml:11"},
+		"no partners":     {"count = 1", "count = 0", "partners 1: count"},
+		"no distribution": {`"constant"`, `"weird"`, `no distribution "weird"`},
+		"effect":          {`"safe"`, `"harmless"`, `effect "harmless"`},
+		"no rate":         {"rate = 5.0", "rate = 0.0", "traffic"},
+		"keyed, no time":  {`"safe"`, `"keyed"`, "key-ttl"},
+		"fault":           {"[traffic]", "[[faults]]\nkind = \"quake\"\n[traffic]", `no kind "quake"`},
+		"slow by nothing": {"[traffic]", "[[faults]]\nkind = \"slow\"\n[traffic]", "needs by"},
+		"share":           {"[traffic]", "[[faults]]\nkind = \"kill\"\nshare = 1.5\n[traffic]", "share is from 0 to 1"},
+	} {
+		if _, err := Parse("s.toml", []byte(strings.Replace(least, c.old, c.new, 1))); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// The examples can be played.
+func TestExamples(t *testing.T) {
+	if s, err := Read("../../../deploy/scenarios/mass-restart.toml"); err != nil || len(s.Faults) != 2 {
+		t.Errorf("%d faults, %v", len(s.Faults), err)
+	}
+}
+
+// Each distribution has the mean and the spread that were asked for, and the same draws from the same seed.
+func TestDistributions(t *testing.T) {
+	for _, d := range []Distribution{
+		{"constant", 20, 0}, {"exponential", 20, 1}, {"lognormal", 20, 0.5}, {"gamma", 20, 0.7}, {"uniform", 20, 0.4}, {"gamma", 20, 0},
+	} {
+		draw, err := d.Sampler(rand.NewPCG(1, 2))
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, _ := d.Sampler(rand.NewPCG(1, 2))
+		const n = 200_000
+		sum, squares := 0.0, 0.0
+		for range n {
+			x := draw()
+			if x < 0 || x != again() {
+				t.Fatalf("%+v: drew %v", d, x)
+			}
+			sum += x
+			squares += x * x
+		}
+		mean := sum / n
+		spread := math.Sqrt(max(0, squares/n-mean*mean)) / mean
+		if math.Abs(mean-d.Mean) > 0.02*d.Mean || math.Abs(spread-d.Spread) > 0.02 {
+			t.Errorf("%+v: mean %v, spread %v", d, mean, spread)
+		}
+	}
+	if _, err := (Distribution{"uniform", 1, 0.9}).Sampler(nil); err == nil {
+		t.Error("a uniform one that reaches below zero was taken")
+	}
+}
--- /dev/null
+++ b/internal/lab/world/check.go
@@ -0,0 +1,169 @@
+package world
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	mb "mulleinbeam"
+)
+
+// Ending is how a message ended.
+type Ending int
+
+// The endings.
+const (
+	Delivered Ending = iota
+	Refused
+	Failed
+)
+
+// Result is what a run showed.
+type Result struct {
+	Scenario  string                  `json:"scenario"`
+	Seed      uint64                  `json:"seed"`
+	Events    int64                   `json:"events"`
+	Offered   int                     `json:"offered"` // wishes of clients
+	Worth     Worth                   `json:"worth"`
+	Classes   map[string]*ClassResult `json:"classes"`
+	Calls     int                     `json:"calls"`
+	Cold      int                     `json:"cold_calls"`       // that reached a partner which was still cold
+	ColdEarly int                     `json:"cold_calls_early"` // of these, in the first 14 s
+	OverLimit int                     `json:"over_limit"`       // calls that were refused
+	InWaits   int                     `json:"in_told_waits"`    // calls of a forwarder to a partner that had told it to wait, before its life began
+	Tips      int                     `json:"tips"`             // partners that fell over again
+	Kills     int                     `json:"kills"`
+	Restarts  []time.Duration         `json:"-"`
+	Backs     []time.Duration         `json:"-"`
+	Seconds   []Second                `json:"seconds"`
+	Broken    []string                `json:"broken"` // rules, with the moment
+}
+
+// Worth is of messages, by their class and their age.
+type Worth struct {
+	Offered   float64 `json:"offered"`
+	Delivered float64 `json:"delivered"`
+	After     float64 `json:"after_kill"` // delivered within 20 s of the first kill
+}
+
+// ClassResult is one class's.
+type ClassResult struct {
+	Offered, Delivered, InTime, Refused, Failed, Lost int
+}
+
+// Second is one of the run.
+type Second struct {
+	Offered   int     `json:"offered"`
+	Delivered int     `json:"delivered"`
+	Worth     float64 `json:"worth"`
+	Calls     int     `json:"calls"`
+	Held      int     `json:"held"`
+}
+
+func (w *World) second() *Second {
+	n := int(w.now / time.Second)
+	for len(w.result.Seconds) <= n {
+		held := 0
+		for _, h := range w.hosts {
+			held += len(h.held)
+		}
+		w.result.Seconds = append(w.result.Seconds, Second{Held: held})
+	}
+	return &w.result.Seconds[n]
+}
+
+// deliver books a delivery.
+func (w *World) deliver(m *message) {
+	x := m.wish
+	r := w.result.Classes[x.class.Name]
+	if x.delivered { // by an earlier handing in whose answer was lost: worth nothing more
+		return
+	}
+	x.delivered = true
+	r.Delivered++
+	worth := x.class.Worth
+	if age := w.now - x.at; age <= x.class.Target.D() {
+		r.InTime++
+	} else {
+		late := (age - x.class.Target.D()).Seconds() / max(1e-3, (x.class.GiveUp-x.class.Target).D().Seconds())
+		worth *= 1 - 0.6*math.Min(1, late)
+	}
+	w.result.Worth.Delivered += worth
+	if len(w.result.Restarts) > 0 && w.now < w.result.Restarts[0]+20*time.Second {
+		w.result.Worth.After += worth
+	}
+	s := w.second()
+	s.Delivered++
+	s.Worth += worth
+}
+
+// checker holds a run against the rules, as it goes.
+type checker struct {
+	w     *World
+	open  int // messages taken and not ended
+	total int
+}
+
+const mostBroken = 20
+
+func (c *checker) broken(format string, args ...any) {
+	if len(c.w.result.Broken) < mostBroken {
+		c.w.result.Broken = append(c.w.result.Broken, fmt.Sprintf("%v, event %d: ", c.w.now, c.w.events)+fmt.Sprintf(format, args...))
+	}
+}
+
+func (c *checker) taken(m *message) {
+	c.open++
+	c.total++
+	c.w.second().Offered++
+}
+
+// ended: one end, before the deadline.
+func (c *checker) ended(m *message, how Ending) {
+	if m.ended {
+		c.broken("message %d has a second end", m.id)
+	}
+	due := max(m.deadline, m.wish.host.startAt) // nobody can end it while its forwarder is dead
+	if c.open--; how != Delivered && c.w.now > due+50*time.Millisecond {
+		c.broken("message %d ends %v behind its deadline", m.id, c.w.now-due)
+	}
+}
+
+// sent: slots, drains, waits, and what may have run.
+func (c *checker) sent(h *host, k *call) {
+	w := c.w
+	w.result.Calls++
+	w.second().Calls++
+	class := k.m.wish.class
+	switch {
+	case h.out > w.s.Fleet.Slots:
+		c.broken("forwarder %d has %d calls out with %d slots", h.name, h.out, w.s.Fleet.Slots)
+	case h.known[k.endpoint.name] != mb.Serving:
+		c.broken("forwarder %d calls %s, which is not serving", h.name, k.endpoint.name)
+	case k.m.mayRun && class.Effect == "unsafe":
+		c.broken("message %d may have run and is sent again", k.m.id)
+	case k.m.mayRun && class.Effect == "keyed" && w.now > k.m.ranAt+class.KeyTTL.D():
+		c.broken("message %d is repeated behind its key's time", k.m.id)
+	}
+	if told := h.waits[k.partner.id]; w.now < told.until {
+		if told.life == h.life {
+			c.broken("forwarder %d calls partner %d within a told wait", h.name, k.partner.id)
+		} else {
+			w.result.InWaits++
+		}
+	}
+}
+
+// ran: no second effect.
+func (c *checker) ran(m *message) {
+	if m.effects++; m.effects > 1 && m.wish.class.Effect == "unsafe" {
+		c.broken("message %d takes effect a second time", m.id)
+	}
+}
+
+// end: nothing is left.
+func (c *checker) end() {
+	if c.open > 0 {
+		c.broken("%d messages have no end", c.open)
+	}
+}
--- /dev/null
+++ b/internal/lab/world/host.go
@@ -0,0 +1,310 @@
+package world
+
+import (
+	"time"
+
+	mb "mulleinbeam"
+)
+
+const (
+	clockStart = 24 * time.Hour // of a life's module clock: what lies before that life has room
+	pushBack   = time.Second
+)
+
+// message is one handing in of a wish.
+type message struct {
+	id       mb.MessageID
+	wish     *wish
+	deadline time.Duration
+	call     *call
+	attempts int
+	mayRun   bool
+	ranAt    time.Duration
+	effects  int
+	ended    bool
+}
+
+// call is an attempt that is out.
+type call struct {
+	m         *message
+	endpoint  *endpoint
+	partner   *partner
+	number    int
+	sentAt    time.Duration
+	over      bool // answered, cut or cancelled
+	cancelled bool
+}
+
+// told is a wait that a partner has told, to a life of a forwarder.
+type told struct {
+	until time.Duration
+	life  uint64
+}
+
+// host is one forwarder: the decision module and what stands round it, with what outlasts a kill. held is its journal.
+type host struct {
+	w       *World
+	name    int
+	seed    uint64
+	life    uint64
+	up      bool
+	startAt time.Duration
+	d       *mb.Decider
+	held    map[mb.MessageID]*message
+	order   []mb.MessageID // of held, oldest first; ended ones are passed over
+	out     int
+	known   map[mb.EndpointID]mb.Readiness
+	waits   map[mb.DestinationID]told // over its lives
+	saved   mb.Learned
+	savedAt time.Duration
+}
+
+func (h *host) clock() time.Duration { return clockStart + h.w.now - h.startAt }
+
+func (h *host) settings() mb.Settings {
+	s := h.w.s
+	out := mb.Settings{
+		Couriers: s.Fleet.Forwarders, Slots: s.Fleet.Slots, MostHeld: s.Fleet.MostHeld, MaxAttempts: 6, MayCancel: true,
+		TellRetryAfter: true, MaxRetryAfter: 3 * time.Second, ConnectTimeout: time.Second, KeepAlive: 10 * time.Second,
+		AnswerSlack: 20 * time.Millisecond, OverloadFactor: s.Rules.Overload, TipAfter: s.Rules.TipAfter.D(),
+		ColdFrom: s.Rules.ColdFrom, WarmWithin: s.Rules.WarmWithin.D(),
+	}
+	for _, p := range s.Partners {
+		out.HintKnown = out.HintKnown || p.Hint > 0
+	}
+	effects := map[string]mb.Effect{"safe": mb.Safe, "keyed": mb.Keyed, "unsafe": mb.Unsafe}
+	for _, c := range s.Classes {
+		out.Classes = append(out.Classes, mb.Class{
+			Name: c.Name, Target: c.Target.D(), GiveUp: c.GiveUp.D(), Worth: c.Worth, LateWorth: 0.4, Effect: effects[c.Effect],
+			KeyTTL: c.KeyTTL.D(),
+		})
+	}
+	return out
+}
+
+// start begins a life: it recalls what an earlier one has saved, if that is to be, takes the list and resumes what is held.
+func (h *host) start() {
+	h.life++
+	h.up, h.startAt, h.out = true, h.w.now, 0
+	d, err := mb.New(h.settings(), h.seed+h.life)
+	if err != nil {
+		panic(err) // the scenario was checked; these are its figures
+	}
+	h.d, h.known = d, map[mb.EndpointID]mb.Readiness{}
+	if h.waits == nil {
+		h.waits = map[mb.DestinationID]told{}
+	}
+	if h.w.s.Learned.Keep {
+		if h.life > 1 {
+			h.d.Recall(h.clock(), h.w.figures.Weigh(h.saved, h.w.now-h.savedAt, false))
+		}
+		h.save(h.life)
+	}
+	h.learn(mb.Members{Scope: mb.ListWhole, Entries: append([]mb.Entry(nil), h.w.list...)})
+	rest := h.order[:0]
+	for _, id := range h.order {
+		m := h.held[id]
+		if m == nil {
+			continue
+		}
+		rest = append(rest, id)
+		m.call = nil
+		e := mb.Submit{ID: id, Class: m.wish.class.Name, Left: m.deadline - h.w.now, Destination: m.wish.partner.id, Attempts: m.attempts}
+		if m.mayRun {
+			e.Ran = &mb.PastRun{Ago: h.w.now - m.ranAt, Zone: "z"}
+		}
+		h.handle(e)
+	}
+	h.order = rest
+}
+
+// save keeps what was learned, at intervals as long as this life lasts.
+func (h *host) save(life uint64) {
+	if !h.up || h.life != life {
+		return
+	}
+	if h.w.now > h.startAt {
+		h.saved, h.savedAt = h.d.Learned(h.clock()), h.w.now
+	}
+	h.w.at(h.w.now+h.w.s.Learned.Interval.D(), func() { h.save(life) })
+}
+
+// kill ends a life at once. Calls that are out go on at their endpoints, and may run; the next life takes them for that.
+func (h *host) kill() {
+	h.up = false
+	for _, m := range h.held {
+		if c := m.call; c != nil && !c.over {
+			c.over = true
+			if !m.mayRun {
+				m.mayRun, m.ranAt = true, c.sentAt
+			}
+		}
+	}
+	h.w.result.Kills++
+	h.w.result.Restarts = append(h.w.result.Restarts, h.w.now)
+}
+
+func (h *host) learn(e mb.Members) {
+	for _, en := range e.Entries {
+		h.known[en.Endpoint] = en.Readiness
+	}
+	h.handle(e)
+}
+
+// submit takes a wish as a new message.
+func (h *host) submit(x *wish) {
+	w := h.w
+	if len(h.held) >= w.s.Fleet.MostHeld {
+		x.refused(pushBack)
+		return
+	}
+	w.nextID++
+	m := &message{id: w.nextID, wish: x, deadline: x.until}
+	h.held[m.id] = m
+	h.order = append(h.order, m.id)
+	w.checks.taken(m)
+	h.handle(mb.Submit{ID: m.id, Class: x.class.Name, Left: x.until - w.now, Destination: x.partner.id})
+}
+
+// handle feeds the module and does what it says.
+func (h *host) handle(e mb.Event) {
+	for _, a := range h.d.Handle(h.clock(), []mb.Event{e}) {
+		switch a := a.(type) {
+		case mb.Send:
+			h.send(a)
+		case mb.Refuse:
+			if m := h.held[a.ID]; m != nil {
+				h.end(m, Refused)
+				m.wish.refused(max(a.RetryAfter, time.Millisecond))
+			}
+		case mb.Fail:
+			if m := h.held[a.ID]; m != nil {
+				h.end(m, Failed)
+				h.w.result.Classes[m.wish.class.Name].Failed++
+			}
+		case mb.Cancel:
+			if m := h.held[a.ID]; m != nil && m.call != nil && m.call.number == a.Attempt {
+				c, life := m.call, h.life
+				c.cancelled = true
+				h.w.at(h.w.now, func() {
+					if h.life == life {
+						h.answer(c, mb.Cancelled, 0)
+					}
+				})
+			}
+		case mb.SetTimer:
+			life := h.life
+			h.w.at(h.w.now+a.After, func() {
+				if h.up && h.life == life {
+					h.handle(mb.Timer{Cookie: a.Cookie})
+				}
+			})
+		}
+	}
+}
+
+// end ends a message; its call, if one is out, still has to come back.
+func (h *host) end(m *message, how Ending) {
+	h.w.checks.ended(m, how)
+	m.ended = true
+	delete(h.held, m.id)
+}
+
+// send makes a call: it reaches its endpoint a little later, and what comes back does so a little after that.
+func (h *host) send(a mb.Send) {
+	m := h.held[a.ID]
+	w := h.w
+	if m == nil {
+		return
+	}
+	p := w.byName[a.Endpoint]
+	var e *endpoint
+	for _, x := range p.endpoints {
+		if x.name == a.Endpoint {
+			e = x
+		}
+	}
+	if e == nil {
+		e = &endpoint{name: a.Endpoint, gone: true}
+	}
+	c := &call{m: m, endpoint: e, partner: p, number: m.attempts, sentAt: w.now}
+	m.call = c
+	m.attempts++
+	h.out++
+	w.checks.sent(h, c)
+	life := h.life
+	cut := m.deadline
+	if a.CutAt > 0 {
+		cut = min(cut, w.now+a.CutAt-h.clock())
+	}
+	w.at(cut, func() {
+		if h.life == life {
+			h.answer(c, mb.TimedOut, 0)
+		}
+	})
+	w.at(w.now+network, func() {
+		f := p.take(w.now, e)
+		if f.cold {
+			w.result.Cold++
+			if at := w.now - p.backAt; at < 14*time.Second {
+				w.result.ColdEarly++
+			}
+		}
+		if f.outcome == mb.Full {
+			w.result.OverLimit++
+		}
+		if f.after < 0 {
+			return
+		}
+		done := w.now + f.after
+		if f.runs {
+			w.at(done, func() {
+				if f.outcome == mb.Reset || p.alive(w.now) || p.silent { // an outage on the way takes it along
+					w.checks.ran(m)
+				}
+			})
+		}
+		w.at(done+network, func() {
+			if !h.up || h.life != life {
+				return
+			}
+			out := f.outcome
+			if out == mb.OK && !p.alive(done) {
+				out = mb.Reset
+			}
+			h.answer(c, out, f.wait)
+		})
+	})
+}
+
+// answer books the end of a call.
+func (h *host) answer(c *call, out mb.Outcome, wait time.Duration) {
+	m := c.m
+	if c.over || !h.up {
+		return
+	}
+	c.over = true
+	m.call = nil
+	h.out--
+	if out == mb.TimedOut && c.cancelled {
+		out = mb.Cancelled
+	}
+	switch out {
+	case mb.Failed, mb.TimedOut, mb.Reset, mb.Cancelled:
+		if !m.mayRun {
+			m.mayRun, m.ranAt = true, c.sentAt
+		}
+	case mb.Full:
+		if until := h.w.now + wait; until > h.waits[c.partner.id].until {
+			h.waits[c.partner.id] = told{until, h.life}
+		}
+	case mb.OK:
+		if !m.ended {
+			h.end(m, Delivered)
+			h.w.deliver(m)
+		}
+	}
+	h.handle(mb.Answer{
+		ID: m.id, Attempt: c.number, Endpoint: c.endpoint.name, Outcome: out, Latency: h.w.now - c.sentAt, Settled: m.ended, Wait: wait,
+	})
+}
--- /dev/null
+++ b/internal/lab/world/partner.go
@@ -0,0 +1,127 @@
+package world
+
+import (
+	"math/rand/v2"
+	"time"
+
+	mb "mulleinbeam"
+	"mulleinbeam/internal/lab/scenario"
+)
+
+// partner is a partner system with its endpoints: what it can do, its limit, its outages, and how it comes back. It is a state
+// machine on the world's time; a call's fate is settled when it arrives.
+type partner struct {
+	id        mb.DestinationID
+	group     scenario.Partners
+	rules     scenario.Rules
+	sample    func() float64 // milliseconds
+	rng       *rand.Rand
+	endpoints []*endpoint
+	servers   []time.Duration // of the whole partner: when each is free
+	slow      float64         // factor of its service times
+	down      time.Duration   // until then it is
+	silent    bool            // and takes calls without an answer
+	backAt    time.Duration   // when it was back from its latest outage; negative is never
+	scripted  bool            // it is down by the scenario, not because it fell over
+	taken     []time.Duration // calls of the limit's last second
+	arrived   []time.Duration // calls of the last TipAfter, while it is cold
+	tips      int
+}
+
+// endpoint is one of a partner's.
+type endpoint struct {
+	name  mb.EndpointID
+	state mb.Readiness
+	gone  bool
+}
+
+const limitSpan = time.Second // over which a limit counts
+
+// fate is what becomes of a call.
+type fate struct {
+	outcome mb.Outcome
+	after   time.Duration // from its arrival to its answer; negative is never
+	wait    time.Duration
+	runs    bool // it takes effect
+	cold    bool // it reached a partner that was still cold
+}
+
+// share is how much of its capacity a partner has now.
+func (p *partner) share(now time.Duration) float64 {
+	if p.backAt < 0 || p.rules.WarmWithin <= 0 {
+		return 1
+	}
+	warm := float64(now-p.backAt) / float64(p.rules.WarmWithin)
+	return min(1, p.rules.ColdFrom+(1-p.rules.ColdFrom)*warm)
+}
+
+// recent drops what lies before a moment and gives the rest.
+func recent(list []time.Duration, since time.Duration) []time.Duration {
+	for len(list) > 0 && list[0] <= since {
+		list = list[1:]
+	}
+	return list
+}
+
+// take settles a call that arrives now.
+func (p *partner) take(now time.Duration, e *endpoint) fate {
+	switch {
+	case e.gone:
+		return fate{outcome: mb.ConnectFailed, after: time.Millisecond}
+	case now < p.down && p.silent:
+		return fate{outcome: mb.TimedOut, after: -1}
+	case now < p.down:
+		return fate{outcome: mb.ConnectFailed, after: time.Millisecond}
+	}
+	share := p.share(now)
+	f := fate{cold: share < 1}
+	if f.cold {
+		p.arrived = append(recent(p.arrived, now-p.rules.TipAfter.D()), now)
+		if float64(len(p.arrived)) > p.rules.Overload*share*p.group.Capacity*p.rules.TipAfter.D().Seconds()+1 {
+			p.fall(now, now+p.rules.TipFor.D(), false)
+			p.tips++
+			f.outcome, f.after, f.runs = mb.Reset, time.Millisecond, true // what was under way may have run
+			return f
+		}
+	}
+	if p.group.Limit > 0 {
+		p.taken = recent(p.taken, now-limitSpan)
+		if float64(len(p.taken)) >= p.group.Limit*limitSpan.Seconds() {
+			if p.group.Counts {
+				p.taken = append(p.taken, now)
+			}
+			f.outcome, f.after, f.wait = mb.Full, time.Millisecond, p.group.Tells.D()
+			return f
+		}
+		p.taken = append(p.taken, now)
+	}
+	took := time.Duration(p.sample() * p.slow / share * float64(time.Millisecond))
+	free := 0
+	for i, at := range p.servers {
+		if at < p.servers[free] {
+			free = i
+		}
+	}
+	begin := max(now, p.servers[free])
+	p.servers[free] = begin + took
+	f.after, f.runs = begin+took-now, true
+	if p.group.Resets > 0 && p.rng.Float64() < p.group.Resets {
+		f.outcome = mb.Reset
+	}
+	return f
+}
+
+// fall takes a partner down until a moment; it is cold when it is back.
+func (p *partner) fall(now, until time.Duration, silent bool) {
+	if until > p.down {
+		p.down, p.backAt = until, until
+	}
+	p.silent = silent
+	p.arrived = nil
+	for i := range p.servers {
+		p.servers[i] = min(p.servers[i], now)
+	}
+}
+
+// alive says whether calls that are under way get an answer.
+func (p *partner) alive(now time.Duration) bool { return now >= p.down }
--- /dev/null
+++ b/internal/lab/world/shrink.go
@@ -0,0 +1,56 @@
+package world
+
+import (
+	"slices"
+	"time"
+
+	"mulleinbeam/internal/lab/scenario"
+)
+
+// Shrink looks for a smaller scenario that still fails: shorter, with fewer faults, forwarders, partners and endpoints, and less
+// traffic. It asks fails so many times at the most.
+func Shrink(s scenario.Scenario, fails func(scenario.Scenario) bool, budget int) scenario.Scenario {
+	try := func(change func(*scenario.Scenario) bool) bool {
+		next := s
+		next.Faults, next.Partners = slices.Clone(s.Faults), slices.Clone(s.Partners)
+		if budget <= 0 || !change(&next) || next.Check() != nil {
+			return false
+		}
+		budget--
+		if !fails(next) {
+			return false
+		}
+		s = next
+		return true
+	}
+	for again := true; again; {
+		again = false
+		for i := 0; i < len(s.Faults); {
+			if try(func(n *scenario.Scenario) bool { n.Faults = slices.Delete(n.Faults, i, i+1); return true }) {
+				again = true
+			} else {
+				i++
+			}
+		}
+		for _, change := range []func(*scenario.Scenario) bool{
+			func(n *scenario.Scenario) bool { n.Length /= 2; return n.Length.D() >= time.Second },
+			func(n *scenario.Scenario) bool { n.Length = n.Length / 4 * 3; return n.Length.D() >= time.Second },
+			func(n *scenario.Scenario) bool { n.Fleet.Forwarders /= 2; return n.Fleet.Forwarders > 0 },
+			func(n *scenario.Scenario) bool { n.Fleet.Forwarders--; return n.Fleet.Forwarders > 0 },
+			func(n *scenario.Scenario) bool { n.Traffic.Rate /= 2; return n.Traffic.Rate > 0.1 },
+		} {
+			for try(change) {
+				again = true
+			}
+		}
+		for i := range s.Partners {
+			for try(func(n *scenario.Scenario) bool { n.Partners[i].Count /= 2; return n.Partners[i].Count > 0 }) {
+				again = true
+			}
+			for try(func(n *scenario.Scenario) bool { n.Partners[i].Endpoints--; return n.Partners[i].Endpoints > 0 }) {
+				again = true
+			}
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/lab/world/sweep.go
@@ -0,0 +1,133 @@
+package world
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"mulleinbeam/internal/lab/scenario"
+)
+
+// Variant is a scenario under a name.
+type Variant struct {
+	Name     string
+	Scenario scenario.Scenario
+}
+
+// Sweep plays each variant with each seed, so many at once, and gives the results by variant and seed. progress is told how
+// many are done, of how many, and how long the rest will take by what was seen; it may be nil.
+func Sweep(ctx context.Context, variants []Variant, seeds []uint64, atOnce int, progress func(done, of int, left time.Duration)) ([][]Result, error) {
+	out := make([][]Result, len(variants))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(max(1, atOnce))
+	var mu sync.Mutex
+	done, began := 0, time.Now()
+	for v := range variants {
+		out[v] = make([]Result, len(seeds))
+		for i, seed := range seeds {
+			group.Go(func() error {
+				if ctx.Err() != nil {
+					return ctx.Err()
+				}
+				w, err := New(variants[v].Scenario, seed)
+				if err != nil {
+					return fmt.Errorf("%s: %w", variants[v].Name, err)
+				}
+				out[v][i] = w.Run()
+				mu.Lock()
+				defer mu.Unlock()
+				if done++; progress != nil {
+					of := len(variants) * len(seeds)
+					progress(done, of, time.Since(began)/time.Duration(done)*time.Duration(of-done))
+				}
+				return nil
+			})
+		}
+	}
+	return out, group.Wait()
+}
+
+// Figure is one number of a result.
+type Figure struct {
+	Name string
+	Of   func(Result) float64
+}
+
+// Figures are those that comparisons show.
+var Figures = []Figure{
+	{"worth delivered, share of offered", func(r Result) float64 { return r.Worth.Delivered / max(1e-9, r.Worth.Offered) }},
+	{"worth in the 20 s after the first kill", func(r Result) float64 { return r.Worth.After }},
+	{"calls to a cold partner in its first 14 s", func(r Result) float64 { return float64(r.ColdEarly) }},
+	{"refusals above limits", func(r Result) float64 { return float64(r.OverLimit) }},
+	{"calls within waits told to an earlier life", func(r Result) float64 { return float64(r.InWaits) }},
+	{"partners that fell over again", func(r Result) float64 { return float64(r.Tips) }},
+	{"calls", func(r Result) float64 { return float64(r.Calls) }},
+	{"rules broken", func(r Result) float64 { return float64(len(r.Broken)) }},
+}
+
+// Interval is a mean with the range in which 95 of 100 resamples lie.
+type Interval struct{ Mean, Low, High float64 }
+
+// Noise says that the range has zero in it: a difference of that size may be chance.
+func (i Interval) Noise() bool { return i.Low <= 0 && i.High >= 0 }
+
+const resamples = 2000
+
+// Bootstrap gives the mean of values and its interval.
+func Bootstrap(values []float64, seed uint64) Interval {
+	if len(values) == 0 {
+		return Interval{math.NaN(), math.NaN(), math.NaN()}
+	}
+	mean := func(pick func(i int) float64) float64 {
+		sum := 0.0
+		for i := range values {
+			sum += pick(i)
+		}
+		return sum / float64(len(values))
+	}
+	rng := rand.New(rand.NewPCG(seed, 7))
+	means := make([]float64, resamples)
+	for k := range means {
+		means[k] = mean(func(int) float64 { return values[rng.IntN(len(values))] })
+	}
+	slices.Sort(means)
+	at := func(share float64) float64 { return means[int(share*(resamples-1))] }
+	return Interval{mean(func(i int) float64 { return values[i] }), at(0.025), at(0.975)}
+}
+
+// Difference is what a figure of B has more than A, paired by seed.
+type Difference struct {
+	Figure string
+	A, B   float64 // means
+	Diff   Interval
+}
+
+// Compare pairs two variants' results by their seeds.
+func Compare(a, b []Result) ([]Difference, error) {
+	if len(a) != len(b) {
+		return nil, fmt.Errorf("world: %d results and %d have no pairs", len(a), len(b))
+	}
+	var out []Difference
+	for _, f := range Figures {
+		d := Difference{Figure: f.Name}
+		diffs := make([]float64, len(a))
+		for i := range a {
+			if a[i].Seed != b[i].Seed {
+				return nil, fmt.Errorf("world: seeds %d and %d are no pair", a[i].Seed, b[i].Seed)
+			}
+			x, y := f.Of(a[i]), f.Of(b[i])
+			diffs[i] = y - x
+			d.A += x / float64(len(a))
+			d.B += y / float64(len(a))
+		}
+		d.Diff = Bootstrap(diffs, 1)
+		out = append(out, d)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/lab/world/world.go
@@ -0,0 +1,293 @@
+// Package world plays a scenario in virtual time: a fleet of forwarders, each with its own decision module, partners, clients
+// and faults, on one queue of events. It knows no socket and no clock, and equal seeds give equal runs. What happened is
+// held against the rules as it happens.
+package world
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	mb "mulleinbeam"
+	"mulleinbeam/internal/lab/scenario"
+	"mulleinbeam/internal/memory"
+)
+
+const (
+	network = 500 * time.Microsecond // one way between a forwarder and an endpoint
+	listLag = 300 * time.Millisecond // from a change of the list to its arrival
+	retryIn = 500 * time.Millisecond // a client that finds its forwarder dead comes again
+	settle  = 30 * time.Second       // after the traffic's end, for what is held
+)
+
+// event is something that happens at a moment. Equal moments keep their order.
+type event struct {
+	at  time.Duration
+	seq uint64
+	do  func()
+}
+
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(q[i].at, q[j].at), cmp.Compare(q[i].seq, q[j].seq)) < 0
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *queue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+// World is one run.
+type World struct {
+	s        scenario.Scenario
+	now      time.Duration
+	queue    queue
+	seq      uint64
+	events   int64
+	rng      *rand.Rand // of the clients
+	partners []*partner
+	byName   map[mb.EndpointID]*partner
+	hosts    []*host
+	weights  []float64 // of partners, summed up
+	shares   []float64 // of classes, summed up
+	load     float64   // factor
+	nextID   mb.MessageID
+	list     []mb.Entry
+	figures  memory.Figures
+	result   Result
+	checks   checker
+}
+
+// New lays a scenario out.
+func New(s scenario.Scenario, seed uint64) (*World, error) {
+	if err := s.Check(); err != nil {
+		return nil, fmt.Errorf("world: %w", err)
+	}
+	w := &World{
+		s: s, rng: rand.New(rand.NewPCG(seed, 1)), byName: map[mb.EndpointID]*partner{}, load: 1, figures: memory.DefaultFigures,
+		result: Result{Scenario: s.Name, Seed: seed, Classes: map[string]*ClassResult{}},
+	}
+	w.checks.w = w
+	for g, group := range s.Partners {
+		for range group.Count {
+			id := mb.DestinationID(len(w.partners) + 1)
+			src := rand.NewPCG(seed, 1000+uint64(id))
+			sample, err := group.Service.Sampler(src)
+			if err != nil {
+				return nil, fmt.Errorf("world: partners %d: %w", g+1, err)
+			}
+			servers := max(1, int(math.Ceil(group.Capacity*group.Service.Mean/1000)))
+			p := &partner{
+				id: id, group: group, rules: s.Rules, sample: sample, rng: rand.New(src), slow: 1, backAt: -1,
+				servers: make([]time.Duration, servers),
+			}
+			for e := range group.Endpoints {
+				w.add(p, mb.EndpointID(fmt.Sprintf("p%d-%d", id, e)))
+			}
+			w.partners = append(w.partners, p)
+		}
+	}
+	total := 0.0
+	for i := range w.partners {
+		total += math.Pow(float64(i+1), -s.Traffic.Skew)
+		w.weights = append(w.weights, total)
+	}
+	total = 0
+	for _, c := range s.Classes {
+		total += c.Share
+		w.shares = append(w.shares, total)
+		w.result.Classes[c.Name] = &ClassResult{}
+	}
+	for i := range s.Fleet.Forwarders {
+		h := &host{w: w, name: i, seed: seed*1_000_003 + uint64(i), held: map[mb.MessageID]*message{}}
+		w.hosts = append(w.hosts, h)
+		w.at(0, h.start)
+	}
+	for _, f := range s.Faults {
+		w.at(f.At.D(), func() { w.fault(f) })
+	}
+	w.at(0, w.arrive)
+	return w, nil
+}
+
+// add lists one more endpoint.
+func (w *World) add(p *partner, name mb.EndpointID) {
+	p.endpoints = append(p.endpoints, &endpoint{name: name})
+	w.byName[name] = p
+	w.list = append(w.list, w.entry(p, name, mb.Serving))
+}
+
+func (w *World) entry(p *partner, name mb.EndpointID, r mb.Readiness) mb.Entry {
+	return mb.Entry{Endpoint: name, Zone: "z", Kind: "k", Destination: p.id, Readiness: r, CapacityHint: p.group.Hint * p.group.Capacity}
+}
+
+// at has something happen at a moment.
+func (w *World) at(t time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{max(t, w.now), w.seq, do})
+}
+
+// Run plays it to its end.
+func (w *World) Run() Result {
+	end := w.s.Length.D() + settle
+	for len(w.queue) > 0 {
+		e := heap.Pop(&w.queue).(event)
+		if e.at > end {
+			break
+		}
+		w.now = e.at
+		w.events++
+		e.do()
+	}
+	w.checks.end()
+	w.result.Events = w.events
+	for _, p := range w.partners {
+		w.result.Tips += p.tips
+	}
+	return w.result
+}
+
+func pick(sums []float64, rng *rand.Rand) int {
+	x := rng.Float64() * sums[len(sums)-1]
+	for i, s := range sums {
+		if x < s {
+			return i
+		}
+	}
+	return len(sums) - 1
+}
+
+// arrive hands a client's message in, and asks for the next.
+func (w *World) arrive() {
+	if w.now >= w.s.Length.D() {
+		return
+	}
+	w.at(w.now+time.Duration(w.rng.ExpFloat64()/(w.s.Traffic.Rate*w.load)*float64(time.Second)), w.arrive)
+	class := &w.s.Classes[pick(w.shares, w.rng)]
+	m := &wish{
+		class: class, partner: w.partners[pick(w.weights, w.rng)], at: w.now, until: w.now + class.GiveUp.D(),
+		host: w.hosts[w.rng.IntN(len(w.hosts))], returns: w.s.Traffic.Returns,
+	}
+	w.result.Offered++
+	w.result.Classes[class.Name].Offered++
+	w.result.Worth.Offered += class.Worth
+	m.hand()
+}
+
+// wish is what a client wants delivered; each handing in of it is a message of its own.
+type wish struct {
+	class     *scenario.Class
+	partner   *partner
+	host      *host
+	at, until time.Duration
+	returns   int
+	delivered bool
+}
+
+// hand hands a wish in at its forwarder, later if that is dead.
+func (m *wish) hand() {
+	w := m.host.w
+	switch {
+	case w.now >= m.until:
+		w.result.Classes[m.class.Name].Lost++
+	case !m.host.up:
+		w.at(w.now+retryIn, m.hand)
+	default:
+		m.host.submit(m)
+	}
+}
+
+// refused sends a client home until later, if it comes again at all.
+func (m *wish) refused(after time.Duration) {
+	w := m.host.w
+	if m.returns--; m.returns < 0 || w.now+after >= m.until {
+		w.result.Classes[m.class.Name].Refused++
+		return
+	}
+	w.at(w.now+after, m.hand)
+}
+
+// chosen draws a share of n, at least one.
+func (w *World) chosen(n int, share float64) []int {
+	return w.rng.Perm(n)[:min(n, max(1, int(math.Round(share*float64(n)))))]
+}
+
+// fault has something go wrong now.
+func (w *World) fault(f scenario.Fault) {
+	until := w.now + f.For.D()
+	switch f.Kind {
+	case scenario.Outage, scenario.Silence:
+		for _, i := range w.chosen(len(w.partners), f.Share) {
+			p := w.partners[i]
+			p.fall(w.now, until, f.Kind == scenario.Silence)
+			w.at(until, func() { p.silent = false })
+		}
+		w.result.Backs = append(w.result.Backs, until)
+	case scenario.Slow:
+		for _, i := range w.chosen(len(w.partners), f.Share) {
+			p := w.partners[i]
+			p.slow *= f.By
+			w.at(until, func() { p.slow /= f.By })
+		}
+	case scenario.Load:
+		w.load *= f.By
+		w.at(until, func() { w.load /= f.By })
+	case scenario.Kill:
+		for _, i := range w.chosen(len(w.hosts), f.Share) {
+			h := w.hosts[i]
+			if !h.up {
+				continue
+			}
+			h.kill()
+			back := f.Back.D() + time.Duration(w.rng.Float64()*float64(f.Until-f.Back))
+			w.at(w.now+back, h.start)
+		}
+	case scenario.Drain:
+		for _, i := range w.chosen(len(w.partners), f.Share) {
+			w.replace(w.partners[i], f)
+		}
+	}
+}
+
+// replace takes a partner's oldest endpoint out of the list, in order: drained first, gone later; one of another name comes.
+func (w *World) replace(p *partner, f scenario.Fault) {
+	old := p.endpoints[0]
+	w.tell(p, old, mb.Draining)
+	w.at(w.now+max(f.For.D(), 2*listLag), func() {
+		w.tell(p, old, mb.Deleted)
+		old.gone = true
+		p.endpoints = p.endpoints[1:]
+		name := mb.EndpointID(fmt.Sprintf("%s'%d", old.name, w.seq))
+		w.add(p, name)
+		w.tell(p, p.endpoints[len(p.endpoints)-1], mb.Serving)
+	})
+}
+
+// tell changes the list, and has the forwarders know a little later.
+func (w *World) tell(p *partner, e *endpoint, r mb.Readiness) {
+	e.state = r
+	for i := range w.list {
+		if w.list[i].Endpoint == e.name {
+			if w.list[i].Readiness = r; r == mb.Deleted {
+				w.list = append(w.list[:i:i], w.list[i+1:]...)
+			}
+			break
+		}
+	}
+	entry := w.entry(p, e.name, r)
+	for _, h := range w.hosts {
+		w.at(w.now+listLag, func() {
+			if h.up {
+				h.learn(mb.Members{Scope: mb.ListChanges, Entries: []mb.Entry{entry}})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/lab/world/world_test.go
@@ -0,0 +1,273 @@
+package world
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	mb "mulleinbeam"
+	"mulleinbeam/internal/lab/scenario"
+)
+
+func d(v time.Duration) scenario.Duration { return scenario.Duration(v) }
+
+// small is a scenario that the tests change.
+func small(faults ...scenario.Fault) scenario.Scenario {
+	return scenario.Scenario{
+		Name: "small", Length: d(25 * time.Second), Fleet: scenario.Fleet{Forwarders: 4, Slots: 16, MostHeld: 300},
+		Partners: []scenario.Partners{{
+			Count: 4, Endpoints: 2, Capacity: 40, Hint: 1, Service: scenario.Distribution{Kind: "lognormal", Mean: 60, Spread: 0.4},
+			Limit: 40, Counts: true, Tells: d(2 * time.Second),
+		}},
+		Classes: []scenario.Class{
+			{Name: "safe", Effect: "safe", Share: 0.6, Worth: 1, Target: d(time.Second), GiveUp: d(15 * time.Second)},
+			{Name: "keyed", Effect: "keyed", Share: 0.2, Worth: 2, Target: d(3 * time.Second), GiveUp: d(15 * time.Second), KeyTTL: d(10 * time.Second)},
+			{Name: "unsafe", Effect: "unsafe", Share: 0.2, Worth: 5, Target: d(3 * time.Second), GiveUp: d(15 * time.Second)},
+		},
+		Traffic: scenario.Traffic{Rate: 90, Returns: 2}, Faults: faults,
+		Rules: scenario.Rules{
+			ColdFrom: 0.2, WarmWithin: d(8 * time.Second), Overload: 1.3, TipAfter: d(time.Second), TipFor: d(3 * time.Second),
+		},
+		Learned: scenario.Learned{Interval: d(time.Second)},
+	}
+}
+
+func play(t *testing.T, s scenario.Scenario, seed uint64) Result {
+	t.Helper()
+	w, err := New(s, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return w.Run()
+}
+
+// Equal seeds give equal runs, whatever else; another seed another one.
+func TestEqualSeeds(t *testing.T) {
+	s := small(
+		scenario.Fault{Kind: scenario.Outage, At: d(5 * time.Second), For: d(4 * time.Second), Share: 0.5},
+		scenario.Fault{Kind: scenario.Kill, At: d(7 * time.Second), Share: 0.5, Back: d(time.Second), Until: d(3 * time.Second)},
+	)
+	s.Learned.Keep = true
+	a, b, c := play(t, s, 1), play(t, s, 1), play(t, s, 2)
+	if diff := cmp.Diff(a, b); diff != "" {
+		t.Error(diff)
+	}
+	if cmp.Equal(a, c, cmpopts.IgnoreFields(Result{}, "Seed")) {
+		t.Error("two seeds gave the same run")
+	}
+}
+
+// Under each fault the rules are kept, and the fault is seen to have been there.
+func TestRulesAreKept(t *testing.T) {
+	for name, c := range map[string]struct {
+		fault scenario.Fault
+		seen  func(r, calm Result) bool
+	}{
+		"outage":  {scenario.Fault{Kind: scenario.Outage, Share: 0.5}, func(r, calm Result) bool { return r.Cold > 0 }},
+		"silence": {scenario.Fault{Kind: scenario.Silence, Share: 0.5}, func(r, calm Result) bool { return r.Worth.Delivered < 0.98*calm.Worth.Delivered }},
+		"slow":    {scenario.Fault{Kind: scenario.Slow, Share: 1, By: 20}, func(r, calm Result) bool { return r.Worth.Delivered < 0.98*calm.Worth.Delivered }},
+		"load":    {scenario.Fault{Kind: scenario.Load, By: 3}, func(r, calm Result) bool { return r.Offered > calm.Offered*6/5 }},
+		"kill":    {scenario.Fault{Kind: scenario.Kill, Share: 0.5, Back: d(time.Second), Until: d(4 * time.Second)}, func(r, calm Result) bool { return r.Kills == 2 }},
+		"drain":   {scenario.Fault{Kind: scenario.Drain, Share: 1}, func(r, calm Result) bool { return r.Calls > 0 }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c.fault.At, c.fault.For = d(6*time.Second), d(6*time.Second)
+			for seed := range uint64(2) {
+				calm := play(t, small(), seed)
+				for _, keep := range []bool{false, true} {
+					s := small(c.fault)
+					s.Learned.Keep = keep
+					r := play(t, s, seed)
+					for _, b := range r.Broken {
+						t.Errorf("seed %d, learned %v: %s", seed, keep, b)
+					}
+					if !c.seen(r, calm) {
+						t.Errorf("seed %d: nothing to be seen of it: %+v", seed, r.Worth)
+					}
+					if share := calm.Worth.Delivered / calm.Worth.Offered; share < 0.95 || len(calm.Broken) > 0 {
+						t.Errorf("seed %d: a calm run delivers %.2f, broken %v", seed, share, calm.Broken)
+					}
+				}
+			}
+		})
+	}
+}
+
+// The checker finds each thing that it is there for.
+func TestCheckerFinds(t *testing.T) {
+	s := small()
+	for name, f := range map[string]func(w *World, h *host, m *message, c *call){
+		"a second end":  func(w *World, h *host, m *message, c *call) { h.end(m, Failed); h.end(m, Refused) },
+		"no end":        func(w *World, h *host, m *message, c *call) { w.checks.end() },
+		"late":          func(w *World, h *host, m *message, c *call) { w.now = m.deadline + time.Second; h.end(m, Failed) },
+		"second effect": func(w *World, h *host, m *message, c *call) { w.checks.ran(m); w.checks.ran(m) },
+		"sent again":    func(w *World, h *host, m *message, c *call) { m.mayRun = true; w.checks.sent(h, c) },
+		"behind its key": func(w *World, h *host, m *message, c *call) {
+			m.wish.class = &s.Classes[1]
+			m.mayRun = true
+			w.now = time.Minute
+			w.checks.sent(h, c)
+		},
+		"slots": func(w *World, h *host, m *message, c *call) { h.out = 99; w.checks.sent(h, c) },
+		"drained": func(w *World, h *host, m *message, c *call) {
+			h.known[c.endpoint.name] = mb.Draining
+			w.checks.sent(h, c)
+		},
+		"within a told wait": func(w *World, h *host, m *message, c *call) {
+			h.waits[c.partner.id] = told{time.Hour, h.life}
+			w.checks.sent(h, c)
+		},
+	} {
+		w, err := New(s, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		h := w.hosts[0]
+		h.start()
+		x := &wish{class: &s.Classes[2], partner: w.partners[0], host: h, until: 10 * time.Second}
+		h.submit(x)
+		m := h.held[1]
+		c := &call{m: m, endpoint: w.partners[0].endpoints[0], partner: w.partners[0]}
+		if len(w.result.Broken) > 0 {
+			t.Fatalf("%s: before anything: %v", name, w.result.Broken)
+		}
+		if f(w, h, m, c); len(w.result.Broken) != 1 {
+			t.Errorf("%s: %v", name, w.result.Broken)
+		}
+	}
+}
+
+// A partner's limit counts in any second, what it tells is told, and pushed while it is cold it falls over again.
+func TestPartner(t *testing.T) {
+	s := small()
+	w, err := New(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, e := w.partners[0], w.partners[0].endpoints[0]
+	ok := 0
+	for i := range 100 {
+		f := p.take(time.Duration(i)*time.Millisecond, e)
+		if f.outcome == mb.OK {
+			ok++
+		} else if f.outcome != mb.Full || f.wait != 2*time.Second || f.runs {
+			t.Fatalf("%+v", f)
+		}
+	}
+	if ok != 40 {
+		t.Errorf("%d calls taken of 100 with a limit of 40", ok)
+	}
+	if f := p.take(900*time.Millisecond, e); f.outcome != mb.Full {
+		t.Errorf("within the second: %+v", f)
+	}
+	if f := p.take(2500*time.Millisecond, e); f.outcome != mb.OK {
+		t.Errorf("behind it: %+v", f)
+	}
+	p.fall(10*time.Second, 12*time.Second, false)
+	if f := p.take(11*time.Second, e); f.outcome != mb.ConnectFailed || f.runs {
+		t.Errorf("down: %+v", f)
+	}
+	taken := 0
+	for at := 12 * time.Second; p.tips == 0 && at < 13*time.Second; at += time.Millisecond {
+		if p.take(at, e).outcome != mb.Reset {
+			taken++
+		}
+	}
+	if p.tips != 1 || taken < 8 || taken > 16 { // 1.3 x 0.2 x 40 a second, and it warms
+		t.Errorf("fell over %d times, after %d calls", p.tips, taken)
+	}
+	p.fall(30*time.Second, 40*time.Second, true)
+	if f := p.take(31*time.Second, e); f.after >= 0 {
+		t.Errorf("silent: %+v", f)
+	}
+}
+
+// After a mass restart in an outage, forwarders that keep what they had learned call less within waits that were told to their
+// earlier lives, and deliver no less.
+func TestLearnedStateAfterMassRestart(t *testing.T) {
+	s := small(
+		scenario.Fault{Kind: scenario.Load, At: d(4 * time.Second), For: d(8 * time.Second), By: 3},
+		scenario.Fault{Kind: scenario.Outage, At: d(6 * time.Second), For: d(5 * time.Second), Share: 0.5},
+		scenario.Fault{Kind: scenario.Kill, At: d(8 * time.Second), Share: 0.5, Back: d(200 * time.Millisecond), Until: d(time.Second)},
+	)
+	kept := s
+	kept.Learned.Keep = true
+	seeds := []uint64{1, 2, 3, 4}
+	results, err := Sweep(t.Context(), []Variant{{"without", s}, {"with", kept}}, seeds, 4, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	list, err := Compare(results[0], results[1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	by := map[string]Difference{}
+	for _, x := range list {
+		by[x.Figure] = x
+	}
+	if x := by["calls within waits told to an earlier life"]; x.A == 0 || x.B > x.A/2 {
+		t.Errorf("%+v", x)
+	}
+	if x := by["rules broken"]; x.A+x.B > 0 {
+		t.Errorf("%+v", x)
+	}
+	if x := by["worth delivered, share of offered"]; x.B < x.A-0.02 {
+		t.Errorf("%+v", x)
+	}
+}
+
+// An interval covers the true mean about as often as it says, and a difference that is none is called that.
+func TestBootstrap(t *testing.T) {
+	covered, noise := 0, 0
+	const runs = 200
+	for run := range uint64(runs) {
+		rng := rand.New(rand.NewPCG(run, 3))
+		values := make([]float64, 30)
+		for i := range values {
+			values[i] = 5 + rng.NormFloat64()
+		}
+		i := Bootstrap(values, run)
+		if i.Low <= 5 && i.High >= 5 {
+			covered++
+		}
+		for k := range values {
+			values[k] -= 5
+		}
+		if Bootstrap(values, run).Noise() {
+			noise++
+		}
+	}
+	if covered < runs*88/100 || covered > runs*99/100 || noise != covered {
+		t.Errorf("covered %d of %d, noise %d", covered, runs, noise)
+	}
+	if _, err := Compare(make([]Result, 2), make([]Result, 3)); err == nil {
+		t.Error("results without pairs were compared")
+	}
+	if _, err := Compare([]Result{{Seed: 1}}, []Result{{Seed: 2}}); err == nil {
+		t.Error("other seeds were compared")
+	}
+}
+
+// BenchmarkFleet gives the events a second of virtual time, by the number of forwarders.
+func BenchmarkFleet(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := small()
+			s.Fleet.Forwarders, s.Partners[0].Count, s.Length = n, n/2, d(10*time.Second)
+			s.Traffic.Rate = 10 * float64(n)
+			events := int64(0)
+			for b.Loop() {
+				w, err := New(s, 1)
+				if err != nil {
+					b.Fatal(err)
+				}
+				events += w.Run().Events
+			}
+			b.ReportMetric(float64(events)/b.Elapsed().Seconds(), "events/s")
+		})
+	}
+}
