--- a/cmd/larklab/main.go
+++ b/cmd/larklab/main.go
@@ -11,11 +11,14 @@
 	"os/signal"
 	"path/filepath"
 	"runtime"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/pelletier/go-toml/v2"
 
+	mb "mulleinbeam"
 	"mulleinbeam/internal/lab/experiment"
 	"mulleinbeam/internal/lab/report"
 	"mulleinbeam/internal/lab/scenario"
@@ -27,6 +30,7 @@
 	LongBodies longCmd    `cmd:"" help:"Move long bodies through the forwarder: memory, throughput, processor time, and what short messages notice."`
 	Journal    journalCmd `cmd:"" help:"Take messages through their whole life in the journal: accepts a second, longest stop, bytes written, opening, memory."`
 	Run        runCmd     `cmd:"" help:"Play a scenario in virtual time; status 1 if a rule was broken."`
+	Sweep      sweepCmd   `cmd:"" help:"Play a scenario for each combination of some settings."`
 	Compare    compareCmd `cmd:"" help:"Play a scenario with and without a change, paired by seed."`
 	Relay      relayCmd   `cmd:"" hidden:"" help:"A bare relay to compare with."`
 }
@@ -116,9 +120,14 @@
 			}
 		}
 		for _, b := range r.Broken {
-			broken = true
 			fmt.Printf("seed %d: rule broken at %s\n", r.Seed, b)
 		}
+		if len(r.Broken) > 0 && !broken {
+			broken = true
+			if err := explain(s, r.Seed); err != nil {
+				return err
+			}
+		}
 	}
 	if !c.JSON {
 		for _, f := range world.Figures {
@@ -137,6 +146,43 @@
 	return nil
 }
 
+// shrinkRuns bounds the search for a smaller scenario.
+const shrinkRuns = 200
+
+// explain prints the smallest scenario found that breaks a rule with a seed, and the life of the message at which it did.
+func explain(s scenario.Scenario, seed uint64) error {
+	s = world.Shrink(s, func(s scenario.Scenario) bool {
+		w, err := world.New(s, seed)
+		return err == nil && len(w.Run().Broken) > 0
+	}, shrinkRuns)
+	w, err := world.New(s, seed)
+	if err != nil {
+		return err
+	}
+	type line struct {
+		at    time.Duration
+		event int64
+		id    mb.MessageID
+		what  string
+	}
+	var lines []line
+	w.Trace = func(at time.Duration, event int64, id mb.MessageID, what string) {
+		lines = append(lines, line{at, event, id, what})
+	}
+	r := w.Run()
+	text, err := toml.Marshal(s)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("\nthe smallest scenario found that does so, with seed %d:\n\n%s\n%s\n", seed, text, strings.Join(r.Broken, "\n"))
+	for _, l := range lines {
+		if l.id == r.Message {
+			fmt.Printf("  %v, event %d: %s\n", l.at, l.event, l.what)
+		}
+	}
+	return nil
+}
+
 // write writes a report, if one is wanted.
 func write(path string, p report.Page) error {
 	if path == "" {
@@ -167,6 +213,53 @@
 	})
 }
 
+type sweepCmd struct {
+	File  string   `arg:"" type:"existingfile" help:"The scenario, as TOML."`
+	Set   []string `sep:"none" placeholder:"KEY=VALUE,VALUE" help:"A key of the file and the values to try; again for further keys."`
+	Seed  uint64   `default:"1" help:"The first seed."`
+	Seeds int      `default:"10" help:"How many."`
+	HTML  string   `name:"html" placeholder:"FILE" help:"A report as one page."`
+}
+
+// Run plays each combination.
+func (c sweepCmd) Run() error {
+	var settings []scenario.Setting
+	for _, text := range c.Set {
+		s, err := scenario.ParseSetting(text)
+		if err != nil {
+			return err
+		}
+		settings = append(settings, s)
+	}
+	points, err := scenario.Grid(c.File, settings)
+	if err != nil {
+		return err
+	}
+	var variants []world.Variant
+	for _, p := range points {
+		variants = append(variants, world.Variant{Name: p.Name, Scenario: p.Scenario})
+	}
+	results, err := play(variants, c.Seed, c.Seeds)
+	if err != nil {
+		return err
+	}
+	if err := write(c.HTML, report.Page{Title: points[0].Scenario.Name, Variants: variants, Results: results}); err != nil {
+		return err
+	}
+	for i, v := range variants {
+		fmt.Println(v.Name)
+		for _, f := range world.Figures {
+			var values []float64
+			for _, r := range results[i] {
+				values = append(values, f.Of(r))
+			}
+			b := world.Bootstrap(values, 1)
+			fmt.Printf("  %-45s %12.3f  (%.3f to %.3f)\n", f.Name, b.Mean, b.Low, b.High)
+		}
+	}
+	return nil
+}
+
 type compareCmd struct {
 	File  string `arg:"" type:"existingfile" help:"The scenario, as TOML."`
 	With  string `enum:"learned" default:"learned" help:"The change: learned state kept over kills."`
--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/lab/scenario/scenario_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"os"
 	"strings"
 	"testing"
 )
@@ -53,6 +54,46 @@
 	}
 }
 
+// A grid has each combination, and says what can't be set.
+func TestGrid(t *testing.T) {
+	path := t.TempDir() + "/s.toml"
+	if err := os.WriteFile(path, []byte(least), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	parse := func(texts ...string) (list []Setting) {
+		for _, text := range texts {
+			s, err := ParseSetting(text)
+			if err != nil {
+				t.Fatal(err)
+			}
+			list = append(list, s)
+		}
+		return list
+	}
+	points, err := Grid(path, parse("fleet.slots=8,16", "partners.0.limit=5.0,6.5,7.0", "length=3s", "learned.keep=true"))
+	if err != nil || len(points) != 6 {
+		t.Fatal(len(points), err)
+	}
+	last := points[5]
+	if last.Name != "fleet.slots=16 partners.0.limit=7.0 length=3s learned.keep=true" || last.Scenario.Fleet.Slots != 16 ||
+		last.Scenario.Partners[0].Limit != 7 || last.Scenario.Length.D().Seconds() != 3 || !last.Scenario.Learned.Keep {
+		t.Errorf("%+v", last)
+	}
+	if points[0].Scenario.Fleet.Slots != 8 || points[0].Scenario.Partners[0].Limit != 5 {
+		t.Errorf("%+v", points[0])
+	}
+	for _, bad := range []string{"partners.7.limit=1.0", "fleet.solts=8", "fleet.slots=many", "name.x=1"} {
+		if _, err := Grid(path, parse(bad)); err == nil {
+			t.Errorf("%s was taken", bad)
+		}
+	}
+	for _, bad := range []string{"", "a", "=1", "a="} {
+		if _, err := ParseSetting(bad); err == nil {
+			t.Errorf("%q was taken", bad)
+		}
+	}
+}
+
 // Each distribution has the mean and the spread that were asked for, and the same draws from the same seed.
 func TestDistributions(t *testing.T) {
 	for _, d := range []Distribution{
--- a/internal/lab/world/check.go
+++ b/internal/lab/world/check.go
@@ -36,7 +36,8 @@
 	Restarts  []time.Duration         `json:"-"`
 	Backs     []time.Duration         `json:"-"`
 	Seconds   []Second                `json:"seconds"`
-	Broken    []string                `json:"broken"` // rules, with the moment
+	Broken    []string                `json:"broken"`  // rules, with the moment
+	Message   mb.MessageID            `json:"message"` // at which the first of them broke; 0 is none
 }
 
 // Worth is of messages, by their class and their age.
@@ -106,7 +107,11 @@
 
 const mostBroken = 20
 
-func (c *checker) broken(format string, args ...any) {
+// broken books a rule that broke, at a message or at none.
+func (c *checker) broken(m *message, format string, args ...any) {
+	if m != nil && len(c.w.result.Broken) == 0 {
+		c.w.result.Message = m.id
+	}
 	if len(c.w.result.Broken) < mostBroken {
 		c.w.result.Broken = append(c.w.result.Broken, fmt.Sprintf("%v, event %d: ", c.w.now, c.w.events)+fmt.Sprintf(format, args...))
 	}
@@ -115,39 +120,42 @@
 func (c *checker) taken(m *message) {
 	c.open++
 	c.total++
+	c.w.trace(m, "taken by forwarder %d, class %s, for partner %d", m.wish.host.name, m.wish.class.Name, m.wish.partner.id)
 	c.w.second().Offered++
 }
 
 // ended: one end, before the deadline.
 func (c *checker) ended(m *message, how Ending) {
+	c.w.trace(m, "ends: %s", [...]string{"delivered", "refused", "failed"}[how])
 	if m.ended {
-		c.broken("message %d has a second end", m.id)
+		c.broken(m, "message %d has a second end", m.id)
 	}
 	due := max(m.deadline, m.wish.host.startAt) // nobody can end it while its forwarder is dead
 	if c.open--; how != Delivered && c.w.now > due+50*time.Millisecond {
-		c.broken("message %d ends %v behind its deadline", m.id, c.w.now-due)
+		c.broken(m, "message %d ends %v behind its deadline", m.id, c.w.now-due)
 	}
 }
 
 // sent: slots, drains, waits, and what may have run.
 func (c *checker) sent(h *host, k *call) {
 	w := c.w
+	w.trace(k.m, "attempt %d goes to %s", k.number, k.endpoint.name)
 	w.result.Calls++
 	w.second().Calls++
 	class := k.m.wish.class
 	switch {
 	case h.out > w.s.Fleet.Slots:
-		c.broken("forwarder %d has %d calls out with %d slots", h.name, h.out, w.s.Fleet.Slots)
+		c.broken(k.m, "forwarder %d has %d calls out with %d slots", h.name, h.out, w.s.Fleet.Slots)
 	case h.known[k.endpoint.name] != mb.Serving:
-		c.broken("forwarder %d calls %s, which is not serving", h.name, k.endpoint.name)
+		c.broken(k.m, "forwarder %d calls %s, which is not serving", h.name, k.endpoint.name)
 	case k.m.mayRun && class.Effect == "unsafe":
-		c.broken("message %d may have run and is sent again", k.m.id)
+		c.broken(k.m, "message %d may have run and is sent again", k.m.id)
 	case k.m.mayRun && class.Effect == "keyed" && w.now > k.m.ranAt+class.KeyTTL.D():
-		c.broken("message %d is repeated behind its key's time", k.m.id)
+		c.broken(k.m, "message %d is repeated behind its key's time", k.m.id)
 	}
 	if told := h.waits[k.partner.id]; w.now < told.until {
 		if told.life == h.life {
-			c.broken("forwarder %d calls partner %d within a told wait", h.name, k.partner.id)
+			c.broken(k.m, "forwarder %d calls partner %d within a told wait", h.name, k.partner.id)
 		} else {
 			w.result.InWaits++
 		}
@@ -156,14 +164,15 @@
 
 // ran: no second effect.
 func (c *checker) ran(m *message) {
+	c.w.trace(m, "takes effect")
 	if m.effects++; m.effects > 1 && m.wish.class.Effect == "unsafe" {
-		c.broken("message %d takes effect a second time", m.id)
+		c.broken(m, "message %d takes effect a second time", m.id)
 	}
 }
 
 // end: nothing is left.
 func (c *checker) end() {
 	if c.open > 0 {
-		c.broken("%d messages have no end", c.open)
+		c.broken(nil, "%d messages have no end", c.open)
 	}
 }
--- a/internal/lab/world/host.go
+++ b/internal/lab/world/host.go
@@ -277,6 +277,11 @@
 	})
 }
 
+var outcomes = map[mb.Outcome]string{
+	mb.OK: "answered 200", mb.Failed: "failed", mb.Full: "refused", mb.TimedOut: "timed out", mb.ConnectFailed: "no connection",
+	mb.Reset: "reset", mb.Cancelled: "cancelled", mb.Moot: "not sent",
+}
+
 // answer books the end of a call.
 func (h *host) answer(c *call, out mb.Outcome, wait time.Duration) {
 	m := c.m
@@ -304,6 +309,7 @@
 			h.w.deliver(m)
 		}
 	}
+	h.w.trace(m, "attempt %d: %s", c.number, outcomes[out])
 	h.handle(mb.Answer{
 		ID: m.id, Attempt: c.number, Endpoint: c.endpoint.name, Outcome: out, Latency: h.w.now - c.sentAt, Settled: m.ended, Wait: wait,
 	})
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -64,6 +64,14 @@
 	figures  memory.Figures
 	result   Result
 	checks   checker
+	// Trace is told what happens to messages, unless it is nil.
+	Trace func(at time.Duration, event int64, message mb.MessageID, what string)
+}
+
+func (w *World) trace(m *message, format string, args ...any) {
+	if w.Trace != nil {
+		w.Trace(w.now, w.events, m.id, fmt.Sprintf(format, args...))
+	}
 }
 
 // New lays a scenario out.
--- a/internal/lab/world/world_test.go
+++ b/internal/lab/world/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -220,6 +221,55 @@
 	}
 }
 
+// A scenario that fails is made smaller as long as it fails, within its budget of runs, and never into one that can't be played.
+func TestShrink(t *testing.T) {
+	s := small(
+		scenario.Fault{Kind: scenario.Slow, At: d(2 * time.Second), For: d(time.Second), By: 2, Share: 1},
+		scenario.Fault{Kind: scenario.Outage, At: d(3 * time.Second), For: d(time.Second), Share: 1},
+		scenario.Fault{Kind: scenario.Load, At: d(4 * time.Second), For: d(time.Second), By: 2},
+	)
+	runs := 0
+	fails := func(s scenario.Scenario) bool {
+		runs++
+		outage := false
+		for _, f := range s.Faults {
+			outage = outage || f.Kind == scenario.Outage
+		}
+		return outage && s.Fleet.Forwarders >= 3 && s.Length.D() >= 3*time.Second
+	}
+	got := Shrink(s, fails, 1000)
+	if len(got.Faults) != 1 || got.Faults[0].Kind != scenario.Outage || got.Fleet.Forwarders != 3 || got.Length.D() > 4*time.Second ||
+		got.Partners[0].Count != 1 || got.Partners[0].Endpoints != 1 || got.Traffic.Rate > 0.5 {
+		t.Errorf("%+v", got)
+	}
+	if len(s.Faults) != 3 || s.Partners[0].Count != 4 {
+		t.Error("what was given was changed")
+	}
+	runs = 0
+	if Shrink(s, fails, 5); runs > 5 {
+		t.Errorf("%d runs with a budget of 5", runs)
+	}
+}
+
+// A trace tells a message's life in its order.
+func TestTrace(t *testing.T) {
+	w, err := New(small(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var lines []string
+	w.Trace = func(_ time.Duration, _ int64, id mb.MessageID, what string) {
+		if id == 1 {
+			lines = append(lines, what)
+		}
+	}
+	w.Run()
+	if len(lines) < 4 || !strings.HasPrefix(lines[0], "taken by forwarder") || !strings.HasPrefix(lines[1], "attempt 0 goes to p") ||
+		lines[2] != "takes effect" || !strings.HasPrefix(lines[len(lines)-1], "attempt") && !strings.HasPrefix(lines[len(lines)-1], "ends") {
+		t.Errorf("%q", lines)
+	}
+}
+
 // An interval covers the true mean about as often as it says, and a difference that is none is called that.
 func TestBootstrap(t *testing.T) {
 	covered, noise := 0, 0
