Scenarios in real time: the real program as several processes between the world's partners

internal/lab/live starts forwarders, endpoints whose calls the world's partner machines settle, clients and faults (kills and starts of the processes included) and holds all of it against the checker. `larklab live` plays with and without learned state, beside virtual time.

TestLiveScenario (two processes, an outage, a kill) passes.

--- a/cmd/larklab/main.go
+++ b/cmd/larklab/main.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"runtime"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -20,6 +21,7 @@
 
 	mb "mulleinbeam"
 	"mulleinbeam/internal/lab/experiment"
+	"mulleinbeam/internal/lab/live"
 	"mulleinbeam/internal/lab/report"
 	"mulleinbeam/internal/lab/scenario"
 	"mulleinbeam/internal/lab/world"
@@ -32,6 +34,7 @@
 	Run        runCmd     `cmd:"" help:"Play a scenario in virtual time; status 1 if a rule was broken."`
 	Sweep      sweepCmd   `cmd:"" help:"Play a scenario for each combination of some settings."`
 	Compare    compareCmd `cmd:"" help:"Play a scenario with and without a change, paired by seed."`
+	Live       liveCmd    `cmd:"" help:"Play a scenario in real time with the real program, with and without learned state, beside virtual time."`
 	Relay      relayCmd   `cmd:"" hidden:"" help:"A bare relay to compare with."`
 }
 
@@ -300,6 +303,81 @@
 	return nil
 }
 
+type liveCmd struct {
+	File    string `arg:"" type:"existingfile" help:"The scenario, as TOML; a few forwarders and some hundred messages a second at the most."`
+	Program string `default:"bin/larkreach" help:"The forwarder."`
+	Seed    uint64 `default:"1" help:"The first seed."`
+	Seeds   int    `default:"1" help:"How many, one behind the other."`
+}
+
+// Run plays each seed with and without learned state at once, then both in virtual time.
+func (c liveCmd) Run() error {
+	s, err := scenario.Read(c.File)
+	if err != nil {
+		return err
+	}
+	program, err := filepath.Abs(c.Program)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	variants := []world.Variant{{Name: "without", Scenario: s}, {Name: "with", Scenario: s}}
+	variants[0].Scenario.Learned.Keep, variants[1].Scenario.Learned.Keep = false, true
+	virtual, err := play(variants, c.Seed, c.Seeds)
+	if err != nil {
+		return err
+	}
+	real := make([][]world.Result, len(variants))
+	broken := false
+	for i := range c.Seeds {
+		results, errs := make([]world.Result, len(variants)), make([]error, len(variants))
+		var both sync.WaitGroup
+		for v := range variants {
+			both.Go(func() { results[v], errs[v] = c.one(ctx, program, variants[v].Scenario, c.Seed+uint64(i)) })
+		}
+		both.Wait()
+		if err := errors.Join(errs...); err != nil {
+			return err
+		}
+		for v, r := range results {
+			real[v] = append(real[v], r)
+			for _, b := range r.Broken {
+				broken = true
+				fmt.Printf("%s, seed %d: rule broken: %s\n", variants[v].Name, r.Seed, b)
+			}
+		}
+	}
+	fmt.Printf("%-45s %14s %14s %14s %14s\n", fmt.Sprintf("%s, %d seeds, means", s.Name, c.Seeds), "real, without", "real, with", "virtual, w/o", "virtual, with")
+	for _, f := range world.Figures {
+		fmt.Printf("%-45s", f.Name)
+		for _, results := range [][]world.Result{real[0], real[1], virtual[0], virtual[1]} {
+			sum := 0.0
+			for _, r := range results {
+				sum += f.Of(r)
+			}
+			fmt.Printf(" %14.3f", sum/float64(len(results)))
+		}
+		fmt.Println()
+	}
+	if broken {
+		return errBroken
+	}
+	return nil
+}
+
+// one plays one run in a folder of its own.
+func (c liveCmd) one(ctx context.Context, program string, s scenario.Scenario, seed uint64) (world.Result, error) {
+	dir, err := os.MkdirTemp("", "larklab-live-")
+	if err != nil {
+		return world.Result{}, err
+	}
+	defer os.RemoveAll(dir)
+	return live.Run{Scenario: s, Seed: seed, Program: []string{program, "serve"}, Dir: dir, Log: func(format string, args ...any) {
+		fmt.Fprintf(os.Stderr, format+"\n", args...)
+	}}.Play(ctx)
+}
+
 type relayCmd struct {
 	To string `arg:"" help:"Where to pass on to."`
 }
--- a/internal/lab/agent.go
+++ b/internal/lab/agent.go
@@ -77,7 +77,7 @@
 	for _, p := range a.list {
 		entries = append(entries, map[string]any{
 			"name": p.Name, "address": p.Address(), "zone": "z", "type": "k", "group": p.Group, "status": p.Status,
-			"weight": 50.0, "since_ms": 0,
+			"weight": p.weight(), "since_ms": 0,
 		})
 	}
 	return map[string]any{"index": a.index, "snapshot": true, "endpoints": entries}
--- a/internal/lab/forwarder.go
+++ b/internal/lab/forwarder.go
@@ -33,6 +33,9 @@
 	MemoryMB int
 	Cores    float64
 	Slots    int
+	Name     string                             // "" is lab
+	Amend    func(configuration map[string]any) // the platform's configuration, before each start; nil leaves it
+	DiskMB   float64                            // 0 is 3
 
 	dir, listen string
 	agent       *Agent
@@ -81,9 +84,16 @@
 			"credit": 1, "late-worth": 0.4,
 		})
 	}
-	return map[string]any{
-		"name": "lab", "listen": f.listen, "discovery": f.agent.Address(), "seed": "8c1f30d27a5be964",
-		"limits": map[string]any{"cores": f.Cores, "memory_mb": f.MemoryMB, "sockets": f.Sockets, "disk_mb": 3},
+	name, disk := f.Name, f.DiskMB
+	if name == "" {
+		name = "lab"
+	}
+	if disk == 0 {
+		disk = 3
+	}
+	out := map[string]any{
+		"name": name, "listen": f.listen, "discovery": f.agent.Address(), "seed": "8c1f30d27a5be964",
+		"limits": map[string]any{"cores": f.Cores, "memory_mb": f.MemoryMB, "sockets": f.Sockets, "disk_mb": disk},
 		"known":  f.agent.Directory(),
 		"settings": map[string]any{
 			"balancers": 1, "weight-source": "nominal", "azs": []string{"z"}, "kinds": []string{"k"}, "services": services,
@@ -95,6 +105,10 @@
 			"rules": map[string]any{"answer-slack": 20000, "drain-grace": 2000000},
 		},
 	}
+	if f.Amend != nil {
+		f.Amend(out)
+	}
+	return out
 }
 
 // Start starts the program, or starts it again in its folder, and waits until it is ready.
--- a/internal/lab/provider.go
+++ b/internal/lab/provider.go
@@ -40,6 +40,7 @@
 	Name   string
 	Group  int
 	Status string
+	Weight float64 // calls a second, as it is listed; 0 is 50
 	Handle func(*Call) (keep bool)
 	// Small bounds what the kernel takes on for a reader that stops: its receive buffer, in bytes; 0 leaves it.
 	Small int
@@ -100,6 +101,13 @@
 	}()
 }
 
+func (p *Provider) weight() float64 {
+	if p.Weight > 0 {
+		return p.Weight
+	}
+	return 50
+}
+
 // Address is where it listens.
 func (p *Provider) Address() string { return p.address }
 
--- a/internal/lab/world/host.go
+++ b/internal/lab/world/host.go
@@ -246,7 +246,7 @@
 		f := p.take(w.now, e)
 		if f.cold {
 			w.result.Cold++
-			if at := w.now - p.backAt; at < 14*time.Second {
+			if at := w.now - p.backAt; at < early {
 				w.result.ColdEarly++
 			}
 		}
--- a/internal/lab/world/partner.go
+++ b/internal/lab/world/partner.go
@@ -37,6 +37,62 @@
 
 const limitSpan = time.Second // over which a limit counts
 
+// Partner is a partner system for who plays it against a real forwarder, on a clock of their own that begins at 0. Its methods
+// are not safe for concurrent use.
+type Partner struct{ p *partner }
+
+// Endpoints are its endpoints' names.
+func (p Partner) Endpoints() (names []string) {
+	for _, e := range p.p.endpoints {
+		names = append(names, string(e.name))
+	}
+	return names
+}
+
+// Number is its destination.
+func (p Partner) Number() int { return int(p.p.id) }
+
+// Hint is what the list says of its capacity, in calls a second; 0 says nothing.
+func (p Partner) Hint() float64 { return p.p.group.Hint * p.p.group.Capacity }
+
+// Fate is what becomes of a call.
+type Fate struct {
+	Outcome mb.Outcome
+	After   time.Duration // from its arrival to its answer; negative is never
+	Wait    time.Duration // told with Full
+	Cold    bool          // it reached a partner that was still cold,
+	Early   bool          // in its first 14 s
+	Tipped  bool          // and pushed it over
+}
+
+// Take settles a call that arrives now.
+func (p Partner) Take(now time.Duration) Fate {
+	tips := p.p.tips
+	f := p.p.take(now, p.p.endpoints[0])
+	return Fate{f.outcome, f.after, f.wait, f.cold, f.cold && now-p.p.backAt < early, p.p.tips > tips}
+}
+
+// Fall takes it down until a moment.
+func (p Partner) Fall(now, until time.Duration, silent bool) { p.p.fall(now, until, silent) }
+
+// Slow has its calls take by times as long as so far.
+func (p Partner) Slow(by float64) { p.p.slow *= by }
+
+// Partners gives a scenario's partners, as a world of that seed has them.
+func Partners(s scenario.Scenario, seed uint64) ([]Partner, error) {
+	w, err := New(s, seed)
+	if err != nil {
+		return nil, err
+	}
+	var list []Partner
+	for _, p := range w.partners {
+		list = append(list, Partner{p})
+	}
+	return list, nil
+}
+
+const early = 14 * time.Second // of a cold partner
+
 // fate is what becomes of a call.
 type fate struct {
 	outcome mb.Outcome
