--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -25,8 +25,6 @@
 const (
 	fileName = "learned"
 	fileNew  = "learned.new"
-	// perEnded and perLane are what one takes in the file, at the most for one of usual names.
-	perEnded = endedSize
 )
 
 // Options are what a memory is opened with.
@@ -193,7 +191,7 @@
 		case over <= 0:
 			return b
 		case len(c.ended) > 0:
-			c.ended = c.ended[min(len(c.ended), int(over/perEnded)+1):]
+			c.ended = c.ended[min(len(c.ended), int(over/endedSize)+1):]
 		case len(c.learned.Lanes) > 0:
 			lanes := slices.Clone(c.learned.Lanes)
 			slices.SortStableFunc(lanes, func(a, b mb.LearnedLane) int { return int(min(1, max(-1, a.Seen-b.Seen))) })
--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -379,7 +379,7 @@
 	if l := Open(o); len(l.Learned().Lanes) != 1000 || l.Ids() != 100 {
 		t.Errorf("%d partners, %d ids", len(l.Learned().Lanes), l.Ids())
 	}
-	for _, most := range []int64{whole - 1, whole - 50*perEnded, whole / 2, 2000} {
+	for _, most := range []int64{whole - 1, whole - 50*endedSize, whole / 2, 2000} {
 		o.Most = most
 		if err := m.Save(s); err != nil {
 			t.Fatal(err)
