--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -298,8 +298,10 @@
 	for _, c := range s.Scenario.Classes {
 		share += c.Share
 	}
-	for n := 0; s.now() < s.Scenario.Length.D(); n++ {
-		if !sleep(ctx, time.Duration(rng.ExpFloat64()/s.Scenario.Traffic.Rate*float64(time.Second))) {
+	next := time.Duration(0) // on the run's clock: what a sleep is late does not thin the traffic
+	for n := 0; ; n++ {
+		next += time.Duration(rng.ExpFloat64() / s.Scenario.Traffic.Rate * float64(time.Second))
+		if next >= s.Scenario.Length.D() || !sleep(ctx, next-s.now()) {
 			return
 		}
 		x := rng.Float64() * share
