Store: one way to order and give records out, for a start and for a look from outside

Reading the change again: the start and Inspect each collected, sorted and gave records out in their own way, a file's last use was ended in two places, whole blocks were reckoned in four, and the pace of a compaction listed all segments to look at one.

Both now fill runs of records by segment, which inOrder and give serve; unused, blocks and a smaller state for Pace. A compaction looks at a record's form only once it is wanted. Behaviour stays.

--- a/internal/routing/wal/store/append.go
+++ b/internal/routing/wal/store/append.go
@@ -44,7 +44,7 @@
 		Active: s.active.size + s.active.torn, Written: s.written, Owed: s.owed, Other: 2 * paper(len(s.files)), Totals: s.totals,
 	}
 	for _, size := range s.trash {
-		st.Other += (size + block - 1) / block * block
+		st.Other += blocks(size)
 	}
 	return st
 }
@@ -66,7 +66,7 @@
 }
 
 // paper is what a manifest of so many segments takes, at the most.
-func paper(segments int) int64 { return int64((segments+4)*24+256+block-1) / block * block }
+func paper(segments int) int64 { return blocks(int64((segments+4)*24 + 256)) }
 
 // planned is a sealed segment in the planner's terms. Its age is told by the records since: they stand for time, so that
 // equal runs give equal choices.
@@ -225,9 +225,7 @@
 		if err == nil {
 			w.g.synced = max(w.g.synced, w.size)
 		}
-		if w.g.users--; w.g.gone && w.g.users == 0 {
-			_ = w.g.f.Close()
-		}
+		w.g.unused()
 	}
 	return err
 }
@@ -268,8 +266,12 @@
 	if s.closed || s.active == nil {
 		return math.Inf(1)
 	}
-	st := s.state()
+	st := s.space()
 	st.Rate = rate
+	if s.victim != nil {
+		v := s.planned(s.victim)
+		st.Victim = &v
+	}
 	return s.plan.Pace(st, s.refused)
 }
 
--- a/internal/routing/wal/store/compact.go
+++ b/internal/routing/wal/store/compact.go
@@ -134,13 +134,13 @@
 		return err
 	}
 	for rec, ok := sc.Next(); ok; rec, ok = sc.Next() {
-		k, _, key, _, err := decode(rec.Payload)
-		if err != nil {
-			continue // it was reported at the start
-		}
 		if !wanted[rec.Offset] {
 			continue
 		}
+		k, _, key, _, err := decode(rec.Payload)
+		if err != nil {
+			return nil, nil, err // it could be read a moment ago
+		}
 		if out.size == 0 {
 			buf = segment.AppendHead(buf, head)
 			out.size = segment.HeadSize
--- a/internal/routing/wal/store/inspect.go
+++ b/internal/routing/wal/store/inspect.go
@@ -1,7 +1,6 @@
 package store
 
 import (
-	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -84,7 +83,8 @@
 			in.Findings = append(in.Findings, fmt.Sprintf("segment %s is missing", name))
 		}
 	}
-	records, ends := map[uint64][]found{}, map[uint64]bool{}
+	var runs [][]item
+	ends := map[uint64]bool{}
 	for _, name := range names {
 		n, seg := number(name, segPrefix)
 		m, out := number(name, outPrefix)
@@ -93,71 +93,52 @@
 			continue // gone during the look: what was in it is in another
 		}
 		size, _ := g.f.Size()
-		in.Bytes += (size + block - 1) / block * block
+		in.Bytes += blocks(size)
 		if !seg && !out {
 			_ = g.f.Close()
 			continue
 		}
 		s.files[g.number] = g // kept open, so that it can be read to the end though it goes
+		var items []item
 		info := SegmentInfo{Name: name, Counts: listed[name] || seg && n >= s.next}
 		head, size, findings, err := scanFile(g.f, name, g.number, s.head, func(k kind, num, key uint64, _ []byte, at, size int64) {
 			if info.Records++; k == kindEnd {
 				ends[key] = true
 			} else {
-				records[key] = append(records[key], found{num, g, at, size})
+				items = append(items, item{key, num, g, uint32(at), uint32(size)})
 			}
 		})
 		if err != nil {
 			return in, err
 		}
+		if len(items) > 0 {
+			runs = append(runs, items)
+		}
 		if s.head == 0 { // no manifest yet
 			s.head = head.Store
 		}
+		g.size = size
 		if info.Bytes = size; info.Counts {
 			in.Findings = append(in.Findings, findings...)
 			in.Records += info.Records
 		}
 		in.Segments = append(in.Segments, info)
 	}
-	return in, s.inspectLiving(&in, records, ends, visit)
+	return in, s.inspectLiving(&in, runs, ends, visit)
 }
 
 // inspectLiving tells of the keys that live, and gives their records out.
-func (s *Store) inspectLiving(in *Inspection, records map[uint64][]found, ends map[uint64]bool, visit func(Record)) error {
-	type item struct {
-		key uint64
-		found
-	}
-	at := map[string]int{}
-	for i, info := range in.Segments {
-		at[info.Name] = i
-	}
-	var living []item
-	for key, list := range records {
-		if ends[key] {
-			continue
-		}
-		in.Living++
-		for _, f := range list {
-			in.Segments[at[f.seg.name]].Live += f.size
-			living = append(living, item{key, f})
-		}
-	}
-	if visit == nil {
-		return nil
+func (s *Store) inspectLiving(in *Inspection, runs [][]item, ends map[uint64]bool, visit func(Record)) error {
+	at := map[string]*SegmentInfo{}
+	for i := range in.Segments {
+		at[in.Segments[i].Name] = &in.Segments[i]
 	}
-	slices.SortFunc(living, func(a, b item) int { return cmp.Compare(a.number, b.number) })
-	var buf []byte
-	for i, it := range living {
-		if i > 0 && it.number == living[i-1].number {
-			continue // a copy beside its original
-		}
-		data, again, err := s.readRecord(it.seg, it.offset, it.size, buf)
-		if err != nil {
-			return err
-		}
-		buf = again
-		visit(Record{Key: it.key, Number: it.number, Payload: data})
+	living := map[uint64]bool{}
+	items := slices.DeleteFunc(inOrder(runs), func(it item) bool { return ends[it.key] })
+	for _, it := range items {
+		living[it.key] = true
+		at[it.seg.name].Live += int64(it.size)
 	}
-	return nil
+	in.Living = len(living)
+	return s.give(items, visit)
 }
--- a/internal/routing/wal/store/store.go
+++ b/internal/routing/wal/store/store.go
@@ -79,6 +79,9 @@
 	kindEnd                  // ends its key
 )
 
+// blocks is a file's size as it counts.
+func blocks(n int64) int64 { return (n + block - 1) / block * block }
+
 // EndSize is what ending a key may take, at the most.
 const EndSize = segment.RecordHead + mostFixed
 
@@ -228,11 +231,10 @@
 	return s.openActive()
 }
 
-// found is a record of a living key, where it stands.
+// found is a key's end.
 type found struct {
 	number uint64
 	seg    *file
-	offset int64
 	size   int64
 }
 
@@ -246,23 +248,20 @@
 // read goes through all segments twice: once for what there is, once more, in the records' order, only where payloads are
 // asked for. Both read large pieces one behind the other.
 func (s *Store) read(visit func(Record)) error {
-	var items []item
+	var runs [][]item // of each segment
 	ends := map[uint64]found{}
-	firsts := map[*file]uint64{}
-	order := s.ordered()
-	bounds := map[*file][2]int{}
-	for _, g := range order {
+	for _, g := range s.ordered() {
 		var err error
 		if g.f, err = s.o.FS.Open(g.name); err != nil {
 			return fmt.Errorf("store: open: %w", err)
 		}
-		from := len(items)
+		var items []item
 		head, size, findings, err := scanFile(g.f, g.name, g.number, s.head, func(k kind, num, key uint64, _ []byte, at, size int64) {
 			s.record, s.lastKey = max(s.record, num+1), max(s.lastKey, key)
 			if k != kindEnd {
 				items = append(items, item{key, num, g, uint32(at), uint32(size)})
 			} else if old, twice := ends[key]; !twice || old.number < num {
-				ends[key] = found{num, g, at, size}
+				ends[key] = found{num, g, size}
 			}
 		})
 		if err != nil {
@@ -276,25 +275,21 @@
 				return fmt.Errorf("store: %s: %w", g.name, err)
 			}
 		}
-		g.synced = size
-		if bounds[g] = [2]int{from, len(items)}; from < len(items) {
-			firsts[g] = items[from].number
+		if g.synced = size; len(items) > 0 {
+			runs = append(runs, items)
 		}
 		if g.size = size; s.head == 0 {
 			s.head = head.Store
 		}
 	}
-	return s.index(inOrder(items, order, bounds, firsts), ends, visit)
+	return s.index(inOrder(runs), ends, visit)
 }
 
-// inOrder puts records in the order of their numbers. A compaction leaves a segment's records in their order, and what one
-// segment had in one segment; so the segments in the order of their first records are all there is to do, mostly.
-func inOrder(items []item, segs []*file, bounds map[*file][2]int, firsts map[*file]uint64) []item {
-	slices.SortStableFunc(segs, func(a, b *file) int { return cmp.Compare(firsts[a], firsts[b]) })
-	out := make([]item, 0, len(items))
-	for _, g := range segs {
-		out = append(out, items[bounds[g][0]:bounds[g][1]]...)
-	}
+// inOrder puts segments' records in the order of their numbers. A compaction leaves a segment's records in their order, and
+// what one segment had in one segment; so the segments in the order of their first records are all there is to do, mostly.
+func inOrder(runs [][]item) []item {
+	slices.SortStableFunc(runs, func(a, b []item) int { return cmp.Compare(a[0].number, b[0].number) })
+	out := slices.Concat(runs...)
 	byNumber := func(a, b item) int { return cmp.Compare(a.number, b.number) }
 	if !slices.IsSortedFunc(out, byNumber) { // copies beside their originals, perhaps
 		slices.SortStableFunc(out, byNumber)
@@ -305,7 +300,7 @@
 // index books what was found, in its order, and gives the living keys' records out.
 func (s *Store) index(items []item, ends map[uint64]found, visit func(Record)) error {
 	living := items[:0]
-	for i, it := range items {
+	for _, it := range items {
 		end, ended := ends[it.key]
 		e := s.keys[it.key]
 		if e == nil {
@@ -317,7 +312,7 @@
 			}
 		}
 		s.addPart(e, it.seg, int64(it.size), !ended)
-		if !ended && (i == 0 || len(living) == 0 || living[len(living)-1].number != it.number) { // not a copy beside its original
+		if !ended {
 			living = append(living, it)
 		}
 	}
@@ -331,11 +326,19 @@
 			delete(s.keys, key)
 		}
 	}
+	return s.give(living, visit)
+}
+
+// give gives records out, in their order, unless visit is nil. A copy beside its original is given once.
+func (s *Store) give(living []item, visit func(Record)) error {
 	if visit == nil {
 		return nil
 	}
 	var w window
-	for _, it := range living {
+	for i, it := range living {
+		if i > 0 && it.number == living[i-1].number {
+			continue
+		}
 		b, err := w.read(it.seg, int64(it.offset), int64(it.size))
 		if err != nil {
 			return err
@@ -376,19 +379,6 @@
 	return w.buf[offset-w.at:][:size], nil
 }
 
-// readRecord reads a record where it stands. What it gives lies in buf, or in a larger one, which it gives as well.
-func (s *Store) readRecord(g *file, offset, size int64, buf []byte) (data, again []byte, err error) {
-	if int64(cap(buf)) < size {
-		buf = make([]byte, size)
-	}
-	b := buf[:size]
-	if _, err := g.f.ReadAt(b, offset); err != nil && !errors.Is(err, io.EOF) {
-		return nil, buf, fmt.Errorf("store: %s: %w", g.name, err)
-	}
-	data, err = s.parse(g, offset, b)
-	return data, buf, err
-}
-
 // parse gives the payload of a record that stands at an offset of a segment.
 func (s *Store) parse(g *file, offset int64, b []byte) (data []byte, err error) {
 	payload, err := segment.Read(b, segment.Head{Store: s.head, Number: g.number}, offset)
@@ -420,14 +410,22 @@
 	g.users++
 	s.mu.Unlock()
 	defer s.release(g)
-	data, _, err := s.readRecord(g, at.offset, at.size, nil)
-	return data, err
+	b := make([]byte, at.size)
+	if _, err := g.f.ReadAt(b, at.offset); err != nil && !errors.Is(err, io.EOF) {
+		return nil, fmt.Errorf("store: %s: %w", g.name, err)
+	}
+	return s.parse(g, at.offset, b)
 }
 
 // release ends a use of a file.
 func (s *Store) release(g *file) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	g.unused()
+}
+
+// unused ends a use; the store's mu is held.
+func (g *file) unused() {
 	if g.users--; g.gone && g.users == 0 {
 		_ = g.f.Close()
 	}
