Laboratory and learned state: worth, figures and tags are said once

Reading the change again: virtual and real time each reckoned a delivery's worth, larklab printed figures in two places and averaged them in a third beside the report, and the file of learned state listed its tags once for writing and once for reading.

Class.Value, Result.Deliver, Figure.Values and Mean, one printer of figures, one table of tags for both directions.

--- a/cmd/larklab/main.go
+++ b/cmd/larklab/main.go
@@ -133,14 +133,7 @@
 		}
 	}
 	if !c.JSON {
-		for _, f := range world.Figures {
-			var values []float64
-			for _, r := range results[0] {
-				values = append(values, f.Of(r))
-			}
-			i := world.Bootstrap(values, 1)
-			fmt.Printf("%-45s %12.3f  (%.3f to %.3f)\n", f.Name, i.Mean, i.Low, i.High)
-		}
+		figures("", results[0])
 		fmt.Printf("%d events in %v\n", events, time.Since(began).Round(time.Millisecond))
 	}
 	if broken {
@@ -149,6 +142,14 @@
 	return nil
 }
 
+// figures prints each figure's mean over the seeds, with its interval.
+func figures(indent string, results []world.Result) {
+	for _, f := range world.Figures {
+		i := world.Bootstrap(f.Values(results), 1)
+		fmt.Printf("%s%-45s %12.3f  (%.3f to %.3f)\n", indent, f.Name, i.Mean, i.Low, i.High)
+	}
+}
+
 // shrinkRuns bounds the search for a smaller scenario.
 const shrinkRuns = 200
 
@@ -251,14 +252,7 @@
 	}
 	for i, v := range variants {
 		fmt.Println(v.Name)
-		for _, f := range world.Figures {
-			var values []float64
-			for _, r := range results[i] {
-				values = append(values, f.Of(r))
-			}
-			b := world.Bootstrap(values, 1)
-			fmt.Printf("  %-45s %12.3f  (%.3f to %.3f)\n", f.Name, b.Mean, b.Low, b.High)
-		}
+		figures("  ", results[i])
 	}
 	return nil
 }
@@ -352,11 +346,7 @@
 	for _, f := range world.Figures {
 		fmt.Printf("%-45s", f.Name)
 		for _, results := range [][]world.Result{real[0], real[1], virtual[0], virtual[1]} {
-			sum := 0.0
-			for _, r := range results {
-				sum += f.Of(r)
-			}
-			fmt.Printf(" %14.3f", sum/float64(len(results)))
+			fmt.Printf(" %14.3f", f.Mean(results))
 		}
 		fmt.Println()
 	}
--- a/internal/lab/forwarder.go
+++ b/internal/lab/forwarder.go
@@ -221,17 +221,17 @@
 
 // AwaitCounter asks for a counter until it has a value.
 func (f *Forwarder) AwaitCounter(line, key string, want int64) error {
-	for {
-		if got, err := f.Counter(line, key); err != nil || got == want {
-			return err
-		}
-	}
+	return f.await(line, key, func(got int64) bool { return got == want })
 }
 
 // AwaitCounterOver asks for a counter until it is above a value.
 func (f *Forwarder) AwaitCounterOver(line, key string, than int64) error {
+	return f.await(line, key, func(got int64) bool { return got > than })
+}
+
+func (f *Forwarder) await(line, key string, enough func(int64) bool) error {
 	for {
-		if got, err := f.Counter(line, key); err != nil || got > than {
+		if got, err := f.Counter(line, key); err != nil || enough(got) {
 			return err
 		}
 	}
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -23,7 +23,6 @@
 const (
 	settleFor = 30 * time.Second // after the traffic's end
 	comeAgain = 500 * time.Millisecond
-	window    = 20 * time.Second // after the first kill
 )
 
 // Run is one scenario with one seed.
@@ -182,7 +181,7 @@
 	for _, k := range s.Scenario.Classes {
 		services = append(services, map[string]any{
 			"name": k.Name, "effect": k.Effect, "target": micro(k.Target), "give-up": micro(k.GiveUp), "key-ttl": micro(k.KeyTTL),
-			"group": "all", "credit": k.Worth, "late-worth": 0.4,
+			"group": "all", "credit": k.Worth, "late-worth": scenario.LateWorth,
 		})
 	}
 	set := c["settings"].(map[string]any)
@@ -266,19 +265,8 @@
 	w.done = true
 	delete(s.waiting, id)
 	close(w.ended)
-	r := s.result.Classes[w.class.Name]
-	r.Delivered++
-	worth, age, now := w.class.Worth, s.now()-w.at, s.now()
-	if age <= w.class.Target.D() {
-		r.InTime++
-	} else {
-		late := (age - w.class.Target.D()).Seconds() / max(1e-3, (w.class.GiveUp-w.class.Target).D().Seconds())
-		worth *= 1 - 0.6*min(1, late)
-	}
-	s.result.Worth.Delivered += worth
-	if s.killedAt >= 0 && now < s.killedAt+window {
-		s.result.Worth.After += worth
-	}
+	now := s.now()
+	s.result.Deliver(w.class, now-w.at, s.killedAt >= 0 && now < s.killedAt+world.AfterKill)
 }
 
 // told passes a notice on to its client.
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -104,7 +104,7 @@
 	for i, f := range world.Figures {
 		r := row{Name: f.Name}
 		for _, results := range p.Results {
-			r.Values = append(r.Values, fmt.Sprintf("%.3f", mean(results, f.Of)))
+			r.Values = append(r.Values, fmt.Sprintf("%.3f", f.Mean(results)))
 		}
 		if data.Pairs {
 			d := differences[i].Diff
@@ -133,14 +133,6 @@
 	return nil
 }
 
-func mean(results []world.Result, of func(world.Result) float64) float64 {
-	sum := 0.0
-	for _, r := range results {
-		sum += of(r)
-	}
-	return sum / float64(max(1, len(results)))
-}
-
 // classes adds up each class over the seeds.
 func classes(variant string, results []world.Result) (out []class) {
 	sums := map[string]*world.ClassResult{}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -80,6 +80,18 @@
 	KeyTTL Duration `toml:"key-ttl"`
 }
 
+// LateWorth is the share of its worth that a message still has at its deadline.
+const LateWorth = 0.4
+
+// Value is what a delivery at an age is worth: all of it within the target, then evenly less down to LateWorth.
+func (c Class) Value(age time.Duration) (worth float64, inTime bool) {
+	if age <= c.Target.D() {
+		return c.Worth, true
+	}
+	late := (age - c.Target.D()).Seconds() / max(1e-3, (c.GiveUp-c.Target).D().Seconds())
+	return c.Worth * (1 - (1-LateWorth)*min(1, late)), false
+}
+
 // Traffic is what clients hand in.
 type Traffic struct {
 	Rate    float64 `toml:"rate"`    // messages a second, at all forwarders together
--- a/internal/lab/world/check.go
+++ b/internal/lab/world/check.go
@@ -2,10 +2,10 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 
 	mb "mulleinbeam"
+	"mulleinbeam/internal/lab/scenario"
 )
 
 // Ending is how a message ended.
@@ -52,6 +52,24 @@
 	Offered, Delivered, InTime, Refused, Failed, Lost int
 }
 
+// Deliver books a delivery at an age, and gives its worth; after says that it came soon after the first kill.
+func (r *Result) Deliver(class *scenario.Class, age time.Duration, after bool) float64 {
+	c := r.Classes[class.Name]
+	c.Delivered++
+	worth, inTime := class.Value(age)
+	if inTime {
+		c.InTime++
+	}
+	r.Worth.Delivered += worth
+	if after {
+		r.Worth.After += worth
+	}
+	return worth
+}
+
+// AfterKill is how long after the first kill what is delivered counts as after it.
+const AfterKill = 20 * time.Second
+
 // Second is one of the run.
 type Second struct {
 	Offered   int     `json:"offered"`
@@ -76,23 +94,12 @@
 // deliver books a delivery.
 func (w *World) deliver(m *message) {
 	x := m.wish
-	r := w.result.Classes[x.class.Name]
 	if x.delivered { // by an earlier handing in whose answer was lost: worth nothing more
 		return
 	}
 	x.delivered = true
-	r.Delivered++
-	worth := x.class.Worth
-	if age := w.now - x.at; age <= x.class.Target.D() {
-		r.InTime++
-	} else {
-		late := (age - x.class.Target.D()).Seconds() / max(1e-3, (x.class.GiveUp-x.class.Target).D().Seconds())
-		worth *= 1 - 0.6*math.Min(1, late)
-	}
-	w.result.Worth.Delivered += worth
-	if len(w.result.Restarts) > 0 && w.now < w.result.Restarts[0]+20*time.Second {
-		w.result.Worth.After += worth
-	}
+	after := len(w.result.Restarts) > 0 && w.now < w.result.Restarts[0]+AfterKill
+	worth := w.result.Deliver(x.class, w.now-x.at, after)
 	s := w.second()
 	s.Delivered++
 	s.Worth += worth
--- a/internal/lab/world/host.go
+++ b/internal/lab/world/host.go
@@ -4,6 +4,7 @@
 	"time"
 
 	mb "mulleinbeam"
+	"mulleinbeam/internal/lab/scenario"
 )
 
 const (
@@ -75,7 +76,7 @@
 	effects := map[string]mb.Effect{"safe": mb.Safe, "keyed": mb.Keyed, "unsafe": mb.Unsafe}
 	for _, c := range s.Classes {
 		out.Classes = append(out.Classes, mb.Class{
-			Name: c.Name, Target: c.Target.D(), GiveUp: c.GiveUp.D(), Worth: c.Worth, LateWorth: 0.4, Effect: effects[c.Effect],
+			Name: c.Name, Target: c.Target.D(), GiveUp: c.GiveUp.D(), Worth: c.Worth, LateWorth: scenario.LateWorth, Effect: effects[c.Effect],
 			KeyTTL: c.KeyTTL.D(),
 		})
 	}
--- a/internal/lab/world/sweep.go
+++ b/internal/lab/world/sweep.go
@@ -59,6 +59,24 @@
 	Of   func(Result) float64
 }
 
+// Values are the figure of each result.
+func (f Figure) Values(results []Result) []float64 {
+	values := make([]float64, len(results))
+	for i, r := range results {
+		values[i] = f.Of(r)
+	}
+	return values
+}
+
+// Mean is the figure's over results.
+func (f Figure) Mean(results []Result) float64 {
+	sum := 0.0
+	for _, v := range f.Values(results) {
+		sum += v
+	}
+	return sum / float64(max(1, len(results)))
+}
+
 // Figures are those that comparisons show.
 var Figures = []Figure{
 	{"worth delivered, share of offered", func(r Result) float64 { return r.Worth.Delivered / max(1e-9, r.Worth.Offered) }},
@@ -113,21 +131,18 @@
 	if len(a) != len(b) {
 		return nil, fmt.Errorf("world: %d results and %d have no pairs", len(a), len(b))
 	}
+	for i := range a {
+		if a[i].Seed != b[i].Seed {
+			return nil, fmt.Errorf("world: seeds %d and %d are no pair", a[i].Seed, b[i].Seed)
+		}
+	}
 	var out []Difference
 	for _, f := range Figures {
-		d := Difference{Figure: f.Name}
-		diffs := make([]float64, len(a))
-		for i := range a {
-			if a[i].Seed != b[i].Seed {
-				return nil, fmt.Errorf("world: seeds %d and %d are no pair", a[i].Seed, b[i].Seed)
-			}
-			x, y := f.Of(a[i]), f.Of(b[i])
-			diffs[i] = y - x
-			d.A += x / float64(len(a))
-			d.B += y / float64(len(a))
+		diffs := f.Values(b)
+		for i, x := range f.Values(a) {
+			diffs[i] -= x
 		}
-		d.Diff = Bootstrap(diffs, 1)
-		out = append(out, d)
+		out = append(out, Difference{f.Name, f.Mean(a), f.Mean(b), Bootstrap(diffs, 1)})
 	}
 	return out, nil
 }
--- a/internal/memory/codec.go
+++ b/internal/memory/codec.go
@@ -154,6 +154,28 @@
 	return binary.LittleEndian.AppendUint64(f.b, xxh3.Hash(f.b))
 }
 
+// laneDurations and laneFloats say which of a lane's fields have which tags, for both directions.
+func laneDurations(l *mb.LearnedLane) map[uint64]*time.Duration {
+	return map[uint64]*time.Duration{
+		laneSeen: &l.Seen, laneOpenFor: &l.OpenFor, laneOpenLeft: &l.OpenLeft, laneWait: &l.Wait, laneGuardSince: &l.GuardSince,
+		laneGuardFrom: &l.GuardFrom, laneLastBad: &l.LastBad, laneLastOK: &l.LastOK,
+	}
+}
+
+func laneFloats(l *mb.LearnedLane) map[uint64]*float64 {
+	return map[uint64]*float64{
+		laneRate: &l.Rate, laneLimit: &l.Limit, lanePace: &l.Pace, laneCap: &l.Cap, laneTrust: &l.Trust,
+	}
+}
+
+// lostPairs does so for the tallies of losses.
+func lostPairs(l *mb.LearnedLosses) map[uint64]*[2]float64 {
+	return map[uint64]*[2]float64{
+		lostPaused: &l.Paused, lostOthers: &l.Others, lostKept: &l.OnKept, lostFresh: &l.OnFresh, lostStrayBad: &l.StrayBad,
+		lostStrayFull: &l.StrayFull,
+	}
+}
+
 func encodeLane(l mb.LearnedLane) []byte {
 	var f fields
 	f.number(laneDestination, int64(l.Destination))
@@ -163,32 +185,24 @@
 	for _, id := range l.Endpoints {
 		f.text(laneListed, string(id))
 	}
-	for tag, d := range map[uint64]time.Duration{ // each once: their order in the file means nothing
-		laneSeen: l.Seen, laneOpenFor: l.OpenFor, laneOpenLeft: l.OpenLeft, laneWait: l.Wait, laneGuardSince: l.GuardSince,
-		laneGuardFrom: l.GuardFrom, laneLastBad: l.LastBad, laneLastOK: l.LastOK,
-	} {
-		f.number(tag, int64(d))
+	for tag, d := range laneDurations(&l) { // each once: their order in the file means nothing
+		f.number(tag, int64(*d))
+	}
+	for tag, v := range laneFloats(&l) {
+		f.float(tag, *v)
 	}
 	f.number(laneBreaker, int64(l.Breaker))
-	f.float(laneRate, l.Rate)
-	f.float(laneLimit, l.Limit)
-	f.float(lanePace, l.Pace)
-	f.float(laneCap, l.Cap)
 	f.flag(laneGuard, l.Guard)
 	f.flag(laneWeak, l.Weak)
-	f.float(laneTrust, l.Trust)
 	f.flag(laneCold, l.Cold)
 	return f.b
 }
 
 func encodeLost(l mb.LearnedLosses) []byte {
 	var f fields
-	f.pair(lostPaused, l.Paused)
-	f.pair(lostOthers, l.Others)
-	f.pair(lostKept, l.OnKept)
-	f.pair(lostFresh, l.OnFresh)
-	f.pair(lostStrayBad, l.StrayBad)
-	f.pair(lostStrayFull, l.StrayFull)
+	for tag, t := range lostPairs(&l) {
+		f.pair(tag, *t)
+	}
 	f.number(lostIdleBound, int64(l.IdleBound))
 	f.flag(lostTells, l.Tells)
 	return f.b
@@ -301,11 +315,7 @@
 func decodeLane(b []byte) (mb.LearnedLane, error) {
 	l := mb.LearnedLane{GuardFrom: -1, LastBad: -1, LastOK: -1, Trust: 1, Pace: 1, Cap: 1}
 	var n int64
-	durations := map[uint64]*time.Duration{
-		laneSeen: &l.Seen, laneOpenFor: &l.OpenFor, laneOpenLeft: &l.OpenLeft, laneWait: &l.Wait, laneGuardSince: &l.GuardSince,
-		laneGuardFrom: &l.GuardFrom, laneLastBad: &l.LastBad, laneLastOK: &l.LastOK,
-	}
-	floats := map[uint64]*float64{laneRate: &l.Rate, laneLimit: &l.Limit, lanePace: &l.Pace, laneCap: &l.Cap, laneTrust: &l.Trust}
+	durations, floats := laneDurations(&l), laneFloats(&l)
 	err := each(b, func(f field) {
 		if d := durations[f.tag]; d != nil {
 			f.duration(d)
@@ -359,10 +369,7 @@
 
 func decodeLost(b []byte) (mb.LearnedLosses, error) {
 	var l mb.LearnedLosses
-	pairs := map[uint64]*[2]float64{
-		lostPaused: &l.Paused, lostOthers: &l.Others, lostKept: &l.OnKept, lostFresh: &l.OnFresh, lostStrayBad: &l.StrayBad,
-		lostStrayFull: &l.StrayFull,
-	}
+	pairs := lostPairs(&l)
 	err := each(b, func(f field) {
 		if p := pairs[f.tag]; p != nil {
 			f.pair(p)
