One way to replace a file whole, for the manifest and for learned state; one test router

fsys.Replace serves both and says whether the new content is there when only the folder's sync failed; runRouter serves both tests. A manifest that can't be written no longer leaves its half-written file behind. Tests of internal/routing and internal/memory pass as they were.

--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -24,7 +24,7 @@
 
 const (
 	fileName = "learned"
-	fileNew  = "learned.new"
+	fileNew  = fileName + fsys.NewSuffix
 )
 
 // Options are what a memory is opened with.
@@ -159,7 +159,7 @@
 // Save replaces the file.
 func (m *Memory) Save(s Snapshot) error {
 	b := m.encode(s)
-	err := m.replace(b)
+	_, err := fsys.Replace(m.o.FS, fileName, b, m.o.Sync)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if err != nil {
@@ -223,30 +223,6 @@
 	return out[max(0, len(out)-m.o.Ids):]
 }
 
-func (m *Memory) replace(b []byte) error {
-	if err := m.o.FS.Remove(fileNew); err != nil && !errors.Is(err, fs.ErrNotExist) {
-		return err
-	}
-	f, err := m.o.FS.Create(fileNew)
-	if err != nil {
-		return err
-	}
-	_, err = f.Write(b)
-	if err == nil && m.o.Sync {
-		err = f.Sync()
-	}
-	if err = errors.Join(err, f.Close()); err != nil {
-		return errors.Join(err, m.o.FS.Remove(fileNew)) // its room is the journal's
-	}
-	if err := m.o.FS.Rename(fileNew, fileName); err != nil {
-		return err
-	}
-	if m.o.Sync {
-		return m.o.FS.Sync()
-	}
-	return nil
-}
-
 // Run saves what take gives, at intervals and once more when ctx ends. A failure is reported once until a save succeeds.
 func (m *Memory) Run(ctx context.Context, interval time.Duration, take func() Snapshot) {
 	tick := time.NewTicker(interval)
--- a/internal/routing/lasting_test.go
+++ b/internal/routing/lasting_test.go
@@ -2,13 +2,9 @@
 
 import (
 	"bytes"
-	"context"
 	"sync"
 	"syscall"
 	"testing"
-	"time"
-
-	"github.com/rs/zerolog"
 
 	mb "mulleinbeam"
 	"mulleinbeam/internal/routing/wal"
@@ -65,23 +61,7 @@
 		t.Fatal(err)
 	}
 	faults.Set(g.check)
-	s := script{make(chan InvokerCall, 8), make(chan Result, 8), make(chan Notice, 8)}
-	r, err := New(Config{
-		Settings: mb.Settings{
-			Couriers: 1, Slots: 4, MostHeld: 10, MaxAttempts: 6, MaxRetryAfter: time.Second,
-			Classes: []mb.Class{{Name: "unsafe", Target: time.Second, GiveUp: time.Minute, Worth: 1, Effect: mb.Unsafe}},
-		},
-		Known: Directory{Whole: true, Saved: true, Providers: []Provider{{Name: "a", Address: "a:1", Group: 7, Weight: 50}}},
-		Log:   journal, Invoker: s, Notifier: s, Logger: zerolog.Nop(),
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(t.Context())
-	ready, ended := make(chan struct{}), make(chan struct{})
-	go func() { defer close(ended); _ = r.Run(ctx, func() { close(ready) }) }()
-	<-ready
-	t.Cleanup(func() { cancel(); <-ended; journal.Close() })
+	r, s, _ := runRouter(t, journal)
 	return r, s, g, faults
 }
 
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -48,8 +48,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	r, s, end = runRouter(t, journal)
+	return r, s, journal, end
+}
+
+// runRouter runs a router on a journal, which it closes at the end.
+func runRouter(t *testing.T, journal *wal.Log) (r *Router, s script, end func()) {
+	t.Helper()
 	s = script{make(chan InvokerCall, 8), make(chan Result, 8), make(chan Notice, 8)}
-	r, err = New(Config{
+	r, err := New(Config{
 		Settings: mb.Settings{
 			Couriers: 1, Slots: 4, LongSlots: 1, MostHeld: 10, MaxAttempts: 6, MaxRetryAfter: time.Second,
 			Classes: []mb.Class{{Name: "unsafe", Target: time.Second, GiveUp: time.Minute, Worth: 1, Effect: mb.Unsafe}},
@@ -67,7 +74,7 @@
 	<-ready
 	end = sync.OnceFunc(func() { cancel(); <-ended; journal.Close() })
 	t.Cleanup(end)
-	return r, s, journal, end
+	return r, s, end
 }
 
 func message(id string) Message {
--- a/internal/routing/wal/fsys/fsys.go
+++ b/internal/routing/wal/fsys/fsys.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"slices"
@@ -40,6 +41,37 @@
 	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) || errors.Is(err, syscall.EFBIG)
 }
 
+// Replace replaces a file whole: the content is written under another name first, the file's with ".new" behind it. With
+// sync it outlasts the machine. there says that the file has the new content, also where only the folder's sync has failed,
+// and a power cut may yet bring the old one back.
+func Replace(fsys FS, name string, content []byte, sync bool) (there bool, err error) {
+	next := name + NewSuffix
+	if err := fsys.Remove(next); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return false, err
+	}
+	f, err := fsys.Create(next)
+	if err != nil {
+		return false, err
+	}
+	_, err = f.Write(content)
+	if err == nil && sync {
+		err = f.Sync()
+	}
+	if err = errors.Join(err, f.Close()); err != nil {
+		return false, errors.Join(err, fsys.Remove(next)) // its room is wanted
+	}
+	if err := fsys.Rename(next, name); err != nil {
+		return false, err
+	}
+	if sync {
+		return true, fsys.Sync()
+	}
+	return true, nil
+}
+
+// NewSuffix is what the name of a file ends in while it is written to replace another.
+const NewSuffix = ".new"
+
 // Dir is a folder of the real file system.
 type Dir string
 
--- a/internal/routing/wal/store/store.go
+++ b/internal/routing/wal/store/store.go
@@ -13,7 +13,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"io/fs"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -65,7 +64,7 @@
 const (
 	block      = 512
 	manifest   = "manifest"
-	manifestIn = "manifest.new"
+	manifestIn = manifest + fsys.NewSuffix
 	segPrefix  = "seg-"
 	outPrefix  = "out-"
 	mostFixed  = 1 + 2*binary.MaxVarintLen64 // in front of a payload: kind, number, key
@@ -543,25 +542,12 @@
 	if err != nil {
 		return fmt.Errorf("store: manifest: %w", err)
 	}
-	if err := s.o.FS.Remove(manifestIn); err != nil && !errors.Is(err, fs.ErrNotExist) {
-		return fmt.Errorf("store: manifest: %w", err)
-	}
-	f, err := s.o.FS.Create(manifestIn)
-	if err != nil {
-		return fmt.Errorf("store: manifest: %w", err)
-	}
-	_, err = f.Write(b)
-	if err == nil && s.o.Durability != Process {
-		err = f.Sync()
-	}
-	if err = errors.Join(err, f.Close()); err == nil {
-		err = s.o.FS.Rename(manifestIn, manifest)
-	}
-	if err != nil {
-		return fmt.Errorf("store: manifest: %w", err)
-	}
-	if err := s.syncDir(); err != nil {
+	there, err := fsys.Replace(s.o.FS, manifest, b, s.o.Durability != Process)
+	switch {
+	case err != nil && there:
 		return fmt.Errorf("store: manifest: %w: %w", errUncertain, err)
+	case err != nil:
+		return fmt.Errorf("store: manifest: %w", err)
 	}
 	return nil
 }
