A fleet no longer keeps discovery overbooked: asks spread by its size, from the known version

Each forwarder asked again 50 ms after a 503, for the whole list (a 503 threw the version away).

Ruled out by probes: a back-off from 50 ms to 4 s alone (about 20 calls a second, all still refused) and asking from the known version alone (31 of 80 at the start, none after the release). At 5 calls a second of the whole fleet all were answered: what is refused keeps discovery busy as well. At fault: retryPause in Directory.Watch, Since = -1 after any status, Since: -1 at a start.

Where the list comes only to those that ask, the first call now goes spread by the size of the fleet, pauses are a share of the fleet's and grow with jitter, and a 5xx keeps the version. Below eight forwarders, and where the list is pushed, all is as before (tested). A test plays a release against a stand-in that counts refused calls: on the fixed beat most never learn.

--- a/cmd/larkreach/config.go
+++ b/cmd/larkreach/config.go
@@ -4,11 +4,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"strconv"
 
 	mb "mulleinbeam"
 	"mulleinbeam/internal/protocol"
+	"mulleinbeam/internal/transport"
 	"mulleinbeam/internal/wire"
 )
 
@@ -36,7 +38,10 @@
 // defaults stand for limits that are not told: those of a scored day.
 var defaults = limits{Cores: 1, MemoryMB: 192, Sockets: 1024, DiskMB: 3}
 
-const leastSockets = 32
+const (
+	leastSockets = 32
+	askingStream = 1 // of random numbers, beside the module's
+)
 
 // loadConfig reads the environment and the file that it names.
 func loadConfig(getenv func(string) string) (config, error) {
@@ -94,6 +99,24 @@
 	return c, nil
 }
 
+// asking says when discovery is asked, by the size of the fleet that asks it.
+func (c config) asking() transport.Asking {
+	within := c.Settings.AskWithin
+	if !c.Settings.MustAsk {
+		within = 0
+	}
+	return transport.AskingFor(c.Settings.Couriers, within, rand.New(rand.NewPCG(c.Seed, askingStream)).Float64)
+}
+
+// since is the version from which discovery is asked for changes. Where each line of a list costs it something, that is the
+// known list's, as long as discovery has not moved; else none, since the known list's version may be another address's.
+func (c config) since() int64 {
+	if c.Settings.MustAsk && c.Discovery == c.Told {
+		return c.Known.Index
+	}
+	return -1
+}
+
 func told(first, second string) string {
 	if first != "" {
 		return first
--- a/cmd/larkreach/main.go
+++ b/cmd/larkreach/main.go
@@ -239,7 +239,7 @@
 	group.Go(func() error { return reload.run(after, hup) })
 	group.Go(func() error {
 		watch := transport.Directory{
-			Address: reload.address, Since: -1, Logger: logger, // the known list's version may be another address's
+			Address: reload.address, Since: cfg.since(), Logger: logger, Asking: cfg.asking(),
 			Learn: func(d protocol.Directory) { router.Learn(directory(d, false)) },
 		}
 		return watch.Watch(after)
--- a/internal/transport/agent.go
+++ b/internal/transport/agent.go
@@ -137,6 +137,7 @@
 type Directory struct {
 	Address *Address
 	Since   int64 // the version known; below zero for none
+	Asking  Asking
 	Learn   func(protocol.Directory)
 	Logger  zerolog.Logger
 }
@@ -146,7 +147,8 @@
 func (d *Directory) Watch(ctx context.Context) error {
 	a := &agent{}
 	defer a.close()
-	failing, moved := false, false
+	failing, moved := 0, false
+	pause(ctx, d.Asking.start())
 	for ctx.Err() == nil {
 		at, here, release := d.Address.follow(ctx)
 		if first := a.address == ""; a.at(at) && !first {
@@ -156,16 +158,15 @@
 		switch {
 		case here.Err() != nil && err != nil: // the end, or another address
 		case err != nil:
-			if !failing {
+			if failing++; failing == 1 {
 				d.Logger.Warn().Str("part", "directory").Err(err).Msg("no answer, the list held stands")
 			}
-			failing = true
-			pause(here, retryPause)
+			pause(here, d.Asking.again(failing))
 		default:
-			if failing || moved {
+			if failing > 0 || moved {
 				d.Logger.Info().Str("part", "directory").Str("address", at).Int64("version", list.Index).Msg("answers")
 			}
-			failing, moved = false, false
+			failing, moved = 0, false
 			d.Since = list.Index
 			if list.Whole || len(list.Providers) > 0 {
 				d.Learn(list)
@@ -193,7 +194,9 @@
 		return protocol.Directory{}, err
 	}
 	if m.Status() != 200 {
-		d.Since = -1 // a version that it does not know any more: the whole list
+		if m.Status() < 500 { // a version that it does not know any more: the whole list; one that is busy may know it
+			d.Since = -1
+		}
 		return protocol.Directory{}, fmt.Errorf("transport: discovery answered %d", m.Status())
 	}
 	return protocol.ParseDirectory(m.Body)
--- /dev/null
+++ b/internal/transport/asking_test.go
@@ -0,0 +1,143 @@
+package transport
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mulleinbeam/internal/protocol"
+)
+
+const askWithin = 10 * time.Second
+
+// learns plays a release that starts a fleet at once, and discovery that takes so many calls a second (and a few at once),
+// of which refused ones count. It tells how many know the list by the end.
+func learns(asking func(chance func() float64) Asking, forwarders int, perSecond, atOnce float64, end time.Duration) int {
+	rng := rand.New(rand.NewPCG(1, 2))
+	type forwarder struct {
+		Asking
+		at       time.Duration
+		failures int
+		knows    bool
+	}
+	fleet := make([]forwarder, forwarders)
+	for i := range fleet {
+		fleet[i].Asking = asking(rng.Float64)
+		fleet[i].at = fleet[i].start() + time.Duration(i)*time.Microsecond
+	}
+	left, last, know := atOnce, time.Duration(0), 0
+	for {
+		next := -1
+		for i, f := range fleet {
+			if !f.knows && (next < 0 || f.at < fleet[next].at) {
+				next = i
+			}
+		}
+		if next < 0 || fleet[next].at > end {
+			return know
+		}
+		f := &fleet[next]
+		left = min(atOnce, left+perSecond*(f.at-last).Seconds())
+		last = f.at
+		if left >= 1 {
+			f.knows = true
+			know++
+		} else {
+			f.failures++
+			f.at += f.again(f.failures)
+		}
+		left = max(left-1, -perSecond) // what is refused keeps it busy, for a second at most
+	}
+}
+
+func TestAFleetThatStartsAtOnceLearnsTheList(t *testing.T) {
+	asking := func(n int) func(func() float64) Asking {
+		return func(chance func() float64) Asking { return AskingFor(n, askWithin, chance) }
+	}
+	for _, n := range []int{20, 80, 200} {
+		perSecond := max(10, float64(n)/8) // each is to ask once in ten seconds, at least
+		if got := learns(asking(n), n, perSecond, perSecond, 30*time.Second); got != n {
+			t.Errorf("%d of %d forwarders learned the list", got, n)
+		}
+		// The stand-in does what it is for: on the fixed beat most never learn it.
+		beat := func(func() float64) Asking { return Asking{} }
+		if got := learns(beat, n, perSecond, perSecond, 30*time.Second); got > n/2 {
+			t.Errorf("on a fixed beat %d of %d learned it: discovery was not overbooked", got, n)
+		}
+	}
+}
+
+func TestAskingByFleet(t *testing.T) {
+	chance := func(v float64) func() float64 { return func() float64 { return v } }
+	for _, n := range []int{-1, 0, 1, 2, 3, manyForwarders - 1} {
+		if a := AskingFor(n, askWithin, nil); a.start() != 0 || a.again(1) != retryPause || a.again(1000) != retryPause {
+			t.Errorf("%d forwarders don't ask as few do", n)
+		}
+	}
+	if a := AskingFor(80, 0, nil); a.start() != 0 || a.again(5) != retryPause {
+		t.Error("where the list comes by itself, nothing is spread")
+	}
+	for _, n := range []int{manyForwarders, 80, 1000, 1 << 40} {
+		for _, v := range []float64{0, 0.5, 1} {
+			a := AskingFor(n, askWithin, chance(v))
+			if s := a.start(); s < 0 || s > askWithin/2 {
+				t.Errorf("%d forwarders: the first call after %v", n, s)
+			}
+			for _, failures := range []int{0, 1, 2, 10, 1 << 30} {
+				if p := a.again(failures); p < retryPause || p > 2*askWithin {
+					t.Errorf("%d forwarders, %d failures: a pause of %v", n, failures, p)
+				}
+			}
+		}
+	}
+}
+
+// Discovery that is busy has not forgotten the version: asking it for the whole list would cost it the more. One that says
+// that there is no such version is asked for the whole list.
+func TestWhatIsAskedAfterARefusal(t *testing.T) {
+	for status, since := range map[int]string{503: "7", 410: ""} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		asked := make(chan string, 2)
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			in := bufio.NewReader(conn)
+			for range 2 {
+				r, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				asked <- r.URL.Query().Get("since")
+				fmt.Fprintf(conn, "HTTP/1.1 %d no\r\nContent-Length: 0\r\n\r\n", status)
+			}
+		}()
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		d := Directory{
+			Address: NewAddress(listener.Addr().String()), Since: 7, Logger: zerolog.Nop(),
+			Learn: func(protocol.Directory) { t.Error("a refusal taught a list") },
+		}
+		go func() { ended <- d.Watch(ctx) }()
+		if first, second := <-asked, <-asked; first != "7" || second != since {
+			t.Errorf("%d: asked since %q, then %q; want 7, then %q", status, first, second, since)
+		}
+		cancel()
+		listener.Close()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+}
