A fleet shares a limit: each forwarder paces itself by its own demand, not the whole rate

The paced rate began at the destination's whole rate (250 a second before a forwarder that sends three), so cuts bound nobody; what braked was the fail-back guard, raised by two refusals in a row (learnFull).

At fault: base() as the measure of the pace in learnFull, learnOK and admits, and the run of two in learnFull.

Among eight forwarders or more the pace is now measured by what the forwarder was itself handed in for the destination over 8 s; it is at most twice of that, and a run of three refusals over a second raises the guard. Below eight all is as it was (tested).

--- a/decide.go
+++ b/decide.go
@@ -39,6 +39,11 @@
 	paceGrow     = 0.02  // of the base rate: what each success adds to the paced rate (ours)
 	paceTop      = 1.6   // of the base rate: the paced rate's top; hints may be half too low (ours)
 	paceFloor    = 0.1   // of the base rate: the paced rate's bottom (ours)
+	ownGrow      = 0.05  // of what a courier is asked for itself, among many: the same three (0.1: no change)
+	ownTop       = 2.0   // (ours)
+	ownLeast     = 0.25  // of an even part of the rate: what a courier is taken to be asked for (ours)
+	ownDepth     = 2.0   // calls that may be sent in one go, at least (ours)
+	fullRuns     = 3     // refusals in a row that raise the guard among many couriers (5: no change)
 	debtMost     = 4     // calls by which a run of refusals without a wait empties the bucket further (ours)
 	leftHigh     = 0.5   // reported share of the limit left from which a refusal is not the limit's doing (ours)
 	x0Low        = 0.1   // reported share of the limit left at which the bucket is emptied (ours)
@@ -87,6 +92,7 @@
 	askFirst      = 500 * time.Millisecond  // first wait before asking for the list again (ours)
 	askMost       = 6 * time.Second         // longest (ours)
 	tenantDepth   = 1500 * time.Millisecond // of a tenant's allowance: what may come in one go (ours)
+	askedFor      = 8 * time.Second         // over how long messages handed in are counted (ours)
 	limitedFor    = 10 * time.Second        // a refusal so recent marks a kind as limited (ours)
 	servedFor     = 30 * time.Second        // over how long served calls are counted (ours)
 	classRest     = 10 * time.Second        // how long an endpoint that failed a class is kept off (ours)
@@ -96,7 +102,6 @@
 	idleQuick     = 100 * time.Millisecond  // a dead connection shows within this beyond a usual call (ours)
 	tightRecent   = 5 * time.Second         // a success so recent speaks for a full table (ours)
 	tightFor      = 10 * time.Second        // how long idle connections are closed after one (ours)
-	shedLogEvery  = 10 * time.Second        // a full hold is logged once in this time
 	heartbeatMark = 1                       // the cookie of the heartbeat timer
 )
 
@@ -129,9 +134,6 @@
 	if d.askAt > 0 && d.now >= d.askAt {
 		d.ask()
 	}
-	if d.idleBound > 0 && d.now-d.idleHitAt > forgetAfter {
-		d.idleBound = 0
-	}
 	if d.now >= d.forgetAt {
 		d.forgetAt = d.now + forgetEvery
 		d.forget(d.now - forgetAfter)
@@ -184,15 +186,7 @@
 		return
 	}
 	if e.Scope != ListChanges {
-		listed := map[EndpointID]bool{}
-		for _, en := range e.Entries {
-			listed[en.Endpoint] = true
-		}
-		for id, ep := range d.eps { // the order makes no difference
-			if !listed[id] && ep.state != Deleted {
-				d.setState(ep, Deleted)
-			}
-		}
+		d.unlist(e.Entries)
 	}
 	for _, en := range e.Entries {
 		d.entry(en)
@@ -207,18 +201,9 @@
 }
 
 func (d *Decider) entry(en Entry) {
-	ep := d.eps[en.Endpoint]
-	if ep != nil && ep.lane.dest.id != en.Destination { // moved: what was seen tells nothing there
-		d.setState(ep, Deleted)
-		ep.lane.known--
-		delete(d.eps, en.Endpoint)
-		ep = nil
-	}
+	ep := d.find(en)
 	if ep == nil {
-		if en.Readiness == Deleted {
-			return
-		}
-		ep = d.remember(en)
+		return
 	}
 	if d.s.HintKnown && en.CapacityHint > 0 && !math.IsInf(en.CapacityHint, 1) {
 		ep.lane.hint = en.CapacityHint
@@ -280,6 +265,7 @@
 		}
 	}
 	d.msgs[m.id] = m
+	m.dest.asked.add(d.now, askedFor)
 	d.count(m, 1)
 	d.hold(m)
 	d.enqueue(m)
@@ -396,9 +382,8 @@
 // shed keeps room in the hold by giving up what is worth least.
 func (d *Decider) shed() {
 	most := max(1, int(holdShare*float64(d.s.MostHeld)))
-	if d.heldCount > most && d.now >= d.shedLogAt {
-		d.shedLogAt = d.now + shedLogEvery
-		d.logf("hold: %d of %d, giving up the least worth", d.heldCount, d.s.MostHeld)
+	if d.heldCount > most {
+		d.logHold()
 	}
 	for d.heldCount > most {
 		var worst *message
@@ -543,12 +528,23 @@
 	if told := cmp.Or(l.x1, l.hint); told > 0 {
 		return told
 	}
-	sec := servedFor.Seconds() * (1 - math.Exp(-(d.now-d.startAt).Seconds()/servedFor.Seconds()))
-	mean := d.served.at(d.now, servedFor) / math.Max(1, sec) / math.Max(1, float64(len(d.dests)))
+	sec := d.seconds(servedFor)
+	mean := d.rateOf(&d.served, servedFor) / math.Max(1, float64(len(d.dests)))
 	own := (l.served.at(d.now, servedFor) + servedPrior) / (sec + servedPrior/math.Max(mean, 1e-6))
 	return math.Max(float64(d.s.Couriers)*own, leastRate)
 }
 
+// paced gives the figures of a paced rate: what it is measured by, its growth, top and least depth. A few
+// couriers each pace the lane's whole rate. Among many that binds none, and each learns of a limit from
+// too few calls: there each paces what it is itself asked for, and the sum follows. Harm: a clump waits.
+func (d *Decider) paced(l *lane) (part, grow, top, depth float64) {
+	if !d.many() {
+		return d.base(l), paceGrow, paceTop, 1
+	}
+	least := ownLeast * d.base(l) / float64(d.s.Couriers)
+	return math.Max(least, d.rateOf(&l.dest.asked, askedFor)), ownGrow, ownTop, ownDepth
+}
+
 // tableFull tells a full connection table from an endpoint that is down: the connect fails at once, calls
 // succeeded there of late, and it is not one failure after another. Idle connections are then closed after
 // use; many couriers do so always, as each sees too little to learn it. Harm: handshakes.
@@ -576,8 +572,8 @@
 	}
 	l.served.add(d.now, servedFor)
 	d.served.add(d.now, servedFor)
-	if base := d.base(l); l.rate > 0 {
-		l.rate = math.Min(l.rate+paceGrow*base, paceTop*base)
+	if part, grow, top, _ := d.paced(l); l.rate > 0 {
+		l.rate = math.Min(l.rate+grow*part, top*part)
 	}
 	d.record(l, false)
 	if brief := d.now < l.guardSince+briefFor && k.sentAt >= l.guardSince; l.guard && l.guardFrom < 0 {
@@ -628,13 +624,17 @@
 			l.bucketAt = d.now
 			l.rate = float64(len(l.sends)) / max(d.s.TipAfter, time.Second).Seconds()
 		}
-		l.rate = math.Max(paceFloor*d.base(l), l.rate*paceCut)
+		part, _, top, _ := d.paced(l)
+		l.rate = math.Max(paceFloor*part, math.Min(l.rate, top*part)*paceCut)
 	}
 	l.bucket = math.Min(l.bucket, 0)
-	if wait == 0 {
+	if wait == 0 && !d.many() {
 		l.bucket = math.Min(l.bucket, -float64(min(l.fullRun, debtMost)))
 	}
 	least, span := d.unlikely(&d.strayFull), retryFull/2
+	if d.many() && l.left < 0 { // each sees few calls, and the limit refuses all alike
+		least, span = max(least, fullRuns), quietFor
+	}
 	d.tells = d.tells || wait > 0
 	explained := !d.tells && l.left >= 0 && l.left < leftHigh
 	if explained { // by the limit
@@ -812,10 +812,11 @@
 		if cmp.Or(l.x1, l.hint) <= 0 { // unknown until a refusal shows it
 			return d.now >= d.guardFrees(l)
 		}
-		l.rate, l.bucketAt = d.base(l), d.now
-		l.bucket = math.Max(1, l.rate*paceDepth.Seconds())
+		l.rate, l.bucketAt, l.bucket = d.base(l), d.now, math.Inf(1)
 	}
-	l.bucket = math.Min(l.bucket+l.rate*(d.now-l.bucketAt).Seconds(), math.Max(1, l.rate*paceDepth.Seconds()))
+	_, _, _, depth := d.paced(l)
+	depth = math.Max(depth, l.rate*paceDepth.Seconds())
+	l.bucket = math.Min(l.bucket+l.rate*(d.now-l.bucketAt).Seconds(), depth)
 	l.bucketAt = d.now
 	return l.bucket >= 1 && d.now >= d.guardFrees(l)
 }
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -45,6 +45,7 @@
 // Fleet is the forwarders.
 type Fleet struct {
 	Forwarders int `toml:"forwarders"`
+	Told       int `toml:"told"` // how many they are told to be; 0 is the truth
 	Slots      int `toml:"slots"`
 	MostHeld   int `toml:"most-held"`
 }
@@ -115,6 +116,7 @@
 	Outage  = "outage"  // partners refuse connections; cold when they are back
 	Silence = "silence" // partners take calls and never answer; cold when they are back
 	Slow    = "slow"    // partners take By times as long
+	Limit   = "limit"   // partners take By times their limit
 	Load    = "load"    // By times the traffic
 	Kill    = "kill"    // forwarders are killed
 	Drain   = "drain"   // an endpoint of each leaves the list and is replaced by one of another name
@@ -183,8 +185,8 @@
 	if s.Length <= 0 || s.Length.D() > 24*time.Hour {
 		return bad("length: %v", s.Length.D())
 	}
-	if s.Fleet.Forwarders < 1 || s.Fleet.Slots < 1 || s.Fleet.MostHeld < 1 {
-		return bad("fleet: forwarders, slots and most-held are 1 at least")
+	if s.Fleet.Forwarders < 1 || s.Fleet.Slots < 1 || s.Fleet.MostHeld < 1 || s.Fleet.Told < 0 {
+		return bad("fleet: forwarders, slots and most-held are 1 at least, told is not below 0")
 	}
 	if len(s.Partners) == 0 || len(s.Classes) == 0 {
 		return bad("partners and classes are needed")
@@ -216,7 +218,7 @@
 	for i, f := range s.Faults {
 		switch f.Kind {
 		case Outage, Silence, Kill, Drain:
-		case Slow, Load:
+		case Slow, Load, Limit:
 			if f.By <= 0 {
 				return bad("fault %d: %s needs by", i+1, f.Kind)
 			}
--- a/internal/lab/world/host.go
+++ b/internal/lab/world/host.go
@@ -1,6 +1,7 @@
 package world
 
 import (
+	"cmp"
 	"time"
 
 	mb "mulleinbeam"
@@ -65,7 +66,7 @@
 func (h *host) settings() mb.Settings {
 	s := h.w.s
 	out := mb.Settings{
-		Couriers: s.Fleet.Forwarders, Slots: s.Fleet.Slots, MostHeld: s.Fleet.MostHeld, MaxAttempts: 6, MayCancel: true,
+		Couriers: cmp.Or(s.Fleet.Told, s.Fleet.Forwarders), Slots: s.Fleet.Slots, MostHeld: s.Fleet.MostHeld, MaxAttempts: 6, MayCancel: true,
 		TellRetryAfter: true, MaxRetryAfter: 3 * time.Second, ConnectTimeout: time.Second, KeepAlive: 10 * time.Second,
 		AnswerSlack: 20 * time.Millisecond, OverloadFactor: s.Rules.Overload, TipAfter: s.Rules.TipAfter.D(),
 		ColdFrom: s.Rules.ColdFrom, WarmWithin: s.Rules.WarmWithin.D(),
--- a/internal/lab/world/partner.go
+++ b/internal/lab/world/partner.go
@@ -19,6 +19,7 @@
 	endpoints []*endpoint
 	servers   []time.Duration // of the whole partner: when each is free
 	slow      float64         // factor of its service times
+	lowered   float64         // factor of its limit
 	down      time.Duration   // until then it is
 	silent    bool            // and takes calls without an answer
 	backAt    time.Duration   // when it was back from its latest outage; negative is never
@@ -142,7 +143,7 @@
 	}
 	if p.group.Limit > 0 {
 		p.taken = recent(p.taken, now-limitSpan)
-		if float64(len(p.taken)) >= p.group.Limit*limitSpan.Seconds() {
+		if float64(len(p.taken)) >= p.lowered*p.group.Limit*limitSpan.Seconds() {
 			if p.group.Counts {
 				p.taken = append(p.taken, now)
 			}
--- a/internal/lab/world/random_test.go
+++ b/internal/lab/world/random_test.go
@@ -32,7 +32,7 @@
 		for range rapid.IntRange(0, 4).Draw(t, "faults") {
 			s.Faults = append(s.Faults, scenario.Fault{
 				Kind: rapid.SampledFrom([]string{
-					scenario.Outage, scenario.Silence, scenario.Slow, scenario.Load, scenario.Kill, scenario.Drain,
+					scenario.Outage, scenario.Silence, scenario.Slow, scenario.Limit, scenario.Load, scenario.Kill, scenario.Drain,
 				}).Draw(t, "kind"),
 				At: d(time.Duration(rapid.IntRange(0, 10_000).Draw(t, "at")) * time.Millisecond), Share: rapid.Float64Range(0, 1).Draw(t, "share"),
 				For: d(time.Duration(rapid.IntRange(0, 6000).Draw(t, "for")) * time.Millisecond), By: rapid.Float64Range(0.2, 8).Draw(t, "by"),
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -94,7 +94,7 @@
 			}
 			servers := max(1, int(math.Ceil(group.Capacity*group.Service.Mean/1000)))
 			p := &partner{
-				id: id, group: group, rules: s.Rules, sample: sample, rng: rand.New(src), slow: 1, backAt: -1,
+				id: id, group: group, rules: s.Rules, sample: sample, rng: rand.New(src), slow: 1, lowered: 1, backAt: -1,
 				servers: make([]time.Duration, servers),
 			}
 			for e := range group.Endpoints {
@@ -245,6 +245,12 @@
 			p.slow *= f.By
 			w.at(until, func() { p.slow /= f.By })
 		}
+	case scenario.Limit:
+		for _, i := range w.chosen(len(w.partners), f.Share) {
+			p := w.partners[i]
+			p.lowered *= f.By
+			w.at(until, func() { p.lowered /= f.By })
+		}
 	case scenario.Load:
 		w.load *= f.By
 		w.at(until, func() { w.load /= f.By })
--- a/internal/lab/world/world_test.go
+++ b/internal/lab/world/world_test.go
@@ -71,6 +71,7 @@
 		"outage":  {scenario.Fault{Kind: scenario.Outage, Share: 0.5}, func(r, calm Result) bool { return r.Cold > 0 }},
 		"silence": {scenario.Fault{Kind: scenario.Silence, Share: 0.5}, func(r, calm Result) bool { return r.Worth.Delivered < 0.98*calm.Worth.Delivered }},
 		"slow":    {scenario.Fault{Kind: scenario.Slow, Share: 1, By: 20}, func(r, calm Result) bool { return r.Worth.Delivered < 0.98*calm.Worth.Delivered }},
+		"limit":   {scenario.Fault{Kind: scenario.Limit, Share: 1, By: 0.3}, func(r, calm Result) bool { return r.OverLimit > calm.OverLimit }},
 		"load":    {scenario.Fault{Kind: scenario.Load, By: 3}, func(r, calm Result) bool { return r.Offered > calm.Offered*6/5 }},
 		"kill":    {scenario.Fault{Kind: scenario.Kill, Share: 0.5, Back: d(time.Second), Until: d(4 * time.Second)}, func(r, calm Result) bool { return r.Kills == 2 }},
 		"drain":   {scenario.Fault{Kind: scenario.Drain, Share: 1}, func(r, calm Result) bool { return r.Calls > 0 }},
--- a/state.go
+++ b/state.go
@@ -15,6 +15,9 @@
 // recallFor is how long what an earlier life knew of a lane waits for it to be listed.
 const recallFor = 10 * time.Minute
 
+// shedLogEvery is how often a full hold is logged, at most.
+const shedLogEvery = 10 * time.Second
+
 // neverOK is a lane's lastOK before its first success.
 const neverOK = -time.Hour
 
@@ -155,6 +158,7 @@
 	id       DestinationID
 	lanes    []*lane
 	held     []*message
+	asked    fading // messages handed in for it
 	inflight int
 	listed   bool     // among the busy ones
 	best     *message // dispatch's choice
@@ -195,6 +199,16 @@
 
 func (f *fading) add(now, over time.Duration) { f.n, f.last = f.at(now, over)+1, now }
 
+// seconds is over how long a count that fades over a time has gone on: less soon after the start.
+func (d *Decider) seconds(over time.Duration) float64 {
+	return over.Seconds() * (1 - math.Exp(-(d.now-d.startAt).Seconds()/over.Seconds()))
+}
+
+// rateOf is a fading count's rate a second.
+func (d *Decider) rateOf(f *fading, over time.Duration) float64 {
+	return f.at(d.now, over) / math.Max(1, d.seconds(over))
+}
+
 // turn is the queue of one order key.
 type turn struct {
 	queue     []*message
@@ -294,6 +308,21 @@
 	}
 }
 
+// find gives the endpoint of an entry, new ones included; nil is one that is gone without having been known.
+func (d *Decider) find(en Entry) *endpoint {
+	ep := d.eps[en.Endpoint]
+	if ep != nil && ep.lane.dest.id != en.Destination { // moved: what was seen tells nothing there
+		d.setState(ep, Deleted)
+		ep.lane.known--
+		delete(d.eps, en.Endpoint)
+		ep = nil
+	}
+	if ep == nil && en.Readiness != Deleted {
+		ep = d.remember(en)
+	}
+	return ep
+}
+
 // remember makes room for a listed endpoint, and for its lane where that is new: nothing is known of either.
 func (d *Decider) remember(en Entry) *endpoint {
 	dest := d.dest(en.Destination)
@@ -335,6 +364,27 @@
 	}
 }
 
+// unlist books that a whole list leaves an endpoint out.
+func (d *Decider) unlist(entries []Entry) {
+	listed := map[EndpointID]bool{}
+	for _, en := range entries {
+		listed[en.Endpoint] = true
+	}
+	for id, ep := range d.eps { // the order makes no difference
+		if !listed[id] && ep.state != Deleted {
+			d.setState(ep, Deleted)
+		}
+	}
+}
+
+// logHold logs that the hold is full.
+func (d *Decider) logHold() {
+	if d.now >= d.shedLogAt {
+		d.shedLogAt = d.now + shedLogEvery
+		d.logf("hold: %d of %d, giving up the least worth", d.heldCount, d.s.MostHeld)
+	}
+}
+
 func (d *Decider) dest(id DestinationID) *destination {
 	dest := d.dests[id]
 	if dest == nil {
@@ -391,6 +441,9 @@
 // forget drops what nothing needs any more: endpoints gone before a time, lanes without endpoints, destinations
 // without lanes, turns that are over. Memory stays bounded by what is listed and held.
 func (d *Decider) forget(before time.Duration) {
+	if d.idleHitAt < before {
+		d.idleBound = 0
+	}
 	maps.DeleteFunc(d.eps, func(_ EndpointID, ep *endpoint) bool {
 		old := ep.state == Deleted && ep.inflight == 0 && ep.goneAt < before && ep.lane.waitUntil < d.now
 		if old {
