A fleet keeps idle connections and splits the fail-back budget by each one's own traffic

Checked and ruled out: that tables fill up when connections are kept.

At fault: the Close after every use in answer() from eight couriers on, and the even part in guardBudget().

--- a/decide.go
+++ b/decide.go
@@ -27,7 +27,7 @@
 	freshGain    = 0.03  // share of resets saved for which an unsafe message pays a handshake (ours)
 	idleMargin   = 0.8   // of the shortest pause that met a dead connection: the bound (ours)
 	tightRun     = 2     // failed connects in a row that may still be a full connection table (ours)
-	manyCouriers = 8     // from here on idle connections of all couriers fill a small table (ours)
+	manyCouriers = 8     // from here on what a courier does is counted as what all do (ours)
 	trialsClose  = 3     // successful trials that close a half-open breaker (source: 5)
 	openGrow     = 1.5   // growth of the open period from failed trial to failed trial (ours)
 	capStart     = 0.25  // of the slots: where a cap starts and falls back to (0.34: worse on hb)
@@ -52,6 +52,7 @@
 	roughMargin  = 0.8   // of a rough hint, which may be half too high, counts as capacity (ours)
 	guardMargin  = 0.9   // of the fail-back budget is used at most (tuned: riga, hb)
 	usualLoad    = 0.7   // of a destination's rate is called for in the mean (ours)
+	evenMost     = 2.0   // even parts: the most that a courier takes for its share of the traffic (3: no change)
 	unevenness   = 1.27  // of a few couriers' traffic: more than an even split of the fail-back budget (ours)
 	minBudget    = 0.01  // calls a span: the smallest part (ours)
 	timeoutScale = 8.0   // a repeatable call's time-out over its expected latency (ours)
@@ -440,7 +441,7 @@
 	if ep.usedAt = d.now; ep.lostConn || e.Outcome == Full {
 		ep.failedAt = d.now
 	}
-	if (d.many() || d.now < ep.tightUntil) && len(m.dest.held) == 0 && len(c.msgs) == 0 {
+	if d.now < ep.tightUntil && len(m.dest.held) == 0 && len(c.msgs) == 0 {
 		d.do(Close{Endpoint: ep.id})
 	}
 	if !c.heard || e.Outcome == OK && !c.served { // a call has one fate; a success corrects a time-out
@@ -547,7 +548,7 @@
 
 // tableFull tells a full connection table from an endpoint that is down: the connect fails at once, calls
 // succeeded there of late, and it is not one failure after another. Idle connections are then closed after
-// use; many couriers do so always, as each sees too little to learn it. Harm: handshakes.
+// use. Among many couriers that was the rule and cost a handshake for each message. Harm: handshakes.
 func (d *Decider) tableFull(ep *endpoint, latency time.Duration) bool {
 	if ep.run >= tightRun || latency > idleQuick || d.now-ep.lastOK > tightRecent {
 		return false
@@ -797,6 +798,10 @@
 	n, span := float64(d.s.Couriers), d.s.TipAfter.Seconds()
 	seen := 1 + (n-1)*(1-math.Exp(-usualLoad*d.base(l)*min(until-l.guardSince, d.longest).Seconds()/n))
 	part := math.Min(1/math.Sqrt(seen), (1+unevenness/math.Sqrt(seen))/seen)
+	if d.many() { // by its own share of the traffic: even parts leave much of the budget to those with little
+		own, _, _, _ := d.paced(l)
+		part = math.Min(evenMost*part, own/(usualLoad*d.base(l)))
+	}
 	return math.Max(minBudget, guardMargin*d.s.OverloadFactor*share*est*span*part)
 }
 
