A fleet's share of the fail-back budget is never under an even one

Ruled out: refusals and the pace (no refusal in that time), breakers (closed by then). At fault: the part in guardBudget.

The part now goes from an even one, as few forwarders have it, up to twice of that by the own traffic.

--- a/decide.go
+++ b/decide.go
@@ -800,8 +800,8 @@
 	n, span := float64(d.s.Couriers), d.s.TipAfter.Seconds()
 	seen := 1 + (n-1)*(1-math.Exp(-usualLoad*d.base(l)*min(until-l.guardSince, d.longest).Seconds()/n))
 	part := math.Min(1/math.Sqrt(seen), (1+unevenness/math.Sqrt(seen))/seen)
-	if d.many() { // by its own share of the traffic: even parts leave much of the budget to those with little
-		part = math.Min(evenMost*part, d.paced(l).part/(usualLoad*d.base(l)))
+	if d.many() { // or its own share of the traffic: even parts leave much of the budget to those with little
+		part = math.Min(evenMost*part, math.Max(part, d.paced(l).part/(usualLoad*d.base(l))))
 	}
 	return math.Max(minBudget, guardMargin*d.s.OverloadFactor*share*est*span*part)
 }
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -78,3 +78,26 @@
 		}
 	}
 }
+
+// A courier's part of the fail-back budget among many goes by its own traffic, from an even part up to twice of that; of a
+// few couriers all have an even part.
+func TestPartsOfTheFailBackBudget(t *testing.T) {
+	budget := func(couriers int, every time.Duration) float64 {
+		r := newRig(t, fleetSettings(couriers))
+		l := r.d.dests[1].lanes[0]
+		for range int(20 * time.Second / every) {
+			r.submit("safe", 1, 0)
+			r.settle(always(OK))
+			r.pass(every)
+		}
+		r.d.raiseGuard(l, r.d.now-10*time.Second, false)
+		return r.d.guardBudget(l)
+	}
+	if few, much := budget(3, 2*time.Second), budget(3, 100*ms); few != much {
+		t.Errorf("three couriers: a budget of %v with little traffic, %v with much", few, much)
+	}
+	even, some, much := budget(80, 5*time.Second), budget(80, 1200*ms), budget(80, 100*ms)
+	if !(even < some && some < much) || much < 1.99*even || much > 2.01*even {
+		t.Errorf("eighty couriers: budgets of %v, %v and %v with little, some and much traffic", even, some, much)
+	}
+}
