A life in a fleet begins with one call to each destination, at its own pace

Each new life began with its allowance full, two calls for each destination, and with what the earlier one held; 160 calls meet a limit of 16 a second. At fault: the rate and the bucket that admits() begins with.

Among eight forwarders or more a life now begins with one call and at 1.5 times its own part.

--- a/decide.go
+++ b/decide.go
@@ -542,10 +542,10 @@
 // deep cut and the low top. Harm: a clump waits.
 func (d *Decider) paced(l *lane) pacing {
 	if !d.many() {
-		return pacing{part: d.base(l), cut: paceCut, grow: paceGrow, top: paceTop, depth: 1}
+		return pacing{part: d.base(l), cut: paceCut, grow: paceGrow, top: paceTop, depth: 1, first: math.Inf(1)}
 	}
 	part := math.Max(ownLeast*d.base(l)/float64(d.s.Couriers), d.rateOf(&l.dest.asked, askedFor))
-	return pacing{part: part, cut: ownCut, grow: ownGrow, top: ownTop, depth: ownDepth}
+	return pacing{part: part, cut: ownCut, grow: ownGrow, top: ownTop, depth: ownDepth, first: 1}
 }
 
 // tableFull tells a full connection table from an endpoint that is down: the connect fails at once, calls
@@ -818,7 +818,8 @@
 		if cmp.Or(l.x1, l.hint) <= 0 { // unknown until a refusal shows it
 			return d.now >= d.guardFrees(l)
 		}
-		l.rate, l.bucketAt, l.bucket = d.base(l), d.now, math.Inf(1)
+		p := d.paced(l)
+		l.rate, l.bucketAt, l.bucket = math.Min(d.base(l), p.top*p.part), d.now, p.first
 	}
 	depth := math.Max(d.paced(l).depth, l.rate*paceDepth.Seconds())
 	l.bucket = math.Min(l.bucket+l.rate*(d.now-l.bucketAt).Seconds(), depth)
--- a/state.go
+++ b/state.go
@@ -173,6 +173,7 @@
 	grow  float64 // what a success adds, of the part
 	top   float64 // of the part: the most
 	depth float64 // calls that may be sent in one go, at least
+	first float64 // the same when a life begins, at most: a release begins the lives of most of a fleet at once
 }
 
 // tally counts calls and how many were lost.
