--- a/internal/transport/asking_test.go
+++ b/internal/transport/asking_test.go
@@ -141,3 +141,53 @@
 		}
 	}
 }
+
+// Discovery that goes away, sends half a list, noise or a refusal, many times over, teaches nothing: the list held stands until
+// a whole one comes, which is then learned once.
+func TestAFleetOutlastsBadDiscovery(t *testing.T) {
+	const list = `{"index":9,"snapshot":true,"endpoints":[{"name":"s","address":"127.0.0.1:1","group":3,"status":"SERVING"}]}`
+	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list)
+	bad := []string{
+		"", "HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n", whole[:len(whole)/2], whole[:len(whole)-1], "\x00\xff\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n{\"index\"",
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	const times = 12
+	go func() {
+		for i := 0; ; i++ {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				if i < times {
+					_, _ = conn.Write([]byte(bad[i%len(bad)]))
+				} else {
+					_, _ = conn.Write([]byte(whole))
+				}
+			}
+			conn.Close()
+		}
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	learned := make(chan protocol.Directory, 100)
+	d := Directory{
+		Address: NewAddress(listener.Addr().String()), Since: 7, Logger: zerolog.Nop(),
+		Asking: AskingFor(80, 20*time.Millisecond, rand.New(rand.NewPCG(1, 2)).Float64), // pauses of retryPause
+		Learn:  func(list protocol.Directory) { learned <- list },
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- d.Watch(ctx) }()
+	if first := <-learned; first.Index != 9 || len(first.Providers) != 1 {
+		t.Errorf("learned %+v", first)
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
