Reading the change again: figures of the pace without the lane, one arm for two faults, one test partner

paced() told figures that hang on the fleet's size alone together with the lane's part, which takes two exponentials, so admits() worked the part out, up to twice, for each look at a destination where it needed a depth. paced() and part() are apart now. The laboratory's faults `slow` and `limit` were the same arm twice; the tests of discovery listened and read requests by themselves beside the package's partner(). shed() and entry() lost a check each.

--- a/decide.go
+++ b/decide.go
@@ -203,14 +203,12 @@
 }
 
 func (d *Decider) entry(en Entry) {
-	ep := d.find(en)
-	if ep == nil {
-		return
-	}
-	if d.s.HintKnown && en.CapacityHint > 0 && !math.IsInf(en.CapacityHint, 1) {
-		ep.lane.hint = en.CapacityHint
+	if ep := d.find(en); ep != nil {
+		if d.s.HintKnown && en.CapacityHint > 0 && !math.IsInf(en.CapacityHint, 1) {
+			ep.lane.hint = en.CapacityHint
+		}
+		d.setState(ep, en.Readiness)
 	}
-	d.setState(ep, en.Readiness)
 }
 
 // departs clears a lane of what an endpoint that leaves the list has caused: until the list told it, its
@@ -384,10 +382,8 @@
 // shed keeps room in the hold by giving up what is worth least.
 func (d *Decider) shed() {
 	most := max(1, int(holdShare*float64(d.s.MostHeld)))
-	if d.heldCount > most {
-		d.logHold()
-	}
 	for d.heldCount > most {
+		d.logHold()
 		var worst *message
 		low := math.Inf(1)
 		for _, dest := range d.busy {
@@ -536,21 +532,26 @@
 	return math.Max(float64(d.s.Couriers)*own, leastRate)
 }
 
-// paced gives the figures of a paced rate. A few couriers each pace the lane's whole rate. Among many that
-// binds none, and each learns of a limit from too few calls: there each paces what it is itself asked for; so
-// the sum follows. Where refused calls use a limit up, none gets through until the sum is under it: hence the
-// deep cut and the low top. Harm: a clump waits.
-func (d *Decider) paced(l *lane) pacing {
+// part is what a paced rate is measured by: the lane's whole rate, which among many binds none of them; there
+// what each is itself asked for, and the sum follows. Harm: a clump waits.
+func (d *Decider) part(l *lane) float64 {
+	if !d.many() {
+		return d.base(l)
+	}
+	return math.Max(ownLeast*d.base(l)/float64(d.s.Couriers), d.rateOf(&l.dest.asked, askedFor))
+}
+
+// paced is how paced rates move. Among many, where refused calls use a limit up, none gets through until the
+// sum is under it: hence the deep cut and the low top.
+func (d *Decider) paced() pacing {
 	if !d.many() {
-		return pacing{part: d.base(l), cut: paceCut, grow: paceGrow, top: paceTop, depth: 1, first: math.Inf(1)}
+		return pacing{cut: paceCut, grow: paceGrow, top: paceTop, depth: 1, first: math.Inf(1)}
 	}
-	part := math.Max(ownLeast*d.base(l)/float64(d.s.Couriers), d.rateOf(&l.dest.asked, askedFor))
-	return pacing{part: part, cut: ownCut, grow: ownGrow, top: ownTop, depth: ownDepth, first: 1}
+	return pacing{cut: ownCut, grow: ownGrow, top: ownTop, depth: ownDepth, first: 1}
 }
 
-// tableFull tells a full connection table from an endpoint that is down: the connect fails at once, calls
-// succeeded there of late, and it is not one failure after another. Idle connections are then closed after
-// use. Among many couriers that was the rule and cost a handshake for each message. Harm: handshakes.
+// tableFull tells a full connection table from an endpoint that is down: the connect fails at once, behind
+// successes of late, and with no run of failures. Idle ones are then closed after use. Harm: handshakes.
 func (d *Decider) tableFull(ep *endpoint, latency time.Duration) bool {
 	if ep.run >= tightRun || latency > idleQuick || d.now-ep.lastOK > tightRecent {
 		return false
@@ -575,8 +576,8 @@
 	}
 	l.served.add(d.now, servedFor)
 	d.served.add(d.now, servedFor)
-	if p := d.paced(l); l.rate > 0 {
-		l.rate = math.Min(l.rate+p.grow*p.part, p.top*p.part)
+	if p, part := d.paced(), d.part(l); l.rate > 0 {
+		l.rate = math.Min(l.rate+p.grow*part, p.top*part)
 	}
 	d.record(l, false)
 	if brief := d.now < l.guardSince+briefFor && k.sentAt >= l.guardSince; l.guard && l.guardFrom < 0 {
@@ -627,8 +628,8 @@
 			l.bucketAt = d.now
 			l.rate = float64(len(l.sends)) / max(d.s.TipAfter, time.Second).Seconds()
 		}
-		p := d.paced(l)
-		l.rate = math.Max(paceFloor*p.part, math.Min(l.rate, p.top*p.part)*p.cut)
+		p, part := d.paced(), d.part(l)
+		l.rate = math.Max(paceFloor*part, math.Min(l.rate, p.top*part)*p.cut)
 	}
 	l.bucket = math.Min(l.bucket, 0)
 	if wait == 0 && !d.many() {
@@ -801,7 +802,7 @@
 	seen := 1 + (n-1)*(1-math.Exp(-usualLoad*d.base(l)*min(until-l.guardSince, d.longest).Seconds()/n))
 	part := math.Min(1/math.Sqrt(seen), (1+unevenness/math.Sqrt(seen))/seen)
 	if d.many() { // or its own share of the traffic: even parts leave much of the budget to those with little
-		part = math.Min(evenMost*part, math.Max(part, d.paced(l).part/(usualLoad*d.base(l))))
+		part = math.Min(evenMost*part, math.Max(part, d.part(l)/(usualLoad*d.base(l))))
 	}
 	return math.Max(minBudget, guardMargin*d.s.OverloadFactor*share*est*span*part)
 }
@@ -814,14 +815,14 @@
 	if l.state == open && d.now < l.openUntil || l.state != closed && l.trialsOut > l.trialsOK {
 		return false
 	}
+	p := d.paced()
 	if l.rate == 0 {
 		if cmp.Or(l.x1, l.hint) <= 0 { // unknown until a refusal shows it
 			return d.now >= d.guardFrees(l)
 		}
-		p := d.paced(l)
-		l.rate, l.bucketAt, l.bucket = math.Min(d.base(l), p.top*p.part), d.now, p.first
+		l.rate, l.bucketAt, l.bucket = math.Min(d.base(l), p.top*d.part(l)), d.now, p.first
 	}
-	depth := math.Max(d.paced(l).depth, l.rate*paceDepth.Seconds())
+	depth := math.Max(p.depth, l.rate*paceDepth.Seconds())
 	l.bucket = math.Min(l.bucket+l.rate*(d.now-l.bucketAt).Seconds(), depth)
 	l.bucketAt = d.now
 	return l.bucket >= 1 && d.now >= d.guardFrees(l)
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -18,17 +18,17 @@
 	for couriers, want := range map[int]float64{1: 50, 3: 50, manyCouriers - 1: 50, manyCouriers: 50 * ownLeast / manyCouriers, 1000: 50 * ownLeast / 1000} {
 		r := newRig(t, fleetSettings(couriers))
 		l := r.d.dests[1].lanes[0]
-		if p := r.d.paced(l); p.part != want {
-			t.Errorf("%d couriers: paced by %v, want %v", couriers, p.part, want)
+		if part := r.d.part(l); part != want {
+			t.Errorf("%d couriers: paced by %v, want %v", couriers, part, want)
 		}
 		for range 400 { // two a second
 			r.submit("safe", 1, 0)
 			r.settle(always(OK))
 			r.pass(500 * ms)
 		}
-		p := r.d.paced(l)
-		part, top := p.part, p.top
-		if couriers < manyCouriers && p != (pacing{part: 50, cut: paceCut, grow: paceGrow, top: paceTop, depth: 1, first: math.Inf(1)}) {
+		p, part := r.d.paced(), r.d.part(l)
+		top := p.top
+		if couriers < manyCouriers && p != (pacing{cut: paceCut, grow: paceGrow, top: paceTop, depth: 1, first: math.Inf(1)}) {
 			t.Errorf("%d couriers: paced by %+v", couriers, p)
 		}
 		if many := couriers >= manyCouriers; many && (part < 1.5 || part > 2.5) || !many && part != 50 {
@@ -52,7 +52,7 @@
 	}
 	before, part := l.rate, 0.0
 	for range 2 {
-		part = r.d.paced(l).part
+		part = r.d.part(l)
 		r.d.learnFull(l, 0)
 	}
 	if want := before * ownCut; l.rate > want+1e-9 || l.rate < paceFloor*part {
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -239,17 +239,14 @@
 			w.at(until, func() { p.silent = false })
 		}
 		w.result.Backs = append(w.result.Backs, until)
-	case scenario.Slow:
+	case scenario.Slow, scenario.Limit:
 		for _, i := range w.chosen(len(w.partners), f.Share) {
-			p := w.partners[i]
-			p.slow *= f.By
-			w.at(until, func() { p.slow /= f.By })
-		}
-	case scenario.Limit:
-		for _, i := range w.chosen(len(w.partners), f.Share) {
-			p := w.partners[i]
-			p.lowered *= f.By
-			w.at(until, func() { p.lowered /= f.By })
+			factor := &w.partners[i].slow
+			if f.Kind == scenario.Limit {
+				factor = &w.partners[i].lowered
+			}
+			*factor *= f.By
+			w.at(until, func() { *factor /= f.By })
 		}
 	case scenario.Load:
 		w.load *= f.By
--- a/internal/transport/asking_test.go
+++ b/internal/transport/asking_test.go
@@ -1,12 +1,12 @@
 package transport
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -103,31 +103,18 @@
 // that there is no such version is asked for the whole list.
 func TestWhatIsAskedAfterARefusal(t *testing.T) {
 	for status, since := range map[int]string{503: "7", 410: ""} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
 		asked := make(chan string, 2)
-		go func() {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			defer conn.Close()
-			in := bufio.NewReader(conn)
-			for range 2 {
-				r, err := http.ReadRequest(in)
-				if err != nil {
-					return
-				}
-				asked <- r.URL.Query().Get("since")
-				fmt.Fprintf(conn, "HTTP/1.1 %d no\r\nContent-Length: 0\r\n\r\n", status)
+		discovery := partner(t, func(conn net.Conn, r *http.Request) {
+			select {
+			case asked <- r.URL.Query().Get("since"):
+			default: // a third one is of no interest
 			}
-		}()
+			fmt.Fprintf(conn, "HTTP/1.1 %d no\r\nContent-Length: 0\r\n\r\n", status)
+		})
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan error, 1)
 		d := Directory{
-			Address: NewAddress(listener.Addr().String()), Since: 7, Logger: zerolog.Nop(),
+			Address: NewAddress(discovery), Since: 7, Logger: zerolog.Nop(),
 			Learn: func(protocol.Directory) { t.Error("a refusal taught a list") },
 		}
 		go func() { ended <- d.Watch(ctx) }()
@@ -135,7 +122,6 @@
 			t.Errorf("%d: asked since %q, then %q; want 7, then %q", status, first, second, since)
 		}
 		cancel()
-		listener.Close()
 		if err := <-ended; err != nil {
 			t.Error(err)
 		}
@@ -151,33 +137,21 @@
 		"", "HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n", whole[:len(whole)/2], whole[:len(whole)-1], "\x00\xff\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n{\"index\"",
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
 	const times = 12
-	go func() {
-		for i := 0; ; i++ {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				if i < times {
-					_, _ = conn.Write([]byte(bad[i%len(bad)]))
-				} else {
-					_, _ = conn.Write([]byte(whole))
-				}
-			}
-			conn.Close()
+	var calls atomic.Int64
+	discovery := partner(t, func(conn net.Conn, _ *http.Request) {
+		answer := whole
+		if i := int(calls.Add(1)) - 1; i < times {
+			answer = bad[i%len(bad)]
 		}
-	}()
+		_, _ = conn.Write([]byte(answer))
+		conn.Close()
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	learned := make(chan protocol.Directory, 100)
 	d := Directory{
-		Address: NewAddress(listener.Addr().String()), Since: 7, Logger: zerolog.Nop(),
+		Address: NewAddress(discovery), Since: 7, Logger: zerolog.Nop(),
 		Asking: AskingFor(80, 20*time.Millisecond, rand.New(rand.NewPCG(1, 2)).Float64), // pauses of retryPause
 		Learn:  func(list protocol.Directory) { learned <- list },
 	}
--- a/state.go
+++ b/state.go
@@ -166,9 +166,8 @@
 	score    float64
 }
 
-// pacing is how a paced rate moves. All but depth are shares: of the part that it is measured by, or of the rate itself.
+// pacing is how a paced rate moves: shares of the rate or of the part that it is measured by, and calls in one go.
 type pacing struct {
-	part  float64 // calls a second
 	cut   float64 // what a refusal leaves of the rate
 	grow  float64 // what a success adds, of the part
 	top   float64 // of the part: the most
