A repeat's call begins only inside its window, however long connecting took

Ruled out: messages handed in again by clients (64 had run before; each came with the rest of its window as its time), a second forwarder (each key was seen by one only), second copies.

At fault: Router.begin looked at list, end and cut of a call, not at the window that canRepeat had looked at when it decided.

Change: Send.BeginBy tells until when a first byte may go (the window's margin for a keyed repeat, else the moment up to which an answer can be in time), and begin holds a later call back as not sent. expire and both sends take it from one place, sendBy.

The routing test runs on synctest's clock and fails without the change ("connected after 1.7s, the repeat began: true").

--- a/decide.go
+++ b/decide.go
@@ -293,6 +293,14 @@
 	return m.ranAt + time.Duration(ttlMargin*float64(m.class.KeyTTL))
 }
 
+// sendBy is the last moment for a send, and for its first byte where a connection is slow to come up.
+func (d *Decider) sendBy(m *message) time.Duration {
+	if m.mayRun && m.class.Effect == Keyed {
+		return min(m.deadline-answerEarly, d.keyUntil(m))
+	}
+	return m.deadline - answerEarly
+}
+
 // value is a message's worth if it is delivered at t.
 func (d *Decider) value(m *message, t time.Duration) float64 {
 	c := m.class
@@ -367,12 +375,8 @@
 			}
 		}
 		for _, m := range slices.Clone(dest.held) {
-			last := m.deadline - answerEarly
-			if m.mayRun && m.class.Effect == Keyed {
-				last = min(last, d.keyUntil(m))
-			}
 			if m.attempts >= d.s.MaxAttempts || m.mayRun && m.class.Effect == Unsafe ||
-				m.long && (m.spent || d.closeAt > 0) || max(d.now, m.notBefore, free) >= last {
+				m.long && (m.spent || d.closeAt > 0) || max(d.now, m.notBefore, free) >= d.sendBy(m) {
 				d.giveUp(m)
 			}
 		}
@@ -983,7 +987,7 @@
 	l.bucket--
 	ep.usedAt = d.now
 	d.note(l, 1)
-	d.do(Send{ID: m.id, Endpoint: ep.id, CutAt: m.until, Fresh: d.wantsFresh(m)})
+	d.do(Send{ID: m.id, Endpoint: ep.id, BeginBy: d.sendBy(m), CutAt: m.until, Fresh: d.wantsFresh(m)})
 }
 
 // send calls the endpoint with the message and all others ready for it, as far as its kind lets them share a
@@ -1027,14 +1031,11 @@
 	usual := c.class.mean * l.pace * weight
 	limit := max(timeoutLeast, time.Duration(timeoutScale*usual*float64(time.Second)))
 	for _, o := range with {
-		cut := o.deadline
+		cut := min(o.deadline, cmp.Or(d.closeAt, o.deadline))
 		if o.class.Effect != Unsafe {
 			cut = min(cut, d.now+limit)
 		}
-		if d.closeAt > 0 {
-			cut = min(cut, d.closeAt)
-		}
-		d.do(Send{ID: o.id, Endpoint: ep.id, CutAt: cut, Fresh: d.wantsFresh(o)})
+		d.do(Send{ID: o.id, Endpoint: ep.id, BeginBy: d.sendBy(o), CutAt: cut, Fresh: d.wantsFresh(o)})
 	}
 }
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -66,6 +66,7 @@
 	number    int
 	provider  string
 	sentAt    time.Time
+	beginBy   time.Time // zero: any time
 	cutAt     time.Time
 	begun     bool // its first byte may have been written
 	cancelled bool
@@ -673,6 +674,9 @@
 	if cut := r.clock(a.CutAt); a.CutAt > 0 && cut.Before(c.cutAt) {
 		c.cutAt = cut
 	}
+	if a.BeginBy > 0 {
+		c.beginBy = r.clock(a.BeginBy)
+	}
 	h.call = c
 	h.attempts++
 	r.calls++
@@ -757,6 +761,9 @@
 		r.counters.HeldBack++
 		return false
 	}
+	if !c.beginBy.IsZero() && time.Now().After(c.beginBy) {
+		return false // the connection took so long that a repeat may no longer be taken for one
+	}
 	if c.begun { // on another connection now, with nothing written yet
 		return true
 	}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -59,7 +60,10 @@
 	r, err := New(Config{
 		Settings: mb.Settings{
 			Couriers: 1, Slots: 4, LongSlots: 1, MostHeld: 10, MaxAttempts: 6, MaxRetryAfter: time.Second,
-			Classes: []mb.Class{{Name: "unsafe", Target: time.Second, GiveUp: time.Minute, Worth: 1, Effect: mb.Unsafe}},
+			Classes: []mb.Class{
+				{Name: "unsafe", Target: time.Second, GiveUp: time.Minute, Worth: 1, Effect: mb.Unsafe},
+				{Name: "keyed", Target: time.Second, GiveUp: time.Minute, Worth: 1, Effect: mb.Keyed, KeyTTL: 1500 * time.Millisecond},
+			},
 		},
 		Known: Directory{Whole: true, Saved: true, Providers: []Provider{{Name: "a", Address: "a:1", Group: 7, Weight: 50}}},
 		Log:   journal, Invoker: s, Notifier: s, Logger: zerolog.Nop(),
@@ -113,6 +117,29 @@
 	}
 }
 
+// A repeat that is sent within its window, on a connection that comes up only behind it, does not begin: the provider would
+// take it for a new message. It was fleets' rule of duplicates that this broke, where connects took their whole second.
+func TestAConnectionThatComesUpBehindTheWindowCarriesNoRepeat(t *testing.T) {
+	for _, took := range []time.Duration{500 * time.Millisecond, 1700 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			r, s, _ := newRouter(t)
+			m := message("m")
+			m.Class = "keyed"
+			r.Take(m)
+			if c := <-s.calls; !c.Begin() {
+				t.Fatal("the first call did not begin")
+			}
+			s.results <- Result{Outcome: mb.Reset}
+			repeat := <-s.calls
+			time.Sleep(took) // on the test's own clock
+			if began, want := repeat.Begin(), took < time.Second; began != want {
+				t.Errorf("connected after %v, the repeat began: %v", took, began)
+			}
+			s.results <- Result{Outcome: mb.OK, Over: true}
+		})
+	}
+}
+
 // An unsafe message whose call was reset is given up by a notice at once; one that never began is held.
 func TestEndings(t *testing.T) {
 	r, s, _ := newRouter(t)
--- a/mulleinbeam.go
+++ b/mulleinbeam.go
@@ -319,6 +319,7 @@
 type Send struct {
 	ID       MessageID
 	Endpoint EndpointID
+	BeginBy  time.Duration // a connection that comes up later carries it no more: the attempt is Moot (zero: any time)
 	CutAt    time.Duration
 	Fresh    bool // on a new connection
 }
--- a/rules_test.go
+++ b/rules_test.go
@@ -186,6 +186,22 @@
 	}
 }
 
+// A send says until when its first byte may go: a keyed repeat inside its window, any other while an answer can be in time.
+func TestSendsSayUntilWhenTheyMayBegin(t *testing.T) {
+	r := newRig(t, testSettings())
+	r.submit("keyed", 1, 0)
+	first := r.last()
+	if got, want := first.BeginBy-r.now, 20*time.Second-60*ms; got != want {
+		t.Errorf("first send begins by %v, want %v", got, want)
+	}
+	ran := r.now
+	r.answer(first, Reset, 0)
+	r.pass(time.Second)
+	if got, want := r.last().BeginBy-ran, 4500*ms; r.last() == first || got != want {
+		t.Errorf("the repeat begins by %v after the first, want %v", got, want)
+	}
+}
+
 func TestKeyedWindowAndGroup(t *testing.T) {
 	for _, c := range []struct {
 		class  string
