--- a/internal/routing/wal/wal.go
+++ b/internal/routing/wal/wal.go
@@ -59,6 +59,7 @@
 }
 
 func (m *Message) started(at time.Time, zone string) {
+	m.outcome(m.out) // an attempt before it that has none was out when its life ended
 	m.Attempts++
 	m.out, m.outAt, m.outZone = true, at, zone
 }
--- a/internal/routing/wal/wal_test.go
+++ b/internal/routing/wal/wal_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -115,6 +116,42 @@
 	}
 }
 
+// A call that was out when a life was killed may have run, also for the life after the next one: what came of a later call
+// tells nothing of it. The window of a keyed message is counted from it.
+func TestACallOutAtAKillIsKnownToAllLaterLives(t *testing.T) {
+	dir := t.TempDir()
+	at := func(n int) time.Time { return epoch.Add(time.Duration(n) * time.Second) }
+	l, _ := open(t, dir)
+	m := accept(t, l, "b")
+	begun := func(n int, outcomes ...bool) {
+		t.Helper()
+		if err := l.Started(m.Seq, at(n), "z"+strconv.Itoa(n)); err != nil {
+			t.Fatal(err)
+		}
+		for _, ran := range outcomes {
+			if err := l.Outcome(m.Seq, ran); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	killed := func() {
+		t.Helper()
+		l.lock.Close() // the kernel's part of a kill
+		l, _ = open(t, dir)
+	}
+	begun(1, false)
+	begun(2)
+	for life := 3; life < 6; life++ {
+		killed()
+		begun(life, false)
+	}
+	killed()
+	got := l.Live()
+	if len(got) != 1 || !got[0].MayRun || !got[0].RanAt.Equal(at(2)) || got[0].RanZone != "z2" || got[0].Attempts != 5 {
+		t.Errorf("after four kills: %+v", got)
+	}
+}
+
 // newest is the file that was begun last, and its content.
 func newest(t *testing.T, dir string) (name string, data []byte) {
 	t.Helper()
