--- a/decide.go
+++ b/decide.go
@@ -288,17 +288,12 @@
 	d.end(m)
 }
 
-// keyUntil is when a keyed message that may have run may no longer be repeated.
+// keyUntil is when a message may no longer be repeated: a keyed one that may have run, before its key's end.
 func (d *Decider) keyUntil(m *message) time.Duration {
-	return m.ranAt + time.Duration(ttlMargin*float64(m.class.KeyTTL))
-}
-
-// sendBy is the last moment for a send, and for its first byte where a connection is slow to come up.
-func (d *Decider) sendBy(m *message) time.Duration {
-	if m.mayRun && m.class.Effect == Keyed {
-		return min(m.deadline-answerEarly, d.keyUntil(m))
+	if !m.mayRun || m.class.Effect != Keyed {
+		return m.until
 	}
-	return m.deadline - answerEarly
+	return m.ranAt + time.Duration(ttlMargin*float64(m.class.KeyTTL))
 }
 
 // value is a message's worth if it is delivered at t.
@@ -347,13 +342,17 @@
 
 // canRepeat says whether the rules let the message be sent to the endpoint now.
 func (d *Decider) canRepeat(m *message, ep *endpoint) bool {
-	switch {
-	case !m.mayRun || m.class.Effect == Safe:
+	if !m.mayRun || m.class.Effect == Safe {
 		return true
-	case m.class.Effect == Unsafe:
-		return false
 	}
-	return d.now < d.keyUntil(m) && (!m.class.SameZoneOnly || ep.zone == m.ranZone)
+	return m.class.Effect == Keyed && d.now < d.keyUntil(m) && (!m.class.SameZoneOnly || ep.zone == m.ranZone)
+}
+
+// MayBegin says whether a call's first byte may still go: connections can come up behind a window or a wait.
+func (d *Decider) MayBegin(now time.Duration, id MessageID) bool {
+	m := d.msgs[id]
+	return m != nil && m.call != nil && now >= m.call.ep.lane.waitUntil &&
+		now < min(m.deadline-answerEarly, d.keyUntil(m))
 }
 
 // expire gives up at once what no allowed attempt can deliver: attempts used up, an unsafe message that may
@@ -376,7 +375,8 @@
 		}
 		for _, m := range slices.Clone(dest.held) {
 			if m.attempts >= d.s.MaxAttempts || m.mayRun && m.class.Effect == Unsafe ||
-				m.long && (m.spent || d.closeAt > 0) || max(d.now, m.notBefore, free) >= d.sendBy(m) {
+				m.long && (m.spent || d.closeAt > 0) || max(d.now, m.notBefore, free) >=
+				min(m.deadline-answerEarly, d.keyUntil(m)) {
 				d.giveUp(m)
 			}
 		}
@@ -987,7 +987,7 @@
 	l.bucket--
 	ep.usedAt = d.now
 	d.note(l, 1)
-	d.do(Send{ID: m.id, Endpoint: ep.id, BeginBy: d.sendBy(m), CutAt: m.until, Fresh: d.wantsFresh(m)})
+	d.do(Send{ID: m.id, Endpoint: ep.id, CutAt: m.until, Fresh: d.wantsFresh(m)})
 }
 
 // send calls the endpoint with the message and all others ready for it, as far as its kind lets them share a
@@ -1035,7 +1035,7 @@
 		if o.class.Effect != Unsafe {
 			cut = min(cut, d.now+limit)
 		}
-		d.do(Send{ID: o.id, Endpoint: ep.id, BeginBy: d.sendBy(o), CutAt: cut, Fresh: d.wantsFresh(o)})
+		d.do(Send{ID: o.id, Endpoint: ep.id, CutAt: cut, Fresh: d.wantsFresh(o)})
 	}
 }
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -66,7 +66,6 @@
 	number    int
 	provider  string
 	sentAt    time.Time
-	beginBy   time.Time // zero: any time
 	cutAt     time.Time
 	begun     bool // its first byte may have been written
 	cancelled bool
@@ -674,9 +673,6 @@
 	if cut := r.clock(a.CutAt); a.CutAt > 0 && cut.Before(c.cutAt) {
 		c.cutAt = cut
 	}
-	if a.BeginBy > 0 {
-		c.beginBy = r.clock(a.BeginBy)
-	}
 	h.call = c
 	h.attempts++
 	r.calls++
@@ -751,19 +747,16 @@
 }
 
 // begin lets a call's first byte go. Between the module's send and this moment the list may have changed, the message
-// may have ended, or its time may be up.
+// may have ended, its time or its window may be up, or a wait may have been told.
 func (r *Router) begin(c *invocation) bool {
 	p, listed := r.providers[c.provider]
 	switch {
 	case r.over, c.msg.ended, c.cancelled, !time.Now().Before(c.cutAt):
 		return false
-	case !listed, p.State != mb.Serving, p.Group != c.msg.Destination:
+	case !listed, p.State != mb.Serving, p.Group != c.msg.Destination, !r.decider.MayBegin(r.now(), mb.MessageID(c.msg.seq)):
 		r.counters.HeldBack++
 		return false
 	}
-	if !c.beginBy.IsZero() && time.Now().After(c.beginBy) {
-		return false // the connection took so long that a repeat may no longer be taken for one
-	}
 	if c.begun { // on another connection now, with nothing written yet
 		return true
 	}
--- a/mulleinbeam.go
+++ b/mulleinbeam.go
@@ -311,7 +311,8 @@
 // Action is something the courier is to do: one of the types below.
 type Action interface{ isAction() }
 
-// Send calls an endpoint with a message; the attempt is abandoned at CutAt (zero: at the deadline).
+// Send calls an endpoint with a message; the attempt is abandoned at CutAt (zero: at the deadline). Where its first byte
+// waits for a connection, Decider.MayBegin is asked just before it; a call that may not begin is Moot.
 //
 // The Sends of one Handle to the same endpoint are one call, in their order up to what BatchByKind allows for its
 // kind, further ones the next call. A call takes one of Settings.Slots until all its messages are answered, counts once
@@ -319,7 +320,6 @@
 type Send struct {
 	ID       MessageID
 	Endpoint EndpointID
-	BeginBy  time.Duration // a connection that comes up later carries it no more: the attempt is Moot (zero: any time)
 	CutAt    time.Duration
 	Fresh    bool // on a new connection
 }
--- a/rules_test.go
+++ b/rules_test.go
@@ -186,19 +186,38 @@
 	}
 }
 
-// A send says until when its first byte may go: a keyed repeat inside its window, any other while an answer can be in time.
-func TestSendsSayUntilWhenTheyMayBegin(t *testing.T) {
+// What was decided when a call was sent is looked at again when its connection is there: a keyed repeat begins only inside
+// its window, any call only while an answer can be in time, and none to a destination that has told a wait meanwhile.
+func TestMayBegin(t *testing.T) {
+	begins := func(r *rig, s Send, until time.Duration) {
+		t.Helper()
+		if !r.d.MayBegin(until-1, s.ID) || r.d.MayBegin(until, s.ID) {
+			t.Errorf("message %d does not begin until %v and no longer", s.ID, until)
+		}
+	}
 	r := newRig(t, testSettings())
 	r.submit("keyed", 1, 0)
-	first := r.last()
-	if got, want := first.BeginBy-r.now, 20*time.Second-60*ms; got != want {
-		t.Errorf("first send begins by %v, want %v", got, want)
-	}
-	ran := r.now
+	first, at := r.last(), r.now
+	begins(r, first, at+20*time.Second-60*ms)
 	r.answer(first, Reset, 0)
 	r.pass(time.Second)
-	if got, want := r.last().BeginBy-ran, 4500*ms; r.last() == first || got != want {
-		t.Errorf("the repeat begins by %v after the first, want %v", got, want)
+	repeat := r.last()
+	if repeat == first {
+		t.Fatal("no repeat")
+	}
+	begins(r, repeat, at+4500*ms)
+
+	r = newRig(t, testSettings())
+	r.submit("safe", 1, 0)
+	told := r.last()
+	r.submit("safe", 1, 0)
+	slow := r.last()
+	r.answer(told, Full, time.Second)
+	if r.d.MayBegin(r.now+time.Second-1, slow.ID) || !r.d.MayBegin(r.now+time.Second, slow.ID) {
+		t.Error("a call did not wait for the end of a wait told while its connection came up")
+	}
+	if r.d.MayBegin(r.now+time.Second, told.ID) || r.d.MayBegin(r.now, 99) {
+		t.Error("a call that is not out may begin")
 	}
 }
 
