Fleet: members tell each other of waits, outages, returns and limits of partners

internal/cluster/facts is pure: Book says which own sights are told, what is kept of others' and what is heeded; Spread says what is pushed to whom at a beat. node/facts.go drives it over the links; Router.Hear and Decider.Hear put what is heeded beside what the module sees itself (its decisions, decide.go, are as they were). Told waits to the end on which two agree, one's word for a half-life and then not again for four; outages and returns as care where two tell of it and no own call has succeeded since; limits where none is known, weighed by age, lapsing. What was heard is never told on as one's own sight.

Tests: facts (each rule), module (Hear), and with three processes each: a wait told to n0 is heeded by n1 and n2, and a liar (a wait of a year, ages below zero, limits that are none, a stranger's word) is bounded, logged and not heeded beyond a half-life.

--- a/cmd/larklab/cluster.go
+++ b/cmd/larklab/cluster.go
@@ -21,6 +21,7 @@
 	Takeover takeoverCmd `cmd:"" help:"How long it takes from a member's kill until its first message goes on elsewhere."`
 	Cost     costCmd     `cmd:"" help:"What copies cost: messages a second, processor time, and the time until a 202."`
 	Model    modelCmd    `cmd:"" help:"Walk a small world of the program's own state machines, every order of what can happen."`
+	Spread   spreadCmd   `cmd:"" help:"How fast facts of partners are known by fleets of several sizes, and what their talk takes, in virtual time."`
 }
 
 type fleetFlags struct {
@@ -155,3 +156,12 @@
 
 // Run walks.
 func (c modelCmd) Run() error { return cluster.WalkModels(c.States, os.Stdout) }
+
+type spreadCmd struct {
+	Sizes []int   `default:"10,100,300,1000" help:"Members."`
+	Seeds int     `default:"5" help:"Plays of each."`
+	Loss  float64 `default:"0" help:"Share of pushes and answers that get lost."`
+}
+
+// Run plays.
+func (c spreadCmd) Run() error { return cluster.MeasureSpread(c.Sizes, c.Seeds, c.Loss, os.Stdout) }
--- a/cmd/larkreach/fleet_on.go
+++ b/cmd/larkreach/fleet_on.go
@@ -38,7 +38,7 @@
 		Name: cfg.Name, Zone: c.Zone, Region: c.Region, Listen: c.Listen, Via: c.Via, Copies: c.Copies, Space: int64(c.Space),
 		Timing:   council.Timing{Tick: time.Duration(c.Tick), Lease: time.Duration(c.Lease), Margin: time.Duration(c.Margin)},
 		Patience: time.Duration(c.Patience), Alone: map[string]bool{}, Folder: filepath.Clean(cfg.State), Check: time.Duration(c.Check),
-		Durability: store.Process, Logger: logger,
+		Durability: store.Process, Logger: logger, Beat: time.Duration(c.Beat), Believe: time.Duration(c.Believe),
 	}
 	for _, f := range founders {
 		setup.Founders = append(setup.Founders, node.Founder(f))
@@ -67,6 +67,7 @@
 	Members membersCmd `cmd:"" help:"Who belongs, in which life, and who keeps counted copies for whom."`
 	Copies  copiesCmd  `cmd:"" help:"The copies that one member keeps, and how far its own keepers are."`
 	Lives   livesCmd   `cmd:"" help:"Lives that have ended, and who took over what they owed."`
+	Facts   factsCmd   `cmd:"" help:"What one member knows of partners by others' words and its own, and what it heeds."`
 	Drain   drainCmd   `cmd:"" help:"Have a member keep no copies any more, before it goes."`
 	Return  returnCmd  `cmd:"" help:"Take a drain back."`
 	Remove  removeCmd  `cmd:"" help:"Have a member that has ended belong no longer."`
@@ -119,6 +120,9 @@
 		case m.Leaving:
 			state = "draining"
 		}
+		if away, unheard := s.Unheard[name]; unheard && m.Alive {
+			state += fmt.Sprintf(", suspected by %s for %.1f s", s.Name, away)
+		}
 		if m.Lost {
 			state += ", folder lost"
 		}
@@ -171,6 +175,39 @@
 	return c.print(io, s.State.Jobs, rows)
 }
 
+type factsCmd struct{ at }
+
+// Run prints the facts.
+func (c factsCmd) Run(io streams) error {
+	ctx, cancel := context.WithTimeout(context.Background(), lookFor)
+	defer cancel()
+	s, err := node.LookFacts(ctx, c.At)
+	if err != nil {
+		return err
+	}
+	rows := [][]string{{"DESTINATION", "ROUTE", "FACT", "ORIGIN", "AGE", "LEFT", "PER SECOND"}}
+	for _, f := range s.Facts {
+		row := []string{fmt.Sprint(f.Destination), f.Endpoint, f.Kind.String(), council.Life{Name: f.Origin, Number: f.Life}.String(), short(f.Age), "", ""}
+		if f.Left > 0 {
+			row[5] = short(f.Left)
+		}
+		if f.Rate > 0 {
+			row[6] = fmt.Sprintf("%.1f", f.Rate)
+		}
+		rows = append(rows, row)
+	}
+	rows = append(rows, []string{""}, []string{"HEEDED", "ROUTE", "WAIT", "CARE", "LIMIT", "BELIEVED"})
+	for _, l := range s.Heeded {
+		rows = append(rows, []string{fmt.Sprint(l.Destination), string(l.Endpoint), short(l.Wait), fmt.Sprint(l.Guard), fmt.Sprintf("%.1f", l.Limit), fmt.Sprintf("%.2f", l.Trust)})
+	}
+	rows = append(rows, []string{""}, []string{"TOLD", "HEARD", "KNOWN TO ENOUGH", "OLD", "BOUNDED", "ABSURD"})
+	n := s.Counts
+	rows = append(rows, []string{fmt.Sprint(n.Own), fmt.Sprint(n.News), fmt.Sprint(n.Redundant), fmt.Sprint(n.Old), fmt.Sprint(n.Bounded), fmt.Sprint(n.Absurd)})
+	return c.print(io, s, rows)
+}
+
+func short(d time.Duration) string { return d.Round(100 * time.Millisecond).String() }
+
 type named struct {
 	at
 	Name string `arg:"" help:"The member."`
--- a/cmd/larkreach/fleet_test.go
+++ b/cmd/larkreach/fleet_test.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math"
 	"os"
 	"os/exec"
 	"strings"
@@ -12,6 +14,9 @@
 	"testing"
 	"time"
 
+	"mulleinbeam/internal/cluster/council"
+	"mulleinbeam/internal/cluster/facts"
+	"mulleinbeam/internal/cluster/links"
 	"mulleinbeam/internal/cluster/node"
 	"mulleinbeam/internal/lab"
 	"mulleinbeam/internal/lab/cluster"
@@ -34,7 +39,8 @@
 
 type heldCall struct {
 	*lab.Call
-	answer chan int
+	answer   chan int
+	answered chan struct{} // the test has answered it itself
 }
 
 func newGate() *gate { return &gate{calls: make(chan *heldCall, 256), open: make(chan struct{})} }
@@ -43,7 +49,7 @@
 	if c.ReadAll(0) != nil {
 		return false
 	}
-	h := &heldCall{c, make(chan int, 1)}
+	h := &heldCall{c, make(chan int, 1), make(chan struct{}, 1)}
 	select {
 	case <-g.open:
 		return c.Answer(200, "") == nil
@@ -52,6 +58,8 @@
 	select {
 	case status := <-h.answer:
 		return c.Answer(status, "") == nil
+	case <-h.answered:
+		return true
 	case <-g.open:
 		return c.Answer(200, "") == nil
 	}
@@ -574,6 +582,81 @@
 	f.reached(ids...)
 }
 
+// heeds says whether a member heeds a wait at the partner.
+func heeds(s node.FactsStatus) bool {
+	for _, l := range s.Heeded {
+		if l.Destination == cluster.Group && l.Wait > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// A partner tells one forwarder to wait; the others, which it told nothing, call it no sooner.
+func TestFleetToldWaitIsHeededByAll(t *testing.T) {
+	t.Parallel()
+	g := newGate()
+	f := newFleet(t, cluster.Setup{Members: 3}, g)
+	first := f.take(0, "safe")
+	c := <-g.calls
+	if c.ID != first {
+		t.Fatalf("%s came for %s", c.ID, first)
+	}
+	const told = 3 * time.Second
+	must(t, c.Answer(429, fmt.Sprintf("X-RateLimit-Wait-Ms: %d\r\n", told.Milliseconds())))
+	end := time.Now().Add(told)
+	c.answered <- struct{}{}
+	ids := map[string]bool{first: true}
+	for _, i := range []int{1, 2} {
+		must(t, f.AwaitFacts(f.ctx, i, "wait that n0 was told", heeds))
+		ids[f.take(i, "safe")] = true
+	}
+	for len(ids) > 0 {
+		c := <-g.calls
+		if early := time.Until(end); early > 0 {
+			t.Errorf("%s was called %v before the wait's end", c.ID, early)
+		}
+		delete(ids, c.ID)
+		c.answer <- 200
+	}
+	f.rules(f.All()...)
+}
+
+// A member tells absurd things of partners: a wait of a year, ages below zero, limits that are none, a name of nobody. They are
+// bounded or dropped, logged, and heeded no longer than one member's word counts.
+func TestFleetLiar(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, cluster.Setup{Members: 3, Extra: "believe = \"1s\""}, nil)
+	liar, err := f.Life(2)
+	must(t, err)
+	p := links.NewPeer(f.Members[0].Links)
+	defer p.Close()
+	lies := []facts.Fact{
+		{Kind: facts.Wait, Destination: cluster.Group, Left: 365 * 24 * time.Hour},
+		{Kind: facts.Down, Destination: cluster.Group, Age: -time.Hour},
+		{Kind: facts.Limit, Destination: cluster.Group, Rate: math.Inf(1)},
+		{Kind: facts.Limit, Destination: cluster.Group, Rate: -1},
+		{Kind: 200, Destination: -1, Left: -time.Second},
+	}
+	for i := range lies {
+		lies[i].Origin, lies[i].Life, lies[i].Serial = "n2", liar, 1e6+uint64(i)
+	}
+	lies = append(lies, facts.Fact{Kind: facts.Wait, Destination: cluster.Group, Left: time.Minute, Origin: "nobody", Life: 1, Serial: 1})
+	must(t, p.Call(f.ctx, "Facts.Push", node.FactsPush{From: council.Life{Name: "n2", Number: liar}, Facts: lies}, &node.FactsAnswer{}))
+	must(t, f.AwaitFacts(f.ctx, 0, "account of lies", func(s node.FactsStatus) bool { return s.Counts.Bounded == 2 && s.Counts.Absurd == 2 }))
+	if _, seen := f.Members[0].Sees(string(facts.LongWait)); !seen {
+		t.Error("no line of the log tells of it")
+	}
+	must(t, f.AwaitFacts(f.ctx, 1, "word that it passed on", func(s node.FactsStatus) bool { return s.Counts.News > 0 }))
+	for i := range 2 {
+		f.take(i, "safe") // delivered inside its 20 s: a wait of a year was not heeded
+	}
+	f.rules(0, 1)
+	if n := f.Agent.Notices(); len(n) != 0 {
+		t.Errorf("given up by a lie: %+v", n)
+	}
+}
+
 // The short form of larklab cluster faults: load and faults drawn from a seed, healed at the end, and no rule broken.
 func TestFleetRandomFaults(t *testing.T) {
 	t.Parallel()
--- /dev/null
+++ b/internal/cluster/node/facts.go
@@ -0,0 +1,188 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	mb "mulleinbeam"
+	"mulleinbeam/internal/cluster/council"
+	"mulleinbeam/internal/cluster/facts"
+)
+
+// What members tell each other of partners: package facts with a clock and links. The council's word says who the members are; a
+// push that fails is all that suspects one.
+
+const (
+	factKeys    = 4096 // destinations and routes of which facts are kept
+	mostAnswer  = 4096 // facts in one answer
+	complainFor = time.Minute
+)
+
+// talk is a node's part in it.
+type talk struct {
+	mu       sync.Mutex
+	book     *facts.Book
+	spread   *facts.Spread
+	out      map[string]bool      // a push is on its way
+	unheard  map[string]time.Time // since when a member has not answered one
+	complain map[string]time.Time // when a member's absurd facts were last logged
+}
+
+// FactsPush is what one member tells another.
+type FactsPush struct {
+	From    council.Life
+	Facts   []facts.Fact
+	Compare bool
+	Digest  uint64
+}
+
+// FactsAnswer holds what the other should know as well, where the two were to compare.
+type FactsAnswer struct{ Facts []facts.Fact }
+
+type factsRPC struct{ n *Node }
+
+// Push hears facts.
+func (f factsRPC) Push(p FactsPush, a *FactsAnswer) error {
+	f.n.hear(p.From.Name, p.Facts)
+	t := &f.n.talk
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p.Compare && p.Digest != t.book.Digest(f.n.now()) {
+		a.Facts = t.book.All(f.n.now())
+		a.Facts = a.Facts[:min(len(a.Facts), mostAnswer)]
+	}
+	return nil
+}
+
+// known says whether a life is one of the fleet's; n.mu is not held.
+func (n *Node) known() func(origin string, life uint64) bool {
+	n.mu.Lock()
+	state := n.state
+	n.mu.Unlock()
+	return func(origin string, life uint64) bool { return state.Alive(council.Life{Name: origin, Number: life}) }
+}
+
+// hear takes facts that a member has told, its own or others'.
+func (n *Node) hear(from string, list []facts.Fact) {
+	known := n.known()
+	n.mu.Lock()
+	members := len(n.state.Members)
+	n.mu.Unlock()
+	t := &n.talk
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, f := range list {
+		if !known(f.Origin, f.Life) {
+			continue // an ended life's, or of one that is not known here yet: comparing brings it again
+		}
+		news, why := t.book.Take(n.now(), f)
+		if news {
+			t.spread.Tell(members, f)
+		}
+		if why != facts.Fine && time.Since(t.complain[f.Origin]) > complainFor {
+			t.complain[f.Origin] = time.Now()
+			n.cfg.Logger.Warn().Str("part", "facts").Str("origin", f.Origin).Str("from", from).Stringer("kind", f.Kind).Int64("destination", f.Destination).
+				Stringer("age", f.Age).Stringer("left", f.Left).Float64("rate", f.Rate).Str("why", string(why)).Msg("an absurd fact is bounded or dropped")
+		}
+	}
+}
+
+// gossip tells and hears until ctx ends.
+func (n *Node) gossip(ctx context.Context) {
+	beat := time.NewTicker(n.cfg.Beat)
+	defer beat.Stop()
+	for {
+		select {
+		case <-beat.C:
+		case <-ctx.Done():
+			return
+		}
+		n.mu.Lock()
+		mine, state := n.mine, n.state
+		n.mu.Unlock()
+		if mine.Number == 0 {
+			continue
+		}
+		var others []string
+		for _, name := range state.Names() {
+			if name != n.cfg.Name && state.Members[name].Alive {
+				others = append(others, name)
+			}
+		}
+		known := n.known()
+		n.router.Hear(func(own []mb.LearnedLane) []mb.LearnedLane {
+			n.talk.mu.Lock()
+			defer n.talk.mu.Unlock()
+			n.talk.book.Rebirth(mine.Number)
+			n.talk.book.Forget(n.now(), known)
+			n.talk.spread.Tell(len(others)+1, n.talk.book.Own(n.now(), own)...)
+			return n.talk.book.Advice(n.now(), own)
+		})
+		n.talk.mu.Lock()
+		pushes := n.talk.spread.Beat(n.now(), others)
+		for name := range n.talk.unheard {
+			if m := state.Members[name]; m == nil || !m.Alive {
+				delete(n.talk.unheard, name)
+			}
+		}
+		for _, p := range pushes {
+			if n.talk.out[p.To] {
+				continue // it is slow; others hear, and books are compared
+			}
+			n.talk.out[p.To] = true
+			n.tasks.Go(func() error {
+				n.push(ctx, mine, p, state.Members[p.To].Address)
+				return nil
+			})
+		}
+		n.talk.mu.Unlock()
+	}
+}
+
+// push tells one member.
+func (n *Node) push(ctx context.Context, mine council.Life, p facts.Push, address string) {
+	call, cancel := context.WithTimeout(ctx, appendFor)
+	defer cancel()
+	var a FactsAnswer
+	err := n.peers.At(address).Call(call, "Facts.Push", FactsPush{From: mine, Facts: p.Facts, Compare: p.Compare, Digest: p.Digest}, &a)
+	n.talk.mu.Lock()
+	delete(n.talk.out, p.To)
+	if _, already := n.talk.unheard[p.To]; err == nil {
+		delete(n.talk.unheard, p.To)
+	} else if !already && ctx.Err() == nil {
+		n.talk.unheard[p.To] = time.Now()
+	}
+	n.talk.mu.Unlock()
+	n.hear(p.To, a.Facts)
+}
+
+// newTalk is the talk of a member that knows nothing yet.
+func newTalk(cfg Config) talk {
+	book := facts.NewBook(facts.Config{Name: cfg.Name, HalfLife: cfg.Believe, Longest: cfg.Window, Keys: factKeys})
+	return talk{
+		book: book, spread: facts.NewSpread(book, rand.Uint64()), out: map[string]bool{}, unheard: map[string]time.Time{},
+		complain: map[string]time.Time{},
+	}
+}
+
+// FactsStatus is what a member knows of partners by others' words and its own.
+type FactsStatus struct {
+	Facts  []facts.Fact     `json:"facts"`
+	Heeded []mb.LearnedLane `json:"heeded"` // what its module is told, beside what it sees itself
+	Counts facts.Counts     `json:"counts"`
+}
+
+// Facts tells it.
+func (s statusRPC) Facts(_ bool, out *FactsStatus) error {
+	s.n.router.Hear(func(own []mb.LearnedLane) []mb.LearnedLane {
+		s.n.talk.mu.Lock()
+		defer s.n.talk.mu.Unlock()
+		now := s.n.now()
+		advice := s.n.talk.book.Advice(now, own)
+		*out = FactsStatus{Facts: s.n.talk.book.All(now), Heeded: advice, Counts: s.n.talk.book.Counts}
+		return advice
+	})
+	return nil
+}
--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -51,6 +51,8 @@
 	Folder       string          // the state folder; what is here goes into folders of its own in it
 	Durability   store.Durability
 	Check        time.Duration // between two comparisons of a copy with its owner's journal
+	Beat         time.Duration // between two tellings of facts; 0 is none
+	Believe      time.Duration // how long one member's word of a partner counts by itself
 	Logger       zerolog.Logger
 }
 
@@ -116,6 +118,8 @@
 	asking  bool             // the council, just now
 	figures Figures
 
+	talk talk
+
 	shelfMu sync.Mutex
 	shelf   *copies.Shelf
 	disk    *copies.Disk
@@ -150,7 +154,7 @@
 	n := &Node{
 		cfg: cfg, peers: &links.Peers{Via: cfg.Via}, token: fmt.Sprintf("%016x", rand.Uint64()), began: time.Now(),
 		state: council.NewState(), sending: map[string]bool{}, missed: map[string]time.Time{}, heard: map[string]time.Time{}, taking: map[council.Life]bool{},
-		wake: make(chan struct{}, 1), shelf: copies.NewShelf(rand.Uint64()),
+		wake: make(chan struct{}, 1), shelf: copies.NewShelf(rand.Uint64()), talk: newTalk(cfg),
 	}
 	var err error
 	if n.folder, err = readLife(cfg.Folder); err != nil {
@@ -255,7 +259,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	n.tasks = group
 	group.Go(func() error {
-		services := map[string]any{"Copies": copiesRPC{n}, "Status": statusRPC{n}}
+		services := map[string]any{"Copies": copiesRPC{n}, "Status": statusRPC{n}, "Facts": factsRPC{n}}
 		if n.server != nil {
 			services["Council"] = n.server.Calls()
 		}
@@ -278,6 +282,9 @@
 	group.Go(func() error { n.live(ctx); return nil })
 	group.Go(func() error { n.manage(ctx); return nil })
 	group.Go(func() error { n.expire(ctx); return nil })
+	if n.cfg.Beat > 0 {
+		group.Go(func() error { n.gossip(ctx); return nil })
+	}
 	if n.cfg.Check > 0 {
 		group.Go(func() error { n.compare(ctx); return nil })
 	}
--- a/internal/cluster/node/status.go
+++ b/internal/cluster/node/status.go
@@ -11,17 +11,18 @@
 
 // Status is what a member knows, for operators.
 type Status struct {
-	Name    string         `json:"name"`
-	Life    council.Life   `json:"life"`
-	MayAct  bool           `json:"may_act"`
-	Silent  bool           `json:"silent"`      // a founder that does not vote yet
-	Knows   bool           `json:"knows_ended"` // the ids that were over in the life before this one
-	Leader  string         `json:"leader"`      // of the council, as far as this member knows; only founders do
-	State   *council.State `json:"state"`
-	Keepers []KeeperStatus `json:"keepers"`
-	Copies  []CopyStatus   `json:"copies"`
-	Disk    store.Stats    `json:"disk"`
-	Figures Figures        `json:"figures"`
+	Name    string             `json:"name"`
+	Life    council.Life       `json:"life"`
+	MayAct  bool               `json:"may_act"`
+	Silent  bool               `json:"silent"`      // a founder that does not vote yet
+	Knows   bool               `json:"knows_ended"` // the ids that were over in the life before this one
+	Leader  string             `json:"leader"`      // of the council, as far as this member knows; only founders do
+	State   *council.State     `json:"state"`
+	Unheard map[string]float64 `json:"unheard_s"` // seconds for which a member has not answered this one
+	Keepers []KeeperStatus     `json:"keepers"`
+	Copies  []CopyStatus       `json:"copies"`
+	Disk    store.Stats        `json:"disk"`
+	Figures Figures            `json:"figures"`
 }
 
 // KeeperStatus is how far one that keeps copies for this member is.
@@ -71,6 +72,12 @@
 		r := n.server.Ask(council.Request{})
 		s.Leader, s.Silent = r.Leader, r.Silent
 	}
+	s.Unheard = map[string]float64{}
+	n.talk.mu.Lock()
+	for name, since := range n.talk.unheard {
+		s.Unheard[name] = time.Since(since).Seconds()
+	}
+	n.talk.mu.Unlock()
 	n.shelfMu.Lock()
 	defer n.shelfMu.Unlock()
 	for _, life := range n.shelf.Lives() {
@@ -109,6 +116,13 @@
 	return s, p.Call(ctx, "Status.Get", true, &s)
 }
 
+// LookFacts asks the member at an address what it knows of partners.
+func LookFacts(ctx context.Context, address string) (s FactsStatus, err error) {
+	p := links.NewPeer(address)
+	defer p.Close()
+	return s, p.Call(ctx, "Status.Facts", true, &s)
+}
+
 // Order has the member at an address ask the council for a command.
 func Order(ctx context.Context, address string, c council.Command) (r council.Response, err error) {
 	p := links.NewPeer(address)
--- a/internal/lab/cluster/fleet.go
+++ b/internal/lab/cluster/fleet.go
@@ -331,6 +331,21 @@
 	}
 }
 
+// AwaitFacts looks at what a member knows of partners until something holds of it.
+func (f *Fleet) AwaitFacts(ctx context.Context, i int, what string, holds func(node.FactsStatus) bool) error {
+	for {
+		call, cancel := context.WithTimeout(ctx, 2*time.Second)
+		s, err := node.LookFacts(call, f.Members[i].Links)
+		cancel()
+		if err == nil && holds(s) {
+			return nil
+		}
+		if !lab.Sleep(ctx, 10*time.Millisecond) {
+			return fmt.Errorf("n%d: no %s: %w; last %+v %v", i, what, ctx.Err(), s, err)
+		}
+	}
+}
+
 // AwaitCopied waits until each of the members may act, speaks in the council if it is a founder, and has as many counted keepers as the
 // members that run allow, who say themselves that they have all that it has.
 func (f *Fleet) AwaitCopied(ctx context.Context, members ...int) error {
--- a/internal/routing/shared.go
+++ b/internal/routing/shared.go
@@ -272,6 +272,17 @@
 	return served
 }
 
+// Hear has the module heed what advise makes of what it has learned itself; advise runs in the router's goroutine. False says that the
+// router has ended.
+func (r *Router) Hear(advise func(own []mb.LearnedLane) []mb.LearnedLane) bool {
+	_, served := ask(r, func() bool {
+		r.decider.Hear(r.now(), advise(r.decider.Learned(r.now()).Lanes))
+		r.decide() // what waits, waits for other moments now
+		return true
+	})
+	return served
+}
+
 // confirmTaken waits, outside the router's goroutine, until a message that was taken on is held by whoever counts. Where that is
 // not known in time, some may hold it and take it over: it stays, and its consumer is told nothing.
 func (r *Router) confirmTaken(m Message, v Verdict) Verdict {
--- a/learned_test.go
+++ b/learned_test.go
@@ -169,3 +169,41 @@
 		t.Errorf("%d calls in a second to a cold partner, %d to a warm one; the budget is %d", cold, warm, budget)
 	}
 }
+
+// What others tell is heeded beside what is seen: a wait, a limit until it lapses or one of its own is told, care at an outage.
+func TestHearsOthers(t *testing.T) {
+	r := newLife(t, nil, "a")
+	l := r.d.dests[1].lanes[0]
+	hear := func(f LearnedLane) {
+		f.Destination = 1
+		r.d.Hear(r.now, []LearnedLane{f})
+	}
+	hear(LearnedLane{Wait: 5 * time.Second, GuardFrom: -1})
+	if l.waitUntil != r.now+5*time.Second {
+		t.Errorf("waits until %v", l.waitUntil)
+	}
+	hear(LearnedLane{Wait: time.Second, GuardFrom: -1})
+	if l.waitUntil != r.now+5*time.Second {
+		t.Errorf("a shorter wait took it back: %v", l.waitUntil)
+	}
+	base := r.d.base(l)
+	hear(LearnedLane{Limit: 2 * base, Trust: 0.5, GuardFrom: -1})
+	if want := 1.5 * base; l.x1 != want {
+		t.Errorf("limit %v, want %v", l.x1, want)
+	}
+	hear(LearnedLane{Limit: 1e6, Trust: 1, GuardFrom: -1})
+	if l.x1 != hearFactor*base {
+		t.Errorf("limit %v of %v", l.x1, base)
+	}
+	if hear(LearnedLane{GuardFrom: -1}); l.x1 != 0 {
+		t.Errorf("limit %v when it has lapsed", l.x1)
+	}
+	l.x1 = 33
+	if hear(LearnedLane{Limit: 99, Trust: 1, GuardFrom: -1}); l.x1 != 33 {
+		t.Errorf("its own limit became %v", l.x1)
+	}
+	hear(LearnedLane{Guard: true, GuardSince: 3 * time.Second, GuardFrom: time.Second})
+	if !l.guard || l.guardFrom != max(0, r.now-time.Second) {
+		t.Errorf("guard %v since its return at %v", l.guard, l.guardFrom)
+	}
+}
--- a/snapshot.go
+++ b/snapshot.go
@@ -115,6 +115,9 @@
 			if l.guardFrom >= 0 {
 				f.GuardFrom = ago(l.guardFrom)
 			}
+			if l.heard > 0 && l.x1 == l.heard { // that is others' to tell
+				f.Limit = 0
+			}
 			for _, ep := range l.eps {
 				f.Endpoints = append(f.Endpoints, ep.id)
 			}
@@ -157,6 +160,41 @@
 	}
 }
 
+// Hear has the courier heed what others have learned of destinations that it knows, beside what it sees itself: a told wait, a
+// limit where it was told none, believed as far as Trust says and never further than hearFactor off the list, and care as after
+// an outage. It is told all that holds at the moment; a limit that is missing has lapsed.
+func (d *Decider) Hear(now time.Duration, lanes []LearnedLane) {
+	d.now = now
+	told := make(map[laneName]LearnedLane, len(lanes))
+	for _, f := range lanes {
+		told[laneName{f.Destination, f.Endpoint}] = f
+	}
+	for _, dest := range d.dests {
+		for _, l := range dest.lanes {
+			f := told[d.nameOf(l)]
+			l.waitUntil = max(l.waitUntil, now+f.Wait)
+			if l.heard > 0 && l.x1 == l.heard {
+				l.x1 = 0
+			}
+			if l.heard = 0; l.x1 <= 0 && f.Limit > 0 && f.Trust > 0 {
+				base := d.base(l)
+				l.heard = math.Min(hearFactor*base, math.Max(base/hearFactor, toward(base, f.Limit, f.Trust)))
+				l.x1 = l.heard
+			}
+			if f.Guard && !l.guard && d.s.OverloadFactor > 0 && d.s.TipAfter > 0 {
+				l.guard, l.weak, l.phase = true, false, d.rng.Float64()
+				l.guardSince, l.guardFrom = max(0, now-f.GuardSince), -1
+				if f.GuardFrom >= 0 {
+					l.guardFrom = max(0, now-f.GuardFrom)
+				}
+			}
+		}
+	}
+}
+
+// hearFactor is how far off the list's capacity a limit that others tell of may be.
+const hearFactor = 4
+
 // toward is what lies a share of the way from one value to another.
 func toward(from, to, share float64) float64 { return from + share*(to-from) }
 
--- a/state.go
+++ b/state.go
@@ -138,6 +138,7 @@
 	bucketAt   time.Duration
 	cutAt      time.Duration
 	left       float64 // share of the limit told last; negative if none was told with the latest answer
+	heard      float64 // the limit in x1, where others told it; see Hear
 	x1         float64
 	pace       float64 // latency relative to the classes' means
 	guard      bool
