Laboratory: folders lost with a kill, and what copies save, in virtual time

A kill takes a share of folders along (lose); with [copies] what the dead owed goes on at another forwarder after `takeover`, with what may have run booked, unless its forwarder is back with its folder by then; each message is taken `ahead` later, for its copy.

Mended while testing: a takeover emptied what a forwarder that was back with an empty folder had taken on since ("24 messages have no end", TestFoldersAreLost).

--- a/cmd/larklab/main.go
+++ b/cmd/larklab/main.go
@@ -260,7 +260,7 @@
 
 type compareCmd struct {
 	File  string `arg:"" type:"existingfile" help:"The scenario, as TOML."`
-	With  string `enum:"learned" default:"learned" help:"The change: learned state kept over kills."`
+	With  string `enum:"learned,copies" default:"learned" help:"The change: learned state kept over kills, or copies of what is owed at others."`
 	Seed  uint64 `default:"1" help:"The first seed."`
 	Seeds int    `default:"30" help:"How many."`
 	HTML  string `name:"html" placeholder:"FILE" help:"A report as one page."`
@@ -273,13 +273,18 @@
 		return err
 	}
 	a, b := s, s
-	a.Learned.Keep, b.Learned.Keep = false, true
+	switch c.With {
+	case "copies":
+		a.Copies.Keep, b.Copies.Keep = false, true
+	default:
+		a.Learned.Keep, b.Learned.Keep = false, true
+	}
 	variants := []world.Variant{{Name: "without", Scenario: a}, {Name: "with " + c.With, Scenario: b}}
 	results, err := play(variants, c.Seed, c.Seeds)
 	if err != nil {
 		return err
 	}
-	title := fmt.Sprintf("%s, with and without %s state", s.Name, c.With)
+	title := fmt.Sprintf("%s, with and without %s", s.Name, c.With)
 	if err := write(c.HTML, report.Page{Title: title, Variants: variants, Results: results}); err != nil {
 		return err
 	}
--- a/internal/lab/world/sweep.go
+++ b/internal/lab/world/sweep.go
@@ -79,6 +79,8 @@
 
 // Figures are those that comparisons show.
 var Figures = []Figure{
+	{"messages lost with folders", func(r Result) float64 { return float64(r.Gone) }},
+	{"messages taken over", func(r Result) float64 { return float64(r.TakenOver) }},
 	{"worth delivered, share of offered", func(r Result) float64 { return r.Worth.Delivered / max(1e-9, r.Worth.Offered) }},
 	{"worth in the 20 s after the first kill", func(r Result) float64 { return r.Worth.After }},
 	{"calls to a cold partner in its first 14 s", func(r Result) float64 { return float64(r.ColdEarly) }},
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -214,7 +214,19 @@
 	case !m.host.up:
 		w.at(w.now+retryIn, m.hand)
 	default:
-		m.host.submit(m)
+		h := m.host
+		if !w.s.Copies.Keep {
+			h.submit(m)
+			return
+		}
+		life := h.life
+		w.at(w.now+w.s.Copies.Ahead.D(), func() {
+			if h.up && h.life == life {
+				h.submit(m)
+			} else {
+				m.hand() // nobody was told that it was taken
+			}
+		})
 	}
 }
 
@@ -268,7 +280,7 @@
 			if !h.up {
 				continue
 			}
-			h.kill()
+			h.kill(f.Lose > 0 && w.rng.Float64() < f.Lose)
 			back := f.Back.D() + time.Duration(w.rng.Float64()*float64(f.Until-f.Back))
 			w.at(w.now+back, h.start)
 		}
--- a/internal/lab/world/world_test.go
+++ b/internal/lab/world/world_test.go
@@ -322,3 +322,25 @@
 		})
 	}
 }
+
+// Folders that are lost take along what nobody has a copy of; with copies another forwarder goes on with it, by the same rules.
+func TestFoldersAreLost(t *testing.T) {
+	s := small(
+		scenario.Fault{Kind: scenario.Outage, At: d(5 * time.Second), For: d(5 * time.Second), Share: 0.5},
+		scenario.Fault{Kind: scenario.Kill, At: d(8 * time.Second), Share: 0.5, Lose: 1, Back: d(time.Second), Until: d(5 * time.Second)},
+	)
+	alone := play(t, s, 1)
+	s.Copies = scenario.Copies{Keep: true, Takeover: d(2 * time.Second), Ahead: d(time.Millisecond)}
+	copied := play(t, s, 1)
+	if alone.Gone == 0 || alone.TakenOver != 0 || copied.Gone != 0 || copied.TakenOver == 0 {
+		t.Errorf("alone %d gone, %d taken over; with copies %d and %d", alone.Gone, alone.TakenOver, copied.Gone, copied.TakenOver)
+	}
+	for _, r := range []Result{alone, copied} {
+		if len(r.Broken) > 0 {
+			t.Error(r.Broken)
+		}
+	}
+	if copied.Worth.Delivered <= alone.Worth.Delivered {
+		t.Errorf("worth %.0f with copies, %.0f without", copied.Worth.Delivered, alone.Worth.Delivered)
+	}
+}
