Laboratory: the council's answers under faults have to fit one order of decisions

In each trial three clients ask all founders whether one member is drained, and change it now and then, without trying twice; a change without an answer may take hold at any time later. porcupine looks for one order of the decisions that fits all answers (internal/lab/cluster/register.go). An asking is answered behind Raft's read index, so a stale answer is a broken rule.

--- a/internal/lab/cluster/fleet.go
+++ b/internal/lab/cluster/fleet.go
@@ -331,6 +331,28 @@
 	}
 }
 
+// Order has the council decide something, whichever founder takes it.
+func (f *Fleet) Order(ctx context.Context, c council.Command) error {
+	for {
+		var r council.Response
+		err := ctx.Err()
+		for i := 0; i < f.Founders && err == nil; i++ {
+			call, cancel := context.WithTimeout(ctx, 2*time.Second)
+			r, err = node.Order(call, f.Members[i].Links, c)
+			cancel()
+			if err == nil && r.Refused == "" {
+				return nil
+			}
+			if err != nil && ctx.Err() == nil {
+				err = nil // the next one
+			}
+		}
+		if err != nil || !lab.Sleep(ctx, 10*time.Millisecond) {
+			return errors.Join(err, ctx.Err(), errors.New(r.Refused))
+		}
+	}
+}
+
 // AwaitFacts looks at what a member knows of partners until something holds of it.
 func (f *Fleet) AwaitFacts(ctx context.Context, i int, what string, holds func(node.FactsStatus) bool) error {
 	for {
--- a/internal/lab/cluster/random.go
+++ b/internal/lab/cluster/random.go
@@ -43,6 +43,7 @@
 	Faults    []string       `json:"faults"`
 	Kinds     map[string]int `json:"kinds"`
 	TakenOver int64          `json:"taken_over"`
+	Asked     int            `json:"asked"` // operations on one of the council's decisions, all of which fit one order
 	Broken    []string       `json:"broken"`
 	Events    []string       `json:"-"`
 }
@@ -124,8 +125,12 @@
 	for i := range t.Members {
 		clients.Go(func() { t.client(load, f, i, &out) })
 	}
+	reg := &register{f: f, who: f.Members[t.Members-1].Name, began: time.Now()}
+	var asking sync.WaitGroup
+	asking.Go(func() { reg.run(load, t.Seed) })
 	err = t.faults(ctx, f, &out)
 	stop()
+	asking.Wait()
 	f.Heal()
 	for i, m := range f.Members {
 		if m.stopped {
@@ -136,6 +141,9 @@
 		}
 	}
 	clients.Wait()
+	if err == nil {
+		err = f.Order(ctx, council.Command{Kind: council.Leave, Life: council.Life{Name: reg.who}}) // whatever it was left at
+	}
 	if err == nil {
 		err = f.AwaitCopied(ctx, f.All()...)
 	}
@@ -152,6 +160,10 @@
 		}
 	}
 	out.Broken, out.Notices = f.Broken(), len(f.Agent.Notices())
+	bad := ""
+	if out.Asked, bad = reg.check(); bad != "" {
+		out.Broken = append(out.Broken, bad)
+	}
 	served.Range(func(any, any) bool { out.Delivered++; return true })
 	out.Events = f.Events()
 	return out, err
@@ -313,6 +325,6 @@
 	}) {
 		parts = append(parts, fmt.Sprintf("%d %s", o.Kinds[k], k))
 	}
-	return fmt.Sprintf("seed %d: %d handed in, %d taken on, %d refused, %d without an answer, %d delivered, %d notices, %d taken over; %s; %d rules broken",
-		o.Seed, o.Handed, o.Taken, o.Refused, o.NoAnswer, o.Delivered, o.Notices, o.TakenOver, strings.Join(parts, ", "), len(o.Broken))
+	return fmt.Sprintf("seed %d: %d handed in, %d taken on, %d refused, %d without an answer, %d delivered, %d notices, %d taken over, %d askings of the council; %s; %d rules broken",
+		o.Seed, o.Handed, o.Taken, o.Refused, o.NoAnswer, o.Delivered, o.Notices, o.TakenOver, o.Asked, strings.Join(parts, ", "), len(o.Broken))
 }
