--- a/cmd/larklab/cluster.go
+++ b/cmd/larklab/cluster.go
@@ -21,6 +21,7 @@
 	Takeover takeoverCmd `cmd:"" help:"How long it takes from a member's kill until its first message goes on elsewhere."`
 	Cost     costCmd     `cmd:"" help:"What copies cost: messages a second, processor time, and the time until a 202."`
 	Model    modelCmd    `cmd:"" help:"Walk a small world of the program's own state machines, every order of what can happen."`
+	Catchup  catchupCmd  `cmd:"" help:"How long a new keeper needs under load, and what answers meanwhile notice of it."`
 	Spread   spreadCmd   `cmd:"" help:"How fast facts of partners are known by fleets of several sizes, and what their talk takes, in virtual time."`
 }
 
@@ -165,3 +166,26 @@
 
 // Run plays.
 func (c spreadCmd) Run() error { return cluster.MeasureSpread(c.Sizes, c.Seeds, c.Loss, os.Stdout) }
+
+type catchupCmd struct {
+	fleetFlags
+	Length time.Duration `default:"8s" help:"Of load before, and behind."`
+	Rounds int           `default:"3" help:"How often."`
+	Extra  string        `help:"Lines of [cluster], such as 'catch-up = \"2MiB\"'."`
+}
+
+// Run measures.
+func (c catchupCmd) Run() error {
+	program, err := c.command()
+	if err != nil {
+		return err
+	}
+	ctx, stop := interruptible()
+	defer stop()
+	for range c.Rounds {
+		if err := (cluster.Catchup{Program: program, Length: c.Length, Extra: c.Extra, Out: os.Stdout}).Run(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/cmd/larkreach/fleet_on.go
+++ b/cmd/larkreach/fleet_on.go
@@ -38,7 +38,8 @@
 		Name: cfg.Name, Zone: c.Zone, Region: c.Region, Listen: c.Listen, Via: c.Via, Copies: c.Copies, Space: int64(c.Space),
 		Timing:   council.Timing{Tick: time.Duration(c.Tick), Lease: time.Duration(c.Lease), Margin: time.Duration(c.Margin)},
 		Patience: time.Duration(c.Patience), Alone: map[string]bool{}, Folder: filepath.Clean(cfg.State), Check: time.Duration(c.Check),
-		Durability: store.Process, Logger: logger, Beat: time.Duration(c.Beat), Believe: time.Duration(c.Believe),
+		Durability: store.Process, Logger: logger, Beat: time.Duration(c.Beat), CatchUp: int64(c.CatchUp),
+		Believe: time.Duration(c.Believe),
 	}
 	for _, f := range founders {
 		setup.Founders = append(setup.Founders, node.Founder(f))
--- a/internal/cluster/copies/owner.go
+++ b/internal/cluster/copies/owner.go
@@ -42,6 +42,7 @@
 
 const (
 	mostBatch = 512 << 10 // bytes of payloads
+	mostPiece = 64 << 10  // of a snapshot's piece: messages go on between two of them
 	mostTail  = 32 << 20  // bytes of records that are kept for keepers that are behind; beyond it they get a snapshot
 )
 
@@ -205,7 +206,7 @@
 	p.snapshot, p.upTo, p.piece, p.pieces = o.snapshots, o.Latest(), 0, [][]Record{nil}
 	size := 0
 	for _, payload := range records {
-		if last := len(p.pieces) - 1; size > 0 && size+len(payload) > mostBatch {
+		if last := len(p.pieces) - 1; size > 0 && size+len(payload) > mostPiece {
 			p.pieces, size = append(p.pieces, []Record{{Payload: payload}}), len(payload)
 		} else {
 			p.pieces[last], size = append(p.pieces[last], Record{Payload: payload}), size+len(payload)
--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -52,6 +52,7 @@
 	Durability   store.Durability
 	Check        time.Duration // between two comparisons of a copy with its owner's journal
 	Beat         time.Duration // between two tellings of facts; 0 is none
+	CatchUp      int64         // bytes a second of a snapshot to one keeper
 	Believe      time.Duration // how long one member's word of a partner counts by itself
 	Logger       zerolog.Logger
 }
@@ -722,9 +723,7 @@
 		n.heard[name] = time.Now()
 		n.figures.Batches++
 		n.figures.Records += int64(len(b.Records))
-		for _, r := range b.Records {
-			n.figures.Bytes += int64(len(r.Payload))
-		}
+		n.figures.Bytes += batchSize(b)
 		if ack.Full {
 			n.figures.Full++
 		}
@@ -733,26 +732,41 @@
 			n.held()
 		}
 		stop := ack.Full || ack.Ended
+		spare := n.reachable() // else strict messages wait for this very keeper
 		n.mu.Unlock()
 		if stop {
 			return
 		}
+		if b.Snapshot > 0 && spare { // its share of the link and of this machine: what is taken on meanwhile comes first
+			pause(ctx, time.Duration(float64(batchSize(b))/float64(max(1, n.cfg.CatchUp))*float64(time.Second)))
+		}
+	}
+}
+
+func batchSize(b copies.Batch) (size int64) {
+	for _, r := range b.Records {
+		size += int64(len(r.Payload))
 	}
+	return size
 }
 
 // snapshot has a keeper go on from all that is held now.
 func (n *Node) snapshot(owner *copies.Owner, name string) (ok bool) {
-	served := n.router.Inspect(func(log *wal.Log, past []wal.Past) { // no record is journalled between the two
-		records, err := log.Snapshot()
-		if err != nil {
-			n.cfg.Logger.Warn().Str("part", "copies").Err(err).Msg("not all that is held can be copied")
-		}
+	var records [][]byte
+	add := func(past []wal.Past) {
 		for _, p := range past {
 			records = append(records, wal.CondensePast(p))
 		}
+	}
+	served := n.router.Past(add, func(log *wal.Log, rest []wal.Past) { // no record is journalled between the two
+		add(rest)
+		held, err := log.Snapshot()
+		if err != nil {
+			n.cfg.Logger.Warn().Str("part", "copies").Err(err).Msg("not all that is held can be copied")
+		}
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		owner.Snapshot(name, records)
+		owner.Snapshot(name, append(records, held...))
 		n.figures.Snapshots++
 		ok = true
 	})
--- a/internal/cluster/node/taking.go
+++ b/internal/cluster/node/taking.go
@@ -301,11 +301,12 @@
 
 // Past gives the ids that are over, as far as this member knows: its own, and those of whom it took over from.
 func (c copiesRPC) Past(_ bool, out *[][]byte) error {
-	c.n.router.Inspect(func(_ *wal.Log, past []wal.Past) {
+	add := func(past []wal.Past) {
 		for _, p := range past {
 			*out = append(*out, wal.CondensePast(p))
 		}
-	})
+	}
+	c.n.router.Past(add, func(_ *wal.Log, rest []wal.Past) { add(rest) })
 	return nil
 }
 
@@ -451,7 +452,7 @@
 			continue
 		}
 		var req CheckRequest
-		n.router.Inspect(func(log *wal.Log, _ []wal.Past) {
+		n.router.Inspect(func(log *wal.Log) {
 			req.Ranges = copies.Ranges(log.Live())
 			n.mu.Lock()
 			defer n.mu.Unlock()
--- a/internal/routing/past.go
+++ b/internal/routing/past.go
@@ -23,8 +23,12 @@
 	queue     []pastID        // the same, oldest first,
 	long      []pastID        // and those of long messages
 	closed    int             // of long, those with a record in the journal
+	gone      PastCursor      // how many have left each
 }
 
+// PastCursor is a place among the ids that have ended; the zero one is before all.
+type PastCursor struct{ queue, long int }
+
 // add books an end that happens now; seq is its record in the journal, if it has one.
 func (p *pastIDs) add(id string, delivered, long bool, seq uint64) {
 	p.delivered[id] = delivered
@@ -56,28 +60,41 @@
 
 // expire forgets ids that ended so long ago that nobody can mean them any more, and gives the records that go with them.
 func (p *pastIDs) expire(after, afterLong time.Duration) (records []uint64) {
-	until := func(queue []pastID, after time.Duration) []pastID {
+	until := func(queue []pastID, after time.Duration, gone *int) []pastID {
 		for len(queue) > 0 && time.Since(queue[0].at) > after {
 			if delete(p.delivered, queue[0].id); queue[0].seq > 0 {
 				records = append(records, queue[0].seq)
 				p.closed--
 			}
 			queue = queue[1:]
+			*gone++
 		}
 		return queue
 	}
-	p.queue, p.long = until(p.queue, after), until(p.long, afterLong)
+	p.queue, p.long = until(p.queue, after, &p.gone.queue), until(p.long, afterLong, &p.gone.long)
 	return records
 }
 
 // list gives them, oldest first of each kind.
-func (p *pastIDs) list() (ids []PastID) {
-	for _, queue := range [][]pastID{p.queue, p.long} {
-		for _, past := range queue {
+func (p *pastIDs) list() []PastID {
+	ids, _ := p.from(PastCursor{}, len(p.queue)+len(p.long))
+	return ids
+}
+
+// from gives so many at the most that are behind a place, oldest first of each kind, and the place behind them. It goes through so
+// many at the most, too: one that was dropped counts.
+func (p *pastIDs) from(at PastCursor, most int) (ids []PastID, next PastCursor) {
+	next = PastCursor{max(at.queue, p.gone.queue), max(at.long, p.gone.long)}
+	take := func(queue []pastID, gone int, next *int) {
+		for ; *next-gone < len(queue) && most > 0; most-- {
+			past := queue[*next-gone]
 			if delivered, known := p.delivered[past.id]; known {
 				ids = append(ids, PastID{past.id, delivered, time.Since(past.at)})
 			}
+			*next++
 		}
 	}
-	return ids
+	take(p.queue, p.gone.queue, &next.queue)
+	take(p.long, p.gone.long, &next.long)
+	return ids, next
 }
--- a/internal/routing/shared.go
+++ b/internal/routing/shared.go
@@ -258,20 +258,42 @@
 	return n
 }
 
-// Inspect has f called in the router's goroutine with all that others are to hold: what is in the journal, and the ids that are
-// over. No record is journalled meanwhile. False says that the router has ended.
-func (r *Router) Inspect(f func(log *wal.Log, past []wal.Past)) bool {
-	_, served := ask(r, func() bool {
-		var past []wal.Past
-		for _, p := range r.past.list() {
-			past = append(past, wal.Past{ID: p.ID, Delivered: p.Delivered, At: time.Now().Add(-p.Ago)})
-		}
-		f(r.cfg.Log, past)
-		return true
-	})
+// Inspect has f called in the router's goroutine with the journal; no record is journalled meanwhile. False says that the router has
+// ended.
+func (r *Router) Inspect(f func(log *wal.Log)) bool {
+	_, served := ask(r, func() bool { f(r.cfg.Log); return true })
 	return served
 }
 
+// pastAtOnce bounds how many ids the router's goroutine goes through at a time: with all of some 100,000 every message would wait
+// for tens of milliseconds.
+const pastAtOnce = 1024
+
+// Past gives the ids that are over in pieces, so that messages go on in between: each is called outside the router's goroutine, and last
+// in it, with the rest that has ended meanwhile, so that what it sees of the journal fits to exactly these ids. False says that the
+// router has ended.
+func (r *Router) Past(each func([]wal.Past), last func(log *wal.Log, rest []wal.Past)) bool {
+	for at := (PastCursor{}); ; {
+		var piece []wal.Past
+		over, served := ask(r, func() bool {
+			ids, next := r.past.from(at, pastAtOnce)
+			now := time.Now()
+			for _, p := range ids {
+				piece = append(piece, wal.Past{ID: p.ID, Delivered: p.Delivered, At: now.Add(-p.Ago)})
+			}
+			if at = next; at.queue-r.past.gone.queue < len(r.past.queue) || at.long-r.past.gone.long < len(r.past.long) {
+				return false
+			}
+			last(r.cfg.Log, piece)
+			return true
+		})
+		if !served || over {
+			return served
+		}
+		each(piece)
+	}
+}
+
 // Hear has the module heed what advise makes of what it has learned itself; advise runs in the router's goroutine. False says that the
 // router has ended.
 func (r *Router) Hear(advise func(own []mb.LearnedLane) []mb.LearnedLane) bool {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -37,6 +37,7 @@
 	Tick     Duration          `toml:"tick"`     // of the council's clock; a lost leader is missed after 10 to 20
 	Patience Duration          `toml:"patience"` // how long a keeper may be out of reach before another is chosen
 	Check    Duration          `toml:"check"`    // between two comparisons of copies; 0 is never
+	CatchUp  Bytes             `toml:"catch-up"` // a second, to a keeper that is brought up to date while others count
 	Beat     Duration          `toml:"beat"`     // between two tellings of what was seen of partners; 0 is none
 	Believe  Duration          `toml:"believe"`  // how long one member's word of a partner counts by itself
 	Via      map[string]string `toml:"via"`      // what is dialled for an address, where that differs
@@ -45,7 +46,7 @@
 var clusterDefaults = Cluster{
 	Copies: 2, Space: 64 << 20, Lease: Duration(time.Second), Margin: Duration(200 * time.Millisecond), Tick: Duration(100 * time.Millisecond),
 	Patience: Duration(500 * time.Millisecond), Check: Duration(10 * time.Second),
-	Beat: Duration(100 * time.Millisecond), Believe: Duration(10 * time.Second),
+	CatchUp: 2 << 20, Beat: Duration(100 * time.Millisecond), Believe: Duration(10 * time.Second),
 }
 
 // Bounds of what a fleet can be told.
@@ -56,6 +57,7 @@
 	leastLease    = 100 * time.Millisecond
 	mostLease     = time.Minute
 	leastPatience = 50 * time.Millisecond
+	leastCatchUp  = 64 << 10
 	leastBeat     = 10 * time.Millisecond
 	leastBelieve  = time.Second
 	mostBelieve   = 10 * time.Minute
@@ -105,6 +107,8 @@
 		return "cluster.patience", fmt.Sprintf("%v; from %v to 1m are possible", time.Duration(c.Patience), leastPatience)
 	case c.Check < 0:
 		return "cluster.check", "it is below 0"
+	case c.CatchUp < leastCatchUp:
+		return "cluster.catch-up", fmt.Sprintf("%d bytes; at least %d are needed", c.CatchUp, leastCatchUp)
 	case c.Beat != 0 && (time.Duration(c.Beat) < leastBeat || c.Beat > c.Believe):
 		return "cluster.beat", fmt.Sprintf("%v; 0s, or from %v to believe is possible", time.Duration(c.Beat), leastBeat)
 	case time.Duration(c.Believe) < leastBelieve || time.Duration(c.Believe) > mostBelieve:
