--- /dev/null
+++ b/cmd/larklab/places.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"slices"
+
+	"mulleinbeam/internal/lab/places"
+)
+
+// placesCmd plays days of a fleet in several zones and regions.
+type placesCmd struct {
+	Seeds    int      `default:"5" help:"Plays of each day and policy."`
+	Days     []string `help:"Some of the days, by name; all if none is named."`
+	Policies []string `help:"Some of the policies (plan, near, alike, alone, truth); all if none is named. The first is compared with the others."`
+}
+
+// Run plays.
+func (c placesCmd) Run() error {
+	days := places.Days
+	if len(c.Days) > 0 {
+		days = nil
+		for _, name := range c.Days {
+			i := slices.IndexFunc(places.Days, func(d places.Day) bool { return d.Name == name })
+			if i < 0 {
+				return fmt.Errorf("no day %q", name)
+			}
+			days = append(days, places.Days[i])
+		}
+	}
+	if len(c.Policies) == 0 {
+		c.Policies = places.Policies
+	}
+	ctx, stop := interruptible()
+	defer stop()
+	_, err := places.Compare(ctx, places.Wide, days, c.Policies, c.Seeds, runtime.NumCPU(), os.Stdout)
+	return err
+}
--- a/cmd/larkreach/fleet_off.go
+++ b/cmd/larkreach/fleet_off.go
@@ -46,3 +46,10 @@
 
 // Run hands over.
 func (clusterCmd) Run() error { return handOver(os.Args[1:]) }
+
+type planCmd struct {
+	Args []string `arg:"" optional:"" passthrough:""`
+}
+
+// Run hands over.
+func (planCmd) Run() error { return handOver(os.Args[1:]) }
--- a/cmd/larkreach/fleet_on.go
+++ b/cmd/larkreach/fleet_on.go
@@ -17,6 +17,7 @@
 
 	"mulleinbeam/internal/cluster/council"
 	"mulleinbeam/internal/cluster/node"
+	"mulleinbeam/internal/cluster/plan"
 	"mulleinbeam/internal/lab/cluster"
 	"mulleinbeam/internal/routing/wal/fsys"
 	"mulleinbeam/internal/routing/wal/store"
@@ -56,9 +57,29 @@
 	if own.Journal != nil && own.Journal.Durability != settings.DurabilityNone {
 		setup.Durability = store.Batch
 	}
+	setup.Place = places(own.Place)
 	return node.Open(setup)
 }
 
+// places puts the settings in the planner's terms.
+func places(p *settings.Place) *node.PlaceConfig {
+	if p == nil {
+		return nil
+	}
+	crossing := func(c settings.Crossing) plan.Crossing {
+		return plan.Crossing{Delay: time.Duration(c.Delay), Price: c.Price, Capacity: c.Capacity}
+	}
+	out := &node.PlaceConfig{
+		Places:  plan.Places{Region: p.Regions, Within: crossing(p.Within), Across: crossing(p.Across), Pairs: map[[2]string]plan.Crossing{}},
+		Planner: plan.Defaults(), Window: time.Duration(p.Window), Members: p.Members,
+	}
+	out.Planner.Hold, out.Planner.Reserve = time.Duration(p.Hold), p.Reserve
+	for _, c := range p.Crossings {
+		out.Places.Pairs[[2]string{c.From, c.To}] = crossing(c.Crossing)
+	}
+	return out
+}
+
 func demoFleet(ctx context.Context, program []string, out io.Writer) error {
 	return cluster.Demo{Program: program, Out: out}.Run(ctx)
 }
--- /dev/null
+++ b/cmd/larkreach/fleet_plan_test.go
@@ -0,0 +1,195 @@
+//go:build cluster
+
+package main
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"mulleinbeam/internal/cluster/council"
+	"mulleinbeam/internal/cluster/node"
+	"mulleinbeam/internal/cluster/plan"
+	"mulleinbeam/internal/lab"
+	"mulleinbeam/internal/lab/cluster"
+)
+
+// Six processes in two regions of two zones each, with a partner's site in each zone, under steady load.
+
+const placesSettings = `
+[place]
+window  = "500ms"
+hold    = "3s"
+members = 6
+[place.regions]
+z0 = "r0"
+z1 = "r0"
+z2 = "r1"
+z3 = "r1"
+`
+
+const perMember = 20 // messages a second
+
+// newPlaces starts them, waits for a plan that all go by, and hands messages in at members until the test ends.
+func newPlaces(t *testing.T, loaded ...int) *fleetSite {
+	t.Helper()
+	f := newFleetOf(t, cluster.Setup{Members: 6, Zones: 4, Sites: 4, Settings: placesSettings}, &lab.Provider{Name: "p", Weight: 200})
+	ctx, stop := context.WithCancel(f.ctx)
+	var clients sync.WaitGroup
+	t.Cleanup(func() { stop(); clients.Wait() })
+	for _, i := range loaded {
+		clients.Go(func() {
+			for lab.Sleep(ctx, time.Second/perMember) {
+				f.Hand(i, "safe", 10*time.Second)
+			}
+		})
+	}
+	for i := range f.Members {
+		must(t, f.AwaitPlan(f.ctx, i, "plan in force", func(s node.PlanStatus) bool { return s.Obeys > 0 }))
+	}
+	return f
+}
+
+// stands says how a place stands by the plan that a member knows.
+func stands(s node.PlanStatus, place string) plan.Phase {
+	if s.Plan != nil {
+		for _, x := range s.Plan.Sites {
+			if x.Place == place {
+				return x.Phase
+			}
+		}
+	}
+	return plan.Open
+}
+
+// grant is what one place may send to another.
+func grant(s node.PlanStatus, from, to string) (g plan.Grant) {
+	if s.Plan != nil {
+		for _, g := range s.Plan.Grants {
+			if g.From == from && g.To == to {
+				return g
+			}
+		}
+	}
+	return g
+}
+
+func movesOf(s node.PlanStatus, kind, place string) (n int) {
+	for _, d := range s.History {
+		for _, m := range d.Moves {
+			if m.Kind == kind && m.Place == place {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// came counts a partner's calls.
+func (f *fleetSite) came(site int) int { return len(f.Partners[site].Arrivals()) }
+
+// A zone's partner goes down: its traffic goes to the other zone of the region and no further, whoever leads the council dies
+// meanwhile, and when the partner is back the traffic comes home. One move out, one back.
+func TestFleetZoneFailsOver(t *testing.T) {
+	t.Parallel()
+	f := newPlaces(t, 0, 4) // both in z0
+	before := f.came(1)
+	f.Partners[0].Down()
+	must(t, f.AwaitPlan(f.ctx, 5, "way out", func(s node.PlanStatus) bool { return stands(s, "z0") == plan.Down && grant(s, "z0", "z1").Rate > 0 }))
+	for f.came(1) < before+20 {
+		must(t, f.ctx.Err())
+		lab.Sleep(f.ctx, 10*time.Millisecond)
+	}
+	leader := -1
+	must(t, f.Await(f.ctx, 5, "state", func(node.Status) bool { return true }))
+	for i := range 3 {
+		if s, err := f.Look(i); err == nil && s.Leader == s.Name {
+			leader = i
+		}
+	}
+	if leader < 0 {
+		t.Fatal("nobody leads")
+	}
+	must(t, f.Kill(leader))
+	rest := slices.DeleteFunc(f.All(), func(i int) bool { return i == leader })
+	var was uint64
+	must(t, f.AwaitPlan(f.ctx, rest[3], "plan", func(s node.PlanStatus) bool { was = s.Plan.Version; return true }))
+	must(t, f.AwaitPlan(f.ctx, rest[3], "plan of another leader", func(s node.PlanStatus) bool { return s.Plan.Version > was+1 && s.Obeys == s.Plan.Version }))
+	must(t, f.Start(leader))
+	must(t, f.Partners[0].Up())
+	must(t, f.AwaitPlan(f.ctx, 5, "way back", func(s node.PlanStatus) bool { return stands(s, "z0") != plan.Down }))
+	home := f.came(0)
+	for f.came(0) < home+10 {
+		must(t, f.ctx.Err())
+		lab.Sleep(f.ctx, 10*time.Millisecond)
+	}
+	must(t, f.AwaitPlan(f.ctx, 5, "history", func(s node.PlanStatus) bool {
+		if out, back := movesOf(s, "out", "z0"), movesOf(s, "back", "z0"); out != 1 || back != 1 || movesOf(s, "crossing", "z2")+movesOf(s, "crossing", "z3") > 0 {
+			t.Errorf("%d out, %d back, %+v", out, back, s.History)
+		}
+		return true
+	}))
+}
+
+// A zone is evacuated: its traffic leaves within a few windows, of two operators one wins and the other is told, and it comes back when
+// that is taken back.
+func TestFleetEvacuation(t *testing.T) {
+	t.Parallel()
+	f := newPlaces(t, 0, 1, 2)
+	var seen uint64
+	must(t, f.AwaitPlan(f.ctx, 3, "demand", func(s node.PlanStatus) bool { seen = s.Ordered; return grant(s, "z0", "z0").Rate > 0 }))
+	order := func(at int, from uint64, place string, on bool) string {
+		r, err := node.Order(f.ctx, f.Members[at].Links, council.Command{Kind: council.Evacuate, Place: place, On: on, From: from})
+		must(t, err)
+		return r.Refused
+	}
+	if refused := order(0, seen, "z0", true); refused != "" {
+		t.Fatal(refused)
+	}
+	if refused := order(1, seen, "z1", true); refused != council.ErrLater.Error() {
+		t.Errorf("the second operator was told %q", refused)
+	}
+	must(t, f.AwaitPlan(f.ctx, 0, "empty place", func(s node.PlanStatus) bool {
+		return grant(s, "z0", "z0").Rate == 0 && grant(s, "z0", "z1").Rate > 0 && s.Obeys == s.Plan.Version
+	}))
+	quiet := f.came(0)
+	must(t, f.AwaitPlan(f.ctx, 3, "later plan", func(s node.PlanStatus) bool { seen = s.Ordered; return len(s.Evacuating) == 1 && s.Obeys > 0 }))
+	for n := f.came(1); f.came(1) < n+20; { // its clients are served elsewhere meanwhile
+		must(t, f.ctx.Err())
+		lab.Sleep(f.ctx, 10*time.Millisecond)
+	}
+	if now := f.came(0); now > quiet+2 { // what was on its way
+		t.Errorf("%d calls came to the empty place", now-quiet)
+	}
+	if refused := order(2, seen, "z0", false); refused != "" {
+		t.Fatal(refused)
+	}
+	for f.came(0) < quiet+20 {
+		must(t, f.ctx.Err())
+		lab.Sleep(f.ctx, 10*time.Millisecond)
+	}
+}
+
+// A member that is cut off from the council goes by its plan until that runs out, then by the rule: near alone. One that was stopped for
+// longer than its plan holds does not act on it when it wakes. Both take the next plan when they hear of it.
+func TestFleetPlanRunsOut(t *testing.T) {
+	t.Parallel()
+	f := newPlaces(t, 5) // in z1, no founder
+	f.Partners[1].Down()
+	must(t, f.AwaitPlan(f.ctx, 5, "way out", func(s node.PlanStatus) bool { return s.Targets[cluster.Group]["z0"].Rate > 0 }))
+	f.Split(5)
+	must(t, f.AwaitPlan(f.ctx, 5, "end of its plan", func(s node.PlanStatus) bool {
+		to := s.Targets[cluster.Group]
+		return s.Obeys == 0 && len(to) == 1 && to["z1"].Free
+	}))
+	f.Heal()
+	must(t, f.AwaitPlan(f.ctx, 5, "plan again", func(s node.PlanStatus) bool { return s.Obeys > 0 && s.Targets[cluster.Group]["z0"].Rate > 0 }))
+	must(t, f.Pause(5))
+	for at := time.Now(); time.Since(at) < 4*time.Second; { // its plan holds for 3 s; it is the fault that lasts, not the test that waits
+		lab.Sleep(f.ctx, 100*time.Millisecond)
+	}
+	must(t, f.Wake(5))
+	must(t, f.AwaitPlan(f.ctx, 5, "plan again", func(s node.PlanStatus) bool { return s.Obeys > 0 && s.Obeys == s.Plan.Version }))
+}
--- a/cmd/larkreach/fleet_test.go
+++ b/cmd/larkreach/fleet_test.go
@@ -74,20 +74,27 @@
 // newFleet starts a fleet and waits until each member's copies count.
 func newFleet(t *testing.T, s cluster.Setup, g *gate) *fleetSite {
 	t.Helper()
-	s.Program, s.Env, s.Dir, s.Seed = []string{os.Args[0]}, []string{childMark + "=1"}, t.TempDir(), 1
 	var p *lab.Provider
 	if g != nil {
 		p = &lab.Provider{Name: "p", Handle: g.handle}
 	}
+	site := newFleetOf(t, s, p)
+	if g != nil {
+		t.Cleanup(g.release) // before the fleet ends
+	}
+	return site
+}
+
+// newFleetOf does so with a partner that is told.
+func newFleetOf(t *testing.T, s cluster.Setup, p *lab.Provider) *fleetSite {
+	t.Helper()
+	s.Program, s.Env, s.Dir, s.Seed = []string{os.Args[0]}, []string{childMark + "=1"}, t.TempDir(), 1
 	f, err := cluster.Open(s, p)
 	must(t, err)
 	ctx, cancel := context.WithTimeout(context.Background(), never)
 	site := &fleetSite{f, t, ctx}
 	t.Cleanup(func() {
 		cancel()
-		if g != nil {
-			g.release()
-		}
 		f.Close()
 		if t.Failed() {
 			t.Log(strings.Join(f.Events(), "\n"))
--- a/cmd/larkreach/main.go
+++ b/cmd/larkreach/main.go
@@ -107,7 +107,7 @@
 		}
 		defer part.Close()
 		journal.Tap(part.Tap)
-		setup.Guard = part
+		setup.Guard, setup.Steering = part, part.Steering()
 	}
 	router, err := routing.New(setup)
 	if err != nil {
@@ -149,6 +149,7 @@
 // fleet is this forwarder's part in a fleet that keeps copies of what each owes; see fleet_on.go.
 type fleet interface {
 	routing.Guard
+	Steering() routing.Steering
 	Tap(payload []byte)
 	Run(ctx context.Context, router *routing.Router) error
 	Close() error
--- a/internal/cluster/council/client.go
+++ b/internal/cluster/council/client.go
@@ -61,6 +61,13 @@
 	}
 }
 
+// Leader is the founder that led when it was last asked; "" is none known.
+func (c *Client) Leader() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader
+}
+
 // Look asks one founder what is decided, as far as it knows; whoever is reached first.
 func (c *Client) Look(ctx context.Context, known uint64) (r Response, err error) {
 	err = ErrNoLeader
--- a/internal/cluster/council/server.go
+++ b/internal/cluster/council/server.go
@@ -262,7 +262,7 @@
 
 // decided tells of a command that was carried out.
 func (s *Server) decided(a Applied) {
-	if c := a.Command; a.Err == nil && c.Kind > 0 {
+	if c := a.Command; a.Err == nil && c.Kind > 0 && c.Kind != Propose {
 		line := s.logger.Info().Str("part", "council").Uint64("version", a.Version)
 		switch c.Kind {
 		case Join:
@@ -276,6 +276,8 @@
 			line.Stringer("life", c.Life).Stringer("taker", c.Taker).Msg("taking over is done")
 		case Keepers:
 			line.Stringer("life", c.Life).Strs("keepers", c.Set).Msg("copies that count")
+		case Evacuate, Freeze:
+			line.Str("place", c.Place).Bool("on", c.On).Bool("freeze", c.Kind == Freeze).Msg("operators' order")
 		case Leave, Remove:
 			line.Str("name", c.Life.Name).Bool("leaving", c.Kind == Leave && c.On).Bool("removed", c.Kind == Remove).Msg("member")
 		}
--- a/internal/cluster/council/state.go
+++ b/internal/cluster/council/state.go
@@ -54,6 +54,16 @@
 	Version uint64
 	Members map[string]*Member
 	Jobs    []*Job // oldest first
+	Plan    Plan   // of where traffic goes
+}
+
+// Plan is what is decided of where traffic goes. What it says is for package plan.
+type Plan struct {
+	Number     uint64   // of the plan; 0 is none
+	Content    []byte   // never changed
+	Evacuating []string // places that operators have ordered empty, in their order
+	Frozen     bool     // operators have ordered that it stays as it is
+	Ordered    uint64   // the version of the latest order
 }
 
 // mostJobs bounds what is remembered of a name's lives that are done with. A message remembers whose it was by them, so they have to
@@ -68,13 +78,16 @@
 
 // The commands.
 const (
-	Join    Kind = iota + 1 // a process begins a life, and ends the one before
-	End                     // a life has ended: its lease is over, and it gets no other
-	Assign                  // somebody takes over an ended life
-	Done                    // who takes over has all that was owed, with copies of it
-	Keepers                 // whose copies count is changed
-	Leave                   // a member is to be drained, or not any more
-	Remove                  // a member that has ended belongs no longer
+	Join     Kind = iota + 1 // a process begins a life, and ends the one before
+	End                      // a life has ended: its lease is over, and it gets no other
+	Assign                   // somebody takes over an ended life
+	Done                     // who takes over has all that was owed, with copies of it
+	Keepers                  // whose copies count is changed
+	Leave                    // a member is to be drained, or not any more
+	Remove                   // a member that has ended belongs no longer
+	Propose                  // the next plan of where traffic goes
+	Evacuate                 // a place is to be empty of traffic, or not any more
+	Freeze                   // the plan stays as it is, or not any more
 )
 
 // Command is a change that is asked for. Fields that its kind does not name are ignored.
@@ -91,9 +104,12 @@
 	Version int      // Join
 	Space   int64    // Join
 	Taker   Life     // Assign, Done
-	From    uint64   // Keepers: Changed of what it replaces
+	From    uint64   // Keepers: Changed of what it replaces. Propose: the plan's number. Evacuate, Freeze: Ordered, as the operator saw it
 	Set     []string // Keepers
-	On      bool     // Leave
+	On      bool     // Leave, Evacuate, Freeze
+	Number  uint64   // Propose
+	Content []byte   // Propose
+	Place   string   // Evacuate
 }
 
 // The reasons for which a command changes nothing.
@@ -167,6 +183,25 @@
 			return ErrLater
 		}
 		delete(s.Members, c.Life.Name)
+	case Propose:
+		if c.From != s.Plan.Number || c.Number <= c.From {
+			return ErrLater
+		}
+		s.Plan.Number, s.Plan.Content = c.Number, c.Content
+	case Evacuate, Freeze:
+		if c.From != s.Plan.Ordered { // of two operators at once one wins, and the other is told
+			return ErrLater
+		}
+		s.Plan.Ordered = version
+		if c.Kind == Freeze {
+			s.Plan.Frozen = c.On
+			break
+		}
+		s.Plan.Evacuating = slices.DeleteFunc(slices.Clone(s.Plan.Evacuating), func(p string) bool { return p == c.Place })
+		if c.On {
+			s.Plan.Evacuating = append(s.Plan.Evacuating, c.Place)
+			slices.Sort(s.Plan.Evacuating)
+		}
 	default: // of a later version: counted, not understood
 	}
 	return nil
@@ -266,7 +301,7 @@
 
 // Clone is a copy that shares nothing.
 func (s *State) Clone() *State {
-	out := &State{Version: s.Version, Members: make(map[string]*Member, len(s.Members))}
+	out := &State{Version: s.Version, Plan: s.Plan, Members: make(map[string]*Member, len(s.Members))}
 	for name, m := range s.Members {
 		c := *m
 		c.Keepers = slices.Clone(m.Keepers)
--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -53,6 +53,7 @@
 	Check        time.Duration // between two comparisons of a copy with its owner's journal
 	Beat         time.Duration // between two tellings of facts; 0 is none
 	CatchUp      int64         // bytes a second of a snapshot to one keeper
+	Place        *PlaceConfig  // nil: traffic goes everywhere
 	Believe      time.Duration // how long one member's word of a partner counts by itself
 	Logger       zerolog.Logger
 }
@@ -79,6 +80,7 @@
 var (
 	errFounders = errors.New("node: no founders of the council are named")
 	errNoCopy   = errors.New("node: nobody has a copy that counts")
+	errNoPlaces = errors.New("node: [place] is not set")
 	errApart    = errors.New("node: this life may not act")
 )
 
@@ -119,7 +121,8 @@
 	asking  bool             // the council, just now
 	figures Figures
 
-	talk talk
+	talk     talk
+	steering *steering // nil: traffic goes everywhere
 
 	shelfMu sync.Mutex
 	shelf   *copies.Shelf
@@ -157,6 +160,9 @@
 		state: council.NewState(), sending: map[string]bool{}, missed: map[string]time.Time{}, heard: map[string]time.Time{}, taking: map[council.Life]bool{},
 		wake: make(chan struct{}, 1), shelf: copies.NewShelf(rand.Uint64()), talk: newTalk(cfg),
 	}
+	if cfg.Place != nil {
+		n.steering = newSteering(n, *cfg.Place)
+	}
 	var err error
 	if n.folder, err = readLife(cfg.Folder); err != nil {
 		return nil, err
@@ -260,7 +266,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	n.tasks = group
 	group.Go(func() error {
-		services := map[string]any{"Copies": copiesRPC{n}, "Status": statusRPC{n}, "Facts": factsRPC{n}}
+		services := map[string]any{"Copies": copiesRPC{n}, "Status": statusRPC{n}, "Facts": factsRPC{n}, "Plan": planRPC{n}}
 		if n.server != nil {
 			services["Council"] = n.server.Calls()
 		}
@@ -283,6 +289,9 @@
 	group.Go(func() error { n.live(ctx); return nil })
 	group.Go(func() error { n.manage(ctx); return nil })
 	group.Go(func() error { n.expire(ctx); return nil })
+	if n.steering != nil {
+		group.Go(func() error { n.steering.run(ctx); return nil })
+	}
 	if n.cfg.Beat > 0 {
 		group.Go(func() error { n.gossip(ctx); return nil })
 	}
@@ -294,6 +303,14 @@
 
 func (n *Node) now() time.Duration { return time.Since(n.began) }
 
+// Steering says where calls may go; nil is everywhere.
+func (n *Node) Steering() routing.Steering {
+	if n.steering == nil {
+		return nil
+	}
+	return n.steering
+}
+
 // ---- lives and leases ----
 
 // live begins a life, holds its lease, and begins another where that has ended.
@@ -351,6 +368,12 @@
 		return 0
 	}
 	n.lease.Store(int64(sent + n.cfg.Timing.Lease))
+	if n.steering != nil {
+		n.mu.Lock()
+		state := n.state
+		n.mu.Unlock()
+		n.steering.heard(sent, state, mine)
+	}
 	if !n.thawed.Load() {
 		n.resume(ctx, mine)
 	}
@@ -438,6 +461,9 @@
 	n.mine, n.owner, n.asked, n.waiters = mine, copies.NewOwner(mine), nil, nil
 	n.mu.Unlock()
 	n.learn(r.State)
+	if n.steering != nil {
+		n.steering.begins(r.State.Version)
+	}
 	n.cfg.Logger.Info().Str("part", "node").Stringer("life", mine).Bool("folder lost", m.Lost).Msg("life begins")
 	return nil
 }
--- /dev/null
+++ b/internal/cluster/node/plans.go
@@ -0,0 +1,413 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	mb "mulleinbeam"
+	"mulleinbeam/internal/cluster/council"
+	"mulleinbeam/internal/cluster/plan"
+)
+
+// Where traffic goes: package plan with a clock, links and the router. Each member reports what it saw in a window to one of its zone,
+// who sends a summary to whoever leads the council; that one plans, the council decides, and everybody hears it with its lease.
+
+const (
+	steerEvery  = 100 * time.Millisecond
+	saveUp      = 1500 * time.Millisecond // of what a member may send to a place it may have saved up
+	historyMost = 256
+	planMost    = 4 << 20 // bytes of one
+)
+
+// PlaceConfig is what a member is told of places.
+type PlaceConfig struct {
+	Places  plan.Places
+	Planner plan.Config
+	Window  time.Duration
+	Members int // forwarders that there may be at the most
+}
+
+// steering stands before the router, and gathers what it says.
+type steering struct {
+	n   *Node
+	cfg PlaceConfig
+
+	mu       sync.Mutex
+	follower *plan.Follower
+	report   plan.Report
+	sites    map[int64]map[string]float64
+	targets  map[int64]map[string]plan.Target
+	at       time.Duration // when targets were last made
+	saved    map[plan.Path]float64
+	history  []Decision
+	others   map[string]plan.Report  // of this zone's members, by observer: where this is who gathers them
+	zones    map[string]plan.Summary // and of zones, where this leads
+	stepped  time.Duration
+	planner  *plan.Planner
+	from     uint64 // the plan that the planner went on from, or has had decided
+}
+
+// Decision is a plan's moves as this member heard of them.
+type Decision struct {
+	Plan  uint64      `json:"plan"`
+	Heard time.Time   `json:"heard"`
+	Moves []plan.Move `json:"moves"`
+}
+
+func newSteering(n *Node, cfg PlaceConfig) *steering {
+	s := &steering{
+		n: n, cfg: cfg, follower: plan.NewFollower(n.cfg.Zone), targets: map[int64]map[string]plan.Target{}, saved: map[plan.Path]float64{},
+		others: map[string]plan.Report{}, zones: map[string]plan.Summary{},
+	}
+	s.fresh()
+	return s
+}
+
+// fresh begins a window; s.mu is held, or nobody else knows of s.
+func (s *steering) fresh() {
+	s.report = plan.Report{Place: s.n.cfg.Zone, Span: s.cfg.Window, Demand: map[int64]float64{}, Paths: map[plan.Path]plan.Tally{}}
+}
+
+// Handed counts what is asked for.
+func (s *steering) Handed(destination int64) {
+	s.mu.Lock()
+	s.report.Demand[destination]++
+	s.mu.Unlock()
+}
+
+// Called books how a call ended.
+func (s *steering) Called(destination int64, zone string, out mb.Outcome, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := plan.Path{Destination: destination, To: zone}
+	t := s.report.Paths[at]
+	switch out {
+	case mb.OK:
+		t.OK++
+		t.Book(took)
+	case mb.Failed:
+		t.Failed++
+		t.Book(took)
+	case mb.Full:
+		t.Refused++
+	case mb.ConnectFailed:
+		t.NoConnect++
+	case mb.Reset:
+		t.Reset++
+	case mb.TimedOut:
+		t.Late++
+	}
+	s.report.Paths[at] = t
+}
+
+// look makes anew what is allowed, and lets what may be sent come together; s.mu is held.
+func (s *steering) look(now time.Duration) {
+	span := min(now-s.at, saveUp).Seconds()
+	s.at = now
+	fleet := plan.Fleet{All: s.cfg.Members, Reserve: s.cfg.Planner.Reserve}
+	for d, capacity := range s.sites {
+		var zones []string
+		for z := range capacity {
+			zones = append(zones, z)
+		}
+		allowed := map[string]plan.Target{}
+		for _, t := range s.follower.Allow(now, d, capacity, s.cfg.Places.Order(s.n.cfg.Zone, zones), fleet) {
+			allowed[t.Place] = t
+			at := plan.Path{Destination: d, To: t.Place}
+			s.saved[at] = min(max(1, t.Rate*saveUp.Seconds()), s.saved[at]+t.Rate*span)
+		}
+		s.targets[d] = allowed
+	}
+}
+
+// Allows says where a call may go now. What the list does not place, as far as is known here yet, it does not bar.
+func (s *steering) Allows(destination int64, zone string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.allows(destination, zone)
+}
+
+func (s *steering) allows(destination int64, zone string) bool {
+	if _, known := s.sites[destination][zone]; !known {
+		return true
+	}
+	_, some := s.targets[destination][zone]
+	return some && s.saved[plan.Path{Destination: destination, To: zone}] >= 1
+}
+
+// Takes books a call.
+func (s *steering) Takes(destination int64, zone string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.allows(destination, zone) {
+		return false
+	}
+	s.saved[plan.Path{Destination: destination, To: zone}]--
+	return true
+}
+
+// run steers until ctx ends.
+func (s *steering) run(ctx context.Context) {
+	beat := time.NewTicker(steerEvery)
+	defer beat.Stop()
+	window := s.n.now()
+	for {
+		select {
+		case <-beat.C:
+		case <-ctx.Done():
+			return
+		}
+		now := s.n.now()
+		sites := s.n.router.Sites()
+		s.mu.Lock()
+		s.sites = sites
+		s.look(now)
+		s.mu.Unlock()
+		s.n.router.Steer()
+		if now-window >= s.cfg.Window {
+			window = now
+			s.endWindow(ctx)
+		}
+	}
+}
+
+// heard takes the plan that is decided, as an asking sent at a moment has found it; n.mu is not held.
+func (s *steering) heard(sent time.Duration, state *council.State, mine council.Life) {
+	if state.Plan.Number == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.follower.Known() == state.Plan.Number {
+		s.follower.Renew(sent)
+		return
+	}
+	p, err := readPlan(state.Plan.Content)
+	if err != nil {
+		s.n.cfg.Logger.Warn().Str("part", "plan").Uint64("plan", state.Plan.Number).Err(err).Msg("not understood: the one before holds until it runs out")
+		return
+	}
+	if s.follower.Hear(sent, p); s.follower.Known() != p.Version || len(p.Moves) == 0 {
+		return
+	}
+	if s.history = append(s.history, Decision{p.Version, time.Now(), p.Moves}); len(s.history) > historyMost {
+		s.history = slices.Clone(s.history[1:])
+	}
+	for _, m := range p.Moves {
+		s.n.cfg.Logger.Info().Str("part", "plan").Uint64("plan", p.Version).Int64("destination", m.Destination).Str("place", m.Place).Str("from", m.From).
+			Str("kind", m.Kind).Str("why", m.Why).Msg("traffic moves")
+	}
+}
+
+// begins says that a life has begun: plans that do not count it are not for it.
+func (s *steering) begins(since uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.follower = plan.NewFollower(s.n.cfg.Zone)
+	s.follower.Since = since
+}
+
+func readPlan(b []byte) (*plan.Plan, error) {
+	var p plan.Plan
+	if err := gob.NewDecoder(bytes.NewReader(b)).Decode(&p); err != nil {
+		return nil, fmt.Errorf("node: plan: %w", err)
+	}
+	return &p, nil
+}
+
+// endWindow sends what was seen up, and plans where this leads.
+func (s *steering) endWindow(ctx context.Context) {
+	s.n.mu.Lock()
+	mine, state := s.n.mine, s.n.state
+	s.n.mu.Unlock()
+	if mine.Number == 0 {
+		return
+	}
+	now := s.n.now()
+	s.mu.Lock()
+	r := s.report
+	s.fresh()
+	r.Observer, r.Obeys = mine.String(), s.follower.Obeys(now)
+	s.mu.Unlock()
+	gatherer := "" // the first of this zone's, by name
+	for _, name := range state.Names() {
+		if m := state.Members[name]; m.Alive && m.Zone == s.n.cfg.Zone {
+			gatherer = name
+			break
+		}
+	}
+	if gatherer != s.n.cfg.Name {
+		if m := state.Members[gatherer]; m != nil {
+			s.send(ctx, m.Address, "Plan.Report", r)
+		}
+	} else {
+		s.mu.Lock()
+		s.others[r.Observer] = r
+		list := make([]plan.Report, 0, len(s.others))
+		for _, o := range s.others {
+			list = append(list, o)
+		}
+		clear(s.others)
+		s.mu.Unlock()
+		sum := plan.Merge(s.n.cfg.Zone, list)
+		if leader := state.Members[s.n.client.Leader()]; leader != nil && s.n.client.Leader() != s.n.cfg.Name {
+			s.send(ctx, leader.Address, "Plan.Summary", sum)
+		} else {
+			s.mu.Lock()
+			s.zones[sum.Place] = sum
+			s.mu.Unlock()
+		}
+	}
+	if s.n.server != nil && s.n.server.Ask(council.Request{}).Leader == s.n.cfg.Name {
+		s.step(ctx, state)
+	} else {
+		s.mu.Lock()
+		s.planner = nil
+		s.mu.Unlock()
+	}
+}
+
+// send tells somebody, without waiting for it.
+func (s *steering) send(ctx context.Context, address, method string, what any) {
+	s.n.tasks.Go(func() error {
+		call, cancel := context.WithTimeout(ctx, s.cfg.Window)
+		defer cancel()
+		_ = s.n.peers.At(address).Call(call, method, what, new(bool)) // what is not heard is missed in its window
+		return nil
+	})
+}
+
+// step plans and has it decided.
+func (s *steering) step(ctx context.Context, state *council.State) {
+	in := plan.Input{Zones: map[string]plan.Summary{}, Members: map[string]int{}, State: state.Version, Frozen: state.Plan.Frozen, Evacuate: map[string]bool{}}
+	for _, place := range state.Plan.Evacuating {
+		in.Evacuate[place] = true
+	}
+	for _, name := range state.Names() {
+		if m := state.Members[name]; m.Alive {
+			in.Members[m.Zone]++
+		}
+	}
+	now := s.n.now()
+	s.mu.Lock()
+	in.Elapsed, s.stepped = min(now-s.stepped, 2*s.cfg.Window), now
+	in.Capacity = s.sites
+	in.Zones, s.zones = s.zones, map[string]plan.Summary{}
+	if s.planner == nil || s.from != state.Plan.Number {
+		var from *plan.Plan
+		if state.Plan.Number > 0 {
+			var err error
+			if from, err = readPlan(state.Plan.Content); err != nil {
+				from = &plan.Plan{Version: state.Plan.Number}
+			}
+		}
+		s.planner, s.from = plan.New(s.cfg.Planner, s.cfg.Places, from), state.Plan.Number
+		in.Elapsed = s.cfg.Window
+	}
+	next, changed := s.planner.Step(in)
+	s.mu.Unlock()
+	if !changed {
+		return
+	}
+	var b bytes.Buffer
+	if err := gob.NewEncoder(&b).Encode(next); err != nil || b.Len() > planMost {
+		s.n.cfg.Logger.Error().Str("part", "plan").Int("bytes", b.Len()).Err(err).Msg("a plan that can't be proposed")
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, askFor)
+	defer cancel()
+	cmd := council.Command{Kind: council.Propose, From: state.Plan.Number, Number: next.Version, Content: b.Bytes()}
+	r, err := s.n.client.Do(call, council.Request{Command: &cmd})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil || r.Refused != "" { // it may be decided yet: from what is, with the next window
+		s.planner = nil
+		return
+	}
+	s.from = next.Version
+	s.n.tasks.Go(func() error { s.n.learn(r.State); return nil })
+}
+
+// planRPC is what members tell each other of traffic.
+type planRPC struct{ n *Node }
+
+// Report takes what a member of this zone has seen.
+func (p planRPC) Report(r plan.Report, _ *bool) error {
+	if s := p.n.steering; s != nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.others[r.Observer] = r
+	}
+	return nil
+}
+
+// Summary takes what a zone has seen.
+func (p planRPC) Summary(z plan.Summary, _ *bool) error {
+	if s := p.n.steering; s != nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.zones[z.Place] = z
+	}
+	return nil
+}
+
+// PlanStatus is what a member knows of where traffic goes.
+type PlanStatus struct {
+	Name       string                        `json:"name"`
+	Zone       string                        `json:"zone"`
+	Obeys      uint64                        `json:"obeys"` // 0: the rule without a plan
+	Plan       *plan.Plan                    `json:"plan"`  // the one that is decided, as far as this member knows
+	Evacuating []string                      `json:"evacuating"`
+	Frozen     bool                          `json:"frozen"`
+	Ordered    uint64                        `json:"ordered"`
+	Sites      map[int64]map[string]float64  `json:"sites"` // calls a second, by the list
+	Targets    map[int64]map[string]planGoal `json:"targets"`
+	History    []Decision                    `json:"history"`
+}
+
+// planGoal is a target as JSON can say it.
+type planGoal struct {
+	Rate  float64 `json:"per_second"` // of this member; 0 with Free
+	Free  bool    `json:"free"`       // no bound but the partner's
+	Trial bool    `json:"trial"`
+}
+
+// Plan tells it.
+func (s statusRPC) Plan(_ bool, out *PlanStatus) error {
+	st := s.n.steering
+	if st == nil {
+		return errNoPlaces
+	}
+	s.n.mu.Lock()
+	state := s.n.state
+	s.n.mu.Unlock()
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	*out = PlanStatus{
+		Name: s.n.cfg.Name, Zone: s.n.cfg.Zone, Obeys: st.follower.Obeys(s.n.now()), Evacuating: state.Plan.Evacuating, Frozen: state.Plan.Frozen,
+		Ordered: state.Plan.Ordered, Sites: st.sites, Targets: map[int64]map[string]planGoal{}, History: slices.Clone(st.history),
+	}
+	if state.Plan.Number > 0 {
+		p, err := readPlan(state.Plan.Content)
+		if err != nil {
+			return err
+		}
+		out.Plan = p
+	}
+	for d, by := range st.targets {
+		out.Targets[d] = map[string]planGoal{}
+		for z, t := range by {
+			g := planGoal{Rate: t.Rate, Trial: t.Trial}
+			if t.Rate > 1e12 {
+				g.Rate, g.Free = 0, true
+			}
+			out.Targets[d][z] = g
+		}
+	}
+	return nil
+}
--- a/internal/cluster/node/status.go
+++ b/internal/cluster/node/status.go
@@ -129,3 +129,10 @@
 	defer p.Close()
 	return r, p.Call(ctx, "Status.Command", c, &r)
 }
+
+// LookPlan asks the member at an address where traffic goes.
+func LookPlan(ctx context.Context, address string) (s PlanStatus, err error) {
+	p := links.NewPeer(address)
+	defer p.Close()
+	return s, p.Call(ctx, "Status.Plan", true, &s)
+}
--- /dev/null
+++ b/internal/cluster/plan/evidence.go
@@ -0,0 +1,182 @@
+package plan
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/zeebo/xxh3"
+)
+
+// Path is where calls go to: a destination's endpoints in one place.
+type Path struct {
+	Destination int64
+	To          string
+}
+
+// buckets are those of latencies: the nth holds calls of up to 1.5^n milliseconds, the last all above (some 11 s). HdrHistogram's
+// own form would be some hundred times as long for each path, of each forwarder, each second.
+const buckets = 24
+
+// Tally is what became of calls. Tallies add up.
+type Tally struct {
+	OK        float64
+	Failed    float64 // answered with an error: the partner is there
+	Refused   float64 // for want of room
+	NoConnect float64
+	Reset     float64
+	Late      float64 // no answer in time
+	Took      [buckets]float32
+}
+
+// Add adds another's.
+func (t *Tally) Add(o Tally) {
+	t.OK += o.OK
+	t.Failed += o.Failed
+	t.Refused += o.Refused
+	t.NoConnect += o.NoConnect
+	t.Reset += o.Reset
+	t.Late += o.Late
+	for i, n := range o.Took {
+		t.Took[i] += n
+	}
+}
+
+// scaled is a share of it.
+func (t Tally) scaled(share float64) Tally {
+	for _, n := range []*float64{&t.OK, &t.Failed, &t.Refused, &t.NoConnect, &t.Reset, &t.Late} {
+		*n *= share
+	}
+	for i := range t.Took {
+		t.Took[i] *= float32(share)
+	}
+	return t
+}
+
+// Book books the time of a call that was answered.
+func (t *Tally) Book(took time.Duration) {
+	ms := math.Max(1, took.Seconds()*1000)
+	t.Took[min(buckets-1, int(math.Ceil(math.Log(ms)/math.Log(1.5))))]++
+}
+
+// Calls are all but those that were refused: refusals tell of room, not of health.
+func (t Tally) Calls() float64 { return t.OK + t.Failed + t.NoConnect + t.Reset + t.Late }
+
+// Lost are calls that had no answer.
+func (t Tally) Lost() float64 { return t.NoConnect + t.Reset + t.Late }
+
+// Bad is the share of calls that had no answer; one that failed with an answer was not lost to the way or the place.
+func (t Tally) Bad() float64 { return t.Lost() / math.Max(1, t.Calls()) }
+
+// Median is the time within which half of the answered calls were answered, up to its bucket's upper end; 0 is none known.
+func (t Tally) Median() time.Duration {
+	total, sum := 0.0, 0.0
+	for _, n := range t.Took {
+		total += float64(n)
+	}
+	for i, n := range t.Took {
+		if sum += float64(n); total > 0 && sum >= total/2 {
+			return time.Duration(math.Pow(1.5, float64(i)) * float64(time.Millisecond))
+		}
+	}
+	return 0
+}
+
+// Report is what one forwarder has seen in a window.
+type Report struct {
+	Observer string // with its life, so that a later one is another
+	Place    string
+	Span     time.Duration
+	Obeys    uint64            // the plan that it goes by; 0 is none
+	Demand   map[int64]float64 // messages handed in, by destination
+	Paths    map[Path]Tally
+}
+
+// Summary is what a place's forwarders have seen together.
+type Summary struct {
+	Place     string
+	Observers int
+	Sick      []string          // those who alone saw everything fail; what they saw is left out
+	Obeys     uint64            // the oldest plan that any of them goes by
+	Who       uint64            // changes where others are heard
+	Demand    map[int64]float64 // messages a second
+	Paths     map[Path]Tally
+}
+
+const (
+	lossBad    = 0.5 // share of calls lost at which a path is bad,
+	lossGood   = 0.2 // and up to which it is good
+	callsLeast = 5   // calls of one observer that say something
+)
+
+// Merge makes a place's summary of its forwarders' reports, in any order. An observer that loses most of its calls on most of its paths,
+// where the others together lose few on the same, is itself the patient. Of two or more like it in a place of few, nobody can
+// tell who is: they are believed if they are more than the others.
+func Merge(place string, reports []Report) Summary {
+	out := Summary{Place: place, Observers: len(reports), Obeys: math.MaxUint64, Demand: map[int64]float64{}, Paths: map[Path]Tally{}}
+	suspects := map[string]bool{}
+	for _, r := range reports {
+		if bad, all := r.verdict(); all > 0 && 2*bad > all {
+			suspects[r.Observer] = true
+		}
+	}
+	others := map[Path]Tally{}
+	for _, r := range reports {
+		if !suspects[r.Observer] {
+			add(others, r.Paths)
+		}
+	}
+	for _, r := range reports {
+		span := math.Max(0.001, r.Span.Seconds())
+		for d, n := range r.Demand {
+			out.Demand[d] += n / span
+		}
+		out.Obeys = min(out.Obeys, r.Obeys)
+		out.Who ^= xxh3.HashString(r.Observer)
+		if suspects[r.Observer] && 2*len(suspects) < len(reports) && r.contradicted(others) {
+			out.Sick = append(out.Sick, r.Observer)
+			continue
+		}
+		add(out.Paths, r.Paths)
+	}
+	if len(reports) == 0 {
+		out.Obeys = 0
+	}
+	slices.Sort(out.Sick)
+	return out
+}
+
+// verdict says how many of an observer's paths are bad, of those on which it made enough calls.
+func (r Report) verdict() (bad, all int) {
+	for _, t := range r.Paths {
+		if t.Calls() >= callsLeast {
+			if all++; t.Bad() >= lossBad {
+				bad++
+			}
+		}
+	}
+	return bad, all
+}
+
+// contradicted says whether others did well on most of the paths that are bad for this one.
+func (r Report) contradicted(others map[Path]Tally) bool {
+	bad, well := 0, 0
+	for p, t := range r.Paths {
+		if t.Calls() < callsLeast || t.Bad() < lossBad {
+			continue
+		}
+		bad++
+		if o := others[p]; o.Calls() >= callsLeast && o.Bad() <= lossGood {
+			well++
+		}
+	}
+	return 2*well > bad
+}
+
+func add(to, from map[Path]Tally) {
+	for p, t := range from {
+		sum := to[p]
+		sum.Add(t)
+		to[p] = sum
+	}
+}
--- a/internal/lab/agent.go
+++ b/internal/lab/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -76,7 +77,7 @@
 	entries := []any{}
 	for _, p := range a.list {
 		entries = append(entries, map[string]any{
-			"name": p.Name, "address": p.Address(), "zone": "z", "type": "k", "group": p.Group, "status": p.Status,
+			"name": p.Name, "address": p.Address(), "zone": cmp.Or(p.Zone, "z"), "type": "k", "group": p.Group, "status": p.Status,
 			"weight": p.weight(), "since_ms": 0,
 		})
 	}
--- a/internal/lab/cluster/fleet.go
+++ b/internal/lab/cluster/fleet.go
@@ -36,6 +36,7 @@
 	Settings string // further tables
 	Amend    func(configuration map[string]any)
 	Body     int64 // bytes of a message; 0 is 200
+	Sites    int   // partners of the one destination, one in each of so many zones; 0 is one in a zone of its own
 }
 
 // Member is one process with its folder.
@@ -54,17 +55,19 @@
 // Fleet is the processes with what lies between them, one partner, an agent and clients that are seen by one checker.
 type Fleet struct {
 	Setup
-	Partner *lab.Provider
-	Agent   *lab.Agent
-	Check   *lab.Checker
-	Members []*Member
+	Partner  *lab.Provider // the first of
+	Partners []*lab.Provider
+	Agent    *lab.Agent
+	Check    *lab.Checker
+	Members  []*Member
 
 	relays map[[2]int]*Relay
 	mu     sync.Mutex
 	events []string
 	began  time.Time
 	next   int
-	saw    [2]int // notices and arrivals that the checker has been told of
+	told   int                   // notices that the checker has seen,
+	saw    map[*lab.Provider]int // and arrivals
 }
 
 // fleets counts those that this process has opened.
@@ -88,12 +91,23 @@
 		partner = &lab.Provider{Name: "p"}
 	}
 	partner.Group = Group
-	f := &Fleet{Setup: s, Partner: partner, Agent: &lab.Agent{}, Check: lab.NewChecker(), relays: map[[2]int]*Relay{}, began: time.Now()}
-	if err := partner.Listen(); err != nil {
-		return nil, err
+	f := &Fleet{
+		Setup: s, Partner: partner, Partners: []*lab.Provider{partner}, Agent: &lab.Agent{}, Check: lab.NewChecker(), relays: map[[2]int]*Relay{}, began: time.Now(),
+		saw: map[*lab.Provider]int{},
+	}
+	if s.Sites > 0 {
+		partner.Name, partner.Zone = "p0", "z0"
+		for i := 1; i < s.Sites; i++ {
+			f.Partners = append(f.Partners, &lab.Provider{Name: fmt.Sprint("p", i), Zone: fmt.Sprint("z", i), Group: Group, Weight: partner.Weight, Handle: partner.Handle})
+		}
+	}
+	for _, p := range f.Partners {
+		if err := p.Listen(); err != nil {
+			return nil, err
+		}
 	}
 	f.Agent.Told = func(n lab.Notice) { f.Event("platform: %s %s", n.Message, n.Outcome) }
-	if err := f.Agent.Listen(partner); err != nil {
+	if err := f.Agent.Listen(f.Partners...); err != nil {
 		return nil, err
 	}
 	fleet := fleets.Add(1)
@@ -360,6 +374,21 @@
 	}
 }
 
+// AwaitPlan looks at where a member sees traffic go until something holds of it.
+func (f *Fleet) AwaitPlan(ctx context.Context, i int, what string, holds func(node.PlanStatus) bool) error {
+	for {
+		call, cancel := context.WithTimeout(ctx, 2*time.Second)
+		s, err := node.LookPlan(call, f.Members[i].Links)
+		cancel()
+		if err == nil && holds(s) {
+			return nil
+		}
+		if !lab.Sleep(ctx, 10*time.Millisecond) {
+			return fmt.Errorf("n%d: no %s: %w; last plan %+v, %+v, %v", i, what, ctx.Err(), s.Plan, s.History, err)
+		}
+	}
+}
+
 // AwaitFacts looks at what a member knows of partners until something holds of it.
 func (f *Fleet) AwaitFacts(ctx context.Context, i int, what string, holds func(node.FactsStatus) bool) error {
 	for {
@@ -457,9 +486,12 @@
 
 // Broken holds what all sides saw against the rules.
 func (f *Fleet) Broken() []string {
-	notices, arrivals := f.Agent.Notices(), f.Partner.Arrivals()
-	f.Check.Saw(notices[f.saw[0]:], arrivals[f.saw[1]:])
-	f.saw = [2]int{len(notices), len(arrivals)}
+	notices := f.Agent.Notices()
+	for _, p := range f.Partners {
+		arrivals := p.Arrivals()
+		f.Check.Saw(notices[f.told:], arrivals[f.saw[p]:])
+		f.told, f.saw[p] = len(notices), len(arrivals)
+	}
 	return f.Check.Broken()
 }
 
@@ -477,5 +509,7 @@
 		r.Close()
 	}
 	f.Agent.Close()
-	f.Partner.Close()
+	for _, p := range f.Partners {
+		p.Close()
+	}
 }
--- a/internal/lab/cluster/measure.go
+++ b/internal/lab/cluster/measure.go
@@ -68,6 +68,10 @@
 		return err
 	}
 	h := hdrhistogram.New(1, int64(time.Minute/time.Millisecond), 3)
+	defer func() { // also of a run that was cut short
+		fmt.Fprintf(t.Out, "%d kills, from the kill to the first call elsewhere: p50 %d ms, p99 %d ms, longest %d ms\n", h.TotalCount(),
+			h.ValueAtQuantile(50), h.ValueAtQuantile(99), h.Max())
+	}()
 	for k := range t.Kills {
 		if err := f.AwaitCopied(ctx, f.All()...); err != nil {
 			return err
@@ -116,8 +120,6 @@
 			return err
 		}
 	}
-	fmt.Fprintf(t.Out, "%d kills, from the kill to the first call elsewhere: p50 %d ms, p99 %d ms, longest %d ms\n", t.Kills,
-		h.ValueAtQuantile(50), h.ValueAtQuantile(99), h.Max())
 	return nil
 }
 
--- /dev/null
+++ b/internal/lab/places/report.go
@@ -0,0 +1,71 @@
+package places
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"golang.org/x/sync/errgroup"
+
+	"mulleinbeam/internal/lab/world"
+)
+
+// Net is the share of what was offered that was delivered, less what crossings cost.
+func (r Result) Net() float64 { return (r.Worth - r.Price) / r.Offered }
+
+// Compare plays days by policies over seeds, paired, and prints what each policy delivers and where the first is ahead.
+func Compare(ctx context.Context, s Setup, days []Day, policies []string, seeds, atOnce int, out io.Writer) ([][][]Result, error) {
+	results := make([][][]Result, len(days))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(max(1, atOnce))
+	for i, d := range days {
+		results[i] = make([][]Result, len(policies))
+		for j, p := range policies {
+			results[i][j] = make([]Result, seeds)
+			for k := range seeds {
+				group.Go(func() (err error) {
+					if ctx.Err() != nil {
+						return ctx.Err()
+					}
+					results[i][j][k], err = Play(s, d, p, uint64(k+1))
+					return err
+				})
+			}
+		}
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	for i, d := range days {
+		fmt.Fprintf(out, "%s, %d seeds\n", d.Name, seeds)
+		for j, p := range policies {
+			list := results[i][j]
+			mean := func(of func(Result) float64) (sum float64) {
+				for _, r := range list {
+					sum += of(r) / float64(len(list))
+				}
+				return sum
+			}
+			tips, slow, most := 0, 0, 0
+			for _, r := range list {
+				tips += r.Tips
+				slow += r.TipsSlow
+				most = max(most, r.Moves)
+			}
+			line := fmt.Sprintf("  %-6s worth %.4f of what was offered, less price %.4f  crossings %.3f of calls, needless %6.1f  no room for %6.0f calls  pushed over %d survivors, %d slow ones  p99 %4.0f ms  plans %3.0f, moves %2d at most",
+				p, mean(func(r Result) float64 { return r.Worth / r.Offered }), mean(Result.Net), mean(func(r Result) float64 { return float64(r.Crossings) / float64(max(1, r.Calls)) }),
+				mean(func(r Result) float64 { return float64(r.Needless) }), mean(func(r Result) float64 { return float64(r.Over) }), tips, slow,
+				mean(func(r Result) float64 { return r.P99.Seconds() * 1000 }), mean(func(r Result) float64 { return float64(r.Plans) }), most)
+			if j > 0 {
+				diffs := make([]float64, len(list))
+				for k, r := range list {
+					diffs[k] = results[i][0][k].Net() - r.Net()
+				}
+				ahead := world.Bootstrap(diffs, 1)
+				line += fmt.Sprintf("  %s is ahead by %+.4f (%+.4f to %+.4f)", policies[0], ahead.Mean, ahead.Low, ahead.High)
+			}
+			fmt.Fprintln(out, line)
+		}
+	}
+	return results, nil
+}
--- a/internal/lab/provider.go
+++ b/internal/lab/provider.go
@@ -40,6 +40,7 @@
 	Name   string
 	Group  int
 	Status string
+	Zone   string  // "" is z
 	Weight float64 // calls a second, as it is listed; 0 is 50
 	Handle func(*Call) (keep bool)
 	// Small bounds what the kernel takes on for a reader that stops: its receive buffer, in bytes; 0 leaves it.
--- a/internal/routing/calls.go
+++ b/internal/routing/calls.go
@@ -133,6 +133,10 @@
 	if c.begun { // on another connection now, with nothing written yet
 		return true
 	}
+	if !r.mayGo(p) {
+		r.counters.HeldBack++
+		return false
+	}
 	if err := r.cfg.Log.Started(c.msg.seq, time.Now(), p.Zone); err != nil {
 		r.journal(err) // a call that no later life would know of
 		r.journal(r.cfg.Log.Outcome(c.msg.seq, false))
@@ -160,6 +164,7 @@
 		out = mb.ConnectFailed
 	}
 	r.counters.outcome(out)
+	r.steered(c, out)
 	h.last = out
 	never := out == mb.Full || out == mb.ConnectFailed || out == mb.Moot
 	if c.begun {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -38,6 +38,8 @@
 	Past func(id string) (delivered, known bool)
 	// Guard stands before those who keep copies of what is held here; nil: nobody does.
 	Guard Guard
+	// Steering says where calls may go; nil: everywhere.
+	Steering Steering
 }
 
 type timer struct {
@@ -55,7 +57,8 @@
 	done      chan struct{}
 	classes   map[string]time.Duration // how long a message may live
 	providers map[string]Provider
-	groups    map[int64]bool // destinations ever listed
+	groups    map[int64]bool  // destinations ever listed
+	barred    map[string]bool // providers to which calls may not go now; see Steering
 	messages  map[uint64]*held
 	ids       map[string]*held // by the consumers' id, until the end
 	past      pastIDs
@@ -85,7 +88,7 @@
 	r := &Router{
 		cfg: cfg, decider: decider, startedAt: time.Now(), events: make(chan func(), eventRoom),
 		done: make(chan struct{}), classes: map[string]time.Duration{}, providers: map[string]Provider{},
-		groups: map[int64]bool{}, messages: map[uint64]*held{}, ids: map[string]*held{},
+		groups: map[int64]bool{}, barred: map[string]bool{}, messages: map[uint64]*held{}, ids: map[string]*held{},
 		past: pastIDs{delivered: map[string]bool{}}, waiting: map[uint64]*held{}, noticed: map[uint64]*held{},
 	}
 	if cfg.Recall != nil { // the past that the module is told of lies before its clock's beginning, else
@@ -368,6 +371,7 @@
 			if !listed[name] {
 				r.cfg.Invoker.CloseIdle(name)
 				delete(r.providers, name)
+				delete(r.barred, name)
 			}
 		}
 	}
@@ -382,10 +386,7 @@
 			r.providers[p.Name] = p
 			r.groups[p.Group] = true
 		}
-		entries = append(entries, mb.Entry{
-			Endpoint: mb.EndpointID(p.Name), Zone: p.Zone, Kind: p.Kind, Destination: mb.DestinationID(p.Group),
-			Readiness: p.State, CapacityHint: p.Weight,
-		})
+		entries = append(entries, r.entry(p))
 	}
 	r.decide(mb.Members{Scope: scope, Entries: entries})
 }
--- /dev/null
+++ b/internal/routing/steer.go
@@ -0,0 +1,90 @@
+package routing
+
+import (
+	"time"
+
+	mb "mulleinbeam"
+)
+
+// Where calls may go, where a fleet decides that in common. Without a Steering they may go everywhere, and nothing here is used. The
+// router's goroutine owns it all; what is exported may be called from any goroutine.
+
+// Steering says to which zones this forwarder's calls may go. All but Allows and Takes are told, not asked; all come from the router's
+// goroutine and must not wait.
+type Steering interface {
+	// Handed is told of each new message that is handed in.
+	Handed(destination int64)
+	// Called is told how a call ended. One that did not begin says how its connection failed.
+	Called(destination int64, zone string, out mb.Outcome, took time.Duration)
+	// Allows says whether a call may go to a destination's endpoints in a zone now.
+	Allows(destination int64, zone string) bool
+	// Takes books a call that is about to begin; false says that what was allowed is used up.
+	Takes(destination int64, zone string) bool
+}
+
+// Steer looks again at where calls may go. The module takes an endpoint that they may not go to for one that drains: calls that are
+// out go on, and no new ones are made.
+func (r *Router) Steer() { r.post(r.steer) }
+
+func (r *Router) steer() {
+	var entries []mb.Entry
+	for name, p := range r.providers {
+		if p.State == mb.Serving && r.barred[name] == r.cfg.Steering.Allows(p.Group, p.Zone) {
+			entries = append(entries, r.entry(p))
+		}
+	}
+	if len(entries) > 0 {
+		r.decide(mb.Members{Scope: mb.ListChanges, Entries: entries})
+	}
+}
+
+// entry is what the module is told of an endpoint.
+func (r *Router) entry(p Provider) mb.Entry {
+	state := p.State
+	if r.cfg.Steering != nil {
+		if delete(r.barred, p.Name); state == mb.Serving && !r.cfg.Steering.Allows(p.Group, p.Zone) {
+			r.barred[p.Name], state = true, mb.Draining
+		}
+	}
+	return mb.Entry{
+		Endpoint: mb.EndpointID(p.Name), Zone: p.Zone, Kind: p.Kind, Destination: mb.DestinationID(p.Group), Readiness: state,
+		CapacityHint: p.Weight,
+	}
+}
+
+// mayGo says whether a call may begin where it goes, and books it.
+func (r *Router) mayGo(p Provider) bool {
+	if r.cfg.Steering == nil {
+		return true
+	}
+	ok := !r.barred[p.Name] && r.cfg.Steering.Takes(p.Group, p.Zone)
+	r.steer() // what is allowed may be used up by it
+	return ok
+}
+
+// steered tells how a call ended.
+func (r *Router) steered(c *invocation, out mb.Outcome) {
+	if r.cfg.Steering == nil || out == mb.Moot || out == mb.Cancelled {
+		return
+	}
+	p := r.providers[c.provider]
+	r.cfg.Steering.Called(c.msg.Destination, p.Zone, out, time.Since(c.sentAt))
+}
+
+// Sites is what the list says of the capacity that destinations have in each zone, calls a second.
+func (r *Router) Sites() map[int64]map[string]float64 {
+	sites, _ := ask(r, func() map[int64]map[string]float64 {
+		out := map[int64]map[string]float64{}
+		for _, p := range r.providers {
+			if p.State != mb.Serving {
+				continue
+			}
+			if out[p.Group] == nil {
+				out[p.Group] = map[string]float64{}
+			}
+			out[p.Group][p.Zone] += p.Weight
+		}
+		return out
+	})
+	return sites
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"strconv"
@@ -21,6 +22,72 @@
 	Journal *Journal `toml:"journal"`
 	Learned *Learned `toml:"learned"`
 	Cluster *Cluster `toml:"cluster"`
+	Place   *Place   `toml:"place"`
+}
+
+// Place says how this fleet's places lie to each other, and that where traffic goes is decided in common.
+type Place struct {
+	Regions   map[string]string `toml:"regions"` // of zones; one that is not named is a region of its own
+	Within    Crossing          `toml:"within"`  // between two zones of a region
+	Across    Crossing          `toml:"across"`  // between two regions
+	Crossings []OneWay          `toml:"crossing"`
+	Hold      Duration          `toml:"hold"`    // how long a plan holds for one that hears of no other
+	Window    Duration          `toml:"window"`  // in which evidence is gathered, and from plan to plan
+	Reserve   float64           `toml:"reserve"` // share of each place's capacity for those without a plan
+	Members   int               `toml:"members"` // forwarders that there may be at the most: their parts of the reserve
+}
+
+// Crossing is what it costs to go from one place to another.
+type Crossing struct {
+	Delay    Duration `toml:"delay"`
+	Price    float64  `toml:"price"`    // of a call
+	Capacity float64  `toml:"capacity"` // calls a second; 0 is no bound
+}
+
+// OneWay is one that differs from the others.
+type OneWay struct {
+	From string `toml:"from"`
+	To   string `toml:"to"`
+	Crossing
+}
+
+var placeDefaults = Place{
+	Within: Crossing{Delay: Duration(2 * time.Millisecond)}, Across: Crossing{Delay: Duration(30 * time.Millisecond)},
+	Hold: Duration(6 * time.Second), Window: Duration(time.Second), Reserve: 0.04, Members: 300,
+}
+
+func (c Crossing) absurd() bool {
+	amount := func(f float64) bool { return f >= 0 && !math.IsInf(f, 1) }
+	return c.Delay < 0 || !amount(c.Price) || !amount(c.Capacity)
+}
+
+// check gives the key that can't be used, and why.
+func (p Place) check(c *Cluster) (key, what string) {
+	const amounts = "a delay, price or capacity is below 0, or no number"
+	for _, o := range p.Crossings {
+		if o.From == "" || o.To == "" || o.From == o.To || o.absurd() {
+			return "place.crossing", fmt.Sprintf("from %q to %q: two zones are needed, and no delay, price or capacity below 0", o.From, o.To)
+		}
+	}
+	switch {
+	case c == nil:
+		return "place", "it needs [cluster]: plans are decided by the council"
+	case c.Zone == "":
+		return "place", "it needs [cluster] zone"
+	case p.Within.absurd():
+		return "place.within", amounts
+	case p.Across.absurd():
+		return "place.across", amounts
+	case time.Duration(p.Window) < leastWindowOf || time.Duration(p.Window) > time.Minute:
+		return "place.window", fmt.Sprintf("%v; from %v to 1m are possible", time.Duration(p.Window), leastWindowOf)
+	case p.Hold < 3*p.Window || time.Duration(p.Hold) > time.Hour:
+		return "place.hold", fmt.Sprintf("%v; from three windows to 1h are possible", time.Duration(p.Hold))
+	case !(p.Reserve >= 0 && p.Reserve <= 0.5):
+		return "place.reserve", "it is from 0 to 0.5"
+	case p.Members < 1 || p.Members > mostMembers:
+		return "place.members", fmt.Sprintf("%d; from 1 to %d are possible", p.Members, mostMembers)
+	}
+	return "", ""
 }
 
 // Cluster says how this forwarder belongs to a fleet that keeps copies of what each owes.
@@ -58,6 +125,8 @@
 	mostLease     = time.Minute
 	leastPatience = 50 * time.Millisecond
 	leastCatchUp  = 64 << 10
+	leastWindowOf = 100 * time.Millisecond
+	mostMembers   = 100_000
 	leastBeat     = 10 * time.Millisecond
 	leastBelieve  = time.Second
 	mostBelieve   = 10 * time.Minute
@@ -274,6 +343,10 @@
 		c := clusterDefaults
 		f.Cluster = &c
 	}
+	if _, ok := lines["place"]; ok {
+		p := placeDefaults
+		f.Place = &p
+	}
 	dec := toml.NewDecoder(strings.NewReader(string(raw))).DisallowUnknownFields()
 	if err := dec.Decode(&f); err != nil {
 		return File{}, located(path, err)
@@ -315,6 +388,11 @@
 			return bad(key, "%s", what)
 		}
 	}
+	if p := f.Place; p != nil {
+		if key, what := p.check(f.Cluster); key != "" {
+			return bad(key, "%s", what)
+		}
+	}
 	if j := f.Journal; j != nil {
 		switch {
 		case j.Durability != DurabilityNone && j.Durability != DurabilityBatch && j.Durability != DurabilityEach:
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -80,7 +81,22 @@
 	if diff := cmp.Diff(&wanted, c.Cluster); diff != "" || len(wanted.Founders) != 3 {
 		t.Errorf("the fleet's example differs from the defaults:\n%s", diff)
 	}
-	if diff := cmp.Diff(File{&bodiesDefaults, &journalDefaults, &learnedDefaults, nil}, f); diff != "" {
+	place, err := os.ReadFile("../../deploy/place.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	both, err := Parse("deploy/place.toml", append(fleet, place...))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p := both.Place; p.Hold != placeDefaults.Hold || p.Window != placeDefaults.Window || p.Reserve != placeDefaults.Reserve || p.Members != placeDefaults.Members ||
+		len(p.Crossings) != 1 || p.Crossings[0].Price != 0.3 || p.Regions["z3"] != "r2" {
+		t.Errorf("the example of places: %+v", p)
+	}
+	if _, err := Parse("p.toml", place); err == nil || !strings.Contains(err.Error(), "it needs [cluster]") {
+		t.Errorf("places without a fleet: %v", err)
+	}
+	if diff := cmp.Diff(File{Bodies: &bodiesDefaults, Journal: &journalDefaults, Learned: &learnedDefaults}, f); diff != "" {
 		t.Errorf("the example differs from the defaults:\n%s", diff)
 	}
 }
