Failover: what a planner was told can be recorded, and replayed with other settings

The laboratory's three ways of waiting for a member share one.

Test: replayed by the same settings each window gives the same plan; by others (100 windows for a verdict) the move out is not made.

--- a/cmd/larklab/main.go
+++ b/cmd/larklab/main.go
@@ -36,6 +36,7 @@
 	Compare    compareCmd `cmd:"" help:"Play a scenario with and without a change, paired by seed."`
 	Live       liveCmd    `cmd:"" help:"Play a scenario in real time with the real program, with and without learned state, beside virtual time."`
 	Places     placesCmd  `cmd:"" help:"Days of a fleet in several zones and regions in virtual time, by the plan and by what it is compared with."`
+	Plan       planCmd    `cmd:"" help:"What was decided on recorded evidence of a fleet's traffic, and what other settings would have said to it."`
 	Cluster    clusterCmd `cmd:"" help:"A fleet of real processes that keep copies for each other, and what lies between them."`
 	Relay      relayCmd   `cmd:"" hidden:"" help:"A bare relay to compare with."`
 }
--- a/cmd/larkreach/fleet_on.go
+++ b/cmd/larkreach/fleet_on.go
@@ -75,7 +75,7 @@
 	}
 	out := &node.PlaceConfig{
 		Places:  plan.Places{Region: p.Regions, Within: crossing(p.Within), Across: crossing(p.Across), Pairs: map[[2]string]plan.Crossing{}},
-		Planner: plan.Defaults(), Window: time.Duration(p.Window), Members: p.Members,
+		Planner: plan.Defaults(), Window: time.Duration(p.Window), Members: p.Members, Record: p.Record,
 		Worth: map[string]float64{},
 	}
 	out.Planner.Hold, out.Planner.Reserve = time.Duration(p.Hold), p.Reserve
--- a/internal/cluster/node/plans.go
+++ b/internal/cluster/node/plans.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/gob"
 	"fmt"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -22,6 +23,7 @@
 	saveUp      = 1500 * time.Millisecond // of what a member may send to a place it may have saved up
 	historyMost = 256
 	planMost    = 4 << 20 // bytes of one
+	recordMost  = 64 << 20
 )
 
 // PlaceConfig is what a member is told of places.
@@ -29,6 +31,7 @@
 	Places  plan.Places
 	Planner plan.Config
 	Window  time.Duration
+	Record  string             // a file of what the planner was told, where this leads; "" is none
 	Members int                // forwarders that there may be at the most
 	Worth   map[string]float64 // of a message, by class
 }
@@ -52,6 +55,8 @@
 	stepped  time.Duration
 	planner  *plan.Planner
 	from     uint64 // the plan that the planner went on from, or has had decided
+	record   *plan.Recorder
+	file     *os.File
 }
 
 // Decision is a plan's moves as this member heard of them.
@@ -158,6 +163,11 @@
 func (s *steering) run(ctx context.Context) {
 	beat := time.NewTicker(steerEvery)
 	defer beat.Stop()
+	defer func() {
+		if s.file != nil {
+			_ = s.file.Close()
+		}
+	}()
 	window := s.n.now()
 	for {
 		select {
@@ -302,8 +312,9 @@
 	in.Elapsed, s.stepped = min(now-s.stepped, 2*s.cfg.Window), now
 	in.Capacity = s.sites
 	in.Zones, s.zones = s.zones, map[string]plan.Summary{}
-	if s.planner == nil || s.from != state.Plan.Number {
-		var from *plan.Plan
+	began := s.planner == nil || s.from != state.Plan.Number
+	var from *plan.Plan
+	if began {
 		if state.Plan.Number > 0 {
 			var err error
 			if from, err = readPlan(state.Plan.Content); err != nil {
@@ -315,6 +326,7 @@
 	}
 	next, changed := s.planner.Step(in)
 	s.mu.Unlock()
+	s.note(plan.Recorded{Input: in, Places: s.cfg.Places, Config: s.cfg.Planner, Begin: from, Began: began}, next, changed)
 	if !changed {
 		return
 	}
@@ -337,6 +349,29 @@
 	s.n.tasks.Go(func() error { s.n.learn(r.State); return nil })
 }
 
+// note writes a window to the record, if there is one.
+func (s *steering) note(w plan.Recorded, next *plan.Plan, changed bool) {
+	if s.cfg.Record == "" {
+		return
+	}
+	if changed {
+		w.Plan = next
+	}
+	if s.record == nil {
+		f, err := os.Create(s.cfg.Record)
+		if err != nil {
+			s.n.cfg.Logger.Warn().Str("part", "plan").Err(err).Msg("no record is kept")
+			s.cfg.Record = ""
+			return
+		}
+		s.file, s.record = f, plan.NewRecorder(f, recordMost)
+	}
+	if err := s.record.Window(w); err != nil {
+		s.n.cfg.Logger.Warn().Str("part", "plan").Err(err).Msg("the record ends here")
+		s.cfg.Record = ""
+	}
+}
+
 // planRPC is what members tell each other of traffic.
 type planRPC struct{ n *Node }
 
--- a/internal/cluster/plan/plan_test.go
+++ b/internal/cluster/plan/plan_test.go
@@ -1,11 +1,14 @@
 package plan
 
 import (
+	"bytes"
 	"fmt"
 	"math"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"pgregory.net/rapid"
 )
 
@@ -253,3 +256,80 @@
 		t.Error("turned away for no plan's sake")
 	}
 }
+
+// A record replayed by the same settings gives the same plans; by others it may not.
+func TestReplay(t *testing.T) {
+	var b bytes.Buffer
+	r := NewRecorder(&b, 1<<20)
+	p := New(Defaults(), regions, nil)
+	for i := range 12 {
+		in := Input{Elapsed: time.Second, Zones: map[string]Summary{}, Capacity: map[int64]map[string]float64{1: even(100)}, Members: map[string]int{}}
+		for place, n := range even(40) {
+			tally := Tally{OK: n}
+			if i > 3 && place == "a" {
+				tally = Tally{NoConnect: 10}
+			}
+			in.Zones[place] = Summary{Place: place, Obeys: p.last.Version, Demand: map[int64]float64{1: n}, Paths: map[Path]Tally{{1, place}: tally}}
+		}
+		w := Recorded{Input: in, Places: regions, Config: Defaults(), Began: i == 0}
+		if next, changed := p.Step(in); changed {
+			w.Plan = next
+		}
+		if err := r.Window(w); err != nil {
+			t.Fatal(err)
+		}
+	}
+	replay := func(edit func(*Config)) (differ, outs int) {
+		err := Replay(bytes.NewReader(b.Bytes()), edit, func(_ int, then, now *Plan) {
+			if !cmp.Equal(then, now, cmpopts.EquateEmpty()) {
+				differ++
+			}
+			if now != nil {
+				for _, m := range now.Moves {
+					if m.Kind == "out" {
+						outs++
+					}
+				}
+			}
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return differ, outs
+	}
+	if differ, outs := replay(func(*Config) {}); differ != 0 || outs != 1 {
+		t.Errorf("%d windows differ by the same settings, %d moves out", differ, outs)
+	}
+	if differ, outs := replay(func(c *Config) { c.Confirm = 100 }); differ == 0 || outs != 0 {
+		t.Errorf("%d windows differ by others, %d moves out", differ, outs)
+	}
+}
+
+// BenchmarkStep is a window's planning, with so many destinations in six places, one of which is down.
+func BenchmarkStep(b *testing.B) {
+	for _, destinations := range []int64{10, 100, 1000} {
+		b.Run(fmt.Sprint(destinations), func(b *testing.B) {
+			places := Places{Region: map[string]string{"a1": "a", "a2": "a", "a3": "a", "b1": "b", "b2": "b", "b3": "b"}}
+			in := Input{Elapsed: time.Second, Zones: map[string]Summary{}, Capacity: map[int64]map[string]float64{}, Members: map[string]int{}}
+			for place := range places.Region {
+				z := Summary{Place: place, Observers: 50, Demand: map[int64]float64{}, Paths: map[Path]Tally{}}
+				for d := range destinations {
+					t := Tally{OK: 60}
+					if place == "a1" {
+						t = Tally{NoConnect: 60}
+					}
+					z.Demand[d], z.Paths[Path{d, place}] = 60, t
+					if in.Capacity[d] == nil {
+						in.Capacity[d] = map[string]float64{}
+					}
+					in.Capacity[d][place] = 100
+				}
+				in.Zones[place], in.Members[place] = z, 50
+			}
+			p := New(Defaults(), places, nil)
+			for b.Loop() {
+				p.Step(in)
+			}
+		})
+	}
+}
--- a/internal/lab/cluster/fleet.go
+++ b/internal/lab/cluster/fleet.go
@@ -337,19 +337,9 @@
 	return node.Look(ctx, f.Members[i].Links)
 }
 
-// Await looks at a member until something holds of it. It ends only with the member, or with who waits.
+// Await looks at a member until something holds of it.
 func (f *Fleet) Await(ctx context.Context, i int, what string, holds func(node.Status) bool) error {
-	for {
-		s, err := f.Look(i)
-		if err == nil && holds(s) {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return fmt.Errorf("n%d: no %s: %w; last %+v %v", i, what, ctx.Err(), s, err)
-		case <-time.After(10 * time.Millisecond):
-		}
-	}
+	return await(ctx, f, i, what, node.Look, holds)
 }
 
 // Order has the council decide something, whichever founder takes it.
@@ -374,34 +364,29 @@
 	}
 }
 
-// AwaitPlan looks at where a member sees traffic go until something holds of it.
-func (f *Fleet) AwaitPlan(ctx context.Context, i int, what string, holds func(node.PlanStatus) bool) error {
+// await looks at a member until something holds of it. It ends only with the member, or with who waits.
+func await[T any](ctx context.Context, f *Fleet, i int, what string, look func(ctx context.Context, address string) (T, error), holds func(T) bool) error {
 	for {
 		call, cancel := context.WithTimeout(ctx, 2*time.Second)
-		s, err := node.LookPlan(call, f.Members[i].Links)
+		s, err := look(call, f.Members[i].Links)
 		cancel()
 		if err == nil && holds(s) {
 			return nil
 		}
 		if !lab.Sleep(ctx, 10*time.Millisecond) {
-			return fmt.Errorf("n%d: no %s: %w; last plan %+v, %+v, %v", i, what, ctx.Err(), s.Plan, s.History, err)
+			return fmt.Errorf("n%d: no %s: %w; last %+v %v", i, what, ctx.Err(), s, err)
 		}
 	}
 }
 
+// AwaitPlan looks at where a member sees traffic go until something holds of it.
+func (f *Fleet) AwaitPlan(ctx context.Context, i int, what string, holds func(node.PlanStatus) bool) error {
+	return await(ctx, f, i, what, node.LookPlan, holds)
+}
+
 // AwaitFacts looks at what a member knows of partners until something holds of it.
 func (f *Fleet) AwaitFacts(ctx context.Context, i int, what string, holds func(node.FactsStatus) bool) error {
-	for {
-		call, cancel := context.WithTimeout(ctx, 2*time.Second)
-		s, err := node.LookFacts(call, f.Members[i].Links)
-		cancel()
-		if err == nil && holds(s) {
-			return nil
-		}
-		if !lab.Sleep(ctx, 10*time.Millisecond) {
-			return fmt.Errorf("n%d: no %s: %w; last %+v %v", i, what, ctx.Err(), s, err)
-		}
-	}
+	return await(ctx, f, i, what, node.LookFacts, holds)
 }
 
 // AwaitCopied waits until each of the members may act, speaks in the council if it is a founder, and has as many counted keepers as the
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -34,6 +34,7 @@
 	Hold      Duration          `toml:"hold"`    // how long a plan holds for one that hears of no other
 	Window    Duration          `toml:"window"`  // in which evidence is gathered, and from plan to plan
 	Reserve   float64           `toml:"reserve"` // share of each place's capacity for those without a plan
+	Record    string            `toml:"record"`  // a file of the planner's evidence, for larklab plan; "" is none
 	Members   int               `toml:"members"` // forwarders that there may be at the most: their parts of the reserve
 }
 
