Failover: a crossing sways by a quarter while its last step is not seen; slow and flapping zones

An origin that waited for its step at the nearest place was granted nothing further away at all, so what had gone there in the window before was taken back.

Now a crossing grows by up to a quarter while its last step is not seen: demand is never quite the same from window to window, and that was what had spilled over to the other region.

Tests: six processes with a zone that takes thirty times as long (less for it, the rest next door, home again, never out), and one that comes and goes every three seconds for 18 s (three moves out at the most).

--- a/cmd/larkreach/fleet_plan_test.go
+++ b/cmd/larkreach/fleet_plan_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,7 +42,13 @@
 // newPlacesOf does so with sites that take so many calls a second.
 func newPlacesOf(t *testing.T, capacity float64, loaded ...int) *fleetSite {
 	t.Helper()
-	f := newFleetOf(t, cluster.Setup{Members: 6, Zones: 4, Sites: 4, Settings: placesSettings}, &lab.Provider{Name: "p", Weight: capacity})
+	return newPlacesWith(t, &lab.Provider{Name: "p", Weight: capacity}, loaded...)
+}
+
+// newPlacesWith does so with sites that are like one.
+func newPlacesWith(t *testing.T, site *lab.Provider, loaded ...int) *fleetSite {
+	t.Helper()
+	f := newFleetOf(t, cluster.Setup{Members: 6, Zones: 4, Sites: 4, Settings: placesSettings}, site)
 	ctx, stop := context.WithCancel(f.ctx)
 	var clients sync.WaitGroup
 	t.Cleanup(func() { stop(); clients.Wait() })
@@ -218,3 +225,51 @@
 		return true
 	}))
 }
+
+// A zone's partner takes thirty times as long without one failure: it is sent less, what it can't take goes to the next zone, and comes
+// home when it is quick again.
+func TestFleetSlowZone(t *testing.T) {
+	t.Parallel()
+	var slow atomic.Pointer[string] // its address
+	p := &lab.Provider{Name: "p", Weight: 100, Handle: func(c *lab.Call) bool {
+		if at := slow.Load(); at != nil && c.Conn.LocalAddr().String() == *at {
+			time.Sleep(300 * time.Millisecond) // the partner's own time
+		}
+		return c.ReadAll(0) == nil && c.Answer(200, "") == nil
+	}}
+	f := newPlacesWith(t, p, 0, 4)
+	must(t, f.AwaitPlan(f.ctx, 4, "usual time", func(s node.PlanStatus) bool {
+		return slices.ContainsFunc(s.Plan.Sites, func(x plan.Site) bool { return x.Place == "z0" && x.Usual > 0 })
+	}))
+	at := f.Partners[0].Address()
+	slow.Store(&at)
+	must(t, f.AwaitPlan(f.ctx, 4, "less for z0", func(s node.PlanStatus) bool { return movesOf(s, "slow", "z0") == 1 && grant(s, "z0", "z1").Rate > 0 }))
+	slow.Store(nil)
+	must(t, f.AwaitPlan(f.ctx, 4, "all for z0", func(s node.PlanStatus) bool {
+		return movesOf(s, "near again", "z0") == 1 && grant(s, "z0", "z1").Rate == 0
+	}))
+	must(t, f.AwaitPlan(f.ctx, 4, "history", func(s node.PlanStatus) bool {
+		if n := movesOf(s, "out", "z0"); n > 0 {
+			t.Errorf("%d times out: %+v", n, s.History)
+		}
+		return true
+	}))
+}
+
+// A partner that comes and goes every three seconds: it rests longer each time, and is not run after.
+func TestFleetFlapping(t *testing.T) {
+	t.Parallel()
+	f := newPlaces(t, 0, 4)
+	for range 6 {
+		f.Partners[0].Down()
+		lab.Sleep(f.ctx, 1500*time.Millisecond) // the fault's own time
+		must(t, f.Partners[0].Up())
+		lab.Sleep(f.ctx, 1500*time.Millisecond)
+	}
+	must(t, f.AwaitPlan(f.ctx, 4, "history", func(s node.PlanStatus) bool {
+		if out, back := movesOf(s, "out", "z0"), movesOf(s, "back", "z0"); out < 1 || out > 3 || back > out {
+			t.Errorf("%d out, %d back in 18 s: %+v", out, back, s.History)
+		}
+		return true
+	}))
+}
--- a/internal/cluster/plan/planner.go
+++ b/internal/cluster/plan/planner.go
@@ -49,6 +49,7 @@
 	fallShare   = 0.3   // and in a demand that falls
 	evacuation  = 0.25  // of what is asked for there, that leaves a place in one window
 	mostDemand  = 1e7   // messages a second at one place that are believed
+	sway        = 0.25  // by which a crossing may grow while the step before is not seen yet
 	runLeast    = 4     // calls lost in a row, over windows, that say as much as a window,
 	runMost     = 8     // and more say no more
 )
@@ -651,7 +652,6 @@
 // steps, the next once all go by the one before and the place has not refused it.
 func (p *Planner) cross(d int64, in Input, origins, targets []string, left, room map[string]float64, floor map[way]float64, cut func(from, to string) bool) map[way]float64 {
 	out := map[way]float64{}
-	waits := map[string]bool{}
 	start := maps.Clone(room)
 	for _, to := range targets { // what may be gone by anyhow takes its room; above it, shares of what is left
 		for _, from := range origins {
@@ -666,7 +666,7 @@
 		asks := map[string][]way{}
 		want := map[way]float64{}
 		for _, from := range origins {
-			if rank >= len(order[from]) || left[from] <= 0 || waits[from] {
+			if rank >= len(order[from]) || left[from] <= 0 {
 				continue
 			}
 			to := order[from][rank]
@@ -687,10 +687,7 @@
 			case p.refuses(d, to, in):
 				grown = was
 			case was > 0 && p.seen[from] < p.grew[from] && p.waited[from] < p.cfg.Hold:
-				grown = was
-				if room[to] > 0 { // it can grow when the step before is seen: nothing goes further for that
-					waits[from] = true
-				}
+				grown = (1 + sway) * was // demand is never quite the same; no further place is turned to for that
 			}
 			want[w] = math.Min(left[from], math.Min(most, grown))
 			asks[to] = append(asks[to], w)
