--- a/cmd/larklab/places.go
+++ b/cmd/larklab/places.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"runtime"
@@ -14,6 +15,7 @@
 	Seeds    int      `default:"5" help:"Plays of each day and policy."`
 	Days     []string `help:"Some of the days, by name; all if none is named."`
 	Policies []string `help:"Some of the policies (plan, near, alike, alone, truth); all if none is named. The first is compared with the others."`
+	HTML     string   `name:"html" placeholder:"FILE" help:"A report as one page."`
 }
 
 // Run plays.
@@ -34,6 +36,13 @@
 	}
 	ctx, stop := interruptible()
 	defer stop()
-	_, err := places.Compare(ctx, places.Wide, days, c.Policies, c.Seeds, runtime.NumCPU(), os.Stdout)
-	return err
+	results, err := places.Compare(ctx, places.Wide, days, c.Policies, c.Seeds, runtime.NumCPU(), os.Stdout)
+	if err != nil || c.HTML == "" {
+		return err
+	}
+	f, err := os.Create(c.HTML)
+	if err != nil {
+		return err
+	}
+	return errors.Join(places.Page(f, places.Wide, days, c.Policies, results), f.Close())
 }
--- a/internal/cluster/plan/plan_test.go
+++ b/internal/cluster/plan/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/gob"
 	"fmt"
 	"math"
 	"testing"
@@ -333,3 +334,40 @@
 		})
 	}
 }
+
+// BenchmarkMerge is a zone's summary of fifty forwarders that each call so many destinations near, and what reports and summary take as
+// the links encode them.
+func BenchmarkMerge(b *testing.B) {
+	for _, destinations := range []int64{10, 100} {
+		b.Run(fmt.Sprint(destinations), func(b *testing.B) {
+			var list []Report
+			for i := range 50 {
+				r := Report{Observer: fmt.Sprintf("forwarder-%04d/1", i), Place: "a1", Span: time.Second, Obeys: 1000, Demand: map[int64]float64{}, Paths: map[Path]Tally{}}
+				for d := range destinations {
+					t := Tally{OK: 3}
+					t.Book(40 * time.Millisecond)
+					t.Book(90 * time.Millisecond)
+					r.Demand[d], r.Paths[Path{d, "a1"}] = 3, t
+				}
+				list = append(list, r)
+			}
+			size := func(v any) float64 {
+				var first bytes.Buffer
+				enc := gob.NewEncoder(&first)
+				if err := enc.Encode(v); err != nil {
+					b.Fatal(err)
+				}
+				first.Reset() // what a connection says once
+				if err := enc.Encode(v); err != nil {
+					b.Fatal(err)
+				}
+				return float64(first.Len())
+			}
+			for b.Loop() {
+				Merge("a1", list)
+			}
+			b.ReportMetric(size(list[0]), "B/report")
+			b.ReportMetric(size(Merge("a1", list)), "B/summary")
+		})
+	}
+}
--- /dev/null
+++ b/internal/lab/places/page.go
@@ -0,0 +1,121 @@
+package places
+
+import (
+	"fmt"
+	"html/template"
+	"io"
+	"slices"
+
+	"mulleinbeam/internal/lab/report"
+)
+
+var page = template.Must(template.New("page").Parse(`<!doctype html>
+<html lang="en"><meta charset="utf-8"><title>Days of zones and regions</title>
+<style>
+body { font: 15px/1.45 system-ui, sans-serif; max-width: 60rem; margin: 2rem auto; padding: 0 1rem; color: #222 }
+table { border-collapse: collapse; margin: 1rem 0 } td, th { padding: .25rem .7rem; border-bottom: 1px solid #ddd; text-align: right }
+td:first-child, th:first-child { text-align: left }
+svg { max-width: 100%; height: auto } figure { margin: 1.5rem 0 } figcaption { color: #555 }
+</style>
+<h1>Days of zones and regions</h1>
+<p>{{.Forwarders}} forwarders in {{.Zones}} zones, {{.Sites}} destinations with a site in each, {{.Seeds}} seeds a day and policy, in virtual time.</p>
+{{range .Days}}<h2>{{.Name}}</h2>
+<table><tr><th>policy<th>worth<th>less price<th>crossings of calls<th>no room, calls<th>survivors pushed over<th>p99, ms<th>moves at most</tr>
+{{range .Rows}}<tr><td>{{.Policy}}<td>{{printf "%.4f" .Worth}}<td>{{printf "%.4f" .Net}}<td>{{printf "%.3f" .Crossings}}<td>{{printf "%.0f" .Over}}<td>{{.Tips}}<td>{{printf "%.0f" .P99}}<td>{{.Moves}}</tr>
+{{end}}</table>
+{{range .Plots}}<figure>{{.SVG}}<figcaption>{{.Caption}}</figcaption></figure>
+{{end}}{{end}}</html>
+`))
+
+type dayPage struct {
+	Name  string
+	Rows  []row
+	Plots []figure
+}
+
+type figure struct {
+	SVG     template.HTML
+	Caption string
+}
+
+// row is what a policy delivered on a day, on average over the seeds.
+type row struct {
+	Policy                           string
+	Worth, Net, Crossings, Over, P99 float64
+	Needless, Plans                  float64
+	Tips, TipsSlow, Moves            int // in all seeds, and at the most
+}
+
+func rowOf(policy string, list []Result) row {
+	out := row{Policy: policy}
+	n := float64(max(1, len(list)))
+	for _, r := range list {
+		out.Worth += r.Worth / r.Offered / n
+		out.Net += r.Net() / n
+		out.Crossings += float64(r.Crossings) / float64(max(1, r.Calls)) / n
+		out.Over += float64(r.Over) / n
+		out.P99 += r.P99.Seconds() * 1000 / n
+		out.Needless += float64(r.Needless) / n
+		out.Plans += float64(r.Plans) / n
+		out.Tips += r.Tips
+		out.TipsSlow += r.TipsSlow
+		out.Moves = max(out.Moves, r.Moves)
+	}
+	return out
+}
+
+// Page writes results, as Compare gives them, as one page that needs nothing beside itself. Plots are of the first policy's first seed.
+func Page(w io.Writer, s Setup, days []Day, policies []string, results [][][]Result) error {
+	data := struct {
+		Forwarders, Zones, Sites, Seeds int
+		Days                            []dayPage
+	}{Forwarders: s.Forwarders, Zones: len(s.Zones), Sites: s.Sites}
+	var zones []string
+	for z := range s.Zones {
+		zones = append(zones, z)
+	}
+	slices.Sort(zones)
+	for i, d := range days {
+		p := dayPage{Name: d.Name}
+		for j, policy := range policies {
+			data.Seeds = len(results[i][j])
+			p.Rows = append(p.Rows, rowOf(policy, results[i][j]))
+		}
+		series := results[i][0][0].Series
+		byPlace := func(of func(Point) map[string]float64) (lines []report.Line) {
+			for _, z := range zones {
+				l := report.Line{Name: z}
+				for _, point := range series {
+					l.Values = append(l.Values, of(point)[z])
+				}
+				lines = append(lines, l)
+			}
+			return lines
+		}
+		demand, version := report.Line{Name: "asked for"}, report.Line{Name: "plan"}
+		for _, point := range series {
+			demand.Values = append(demand.Values, point.Demand)
+			version.Values = append(version.Values, float64(point.Version))
+		}
+		for _, plot := range []struct {
+			caption string
+			lines   []report.Line
+		}{
+			{"calls answered in each second, by place", byPlace(func(p Point) map[string]float64 { return p.ByPlace })},
+			{"calls a second that each place could answer", byPlace(func(p Point) map[string]float64 { return p.Room })},
+			{"messages handed in in each second", []report.Line{demand}},
+			{"the newest plan that any forwarder goes by", []report.Line{version}},
+		} {
+			svg, err := report.Plot(plot.lines)
+			if err != nil {
+				return fmt.Errorf("places: %w", err)
+			}
+			p.Plots = append(p.Plots, figure{template.HTML(svg), policies[0] + ", seed 1: " + plot.caption})
+		}
+		data.Days = append(data.Days, p)
+	}
+	if err := page.Execute(w, data); err != nil {
+		return fmt.Errorf("places: %w", err)
+	}
+	return nil
+}
--- a/internal/lab/places/places.go
+++ b/internal/lab/places/places.go
@@ -108,6 +108,7 @@
 // Point is one second of a run.
 type Point struct {
 	ByPlace map[string]float64 // calls answered
+	Room    map[string]float64 // calls a second that the place could answer
 	Demand  float64
 	Version uint64
 }
@@ -496,7 +497,7 @@
 // endWindow has reports go up, and whatever is decided come down.
 func (r *run) endWindow() {
 	reports := map[string][]plan.Report{}
-	p := Point{ByPlace: map[string]float64{}}
+	p := Point{ByPlace: map[string]float64{}, Room: map[string]float64{}}
 	for _, f := range r.fleet {
 		if o, obeys := f.choose.(interface{ obeys(time.Duration) uint64 }); obeys {
 			f.reports.Obeys = o.obeys(r.now)
@@ -512,6 +513,9 @@
 	}
 	for _, s := range r.order {
 		p.ByPlace[s.place] += s.answered
+		if s.up(r.now) {
+			p.Room[s.place] += s.present(r.now)
+		}
 		s.answered = 0
 	}
 	r.result.Series = append(r.result.Series, p)
--- a/internal/lab/places/report.go
+++ b/internal/lab/places/report.go
@@ -40,22 +40,9 @@
 		fmt.Fprintf(out, "%s, %d seeds\n", d.Name, seeds)
 		for j, p := range policies {
 			list := results[i][j]
-			mean := func(of func(Result) float64) (sum float64) {
-				for _, r := range list {
-					sum += of(r) / float64(len(list))
-				}
-				return sum
-			}
-			tips, slow, most := 0, 0, 0
-			for _, r := range list {
-				tips += r.Tips
-				slow += r.TipsSlow
-				most = max(most, r.Moves)
-			}
+			x := rowOf(p, list)
 			line := fmt.Sprintf("  %-6s worth %.4f of what was offered, less price %.4f  crossings %.3f of calls, needless %6.1f  no room for %6.0f calls  pushed over %d survivors, %d slow ones  p99 %4.0f ms  plans %3.0f, moves %2d at most",
-				p, mean(func(r Result) float64 { return r.Worth / r.Offered }), mean(Result.Net), mean(func(r Result) float64 { return float64(r.Crossings) / float64(max(1, r.Calls)) }),
-				mean(func(r Result) float64 { return float64(r.Needless) }), mean(func(r Result) float64 { return float64(r.Over) }), tips, slow,
-				mean(func(r Result) float64 { return r.P99.Seconds() * 1000 }), mean(func(r Result) float64 { return float64(r.Plans) }), most)
+				p, x.Worth, x.Net, x.Crossings, x.Needless, x.Over, x.Tips, x.TipsSlow, x.P99, x.Plans, x.Moves)
 			if j > 0 {
 				diffs := make([]float64, len(list))
 				for k, r := range list {
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -162,16 +162,14 @@
 
 var colours = []color.Color{
 	color.RGBA{0x1f, 0x5f, 0x9f, 0xff}, color.RGBA{0xc0, 0x55, 0x10, 0xff}, color.RGBA{0x2a, 0x80, 0x40, 0xff}, color.RGBA{0x80, 0x30, 0x80, 0xff},
+	color.RGBA{0x10, 0x90, 0x90, 0xff}, color.RGBA{0x90, 0x80, 0x10, 0xff}, color.RGBA{0x60, 0x60, 0x60, 0xff},
 }
 
 // plot draws one figure of each second, a line for each variant.
 func (p Page) plot(of func(world.Second) float64) (string, error) {
-	g := plot.New()
-	g.X.Label.Text = "seconds"
-	g.Y.Min = 0
-	g.Legend.Top = true
+	var lines []Line
 	for i, results := range p.Results {
-		var points plotter.XYs
+		l := Line{Name: p.Variants[i].Name}
 		for n := 0; ; n++ {
 			sum, there := 0.0, 0
 			for _, r := range results {
@@ -183,11 +181,33 @@
 			if there == 0 {
 				break
 			}
-			points = append(points, plotter.XY{X: float64(n), Y: sum / float64(len(results))})
+			l.Values = append(l.Values, sum/float64(len(results)))
 		}
-		if len(points) == 0 {
+		lines = append(lines, l)
+	}
+	return Plot(lines)
+}
+
+// Line is one of a plot, a value for each second.
+type Line struct {
+	Name   string
+	Values []float64
+}
+
+// Plot draws lines over seconds, as SVG that stands in a page.
+func Plot(lines []Line) (string, error) {
+	g := plot.New()
+	g.X.Label.Text = "seconds"
+	g.Y.Min = 0
+	g.Legend.Top = true
+	for i, l := range lines {
+		if len(l.Values) == 0 {
 			continue
 		}
+		points := make(plotter.XYs, len(l.Values))
+		for n, y := range l.Values {
+			points[n] = plotter.XY{X: float64(n), Y: y}
+		}
 		line, err := plotter.NewLine(points)
 		if err != nil {
 			return "", err
@@ -195,7 +215,7 @@
 		line.Color = colours[i%len(colours)]
 		line.Width = vg.Points(1.3)
 		g.Add(line)
-		g.Legend.Add(p.Variants[i].Name, line)
+		g.Legend.Add(l.Name, line)
 	}
 	to, err := g.WriterTo(22*vg.Centimeter, 7*vg.Centimeter, "svg")
 	if err != nil {
