--- a/internal/cluster/plan/planner.go
+++ b/internal/cluster/plan/planner.go
@@ -103,22 +103,23 @@
 
 // Planner makes plans, one window behind the other. It is not safe for several goroutines at once.
 type Planner struct {
-	cfg    Config
-	places Places
-	sites  map[spot]*Site
-	ways   map[way]*cutState
-	demand map[spot]float64 // by origin
-	runs   map[way]float64  // calls in a row that were answered, below zero those that were lost
-	force  map[way][]force
-	obeys  map[string]uint64        // all at a place go by this version or a later one, whoever is not heard of, too
-	seen   map[string]uint64        // and all that were heard of in the last window
-	grew   map[string]uint64        // the plan by which a place's crossings grew last,
-	waited map[string]time.Duration // and for how long it has not been seen that all go by it
-	who    map[string]heard
-	most   map[string][]count // of members, of late
-	last   *Plan
-	aged   time.Duration // since the last proposal
-	moves  []Move
+	cfg     Config
+	places  Places
+	sites   map[spot]*Site
+	ways    map[way]*cutState
+	demand  map[spot]float64 // by origin
+	origins []string         // from which anything was asked for
+	runs    map[way]float64  // calls in a row that were answered, below zero those that were lost
+	force   map[way][]force
+	obeys   map[string]uint64        // all at a place go by this version or a later one, whoever is not heard of, too
+	seen    map[string]uint64        // and all that were heard of in the last window
+	grew    map[string]uint64        // the plan by which a place's crossings grew last,
+	waited  map[string]time.Duration // and for how long it has not been seen that all go by it
+	who     map[string]heard
+	most    map[string][]count // of members, of late
+	last    *Plan
+	aged    time.Duration // since the last proposal
+	moves   []Move
 	// forgets has it take everybody for going by the latest plan at once: a safeguard that tests take out.
 	forgets bool
 }
@@ -168,6 +169,14 @@
 		next.Sites = p.last.Sites
 	} else {
 		p.unlist(in.Capacity)
+		all := map[string]bool{}
+		for at := range p.demand {
+			all[at.place] = true
+		}
+		for place := range in.Zones {
+			all[place] = true
+		}
+		p.origins = slices.Sorted(maps.Keys(all))
 		for _, d := range slices.Sorted(maps.Keys(in.Capacity)) {
 			p.judge(d, in)
 			next.Grants = append(next.Grants, p.grant(d, in)...)
@@ -295,14 +304,15 @@
 }
 
 func (p *Planner) listed() (out []Site) {
-	for _, s := range p.sites {
-		c := *s
-		c.Cut = nil
-		for w, st := range p.ways {
-			if st.cut && w.destination == s.Destination && w.to == s.Place {
-				c.Cut = append(c.Cut, w.from)
-			}
+	cuts := map[spot][]string{}
+	for w, st := range p.ways {
+		if st.cut {
+			cuts[spot{w.destination, w.to}] = append(cuts[spot{w.destination, w.to}], w.from)
 		}
+	}
+	for at, s := range p.sites {
+		c := *s
+		c.Cut = cuts[at]
 		slices.Sort(c.Cut)
 		out = append(out, c)
 	}
@@ -536,9 +546,9 @@
 			delete(p.demand, at)
 		}
 	}
-	for at, n := range p.demand {
-		if at.destination == d && n > 0 {
-			out[at.place] = n
+	for _, place := range p.origins {
+		if n := p.demand[spot{d, place}]; n > 0 {
+			out[place] = n
 		}
 	}
 	return out
