Fleet test: the room that ends is a third of what is asked for, and its wait has an end

Three sites of 12 calls a second have room for 32.8, and two clients that wait for each answer ask for 40 at the most, less on a busy machine: then nothing has to be turned away, and the wait for the counter had no bound. Sites take 7 now, 19 in all, and the wait ends with the test's time.

--- a/cmd/larkreach/fleet_plan_test.go
+++ b/cmd/larkreach/fleet_plan_test.go
@@ -210,16 +210,20 @@
 // More is asked for than all places can take once one is down: what has room nowhere is turned away at once, and says so.
 func TestFleetNoRoomAnywhere(t *testing.T) {
 	t.Parallel()
-	f := newPlacesOf(t, 12, 0, 4)
+	const takes = 7 // calls a second; a third of what clients ask for, however slow this machine is
+	f := newPlacesOf(t, takes, 0, 4)
 	f.Partners[0].Down()
 	must(t, f.AwaitPlan(f.ctx, 4, "way out", func(s node.PlanStatus) bool {
 		return stands(s, "z0") == plan.Down && grant(s, "z0", "z1").Rate > 0 && grant(s, "z0", "z2").Rate > 0 && grant(s, "z0", "z3").Rate > 0
 	}))
-	must(t, f.Members[0].AwaitCounterOver("places", "refused", 0))
+	for refused := int64(0); refused == 0; {
+		must(t, f.ctx.Err())
+		refused, _ = f.Members[0].Counter("places", "refused") // it is told once there was one
+	}
 	must(t, f.AwaitPlan(f.ctx, 4, "bounds", func(s node.PlanStatus) bool {
 		for _, to := range []string{"z1", "z2", "z3"} {
-			if rate := grant(s, "z0", to).Rate; rate > 12*plan.Defaults().Headroom {
-				t.Errorf("%v a second may go to %s, which takes 12", rate, to)
+			if rate := grant(s, "z0", to).Rate; rate > takes*plan.Defaults().Headroom {
+				t.Errorf("%v a second may go to %s, which takes %d", rate, to, takes)
 			}
 		}
 		return true
