Read again: one piece for what stood twice, and work taken off the path of messages

Cause: the whole change was read once more.

Work done twice, or where messages wait: Plan.Of went through all grants for each message that is handed in (Follower.Room); they are sorted, so it searches. Router.mayGo looked at every provider behind each first byte; it does so where what was allowed is used up. Planner.refuses added up all zones for each way; judge has that sum already (Site.Refuses). State that outlived its owner: reports and summaries of old windows at one who does not gather, or lead, and would begin with them when it does; what was saved up for sites that are listed no more; complaints of members that are gone. Written again: world's queue of events, by spread (lab/agenda serves both, and spread is a play of small steps); three ways to look at a member (node.look, ask in the commands), two to have the council decide (at.decide), the preludes of larklab's fleet commands (fleetFlags.with) and of signals, locked copies of life and state (Node.latest), a keeper's number in tests, Trial's own sleep. Dead: plan.Places.Check (settings has it), council.Client.Look, a bound that can't be passed in Planner.grant, flags and figures of lab/places that nothing set or read.

--- a/cmd/larklab/cluster.go
+++ b/cmd/larklab/cluster.go
@@ -5,11 +5,9 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"mulleinbeam/internal/lab/cluster"
@@ -29,13 +27,15 @@
 	Program string `default:"bin/larkreach-cluster" help:"The forwarder with [cluster]."`
 }
 
-func (f fleetFlags) command() ([]string, error) {
+// with has f done with the program, until a signal ends it.
+func (f fleetFlags) with(do func(ctx context.Context, program []string) error) error {
 	path, err := filepath.Abs(f.Program)
-	return []string{path, "serve"}, err
-}
-
-func interruptible() (context.Context, context.CancelFunc) {
-	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	if err != nil {
+		return err
+	}
+	ctx, stop := interruptible()
+	defer stop()
+	return do(ctx, []string{path, "serve"})
 }
 
 type faultsCmd struct {
@@ -52,13 +52,9 @@
 }
 
 // Run plays.
-func (c faultsCmd) Run() error {
-	program, err := c.command()
-	if err != nil {
-		return err
-	}
-	ctx, stop := interruptible()
-	defer stop()
+func (c faultsCmd) Run() error { return c.with(c.play) }
+
+func (c faultsCmd) play(ctx context.Context, program []string) error {
 	dir, err := os.MkdirTemp("", "larklab-cluster-")
 	if err != nil {
 		return err
@@ -120,13 +116,9 @@
 
 // Run measures.
 func (c takeoverCmd) Run() error {
-	program, err := c.command()
-	if err != nil {
-		return err
-	}
-	ctx, stop := interruptible()
-	defer stop()
-	return cluster.Takeovers{Program: program, Kills: c.Kills, Out: os.Stdout}.Run(ctx)
+	return c.with(func(ctx context.Context, program []string) error {
+		return cluster.Takeovers{Program: program, Kills: c.Kills, Out: os.Stdout}.Run(ctx)
+	})
 }
 
 type costCmd struct {
@@ -138,17 +130,13 @@
 
 // Run measures.
 func (c costCmd) Run() error {
-	program, err := c.command()
-	if err != nil {
-		return err
-	}
 	plain, err := filepath.Abs(c.Plain)
 	if err != nil {
 		return err
 	}
-	ctx, stop := interruptible()
-	defer stop()
-	return cluster.Cost{Program: program, Plain: []string{plain, "serve"}, Length: c.Length, Rounds: c.Rounds, Out: os.Stdout}.Run(ctx)
+	return c.with(func(ctx context.Context, program []string) error {
+		return cluster.Cost{Program: program, Plain: []string{plain, "serve"}, Length: c.Length, Rounds: c.Rounds, Out: os.Stdout}.Run(ctx)
+	})
 }
 
 type modelCmd struct {
@@ -176,16 +164,12 @@
 
 // Run measures.
 func (c catchupCmd) Run() error {
-	program, err := c.command()
-	if err != nil {
-		return err
-	}
-	ctx, stop := interruptible()
-	defer stop()
-	for range c.Rounds {
-		if err := (cluster.Catchup{Program: program, Length: c.Length, Extra: c.Extra, Out: os.Stdout}).Run(ctx); err != nil {
-			return err
+	return c.with(func(ctx context.Context, program []string) error {
+		for range c.Rounds {
+			if err := (cluster.Catchup{Program: program, Length: c.Length, Extra: c.Extra, Out: os.Stdout}).Run(ctx); err != nil {
+				return err
+			}
 		}
-	}
-	return nil
+		return nil
+	})
 }
--- a/cmd/larklab/main.go
+++ b/cmd/larklab/main.go
@@ -41,6 +41,11 @@
 	Relay      relayCmd   `cmd:"" hidden:"" help:"A bare relay to compare with."`
 }
 
+// interruptible ends with a signal to end the program.
+func interruptible() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+}
+
 type longCmd struct {
 	Program string         `default:"bin/larkreach" help:"The forwarder."`
 	Size    settings.Bytes `default:"4GiB" help:"The larger body."`
@@ -204,7 +209,7 @@
 
 // play plays variants with seeds, and tells how far it is.
 func play(variants []world.Variant, seed uint64, n int) ([][]world.Result, error) {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := interruptible()
 	defer stop()
 	var seeds []uint64
 	for i := range n {
@@ -322,7 +327,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := interruptible()
 	defer stop()
 	variants := []world.Variant{{Name: "without", Scenario: s}, {Name: "with", Scenario: s}}
 	variants[0].Scenario.Learned.Keep, variants[1].Scenario.Learned.Keep = false, true
--- a/cmd/larkreach/fleet_faults_test.go
+++ b/cmd/larkreach/fleet_faults_test.go
@@ -14,14 +14,6 @@
 	"mulleinbeam/internal/routing/wal"
 )
 
-// keeperOf is the number of the member that keeps the counted copies of another.
-func (f *fleetSite) keeperOf(i int) int {
-	f.t.Helper()
-	s, err := f.Look(i)
-	must(f.t, err)
-	return int(s.Keepers[0].Name[1] - '0')
-}
-
 // newLife waits until a member is in a later life than it was, and may act.
 func (f *fleetSite) newLife(i int, was uint64) {
 	f.t.Helper()
--- a/cmd/larkreach/fleet_on.go
+++ b/cmd/larkreach/fleet_on.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"path/filepath"
@@ -109,10 +108,29 @@
 
 const lookFor = 3 * time.Second
 
-func (a at) look() (node.Status, error) {
+// ask asks the member, for so long at the most.
+func ask[T any](a at, look func(ctx context.Context, address string) (T, error)) (T, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), lookFor)
 	defer cancel()
-	return node.Look(ctx, a.At)
+	return look(ctx, a.At)
+}
+
+func (a at) look() (node.Status, error) { return ask(a, node.Look) }
+
+// refused is a command that the council would not have.
+type refused string
+
+func (r refused) Error() string { return string(r) }
+
+// decide has the council decide something.
+func (a at) decide(cmd council.Command) error {
+	ctx, cancel := context.WithTimeout(context.Background(), lookFor)
+	defer cancel()
+	r, err := node.Order(ctx, a.At, cmd)
+	if err == nil && r.Refused != "" {
+		err = refused(r.Refused)
+	}
+	return err
 }
 
 // print prints rows as a table, or a value as JSON.
@@ -206,9 +224,7 @@
 
 // Run prints the facts.
 func (c factsCmd) Run(io streams) error {
-	ctx, cancel := context.WithTimeout(context.Background(), lookFor)
-	defer cancel()
-	s, err := node.LookFacts(ctx, c.At)
+	s, err := ask(c.at, node.LookFacts)
 	if err != nil {
 		return err
 	}
@@ -242,15 +258,9 @@
 
 // order has the council decide something of a member.
 func (n named) order(io streams, cmd council.Command, done string) error {
-	ctx, cancel := context.WithTimeout(context.Background(), lookFor)
-	defer cancel()
 	cmd.Life.Name = n.Name
-	r, err := node.Order(ctx, n.At, cmd)
-	switch {
-	case err != nil:
+	if err := n.decide(cmd); err != nil {
 		return err
-	case r.Refused != "":
-		return errors.New(r.Refused)
 	}
 	fmt.Fprintf(io.out, "%s %s\n", n.Name, done)
 	return nil
--- a/cmd/larkreach/fleet_test.go
+++ b/cmd/larkreach/fleet_test.go
@@ -133,6 +133,14 @@
 	return waiting
 }
 
+// keeperOf is the number of the member that keeps the counted copies of another.
+func (f *fleetSite) keeperOf(i int) int {
+	f.t.Helper()
+	s, err := f.Look(i)
+	must(f.t, err)
+	return int(s.Keepers[0].Name[1] - '0')
+}
+
 // gone ends a member for good and waits until what it owed is somebody else's.
 func (f *fleetSite) gone(i int, asking int) {
 	f.t.Helper()
@@ -347,9 +355,7 @@
 	f.take(3, "unsafe")
 	<-g.calls
 	waiting := []string{f.take(3, "unsafe"), f.take(3, "safe")}
-	s, err := f.Look(3)
-	must(t, err)
-	keeper := int(s.Keepers[0].Name[1] - '0')
+	keeper := f.keeperOf(3)
 	f.gone(keeper, 3)
 	must(t, f.Await(f.ctx, 3, "another keeper", func(s node.Status) bool {
 		return len(s.Keepers) > 0 && s.Keepers[0].Counts && s.Keepers[0].Name != f.Members[keeper].Name && s.Keepers[0].Has == s.Keepers[0].Of
--- a/cmd/larkreach/plan_on.go
+++ b/cmd/larkreach/plan_on.go
@@ -3,8 +3,9 @@
 package main
 
 import (
-	"context"
+	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -24,19 +25,27 @@
 	Return   planReturnCmd  `cmd:"" help:"Take an evacuation back."`
 }
 
-func (a at) plan() (node.PlanStatus, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), lookFor)
-	defer cancel()
-	return node.LookPlan(ctx, a.At)
-}
+func (a at) plan() (node.PlanStatus, error) { return ask(a, node.LookPlan) }
 
 func way(g plan.Grant) string {
-	switch {
-	case g.From == g.To:
+	if g.From == g.To {
 		return "near"
-	default:
-		return "across"
 	}
+	return "across"
+}
+
+// sites are the rows of a plan's places that show says.
+func sites(p *plan.Plan, show func(plan.Site) bool) [][]string {
+	rows := [][]string{{""}, {"DESTINATION", "PLACE", "STANDS", "FOR", "SLOW", "FOUND", "CUT FROM", "WHY"}}
+	for _, x := range p.Sites {
+		if show(x) {
+			rows = append(rows, []string{
+				fmt.Sprint(x.Destination), x.Place, x.Phase.String(), x.Since.Round(time.Second).String(), fmt.Sprintf("%.2f", x.Slow),
+				fmt.Sprintf("%.2f", x.Found), fmt.Sprint(x.Cut), x.Why,
+			})
+		}
+	}
+	return rows
 }
 
 type planShowCmd struct{ at }
@@ -55,17 +64,8 @@
 	for _, g := range s.Plan.Grants {
 		rows = append(rows, []string{fmt.Sprint(g.Destination), g.From, g.To, way(g), fmt.Sprintf("%.1f", g.Rate), fmt.Sprintf("%.2f", g.Share), fmt.Sprint(g.Trial)})
 	}
-	rows = append(rows, []string{""}, []string{"DESTINATION", "PLACE", "STANDS", "FOR", "SLOW", "FOUND", "CUT FROM", "WHY"})
-	for _, x := range s.Plan.Sites {
-		if x.Phase != plan.Open || x.Slow < 1 || x.Found < 1 || len(x.Cut) > 0 {
-			rows = append(rows, siteRow(x))
-		}
-	}
-	return c.print(io, s, rows)
-}
-
-func siteRow(x plan.Site) []string {
-	return []string{fmt.Sprint(x.Destination), x.Place, x.Phase.String(), x.Since.Round(time.Second).String(), fmt.Sprintf("%.2f", x.Slow), fmt.Sprintf("%.2f", x.Found), fmt.Sprint(x.Cut), x.Why}
+	ill := func(x plan.Site) bool { return x.Phase != plan.Open || x.Slow < 1 || x.Found < 1 || len(x.Cut) > 0 }
+	return c.print(io, s, append(rows, sites(s.Plan, ill)...))
 }
 
 type planWhyCmd struct {
@@ -80,12 +80,7 @@
 		return err
 	}
 	rows := [][]string{{"PLACE", "TAKES", fmt.Sprintf("%s MAY SEND", s.Name)}}
-	var zones []string
-	for z := range s.Sites[c.Destination] {
-		zones = append(zones, z)
-	}
-	slices.Sort(zones)
-	for _, z := range zones {
+	for _, z := range slices.Sorted(maps.Keys(s.Sites[c.Destination])) {
 		may := "nothing"
 		if t, some := s.Targets[c.Destination][z]; some {
 			if may = fmt.Sprintf("%.2f a second", t.Rate); t.Free {
@@ -104,12 +99,7 @@
 				rows = append(rows, []string{g.From, g.To, fmt.Sprintf("%.1f", g.Rate), fmt.Sprintf("%.2f", g.Share)})
 			}
 		}
-		rows = append(rows, []string{""}, []string{"DESTINATION", "PLACE", "STANDS", "FOR", "SLOW", "FOUND", "CUT FROM", "WHY"})
-		for _, x := range s.Plan.Sites {
-			if x.Destination == c.Destination {
-				rows = append(rows, siteRow(x))
-			}
-		}
+		rows = append(rows, sites(s.Plan, func(x plan.Site) bool { return x.Destination == c.Destination })...)
 	}
 	rows = append(rows, []string{""})
 	rows = append(rows, moves(s, c.Destination)...)
@@ -141,41 +131,36 @@
 
 // order has the council decide an operator's order, as of what the operator has seen.
 func (a at) order(io streams, seen uint64, cmd council.Command, done string) error {
-	ctx, cancel := context.WithTimeout(context.Background(), lookFor)
-	defer cancel()
 	cmd.From = seen
-	r, err := node.Order(ctx, a.At, cmd)
-	switch {
+	var late refused
+	switch err := a.decide(cmd); {
+	case errors.As(err, &late):
+		return fmt.Errorf("%w: another operator was quicker, look again", late)
 	case err != nil:
 		return err
-	case r.Refused != "":
-		return fmt.Errorf("%s: another operator was quicker, look again", r.Refused)
 	}
 	fmt.Fprintln(io.out, done)
 	return nil
 }
 
-type planFreezeCmd struct{ at }
-
-// Run freezes.
-func (c planFreezeCmd) Run(io streams) error {
-	s, err := c.plan()
+// freeze orders that the plan stays as it is, or goes on.
+func (a at) freeze(io streams, on bool, done string) error {
+	s, err := a.plan()
 	if err != nil {
 		return err
 	}
-	return c.order(io, s.Ordered, council.Command{Kind: council.Freeze, On: true}, "the plan stays as it is")
+	return a.order(io, s.Ordered, council.Command{Kind: council.Freeze, On: on}, done)
 }
 
+type planFreezeCmd struct{ at }
+
+// Run freezes.
+func (c planFreezeCmd) Run(io streams) error { return c.freeze(io, true, "the plan stays as it is") }
+
 type planThawCmd struct{ at }
 
 // Run thaws.
-func (c planThawCmd) Run(io streams) error {
-	s, err := c.plan()
-	if err != nil {
-		return err
-	}
-	return c.order(io, s.Ordered, council.Command{Kind: council.Freeze}, "the plan goes on")
-}
+func (c planThawCmd) Run(io streams) error { return c.freeze(io, false, "the plan goes on") }
 
 type evacuateCmd struct {
 	at
--- a/internal/cluster/council/client.go
+++ b/internal/cluster/council/client.go
@@ -68,17 +68,6 @@
 	return c.leader
 }
 
-// Look asks one founder what is decided, as far as it knows; whoever is reached first.
-func (c *Client) Look(ctx context.Context, known uint64) (r Response, err error) {
-	err = ErrNoLeader
-	for _, name := range c.founders {
-		if r, err = c.one(ctx, name, Request{Known: known}); err == nil {
-			return r, nil
-		}
-	}
-	return r, err
-}
-
 func (c *Client) one(ctx context.Context, name string, req Request) (r Response, err error) {
 	if name == c.local && c.server != nil {
 		return c.server.Ask(req), nil
--- a/internal/cluster/node/facts.go
+++ b/internal/cluster/node/facts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -56,30 +57,25 @@
 	return nil
 }
 
-// known says whether a life is one of the fleet's; n.mu is not held.
-func (n *Node) known() func(origin string, life uint64) bool {
-	n.mu.Lock()
-	state := n.state
-	n.mu.Unlock()
+// known says whether a life is one of the fleet's.
+func known(state *council.State) func(origin string, life uint64) bool {
 	return func(origin string, life uint64) bool { return state.Alive(council.Life{Name: origin, Number: life}) }
 }
 
 // hear takes facts that a member has told, its own or others'.
 func (n *Node) hear(from string, list []facts.Fact) {
-	known := n.known()
-	n.mu.Lock()
-	members := len(n.state.Members)
-	n.mu.Unlock()
+	_, state := n.latest()
+	belongs := known(state)
 	t := &n.talk
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, f := range list {
-		if !known(f.Origin, f.Life) {
+		if !belongs(f.Origin, f.Life) {
 			continue // an ended life's, or of one that is not known here yet: comparing brings it again
 		}
 		news, why := t.book.Take(n.now(), f)
 		if news {
-			t.spread.Tell(members, f)
+			t.spread.Tell(len(state.Members), f)
 		}
 		if why != facts.Fine && time.Since(t.complain[f.Origin]) > complainFor {
 			t.complain[f.Origin] = time.Now()
@@ -99,9 +95,7 @@
 		case <-ctx.Done():
 			return
 		}
-		n.mu.Lock()
-		mine, state := n.mine, n.state
-		n.mu.Unlock()
+		mine, state := n.latest()
 		if mine.Number == 0 {
 			continue
 		}
@@ -111,22 +105,19 @@
 				others = append(others, name)
 			}
 		}
-		known := n.known()
 		n.router.Hear(func(own []mb.LearnedLane) []mb.LearnedLane {
 			n.talk.mu.Lock()
 			defer n.talk.mu.Unlock()
 			n.talk.book.Rebirth(mine.Number)
-			n.talk.book.Forget(n.now(), known)
+			n.talk.book.Forget(n.now(), known(state))
 			n.talk.spread.Tell(len(others)+1, n.talk.book.Own(n.now(), own)...)
 			return n.talk.book.Advice(n.now(), own)
 		})
 		n.talk.mu.Lock()
 		pushes := n.talk.spread.Beat(n.now(), others)
-		for name := range n.talk.unheard {
-			if m := state.Members[name]; m == nil || !m.Alive {
-				delete(n.talk.unheard, name)
-			}
-		}
+		gone := func(name string, _ time.Time) bool { m := state.Members[name]; return m == nil || !m.Alive }
+		maps.DeleteFunc(n.talk.unheard, gone)
+		maps.DeleteFunc(n.talk.complain, gone)
 		for _, p := range pushes {
 			if n.talk.out[p.To] {
 				continue // it is slow; others hear, and books are compared
--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -303,6 +303,13 @@
 
 func (n *Node) now() time.Duration { return time.Since(n.began) }
 
+// latest is this life and what the council has decided, as far as is known here; n.mu is not held. What is decided is never changed.
+func (n *Node) latest() (mine council.Life, decided *council.State) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.mine, n.state
+}
+
 // Steering says where calls may go; nil is everywhere.
 func (n *Node) Steering() routing.Steering {
 	if n.steering == nil {
@@ -333,9 +340,7 @@
 // beat asks once, and says when to ask again.
 func (n *Node) beat(ctx context.Context) time.Duration {
 	every := n.cfg.Timing.Lease / renewals
-	n.mu.Lock()
-	mine, known := n.mine, n.state.Version
-	n.mu.Unlock()
+	mine, known := n.latest()
 	if mine.Number == 0 {
 		if err := n.begin(ctx); err != nil {
 			return every
@@ -348,7 +353,7 @@
 		end = until
 	}
 	call, cancel := context.WithTimeout(ctx, max(every, end-sent))
-	r, err := n.client.Do(call, council.Request{Renew: &mine, Known: known})
+	r, err := n.client.Do(call, council.Request{Renew: &mine, Known: known.Version})
 	cancel()
 	if r.State != nil {
 		n.learn(r.State)
@@ -369,18 +374,14 @@
 	}
 	n.lease.Store(int64(sent + n.cfg.Timing.Lease))
 	if n.steering != nil {
-		n.mu.Lock()
-		state := n.state
-		n.mu.Unlock()
-		n.steering.heard(sent, state, mine)
+		_, state := n.latest()
+		n.steering.heard(sent, state.Plan)
 	}
 	if !n.thawed.Load() {
 		n.resume(ctx, mine)
 	}
 	if n.thawed.Load() && !n.knows.Load() {
-		n.mu.Lock()
-		state := n.state
-		n.mu.Unlock()
+		_, state := n.latest()
 		n.knows.Store(n.learnPast(ctx, mine, state))
 	}
 	n.nudge()
--- a/internal/cluster/node/plans.go
+++ b/internal/cluster/node/plans.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/gob"
 	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"sync"
@@ -118,11 +119,10 @@
 	span := min(now-s.at, saveUp).Seconds()
 	s.at = now
 	fleet := plan.Fleet{All: s.cfg.Members, Reserve: s.cfg.Planner.Reserve}
+	maps.DeleteFunc(s.targets, func(d int64, _ map[string]plan.Target) bool { return s.sites[d] == nil })
+	maps.DeleteFunc(s.saved, func(at plan.Path, _ float64) bool { _, listed := s.sites[at.Destination][at.To]; return !listed })
 	for d, capacity := range s.sites {
-		var zones []string
-		for z := range capacity {
-			zones = append(zones, z)
-		}
+		zones := slices.Collect(maps.Keys(capacity))
 		allowed := map[string]plan.Target{}
 		for _, t := range s.follower.Allow(now, d, capacity, s.cfg.Places.Order(s.n.cfg.Zone, zones), fleet) {
 			allowed[t.Place] = t
@@ -189,20 +189,20 @@
 	}
 }
 
-// heard takes the plan that is decided, as an asking sent at a moment has found it; n.mu is not held.
-func (s *steering) heard(sent time.Duration, state *council.State, mine council.Life) {
-	if state.Plan.Number == 0 {
+// heard takes the plan that is decided, as an asking sent at a moment has found it.
+func (s *steering) heard(sent time.Duration, decided council.Plan) {
+	if decided.Number == 0 {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.follower.Known() == state.Plan.Number {
+	if s.follower.Known() == decided.Number {
 		s.follower.Renew(sent)
 		return
 	}
-	p, err := readPlan(state.Plan.Content)
+	p, err := readPlan(decided.Content)
 	if err != nil {
-		s.n.cfg.Logger.Warn().Str("part", "plan").Uint64("plan", state.Plan.Number).Err(err).Msg("not understood: the one before holds until it runs out")
+		s.n.cfg.Logger.Warn().Str("part", "plan").Uint64("plan", decided.Number).Err(err).Msg("not understood: the one before holds until it runs out")
 		return
 	}
 	if s.follower.Hear(sent, p); s.follower.Known() != p.Version || len(p.Moves) == 0 {
@@ -235,18 +235,23 @@
 
 // endWindow sends what was seen up, and plans where this leads.
 func (s *steering) endWindow(ctx context.Context) {
-	s.n.mu.Lock()
-	mine, state := s.n.mine, s.n.state
-	s.n.mu.Unlock()
+	mine, state := s.n.latest()
 	if mine.Number == 0 {
 		return
 	}
 	now := s.n.now()
+	leads := s.n.server != nil && s.n.server.Ask(council.Request{}).Leader == s.n.cfg.Name
 	s.mu.Lock()
 	r := s.report
 	s.fresh()
 	s.shedder.Window()
 	r.Observer, r.Obeys = mine.String(), s.follower.Obeys(now)
+	reports := s.others // those of this window: whoever gathers, or leads, later does not begin with old ones
+	s.others = map[string]plan.Report{}
+	if !leads {
+		s.planner = nil
+		clear(s.zones)
+	}
 	s.mu.Unlock()
 	gatherer := "" // the first of this zone's, by name
 	for _, name := range state.Names() {
@@ -260,29 +265,18 @@
 			s.send(ctx, m.Address, "Plan.Report", r)
 		}
 	} else {
-		s.mu.Lock()
-		s.others[r.Observer] = r
-		list := make([]plan.Report, 0, len(s.others))
-		for _, o := range s.others {
-			list = append(list, o)
-		}
-		clear(s.others)
-		s.mu.Unlock()
-		sum := plan.Merge(s.n.cfg.Zone, list)
-		if leader := state.Members[s.n.client.Leader()]; leader != nil && s.n.client.Leader() != s.n.cfg.Name {
-			s.send(ctx, leader.Address, "Plan.Summary", sum)
-		} else {
+		reports[r.Observer] = r
+		sum := plan.Merge(s.n.cfg.Zone, slices.Collect(maps.Values(reports)))
+		if leads {
 			s.mu.Lock()
 			s.zones[sum.Place] = sum
 			s.mu.Unlock()
+		} else if leader := state.Members[s.n.client.Leader()]; leader != nil {
+			s.send(ctx, leader.Address, "Plan.Summary", sum)
 		}
 	}
-	if s.n.server != nil && s.n.server.Ask(council.Request{}).Leader == s.n.cfg.Name {
+	if leads {
 		s.step(ctx, state)
-	} else {
-		s.mu.Lock()
-		s.planner = nil
-		s.mu.Unlock()
 	}
 }
 
@@ -340,13 +334,15 @@
 	cmd := council.Command{Kind: council.Propose, From: state.Plan.Number, Number: next.Version, Content: b.Bytes()}
 	r, err := s.n.client.Do(call, council.Request{Command: &cmd})
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if err != nil || r.Refused != "" { // it may be decided yet: from what is, with the next window
 		s.planner = nil
-		return
+	} else {
+		s.from = next.Version
+	}
+	s.mu.Unlock()
+	if r.State != nil {
+		s.n.learn(r.State)
 	}
-	s.from = next.Version
-	s.n.tasks.Go(func() error { s.n.learn(r.State); return nil })
 }
 
 // note writes a window to the record, if there is one.
@@ -422,9 +418,7 @@
 	if st == nil {
 		return errNoPlaces
 	}
-	s.n.mu.Lock()
-	state := s.n.state
-	s.n.mu.Unlock()
+	_, state := s.n.latest()
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	*out = PlanStatus{
--- a/internal/cluster/node/status.go
+++ b/internal/cluster/node/status.go
@@ -109,18 +109,21 @@
 	return err
 }
 
-// Look asks the member at an address what it knows.
-func Look(ctx context.Context, address string) (s Status, err error) {
+// look asks the member at an address.
+func look[T any](ctx context.Context, address, method string) (s T, err error) {
 	p := links.NewPeer(address)
 	defer p.Close()
-	return s, p.Call(ctx, "Status.Get", true, &s)
+	return s, p.Call(ctx, method, true, &s)
+}
+
+// Look asks the member at an address what it knows.
+func Look(ctx context.Context, address string) (Status, error) {
+	return look[Status](ctx, address, "Status.Get")
 }
 
 // LookFacts asks the member at an address what it knows of partners.
-func LookFacts(ctx context.Context, address string) (s FactsStatus, err error) {
-	p := links.NewPeer(address)
-	defer p.Close()
-	return s, p.Call(ctx, "Status.Facts", true, &s)
+func LookFacts(ctx context.Context, address string) (FactsStatus, error) {
+	return look[FactsStatus](ctx, address, "Status.Facts")
 }
 
 // Order has the member at an address ask the council for a command.
@@ -131,8 +134,6 @@
 }
 
 // LookPlan asks the member at an address where traffic goes.
-func LookPlan(ctx context.Context, address string) (s PlanStatus, err error) {
-	p := links.NewPeer(address)
-	defer p.Close()
-	return s, p.Call(ctx, "Status.Plan", true, &s)
+func LookPlan(ctx context.Context, address string) (PlanStatus, error) {
+	return look[PlanStatus](ctx, address, "Status.Plan")
 }
--- a/internal/cluster/node/taking.go
+++ b/internal/cluster/node/taking.go
@@ -286,9 +286,7 @@
 	if err != nil {
 		return // with the next beat
 	}
-	n.mu.Lock()
-	state := n.state
-	n.mu.Unlock()
+	_, state := n.latest()
 	if !done {
 		n.router.Activate(before.Name, before.Number, false)
 	}
--- a/internal/cluster/plan/evidence.go
+++ b/internal/cluster/plan/evidence.go
@@ -57,6 +57,9 @@
 // Bad is the share of calls that had no answer; one that failed with an answer was not lost to the way or the place.
 func (t Tally) Bad() float64 { return t.Lost() / math.Max(1, t.Calls()) }
 
+// refusesMuch says whether so many were refused that nothing more should come.
+func (t Tally) refusesMuch() bool { return t.Refused > refusedMuch*math.Max(1, t.Refused+t.Calls()) }
+
 // Median is the time within which half of the answered calls were answered, up to its bucket's upper end; 0 is none known.
 func (t Tally) Median() time.Duration {
 	total, sum := 0.0, 0.0
@@ -96,6 +99,8 @@
 	lossBad    = 0.5 // share of calls lost at which a path is bad,
 	lossGood   = 0.2 // and up to which it is good
 	callsLeast = 5   // calls of one observer that say something
+	// refusedMuch is the share of refusals at which nothing more is sent to a place.
+	refusedMuch = 0.1
 )
 
 // Merge makes a place's summary of its forwarders' reports, in any order. An observer that loses most of its calls on most of its paths,
--- a/internal/cluster/plan/places.go
+++ b/internal/cluster/plan/places.go
@@ -6,8 +6,6 @@
 
 import (
 	"cmp"
-	"fmt"
-	"math"
 	"slices"
 	"time"
 )
@@ -42,22 +40,6 @@
 
 func (p Places) near(a, b string) bool { r, known := p.Region[a]; return known && r == p.Region[b] }
 
-// Check says which crossing can't be meant.
-func (p Places) Check() error {
-	bad := func(c Crossing) bool {
-		return c.Delay < 0 || !(c.Price >= 0) || math.IsInf(c.Price, 0) || !(c.Capacity >= 0) || math.IsInf(c.Capacity, 0)
-	}
-	if bad(p.Within) || bad(p.Across) {
-		return fmt.Errorf("plan: a crossing within or across regions has a delay, price or capacity below 0, or that is no number")
-	}
-	for pair, c := range p.Pairs {
-		if bad(c) {
-			return fmt.Errorf("plan: the crossing from %q to %q has a delay, price or capacity below 0, or that is no number", pair[0], pair[1])
-		}
-	}
-	return nil
-}
-
 // Order sorts places by how dear it is to go there: near first, then within the region, then by price, delay and name.
 func (p Places) Order(from string, to []string) []string {
 	out := slices.Clone(to)
--- a/internal/cluster/plan/plan.go
+++ b/internal/cluster/plan/plan.go
@@ -11,7 +11,7 @@
 	Version uint64        // grows; the council's
 	Hold    time.Duration // for so long after it was asked for
 	State   uint64        // the council's version of who the forwarders are; who joined later goes by the rule until the next
-	Grants  []Grant       // by destination, origin and place
+	Grants  []Grant       // sorted by destination, origin and place
 	Floors  []Grant       // what some may still go by of earlier plans, beyond these
 	Sites   []Site        // what the planner goes on from; who leads next begins with these
 	Sick    []string      // forwarders whose own network is bad
@@ -55,6 +55,7 @@
 	Found       float64       // share of its capacity that it was found to have; 1 is all
 	Cut         []string      // places from which the way here is cut
 	Why         string
+	Refuses     bool // much, in the last window
 }
 
 // Move is a line for the operators.
@@ -82,11 +83,11 @@
 }
 
 // Of gives the grants of a place for a destination.
-func (p *Plan) Of(destination int64, from string) (out []Grant) {
-	for _, g := range p.Grants {
-		if g.Destination == destination && g.From == from {
-			out = append(out, g)
-		}
+func (p *Plan) Of(destination int64, from string) []Grant {
+	at, _ := slices.BinarySearchFunc(p.Grants, Grant{Destination: destination, From: from}, compareGrants)
+	end := at
+	for end < len(p.Grants) && p.Grants[end].Destination == destination && p.Grants[end].From == from {
+		end++
 	}
-	return out
+	return p.Grants[at:end]
 }
--- a/internal/cluster/plan/planner.go
+++ b/internal/cluster/plan/planner.go
@@ -38,7 +38,6 @@
 	surelyShare = 0.9   //
 	slowFrom    = 2.5   // times the usual median from which a place counts as slow
 	slowLeast   = 0.1   // of its capacity that a slow place keeps
-	refusedMuch = 0.1   // share of refusals at which nothing more is sent to a place
 	trialCalls  = 2     // of one place's forwarders, that say something of a trial
 	wellAgain   = 2     // good windows in a row that end a rest, or a cut
 	sameGrant   = 0.1   // grants that differ by less, as a share, are the same
@@ -165,7 +164,7 @@
 		next.Sick = append(next.Sick, in.Zones[place].Sick...)
 	}
 	if in.Frozen {
-		next.Grants = p.last.Grants
+		next.Grants = slices.Clone(p.last.Grants)
 		next.Sites = p.last.Sites
 	} else {
 		p.unlist(in.Capacity)
@@ -185,7 +184,6 @@
 		next.Sites = p.listed()
 	}
 	next.Moves = p.moves
-	next.Grants = slices.Clone(next.Grants)
 	for i, g := range next.Grants {
 		next.Grants[i].Each = g.Rate / float64(max(1, p.members(g.From)))
 	}
@@ -268,13 +266,12 @@
 
 // propose books a plan as one that may be gone by from now on.
 func (p *Planner) propose(next *Plan) {
-	for w, list := range p.force {
+	for _, list := range p.force {
 		for i := range list {
 			if !list[i].over {
 				list[i].over, list[i].left = true, p.cfg.Hold
 			}
 		}
-		p.force[w] = list
 	}
 	for _, g := range next.Grants {
 		w := way{g.Destination, g.From, g.To}
@@ -294,6 +291,14 @@
 	return rate
 }
 
+// granted is what the last plan grants a way, but for trials.
+func (p *Planner) granted(d int64, from, to string) float64 {
+	if g, had := p.last.find(d, from, to); had && !g.Trial {
+		return g.Rate
+	}
+	return 0
+}
+
 func (p *Planner) site(d int64, place string) *Site {
 	s := p.sites[spot{d, place}]
 	if s == nil {
@@ -358,11 +363,12 @@
 				good = append(good, from)
 			}
 		}
-		p.ways1(d, place, bad, good)
+		p.reach(d, place, bad, good)
 		down := len(bad) > 0 && len(good) == 0 && (slices.Contains(bad, place) || len(bad) > 1)
 		p.phase(s, down, len(good) > 0, sum, in, strings.Join(bad, ","))
 		p.slow(s, sum, len(bad) == 0)
 		s.find(sum, in.Capacity[d][place], in.Elapsed)
+		s.Refuses = sum.refusesMuch()
 	}
 }
 
@@ -402,8 +408,8 @@
 	maps.DeleteFunc(p.demand, func(at spot, _ float64) bool { return len(capacity[at.destination]) == 0 })
 }
 
-// ways1 counts, for one place, who reaches it and who does not.
-func (p *Planner) ways1(d int64, place string, bad, good []string) {
+// reach counts, for one place, who reaches it and who does not.
+func (p *Planner) reach(d int64, place string, bad, good []string) {
 	for _, from := range bad {
 		w := way{d, from, place}
 		st := p.ways[w]
@@ -506,7 +512,7 @@
 		s.Found = 1
 	}
 	answered := (sum.OK + sum.Failed) / math.Max(0.001, span.Seconds())
-	switch much := sum.Refused > refusedMuch*math.Max(1, sum.Refused+sum.Calls()); {
+	switch much := sum.refusesMuch(); {
 	case s.Phase == Down:
 		s.Found = 1
 	case much && capacity > 0:
@@ -592,9 +598,6 @@
 		g := Grant{Destination: d, From: from, To: to, Rate: rate, Share: math.Min(1, rate/math.Max(1e-9, demand[from])), Trial: trial}
 		if old, had := p.last.find(d, from, to); had && !trial && old.Trial == trial && math.Abs(g.Rate-old.Rate) <= sameGrant*old.Rate && g.Rate <= old.Rate {
 			g.Rate, g.Share = old.Rate, math.Min(1, old.Rate/math.Max(1e-9, demand[from])) // a little less wanted is no change
-			if from != to && p.possible(way{d, from, to}) < g.Rate {
-				g.Rate = rate
-			}
 		}
 		out = append(out, g)
 	}
@@ -647,10 +650,7 @@
 		for _, n := range room {
 			spare += n
 		}
-		was := 0.0 // once it is empty it stays so
-		if g, had := p.last.find(d, place, place); had && !g.Trial {
-			was = math.Min(demand[place], g.Rate)
-		}
+		was := math.Min(demand[place], p.granted(d, place, place)) // once it is empty it stays so
 		near[place] = math.Min(near[place], math.Max(0, was-math.Min(evacuation*demand[place], spare)))
 		if near[place] < 0.01*demand[place] {
 			near[place] = 0
@@ -688,13 +688,10 @@
 			if c := p.places.Crossing(from, to).Capacity; c > 0 {
 				most = c
 			}
-			was := 0.0
-			if g, had := p.last.find(d, from, to); had && !g.Trial {
-				was = g.Rate
-			}
+			was := p.granted(d, from, to)
 			grown := was + p.cfg.Step*start[to]
 			switch {
-			case p.refuses(d, to, in):
+			case p.site(d, to).Refuses:
 				grown = was
 			case was > 0 && p.seen[from] < p.grew[from] && p.waited[from] < p.cfg.Hold:
 				grown = (1 + sway) * was // demand is never quite the same; no further place is turned to for that
@@ -737,15 +734,6 @@
 	return out
 }
 
-// refuses says whether a place refused much in the last window.
-func (p *Planner) refuses(d int64, place string, in Input) bool {
-	sum := Tally{}
-	for _, z := range in.Zones {
-		sum.Add(z.Paths[Path{d, place}])
-	}
-	return sum.Refused > refusedMuch*math.Max(1, sum.Refused+sum.Calls())
-}
-
 func sameGrants(a, b []Grant) bool {
 	return slices.EqualFunc(a, b, func(x, y Grant) bool {
 		return compareGrants(x, y) == 0 && x.Trial == y.Trial && math.Abs(x.Rate-y.Rate) <= sameGrant*math.Max(x.Rate, y.Rate)
--- a/internal/lab/cluster/random.go
+++ b/internal/lab/cluster/random.go
@@ -187,14 +187,7 @@
 // client hands messages in at one member until ctx ends.
 func (t Trial) client(ctx context.Context, f *Fleet, i int, out *Outcome) {
 	rng := rand.New(rand.NewPCG(t.Seed, uint64(100+i)))
-	for {
-		pause := time.NewTimer(time.Duration(rng.ExpFloat64() * float64(t.Members) / t.Rate * float64(time.Second)))
-		select {
-		case <-pause.C:
-		case <-ctx.Done():
-			pause.Stop()
-			return
-		}
+	for lab.Sleep(ctx, time.Duration(rng.ExpFloat64()*float64(t.Members)/t.Rate*float64(time.Second))) {
 		class := []string{"safe", "keyed", "unsafe"}[rng.IntN(3)]
 		atomic.AddInt64(&out.Handed, 1)
 		done := make(chan lab.Answer, 1)
--- a/internal/lab/cluster/spread.go
+++ b/internal/lab/cluster/spread.go
@@ -2,19 +2,20 @@
 
 import (
 	"bytes"
-	"container/heap"
 	"encoding/gob"
 	"errors"
 	"fmt"
 	"io"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	mb "mulleinbeam"
 	"mulleinbeam/internal/cluster/council"
 	"mulleinbeam/internal/cluster/facts"
 	"mulleinbeam/internal/cluster/node"
+	"mulleinbeam/internal/lab/agenda"
 )
 
 // Spreading plays how facts spread in a fleet of a size, in virtual time, with the program's own books.
@@ -38,144 +39,130 @@
 	CPU       time.Duration // of this machine, a member and virtual second
 }
 
-// delivery is one message on its way, or a member's beat.
-type delivery struct {
-	at   time.Duration
-	to   int
-	from int
-	push *node.FactsPush // nil is a beat, or an answer
-	answ []facts.Fact
-	beat bool
-}
-
-type agenda []delivery
+const toldWait = 30 * time.Second
 
-func (a agenda) Len() int           { return len(a) }
-func (a agenda) Less(i, j int) bool { return a[i].at < a[j].at }
-func (a agenda) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)        { *a = append(*a, x.(delivery)) }
-func (a *agenda) Pop() any {
-	old := *a
-	d := old[len(old)-1]
-	*a = old[:len(old)-1]
-	return d
+// spreading is one play.
+type spreading struct {
+	Spreading
+	Spread
+	agenda  agenda.Agenda
+	rng     *rand.Rand
+	names   []string
+	number  map[string]int
+	books   []*facts.Book
+	spreads []*facts.Spread
+	size    bytes.Buffer
+	enc     *gob.Encoder // as a connection that has carried pushes before
+	sent    []float64    // bytes, by second
+	heeds   []bool
+	heeding int
+	err     error
 }
 
-const toldWait = 30 * time.Second
+const toldAt = time.Second // when the partner speaks
 
 // Run plays it.
-func (s Spreading) Run() (out Spread, err error) {
-	rng := rand.New(rand.NewPCG(s.Seed, 1))
-	names := make([]string, s.Members)
-	others := make([][]string, s.Members)
-	number := map[string]int{}
-	books, spreads := make([]*facts.Book, s.Members), make([]*facts.Spread, s.Members)
-	var queue agenda
+func (s Spreading) Run() (Spread, error) {
+	p := &spreading{
+		Spreading: s, Spread: Spread{Half: -1, All: -1}, rng: rand.New(rand.NewPCG(s.Seed, 1)), number: map[string]int{},
+		sent: make([]float64, int(s.Length/time.Second)+1), heeds: make([]bool, s.Members),
+	}
+	p.enc = gob.NewEncoder(&p.size)
+	if err := errors.Join(p.enc.Encode(node.FactsPush{}), p.enc.Encode(node.FactsAnswer{})); err != nil {
+		return Spread{}, err
+	}
 	for i := range s.Members {
-		names[i] = fmt.Sprintf("forwarder-%04d", i)
-		number[names[i]] = i
-		books[i] = facts.NewBook(facts.Config{Name: names[i], Life: 1, HalfLife: 10 * time.Second, Longest: time.Minute, Keys: 4096})
-		spreads[i] = facts.NewSpread(books[i], rng.Uint64())
-		heap.Push(&queue, delivery{at: time.Duration(rng.Float64() * float64(s.Beat)), to: i, beat: true})
+		name := fmt.Sprintf("forwarder-%04d", i)
+		book := facts.NewBook(facts.Config{Name: name, Life: 1, HalfLife: 10 * time.Second, Longest: time.Minute, Keys: 4096})
+		p.names, p.number[name] = append(p.names, name), i
+		p.books, p.spreads = append(p.books, book), append(p.spreads, facts.NewSpread(book, p.rng.Uint64()))
 	}
 	for i := range s.Members {
-		for j := range s.Members {
-			if i != j {
-				others[i] = append(others[i], names[j])
-			}
+		others := slices.DeleteFunc(slices.Clone(p.names), func(name string) bool { return name == p.names[i] })
+		p.beatAt(time.Duration(p.rng.Float64()*float64(s.Beat)), i, others)
+	}
+	began := time.Now()
+	for p.err == nil {
+		_, do, some := p.agenda.Next(s.Length - 1)
+		if !some {
+			break
 		}
+		do()
 	}
-	var size bytes.Buffer
-	enc := gob.NewEncoder(&size) // as a connection that has carried pushes before
-	if err := errors.Join(enc.Encode(node.FactsPush{}), enc.Encode(node.FactsAnswer{})); err != nil {
-		return out, err
+	n := float64(s.Members)
+	for _, b := range p.sent {
+		p.Bytes += b / n / s.Length.Seconds()
+		p.Burst = math.Max(p.Burst, b/n)
 	}
-	perSecond := make([]float64, int(s.Length/time.Second)+1)
-	sent := func(at time.Duration, v any) error {
-		size.Reset()
-		if err := enc.Encode(v); err != nil {
-			return err
+	p.Quiet = p.sent[len(p.sent)-2] / n
+	p.CPU = time.Duration(float64(time.Since(began)) / n / s.Length.Seconds())
+	return p.Spread, p.err
+}
+
+// beatAt has a member tell at a moment, and then beat for beat.
+func (p *spreading) beatAt(now time.Duration, i int, others []string) {
+	p.agenda.At(now, func() {
+		p.beatAt(now+p.Beat, i, others)
+		p.books[i].Forget(now, nil)
+		if i < p.Seers && now >= toldAt {
+			seen := []mb.LearnedLane{{Destination: 7, Wait: max(0, toldAt+toldWait-now), GuardFrom: -1, LastBad: -1, LastOK: -1}}
+			p.spreads[i].Tell(p.Members, p.books[i].Own(now, seen)...)
 		}
-		perSecond[int(at/time.Second)] += float64(size.Len()) + callHead
-		return nil
-	}
-	delay := func() time.Duration { return time.Duration((0.5 + rng.Float64()) * float64(s.Delay)) }
-	told := time.Second // when the partner speaks
-	heeding := 0
-	heeds := make([]bool, s.Members)
-	out.Half, out.All = -1, -1
-	note := func(i int, now time.Duration) {
-		advice := books[i].Advice(now, nil)
-		own := i < s.Seers && now >= told
-		if !heeds[i] && (own || len(advice) > 0 && advice[0].Wait > 0) {
-			heeds[i] = true
-			if heeding++; heeding == (s.Members+1)/2 {
-				out.Half = now - told
-			}
-			if heeding == s.Members {
-				out.All = now - told
-			}
+		p.note(i, now)
+		for _, push := range p.spreads[i].Beat(now, others) {
+			what := node.FactsPush{From: council.Life{Name: p.names[i], Number: 1}, Facts: push.Facts, Compare: push.Compare, Digest: push.Digest}
+			p.send(now, what, func(at time.Duration) { p.pushed(at, p.number[push.To], i, what) })
 		}
+	})
+}
+
+// pushed is a push that has come; its answer goes back.
+func (p *spreading) pushed(now time.Duration, to, from int, push node.FactsPush) {
+	p.take(now, to, push.Facts)
+	var a node.FactsAnswer
+	if push.Compare && push.Digest != p.books[to].Digest(now) {
+		a.Facts = p.books[to].All(now)
 	}
-	began := time.Now()
-	for len(queue) > 0 {
-		d := heap.Pop(&queue).(delivery)
-		if d.at >= s.Length {
-			break
-		}
-		i := d.to
-		switch {
-		case d.beat:
-			heap.Push(&queue, delivery{at: d.at + s.Beat, to: i, beat: true})
-			books[i].Forget(d.at, nil)
-			if i < s.Seers && d.at >= told {
-				seen := []mb.LearnedLane{{Destination: 7, Wait: max(0, told+toldWait-d.at), GuardFrom: -1, LastBad: -1, LastOK: -1}}
-				spreads[i].Tell(s.Members, books[i].Own(d.at, seen)...)
-			}
-			note(i, d.at)
-			for _, p := range spreads[i].Beat(d.at, others[i]) {
-				push := node.FactsPush{From: council.Life{Name: names[i], Number: 1}, Facts: p.Facts, Compare: p.Compare, Digest: p.Digest}
-				if err := sent(d.at, push); err != nil {
-					return out, err
-				}
-				if rng.Float64() >= s.Loss {
-					heap.Push(&queue, delivery{at: d.at + delay(), to: number[p.To], from: i, push: &push})
-				}
-			}
-		default:
-			list := d.answ
-			if d.push != nil {
-				list = d.push.Facts
-			}
-			for _, f := range list {
-				if news, _ := books[i].Take(d.at, f); news {
-					spreads[i].Tell(s.Members, f)
-				}
-			}
-			out.Largest = max(out.Largest, len(books[i].All(d.at)))
-			if d.push == nil {
-				continue
-			}
-			var a node.FactsAnswer
-			if d.push.Compare && d.push.Digest != books[i].Digest(d.at) {
-				a.Facts = books[i].All(d.at)
-			}
-			if err := sent(d.at, a); err != nil {
-				return out, err
-			}
-			if len(a.Facts) > 0 && rng.Float64() >= s.Loss {
-				heap.Push(&queue, delivery{at: d.at + delay(), to: d.from, from: i, answ: a.Facts})
-			}
+	p.send(now, a, func(at time.Duration) { p.take(at, from, a.Facts) })
+}
+
+// take has a member hear facts.
+func (p *spreading) take(now time.Duration, i int, list []facts.Fact) {
+	for _, f := range list {
+		if news, _ := p.books[i].Take(now, f); news {
+			p.spreads[i].Tell(p.Members, f)
 		}
 	}
-	n := float64(s.Members)
-	for _, b := range perSecond {
-		out.Bytes += b / n / s.Length.Seconds()
-		out.Burst = math.Max(out.Burst, b/n)
+	p.Largest = max(p.Largest, len(p.books[i].All(now)))
+}
+
+// send counts what goes out, and has it come a little later, if it is not lost.
+func (p *spreading) send(now time.Duration, what any, come func(at time.Duration)) {
+	p.size.Reset()
+	if err := p.enc.Encode(what); err != nil {
+		p.err = err
+		return
+	}
+	p.sent[int(now/time.Second)] += float64(p.size.Len()) + callHead
+	if p.rng.Float64() >= p.Loss {
+		at := now + time.Duration((0.5+p.rng.Float64())*float64(p.Delay))
+		p.agenda.At(at, func() { come(at) })
+	}
+}
+
+// note books when a member heeds the wait for the first time.
+func (p *spreading) note(i int, now time.Duration) {
+	advice := p.books[i].Advice(now, nil)
+	if own := i < p.Seers && now >= toldAt; p.heeds[i] || !own && (len(advice) == 0 || advice[0].Wait <= 0) {
+		return
+	}
+	p.heeds[i] = true
+	if p.heeding++; p.heeding == (p.Members+1)/2 {
+		p.Half = now - toldAt
+	}
+	if p.heeding == p.Members {
+		p.All = now - toldAt
 	}
-	out.Quiet = perSecond[len(perSecond)-2] / n
-	out.CPU = time.Duration(float64(time.Since(began)) / n / s.Length.Seconds())
-	return out, nil
 }
 
 // callHead is what a call's or an answer's head takes beside its content, in bytes.
--- a/internal/lab/places/places.go
+++ b/internal/lab/places/places.go
@@ -57,7 +57,6 @@
 	Ramp    time.Duration
 	From    []string      // calls from these zones to Zones are lost without a word, and nothing else is wrong
 	Every   time.Duration // it comes and goes: on for half of it
-	Dead    bool          // the zones' forwarders are dead as well
 }
 
 // Setup is the fleet.
@@ -91,7 +90,6 @@
 	Offered     float64 // worth
 	Worth       float64 // delivered
 	Price       float64 // of crossings
-	ByClass     [3]float64
 	Messages    int
 	Calls       int
 	Crossings   int // calls from one zone to another,
@@ -145,7 +143,6 @@
 	tokens  map[plan.Path]float64
 	served  map[plan.Path]time.Duration // when tokens were last given
 	broken  map[plan.Path]breaker
-	dead    bool
 }
 
 type breaker struct {
@@ -489,7 +486,6 @@
 		worth *= 1 - (1-lateEarn)*math.Min(1, float64(age-target)/float64(deadline-target))
 	}
 	r.result.Worth += worth
-	r.result.ByClass[m.class] += worth
 	r.latencies = append(r.latencies, age.Seconds())
 	return true
 }
@@ -506,9 +502,7 @@
 		for _, n := range f.reports.Demand {
 			p.Demand += n
 		}
-		if !f.dead {
-			reports[f.place] = append(reports[f.place], *f.reports)
-		}
+		reports[f.place] = append(reports[f.place], *f.reports)
 		f.fresh()
 	}
 	for _, s := range r.order {
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -4,14 +4,13 @@
 package world
 
 import (
-	"cmp"
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
 
 	mb "mulleinbeam"
+	"mulleinbeam/internal/lab/agenda"
 	"mulleinbeam/internal/lab/scenario"
 	"mulleinbeam/internal/memory"
 )
@@ -23,34 +22,11 @@
 	settle  = 30 * time.Second       // after the traffic's end, for what is held
 )
 
-// event is something that happens at a moment. Equal moments keep their order.
-type event struct {
-	at  time.Duration
-	seq uint64
-	do  func()
-}
-
-type queue []event
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(q[i].at, q[j].at), cmp.Compare(q[i].seq, q[j].seq)) < 0
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *queue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
-}
-
 // World is one run.
 type World struct {
 	s        scenario.Scenario
 	now      time.Duration
-	queue    queue
-	seq      uint64
+	agenda   agenda.Agenda
 	events   int64
 	rng      *rand.Rand // of the clients
 	partners []*partner
@@ -144,21 +120,20 @@
 
 // at has something happen at a moment.
 func (w *World) at(t time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.queue, event{max(t, w.now), w.seq, do})
+	w.agenda.At(max(t, w.now), do)
 }
 
 // Run plays it to its end.
 func (w *World) Run() Result {
 	end := w.s.Length.D() + settle
-	for len(w.queue) > 0 {
-		e := heap.Pop(&w.queue).(event)
-		if e.at > end {
+	for {
+		at, do, some := w.agenda.Next(end)
+		if !some {
 			break
 		}
-		w.now = e.at
+		w.now = at
 		w.events++
-		e.do()
+		do()
 	}
 	w.checks.end()
 	w.result.Events = w.events
@@ -299,7 +274,7 @@
 		w.tell(p, old, mb.Deleted)
 		old.gone = true
 		p.endpoints = p.endpoints[1:]
-		name := mb.EndpointID(fmt.Sprintf("%s'%d", old.name, w.seq))
+		name := mb.EndpointID(fmt.Sprintf("%s'%d", old.name, w.agenda.Told()))
 		w.add(p, name)
 		w.tell(p, p.endpoints[len(p.endpoints)-1], mb.Serving)
 	})
--- a/internal/routing/steer.go
+++ b/internal/routing/steer.go
@@ -59,7 +59,9 @@
 		return true
 	}
 	ok := !r.barred[p.Name] && r.cfg.Steering.Takes(p.Group, p.Zone)
-	r.steer() // what is allowed may be used up by it
+	if !r.cfg.Steering.Allows(p.Group, p.Zone) { // what is allowed there is used up
+		r.steer()
+	}
 	return ok
 }
 
