--- a/internal/lab/cluster/fleet.go
+++ b/internal/lab/cluster/fleet.go
@@ -115,11 +115,12 @@
 		return fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%64, (uint64(os.Getpid()/64)+fleet)%256, i+1)
 	}
 	for i := range s.Members {
-		address, err := free(host(i))
+		links, err := net.Listen("tcp", host(i)+":0")
 		if err != nil {
 			return nil, err
 		}
-		f.Members = append(f.Members, &Member{Name: fmt.Sprintf("n%d", i), Links: address, Dir: filepath.Join(s.Dir, fmt.Sprintf("n%d", i))})
+		defer links.Close() // held until its member has chosen where it takes messages: else that could be the very same
+		f.Members = append(f.Members, &Member{Name: fmt.Sprintf("n%d", i), Links: links.Addr().String(), Dir: filepath.Join(s.Dir, fmt.Sprintf("n%d", i))})
 	}
 	for i, from := range f.Members {
 		for j, to := range f.Members {
@@ -145,15 +146,6 @@
 	return f, nil
 }
 
-// free is an address of a loopback host that nobody listens on.
-func free(host string) (string, error) {
-	l, err := net.Listen("tcp", host+":0")
-	if err != nil {
-		return "", err
-	}
-	return l.Addr().String(), l.Close()
-}
-
 // settings is a member's own TOML.
 func (f *Fleet) settings(i int) string {
 	if f.Off {
