Copies: the log goes to as many as are missing, not for ever to one that never counts

Cause: ./test.sh failed once, TestFleetCatchUpIsCut: n3: no one keeper, and nobody on the way to be another ... {Name:n2 Counts:true Has:308 Of:308} {Name:n0 Counts:false Has:308 Of:308} n0 had joined last and is ranked before n2, which counted by then. Node.wanted sent it the whole log since it is among the best ranked, and Node.choose never asked for it since n2 is well: every record went out twice, for nothing, for as long as both lived. Where all join in the order of the ranking it can't be seen, so the test passed before.

wanted gives the best ranked, as many as are missing of those that count and are usable; choose and wanted share what usable is. Who counts is as it was.

--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -692,17 +692,23 @@
 	}
 }
 
-// wanted are members that are to get the log and do not count yet; n.mu is held.
-func (n *Node) wanted(m *council.Member) (out []string) {
-	rank := n.state.Ranking(n.cfg.Name, func(name string) bool {
-		return !n.owner.Full(name) && !n.away(name)
-	})
-	for _, name := range rank[:min(len(rank), max(0, n.cfg.Copies-1))] {
-		if !slices.Contains(m.Keepers, name) {
-			out = append(out, name)
+// usable says whether a member can keep copies for this life; n.mu is held.
+func (n *Node) usable(name string) bool {
+	to := n.state.Members[name]
+	return to != nil && to.Alive && !to.Leaving && !n.owner.Full(name) && !n.away(name)
+}
+
+// wanted are members that are to get the log and do not count yet: the best ranked, as many as are missing of those that do. n.mu is
+// held.
+func (n *Node) wanted(m *council.Member) []string {
+	missing := max(0, n.cfg.Copies-1)
+	for _, name := range m.Keepers {
+		if n.usable(name) {
+			missing--
 		}
 	}
-	return out
+	rank := n.state.Ranking(n.cfg.Name, func(name string) bool { return n.usable(name) && !slices.Contains(m.Keepers, name) })
+	return rank[:min(len(rank), max(0, missing))]
 }
 
 // send brings a keeper up to date.
@@ -823,14 +829,10 @@
 		n.askForKeepers(ctx) // again
 		return
 	}
-	usable := func(name string) bool {
-		to := n.state.Members[name]
-		return to != nil && to.Alive && !to.Leaving && !n.owner.Full(name) && !n.away(name)
-	}
 	most := max(0, n.cfg.Copies-1)
 	var set []string
 	for _, name := range m.Keepers {
-		if usable(name) && len(set) < most {
+		if n.usable(name) && len(set) < most {
 			set = append(set, name)
 		}
 	}
