--- a/cmd/larkreach/fleet_on.go
+++ b/cmd/larkreach/fleet_on.go
@@ -42,7 +42,7 @@
 		Believe: time.Duration(c.Believe),
 	}
 	for _, f := range founders {
-		setup.Founders = append(setup.Founders, node.Founder(f))
+		setup.Founders = append(setup.Founders, council.Founder{Name: f.Name, Address: f.Address})
 	}
 	for _, class := range c.Alone {
 		setup.Alone[class] = true
@@ -90,14 +90,17 @@
 
 // clusterCmd looks at a fleet through any of its members.
 type clusterCmd struct {
-	Members membersCmd `cmd:"" help:"Who belongs, in which life, and who keeps counted copies for whom."`
-	Copies  copiesCmd  `cmd:"" help:"The copies that one member keeps, and how far its own keepers are."`
-	Lives   livesCmd   `cmd:"" help:"Lives that have ended, and who took over what they owed."`
-	Facts   factsCmd   `cmd:"" help:"What one member knows of partners by others' words and its own, and what it heeds."`
-	Drain   drainCmd   `cmd:"" help:"Have a member keep no copies any more, before it goes."`
-	Return  returnCmd  `cmd:"" help:"Take a drain back."`
-	Remove  removeCmd  `cmd:"" help:"Have a member that has ended belong no longer."`
-	Rebuild rebuildCmd `cmd:"" help:"Make a dead founder's folder the beginning of a new council, after a majority is lost for good."`
+	Members  membersCmd  `cmd:"" help:"Who belongs, in which life, and who keeps counted copies for whom."`
+	Copies   copiesCmd   `cmd:"" help:"The copies that one member keeps, and how far its own keepers are."`
+	Lives    livesCmd    `cmd:"" help:"Lives that have ended, and who took over what they owed."`
+	Facts    factsCmd    `cmd:"" help:"What one member knows of partners by others' words and its own, and what it heeds."`
+	Drain    drainCmd    `cmd:"" help:"Have a member keep no copies any more, before it goes."`
+	Return   returnCmd   `cmd:"" help:"Take a drain back."`
+	Remove   removeCmd   `cmd:"" help:"Have a member that has ended belong no longer."`
+	Founders foundersCmd `cmd:"" help:"Who holds the council, who leads it, and who learns before it votes."`
+	Found    foundCmd    `cmd:"" help:"Take a member into the council: it learns first, and votes once it has all that is decided."`
+	Unfound  unfoundCmd  `cmd:"" help:"Let a founder go from the council, while a majority of the others can be reached."`
+	Rebuild  rebuildCmd  `cmd:"" help:"Make a dead founder's folder the beginning of a new council, after a majority is lost for good."`
 }
 
 // at names the member that is asked.
@@ -287,6 +290,35 @@
 	return c.order(io, council.Command{Kind: council.Remove}, "belongs no longer")
 }
 
+type foundersCmd struct{ at }
+
+// Run prints the founders.
+func (c foundersCmd) Run(io streams) error {
+	s, err := c.look()
+	if err != nil {
+		return err
+	}
+	rows := [][]string{{"NAME", "ADDRESS", "VOTES", "LEADS"}}
+	for _, f := range s.Founders {
+		rows = append(rows, []string{f.Name, f.Address, fmt.Sprint(!f.Learns), fmt.Sprint(f.Name == s.Leader)})
+	}
+	return c.print(io, s.Founders, rows)
+}
+
+type foundCmd struct{ named }
+
+// Run takes a member in.
+func (c foundCmd) Run(io streams) error {
+	return c.order(io, council.Command{Kind: council.Found, On: true}, "learns what the council has decided, and votes then (cluster founders)")
+}
+
+type unfoundCmd struct{ named }
+
+// Run lets a founder go.
+func (c unfoundCmd) Run(io streams) error {
+	return c.order(io, council.Command{Kind: council.Found}, "is no founder any more; take it out of everybody's settings")
+}
+
 type rebuildCmd struct {
 	Folder   string   `arg:"" help:"The state folder of a founder whose process has ended: of those left, the one that knows most."`
 	Founders []string `arg:"" help:"The new council's founders, by name; this folder's among them."`
--- a/cmd/larkreach/fleet_test.go
+++ b/cmd/larkreach/fleet_test.go
@@ -8,6 +8,7 @@
 	"math"
 	"os"
 	"os/exec"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -474,6 +475,60 @@
 	f.reached(ids...)
 }
 
+// operator runs a command of larkreach cluster.
+func (f *fleetSite) operator(args ...string) string {
+	f.t.Helper()
+	cmd := exec.Command(os.Args[0], append([]string{"cluster"}, args...)...)
+	cmd.Env = append(os.Environ(), childMark+"=1")
+	out, err := cmd.CombinedOutput()
+	if err != nil {
+		f.t.Fatalf("%v\n%s", err, out)
+	}
+	return string(out)
+}
+
+// votes waits until just these founders vote, as a member sees it.
+func (f *fleetSite) votes(at int, names ...string) {
+	f.t.Helper()
+	must(f.t, f.Await(f.ctx, at, fmt.Sprint("council of ", names), func(s node.Status) bool {
+		return slices.EqualFunc(s.Founders, names, func(x council.Founder, name string) bool { return x.Name == name && !x.Learns })
+	}))
+}
+
+// A council that goes on while its founders change: a machine that is lost for good is replaced by one that was no founder, the next
+// founder that dies leaves a majority of the new ones, and who comes back with the settings of old finds the council that is there.
+func TestFleetFoundersChange(t *testing.T) {
+	t.Parallel()
+	g := newGate()
+	f := newFleet(t, cluster.Setup{Members: 5, Amend: slots(1)}, g)
+	f.take(4, "unsafe")
+	<-g.calls
+	waiting := []string{f.take(4, "unsafe"), f.take(4, "keyed")}
+	must(t, f.AwaitCopied(f.ctx, f.All()...))
+	f.gone(0, 4)
+	f.operator("found", "n3", "--at", f.Members[4].Links)
+	f.votes(4, "n0", "n1", "n2", "n3")
+	f.operator("unfound", "n0", "--at", f.Members[4].Links)
+	f.votes(4, "n1", "n2", "n3")
+	if out := f.operator("founders", "--at", f.Members[3].Links); strings.Contains(out, "n0") || strings.Count(out, "true") != 4 {
+		t.Errorf("founders:\n%s", out) // three vote, one leads
+	}
+	life, err := f.Life(1)
+	must(t, err)
+	must(t, f.Kill(1))
+	must(t, f.AwaitDone(f.ctx, 4, "n1", life)) // n2 and n3 decide that
+	waiting = append(waiting, f.take(4, "unsafe"), f.take(2, "safe"))
+	must(t, f.Kill(4)) // knows the new founders by its settings no more
+	must(t, f.Start(0, 4))
+	must(t, f.AwaitCopied(f.ctx, 0, 2, 3, 4))
+	must(t, f.Start(1))
+	must(t, f.AwaitCopied(f.ctx, f.All()...))
+	f.votes(0, "n1", "n2", "n3")
+	g.release()
+	f.rules(f.All()...)
+	f.reached(waiting...)
+}
+
 // A majority of the founders is lost for good: strict classes are refused, and the operator's command makes what the last one knows a
 // council again. What it held goes on, and what the lost ones owed goes on where it was kept.
 func TestFleetMajorityLost(t *testing.T) {
@@ -495,13 +550,7 @@
 	must(t, f.Kill(0))
 	must(t, f.Kill(3))
 	rebuild := func(more ...string) string {
-		cmd := exec.Command(os.Args[0], append([]string{"cluster", "rebuild", f.Members[0].State(), "n0"}, more...)...)
-		cmd.Env = append(os.Environ(), childMark+"=1")
-		out, err := cmd.CombinedOutput()
-		if err != nil {
-			t.Fatalf("%v\n%s", err, out)
-		}
-		return string(out)
+		return f.operator(append([]string{"rebuild", f.Members[0].State(), "n0"}, more...)...)
 	}
 	if out := rebuild(); !strings.Contains(out, "nothing was changed") {
 		t.Errorf("without --force: %s", out)
--- a/internal/cluster/council/client.go
+++ b/internal/cluster/council/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,18 +12,31 @@
 
 // Client asks the council, whoever leads it. Its methods may be called from any goroutine.
 type Client struct {
-	founders []string
-	peers    map[string]*links.Peer
-	local    string // the founder in this very process, "" for none
-	server   *Server
+	at     func(address string) *links.Peer
+	local  string // this very process
+	server *Server
 
-	mu     sync.Mutex
-	leader string
+	mu       sync.Mutex
+	first    []Founder // of the settings
+	founders []Founder
+	leader   string
 }
 
-// NewClient asks founders by name; local is the one in this process, if there is one.
-func NewClient(founders []string, peers map[string]*links.Peer, local string, server *Server) *Client {
-	return &Client{founders: founders, peers: peers, local: local, server: server}
+// NewClient asks founders, by ways that at gives; local and server are this process's own part.
+func NewClient(founders []Founder, at func(address string) *links.Peer, local string, server *Server) *Client {
+	return &Client{first: founders, founders: founders, at: at, local: local, server: server}
+}
+
+// Know takes who the founders are by now; none is those of the settings. Those are asked behind them.
+func (c *Client) Know(list []Founder) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.founders = slices.Clone(list)
+	for _, f := range c.first {
+		if !slices.ContainsFunc(list, func(x Founder) bool { return x.Name == f.Name }) {
+			c.founders = append(c.founders, f)
+		}
+	}
 }
 
 const (
@@ -34,13 +48,17 @@
 func (c *Client) Do(ctx context.Context, req Request) (Response, error) {
 	for {
 		c.mu.Lock()
-		first := c.leader
+		names, address := []string{c.leader}, map[string]string{}
+		for _, f := range c.founders {
+			names = append(names, f.Name)
+			address[f.Name] = f.Address
+		}
 		c.mu.Unlock()
 		tried := map[string]bool{}
-		for _, name := range append([]string{first}, c.founders...) {
+		for _, name := range names {
 			for name != "" && !tried[name] && ctx.Err() == nil { // and whom it names
 				tried[name] = true
-				r, err := c.one(ctx, name, req)
+				r, err := c.one(ctx, name, address[name], req)
 				if err != nil {
 					break
 				}
@@ -50,6 +68,9 @@
 					c.mu.Unlock()
 					return r, nil
 				}
+				for _, f := range r.Council { // founders may have changed since this member last heard
+					address[f.Name] = f.Address
+				}
 				name = r.Leader
 			}
 		}
@@ -68,15 +89,14 @@
 	return c.leader
 }
 
-func (c *Client) one(ctx context.Context, name string, req Request) (r Response, err error) {
+func (c *Client) one(ctx context.Context, name, address string, req Request) (r Response, err error) {
 	if name == c.local && c.server != nil {
 		return c.server.Ask(req), nil
 	}
-	peer := c.peers[name]
-	if peer == nil {
+	if address == "" {
 		return r, ErrUnknown
 	}
 	ctx, cancel := context.WithTimeout(ctx, tryFor)
 	defer cancel()
-	return r, peer.Call(ctx, "Council.Ask", req, &r)
+	return r, c.at(address).Call(ctx, "Council.Ask", req, &r)
 }
--- a/internal/cluster/council/core.go
+++ b/internal/cluster/council/core.go
@@ -66,7 +66,11 @@
 // goroutine, and equal events give equal steps but for the chance in Raft's own election timeouts.
 type Core struct {
 	id      uint64
-	names   map[uint64]string
+	name    string
+	first   []Founder         // that the settings name
+	list    []Founder         // as far as this one knows,
+	listed  uint64            // as of this State.Council
+	names   map[uint64]string // of list
 	node    *raft.RawNode
 	storage *raft.MemoryStorage
 	conf    raftpb.ConfState
@@ -74,7 +78,9 @@
 	applied uint64
 	snapped uint64
 	waiting []confirmation // read indices that are not applied yet
-	blank   bool           // it began without anything, and has not met all others since
+	blank   bool           // it began without anything, or has forgotten, and has not met all others since
+	empty   bool           // it began without anything
+	outside bool           // it is none of the founders
 	meet    Standing       // what it has to have before it votes
 	muted   bool           // it does not vote
 }
@@ -113,57 +119,66 @@
 }
 
 // NewCore begins, or goes on, with what an earlier run has kept; kept is empty for none. Founders name the group at its
-// beginning; a group that was rebuilt has its own.
-func NewCore(name string, founders []string, kept Disk) (*Core, error) {
-	if !slices.Contains(founders, name) {
-		return nil, fmt.Errorf("council: %s is none of the founders %v", name, founders)
-	}
-	c := &Core{id: ID(name), names: map[uint64]string{}, storage: raft.NewMemoryStorage()}
-	for _, n := range founders {
-		if other, twice := c.names[ID(n)]; twice {
-			return nil, fmt.Errorf("council: founders %s and %s can't be told apart", n, other)
-		}
-		c.names[ID(n)] = n
+// beginning; one that was rebuilt or changed has its own. Who is none of them is outside, until the group takes it in.
+func NewCore(name string, founders []Founder, kept Disk) (*Core, error) {
+	c := &Core{id: ID(name), name: name, first: founders}
+	if err := distinct(append(slices.Clone(founders), Founder{Name: name})); err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, f := range founders {
+		names = append(names, f.Name)
 	}
-	if raft.IsEmptySnap(kept.Snapshot) {
+	c.know(founders, 0)
+	c.empty = raft.IsEmptyHardState(kept.Hard) && raft.IsEmptySnap(kept.Snapshot)
+	if raft.IsEmptySnap(kept.Snapshot) && !(c.empty && c.outside) {
 		var err error
-		if kept.Snapshot, err = founding(founders); err != nil {
+		if kept.Snapshot, err = founding(names); err != nil {
 			return nil, err
 		}
 	}
-	if err := c.storage.ApplySnapshot(kept.Snapshot); err != nil {
-		return nil, fmt.Errorf("council: snapshot: %w", err)
-	}
-	began := kept.Hard
-	if raft.IsEmptyHardState(kept.Hard) {
-		kept.Hard = raftpb.HardState{Term: 1, Commit: kept.Snapshot.Metadata.Index}
-	}
-	kept.Hard.Commit = max(kept.Hard.Commit, kept.Snapshot.Metadata.Index)
-	if err := c.storage.SetHardState(kept.Hard); err != nil {
-		return nil, fmt.Errorf("council: %w", err)
-	}
-	if err := c.storage.Append(kept.Entries); err != nil {
-		return nil, fmt.Errorf("council: %w", err)
-	}
-	if err := c.restore(kept.Snapshot); err != nil {
+	if err := c.begin(kept); err != nil {
 		return nil, err
 	}
-	last, _ := c.storage.LastIndex()
-	if kept.Hard.Commit > last { // a folder that lost what it had promised: it must not vote as if it had it
-		return nil, fmt.Errorf("council: the log ends at %d, and %d was committed: rolled back or damaged", last, kept.Hard.Commit)
+	c.blank = c.empty
+	c.muted = c.blank && (len(c.names) > 1 || c.outside)
+	return c, nil
+}
+
+// begin makes the Raft node of what is kept; nothing at all makes one that waits for a leader's snapshot.
+func (c *Core) begin(kept Disk) error {
+	c.storage, c.state, c.conf, c.applied, c.snapped = raft.NewMemoryStorage(), NewState(), raftpb.ConfState{}, 0, 0
+	if !raft.IsEmptySnap(kept.Snapshot) {
+		if err := c.storage.ApplySnapshot(kept.Snapshot); err != nil {
+			return fmt.Errorf("council: snapshot: %w", err)
+		}
+		if raft.IsEmptyHardState(kept.Hard) {
+			kept.Hard = raftpb.HardState{Term: 1}
+		}
+		kept.Hard.Commit = max(kept.Hard.Commit, kept.Snapshot.Metadata.Index)
+		if err := c.storage.SetHardState(kept.Hard); err != nil {
+			return fmt.Errorf("council: %w", err)
+		}
+		if err := c.storage.Append(kept.Entries); err != nil {
+			return fmt.Errorf("council: %w", err)
+		}
+		if err := c.restore(kept.Snapshot); err != nil {
+			return err
+		}
+		if last := c.Last(); kept.Hard.Commit > last { // a folder that lost what it had promised: it must not vote as if it had it
+			return fmt.Errorf("council: the log ends at %d, and %d was committed: rolled back or damaged", last, kept.Hard.Commit)
+		}
 	}
-	c.blank = raft.IsEmptyHardState(began)
-	c.muted = c.blank && len(founders) > 1
 	var err error
 	c.node, err = raft.NewRawNode(&raft.Config{
 		ID: c.id, ElectionTick: electionTicks, HeartbeatTick: heartbeatTicks, Storage: c.storage, Applied: c.applied,
 		MaxSizePerMsg: mostAppend, MaxInflightMsgs: mostInflight, CheckQuorum: true, PreVote: true, Logger: quiet,
-		MaxUncommittedEntriesSize: 4 << 20, ReadOnlyOption: raft.ReadOnlySafe,
+		MaxUncommittedEntriesSize: 4 << 20, ReadOnlyOption: raft.ReadOnlySafe, StepDownOnRemoval: true,
 	})
 	if err != nil {
-		return nil, fmt.Errorf("council: %w", err)
+		return fmt.Errorf("council: %w", err)
 	}
-	return c, nil
+	return nil
 }
 
 func (c *Core) restore(s raftpb.Snapshot) error {
@@ -173,6 +188,7 @@
 	}
 	c.state, c.conf = state, s.Metadata.ConfState
 	c.applied, c.snapped = s.Metadata.Index, s.Metadata.Index
+	c.know(state.Founders, state.Council)
 	return nil
 }
 
@@ -197,7 +213,7 @@
 
 // Tick is one beat of the group's time.
 func (c *Core) Tick() {
-	if !c.muted { // it must not ask to lead either
+	if !c.muted && !c.outside { // it must not ask to lead either
 		c.node.Tick()
 	}
 }
@@ -217,18 +233,8 @@
 	if !c.Leads() {
 		return
 	}
-	status := c.node.Status()
-	if status.Progress[id].Match <= last {
-		return
-	}
-	best, match := uint64(0), uint64(0)
-	for other, p := range status.Progress {
-		if other != id && other != c.id && (best == 0 || p.Match > match) {
-			best, match = other, p.Match
-		}
-	}
-	if best != 0 {
-		c.node.TransferLeader(best)
+	if c.node.Status().Progress[id].Match > last {
+		c.yieldTo(id)
 	}
 }
 
@@ -239,23 +245,32 @@
 }
 
 // Muted says whether this founder still has to meet the others.
-func (c *Core) Muted() bool { return c.muted }
+func (c *Core) Muted() bool { return c.muted && !c.outside }
 
 // Met tells a founder that began with an empty folder how far all the others are. One that lost its folder has forgotten whom it
 // voted for and what it said it had; so it hears nobody before it knows of all, and votes only when it has whatever any of them
-// knows to be decided. Where all are blank the group begins.
-func (c *Core) Met(others []Standing) {
-	if !c.muted || len(others) < len(c.names)-1 {
-		return
+// knows to be decided. Where all are blank the group begins; else who has nothing takes all it has from the leader, the
+// group's founders as well: the settings may name others by now.
+func (c *Core) Met(others []Standing) error {
+	if !c.muted || c.outside || len(others) < len(c.names)-1 {
+		return nil
 	}
-	c.blank = false
 	c.meet = Standing{}
+	begun := false
 	for _, o := range others {
 		if !o.Blank {
+			begun = begun || o.Commit > firstIndex // by a majority that was one without this founder
 			c.meet.Term, c.meet.Commit = max(c.meet.Term, o.Term), max(c.meet.Commit, o.Commit)
 		}
 	}
+	if begun && c.empty && c.blank {
+		if err := c.begin(Disk{}); err != nil {
+			return err
+		}
+	}
+	c.blank = false
 	c.speak()
+	return nil
 }
 
 // speak ends the muting once this founder has what it needs.
@@ -267,7 +282,7 @@
 
 // Hear takes a message of another founder; one that can't be meant is dropped.
 func (c *Core) Hear(m raftpb.Message) {
-	if _, known := c.names[m.From]; !known || m.To != c.id || raft.IsLocalMsg(m.Type) {
+	if _, known := c.names[m.From]; !known || c.outside || m.To != c.id || raft.IsLocalMsg(m.Type) {
 		return
 	}
 	if last, _ := c.storage.LastIndex(); m.Type == raftpb.MsgHeartbeat && m.Commit > last {
@@ -355,22 +370,34 @@
 			return step, nil, fmt.Errorf("council: %w", err)
 		}
 	}
+	changed := false
 	for _, e := range rd.CommittedEntries {
 		if e.Index <= c.applied {
 			continue
 		}
 		c.applied = e.Index
-		if e.Type != raftpb.EntryNormal || len(e.Data) == 0 {
-			continue // a new leader's first entry; the group itself is changed by a rebuild alone
+		data, change := e.Data, raftpb.ConfChangeV2{}
+		if e.Type == raftpb.EntryConfChangeV2 {
+			if err := change.Unmarshal(e.Data); err != nil {
+				return step, nil, fmt.Errorf("council: change %d: %w", e.Index, err)
+			}
+			data = change.Context
+		}
+		if len(data) == 0 {
+			continue // a new leader's first entry
 		}
 		var in entry
 		a := Applied{Version: e.Index}
-		if err := gob.NewDecoder(bytes.NewReader(e.Data)).Decode(&in); err != nil {
+		if err := gob.NewDecoder(bytes.NewReader(data)).Decode(&in); err != nil {
 			a.Err = fmt.Errorf("council: command %d: %w", e.Index, err) // on all founders alike
 		} else {
 			a.Ticket, a.Command = in.Ticket, in.Command
 			a.Err = c.state.Apply(e.Index, in.Command)
 		}
+		if e.Type == raftpb.EntryConfChangeV2 && a.Err == nil {
+			c.conf, changed = *c.node.ApplyConfChange(change), true
+			c.know(c.state.Founders, c.state.Council)
+		}
 		step.Applied = append(step.Applied, a)
 	}
 	for _, r := range rd.ReadStates {
@@ -387,7 +414,7 @@
 		return true
 	})
 	c.speak()
-	snap, err := c.snapshot()
+	snap, err := c.snapshot(changed)
 	if err != nil {
 		return step, nil, err
 	}
@@ -397,9 +424,10 @@
 	return step, func() { c.node.Advance(rd) }, nil
 }
 
-// snapshot shortens the log now and then.
-func (c *Core) snapshot() (raftpb.Snapshot, error) {
-	if c.applied-c.snapped < snapshotEvery {
+// snapshot shortens the log now and then, and where the group was changed: whoever is new to it begins with a snapshot that
+// names it, and a start needs no word of the settings on who the founders are.
+func (c *Core) snapshot(changed bool) (raftpb.Snapshot, error) {
+	if !changed && c.applied-c.snapped < snapshotEvery {
 		return raftpb.Snapshot{}, nil
 	}
 	data, err := encode(c.state)
@@ -452,7 +480,7 @@
 		return Disk{}, err
 	}
 	s.Metadata.Index, s.Metadata.Term = index+1<<20, term+1<<10
-	state.Version = s.Metadata.Index
+	state.Version, state.Founders, state.Council = s.Metadata.Index, nil, s.Metadata.Index // those of the settings
 	if s.Data, err = encode(state); err != nil {
 		return Disk{}, err
 	}
--- a/internal/cluster/council/council_test.go
+++ b/internal/cluster/council/council_test.go
@@ -90,10 +90,13 @@
 	keeps map[string]*Keeper
 	queue []raftpb.Message
 	down  map[string]bool
+	loses func() bool       // a message on its way; nil is never
+	first []string          // that the settings name; nil is names
+	saw   map[uint64]string // what was decided at each version, by whoever applied it first
 }
 
-func newGroup(t *testing.T) *group {
-	g := &group{t: t, names: []string{"a", "b", "c"}, cores: map[string]*Core{}, disks: map[string]*fsys.Mem{}, keeps: map[string]*Keeper{}, down: map[string]bool{}}
+func newGroup(t *testing.T, names ...string) *group {
+	g := &group{t: t, names: names, saw: map[uint64]string{}, cores: map[string]*Core{}, disks: map[string]*fsys.Mem{}, keeps: map[string]*Keeper{}, down: map[string]bool{}}
 	for _, name := range g.names {
 		g.disks[name] = fsys.NewMem()
 		g.open(name)
@@ -103,28 +106,43 @@
 }
 
 func (g *group) open(name string) {
+	if g.first == nil {
+		g.first = g.names
+	}
 	k, d, err := OpenKeeper(g.disks[name], func(s string) { g.t.Error(s) })
 	if err != nil {
 		g.t.Fatal(err)
 	}
-	c, err := NewCore(name, g.names, d)
+	var founders []Founder
+	for _, n := range g.first {
+		founders = append(founders, Founder{Name: n})
+	}
+	c, err := NewCore(name, founders, d)
 	if err != nil {
 		g.t.Fatal(err)
 	}
 	g.cores[name], g.keeps[name] = c, k
 }
 
-// meet has blank founders ask the others, as a server does.
+// meet has blank founders ask the others, as a server does; all hear with their lease who the founders are.
 func (g *group) meet() {
 	for _, name := range g.names {
-		var all []Standing
+		c := g.cores[name]
 		for _, other := range g.names {
-			if other != name && !g.down[other] {
-				g.cores[other].Yield(ID(name), g.cores[name].Last())
-				all = append(all, g.cores[other].Standing())
+			if l := g.cores[other]; !g.down[other] && !g.down[name] && l.Leads() {
+				c.Know(l.State().Founders, l.State().Council)
+			}
+		}
+		var all []Standing
+		for _, f := range c.Founders() {
+			if other := g.cores[f.Name]; f.Name != name && !g.down[f.Name] && !g.down[name] && c.Muted() {
+				other.Yield(ID(name), c.Last())
+				all = append(all, other.Standing())
 			}
 		}
-		g.cores[name].Met(all)
+		if err := c.Met(all); err != nil {
+			g.t.Fatal(err)
+		}
 	}
 }
 
@@ -151,11 +169,27 @@
 					}
 					g.queue = append(g.queue, step.Send...)
 					done()
+					for _, a := range step.Applied {
+						said := fmt.Sprintf("%d %+v", a.Ticket, a.Command)
+						if was, seen := g.saw[a.Version]; seen && was != said {
+							g.t.Fatalf("%s applied %s at %d, another %s", name, said, a.Version, was)
+						}
+						g.saw[a.Version] = said
+					}
 				}
 			}
 			queue := g.queue
 			g.queue = nil
 			for _, m := range queue {
+				lost := g.loses != nil && g.loses()
+				for _, name := range g.names {
+					if m.Type == raftpb.MsgSnap && ID(name) == m.From {
+						g.cores[name].SnapshotSent(m.To, !lost)
+					}
+				}
+				if lost {
+					continue
+				}
 				for _, name := range g.names {
 					if ID(name) == m.To && !g.down[name] {
 						g.cores[name].Hear(m)
@@ -181,16 +215,21 @@
 }
 
 func (g *group) join(name string) {
-	if err := g.leader().Propose(rand.Uint64(), Command{Kind: Join, Life: Life{Name: name}, Token: name}); err != nil {
-		g.t.Fatal(err)
+	var err error
+	for range 20 { // a leader that is about to hand over takes nothing
+		if err = g.leader().Propose(rand.Uint64(), Command{Kind: Join, Life: Life{Name: name}, Token: name}); err == nil {
+			g.run(3)
+			return
+		}
+		g.run(3)
 	}
-	g.run(3)
+	g.t.Fatal(err)
 }
 
 // What was decided outlasts every founder's restart, a snapshot, and one founder's folder, which says nothing until it has met all
 // others and has what they know.
 func TestCouncilOutlastsItsFolders(t *testing.T) {
-	g := newGroup(t)
+	g := newGroup(t, "a", "b", "c")
 	for i := range snapshotEvery + 50 { // the log is shortened on the way
 		g.join(fmt.Sprint("m", i%9))
 	}
@@ -221,9 +260,129 @@
 	}
 }
 
+// change has the leader change the founders, and waits until that is so.
+func (g *group) change(name string, on bool) {
+	g.t.Helper()
+	for range 60 {
+		l := g.leader()
+		at := slices.IndexFunc(l.Founders(), func(f Founder) bool { return f.Name == name })
+		if on && at >= 0 && !l.Founders()[at].Learns || !on && at < 0 {
+			return
+		}
+		if !on || at < 0 || len(l.Level()) > 0 {
+			if err := l.Change(rand.Uint64(), Founder{Name: name}, on); errors.Is(err, ErrMajority) {
+				g.t.Fatal(err)
+			}
+		}
+		g.run(3)
+		g.meet()
+	}
+	g.t.Fatalf("%s: never %v", name, on)
+}
+
+// A council grows from one founder to three, each of them is replaced by another, and one of the new ones loses its folder: what was
+// decided before is known to all, and who was let go decides nothing any more.
+func TestFoundersChange(t *testing.T) {
+	g := newGroup(t)
+	g.names, g.first = []string{"a", "b", "c", "d", "e", "f"}, []string{"a"}
+	for _, name := range g.names {
+		g.disks[name] = fsys.NewMem()
+		g.open(name)
+	}
+	g.join("first")
+	for _, name := range []string{"b", "c"} {
+		g.change(name, true)
+	}
+	for i, name := range []string{"a", "b", "c"} {
+		g.join("before " + name)
+		g.down[name] = i > 0 // one that leads hands that on; the others are dead
+		g.change(string(rune('d'+i)), true)
+		g.change(name, false)
+	}
+	g.down["e"] = true
+	g.join("without e")
+	g.disks["e"] = fsys.NewMem()
+	g.open("e")
+	g.down["e"] = false
+	g.meet()
+	if !g.cores["e"].Muted() {
+		t.Error("a founder that lost its folder may vote")
+	}
+	for range 12 {
+		g.run(5)
+		g.meet()
+	}
+	g.down["d"] = true // e has to vote now
+	g.join("without d")
+	for _, name := range []string{"e", "f"} {
+		if s := g.cores[name].State(); len(s.Members) != 6 || len(s.Founders) != 3 {
+			t.Errorf("%s: members %v, founders %v", name, s.Names(), s.Founders)
+		}
+	}
+	g.down["a"], g.down["b"], g.down["c"], g.down["e"], g.down["f"] = false, false, false, true, true
+	g.run(60)
+	for _, name := range []string{"a", "b", "c"} {
+		if g.cores[name].Leads() {
+			t.Errorf("%s leads those who were let go", name)
+		}
+	}
+}
+
+// Founders are taken in and let go while messages get lost and founders die with a third of their steps: no two ever apply different
+// commands at one version, and in the end all agree.
+func TestFoundersChangeUnderFaults(t *testing.T) {
+	for seed := range uint64(15) {
+		rng := rand.New(rand.NewPCG(seed, 9))
+		g := newGroup(t)
+		g.names, g.first = []string{"a", "b", "c", "d", "e"}, []string{"a", "b", "c"}
+		for _, name := range g.names {
+			g.disks[name] = fsys.NewMem()
+			g.open(name)
+		}
+		g.meet()
+		g.loses = func() bool { return rng.IntN(10) == 0 }
+		for step := range 60 {
+			name := g.names[rng.IntN(len(g.names))]
+			if rng.IntN(3) == 0 { // dies and comes back with its folder
+				g.down[name] = true
+				g.run(rng.IntN(15))
+				g.open(name)
+				g.down[name] = false
+			}
+			for _, other := range g.names {
+				if l := g.cores[other]; l.Leads() {
+					f := g.names[rng.IntN(len(g.names))]
+					on := rng.IntN(2) == 0
+					if level := l.Level(); len(level) > 0 {
+						f, on = level[0].Name, true
+					}
+					if !on || len(l.Level()) > 0 || !slices.ContainsFunc(l.Founders(), func(x Founder) bool { return x.Name == f }) {
+						_ = l.Change(rand.Uint64(), Founder{Name: f}, on)
+					}
+					_ = l.Propose(rand.Uint64(), Command{Kind: Join, Life: Life{Name: fmt.Sprint(step)}, Token: "t"})
+				}
+			}
+			g.run(rng.IntN(8))
+			g.meet()
+		}
+		g.loses = nil
+		g.join("last")
+		for range 6 {
+			g.meet()
+			g.run(6)
+		}
+		l := g.leader()
+		for _, f := range l.Founders() {
+			if s := g.cores[f.Name].State(); s.Version != l.State().Version || s.Members["last"] == nil {
+				t.Fatalf("seed %d: %s at %d, the leader at %d", seed, f.Name, s.Version, l.State().Version)
+			}
+		}
+	}
+}
+
 // A majority lost for good: the operator's rebuild keeps what the last founder knows.
 func TestRebuild(t *testing.T) {
-	g := newGroup(t)
+	g := newGroup(t, "a", "b", "c")
 	g.join("m")
 	g.join("n")
 	before := g.cores["a"].State().Version
@@ -245,6 +404,7 @@
 		t.Fatal(err)
 	}
 	g.names = []string{"a", "d", "e"}
+	g.first, g.saw = nil, map[uint64]string{}
 	for _, name := range g.names { // the operator copies the folder to the other founders
 		g.disks[name] = g.disks["a"].Crash(fsys.LoseProcess, rand.New(rand.NewPCG(1, 1)))
 		g.open(name)
--- a/internal/cluster/council/server.go
+++ b/internal/cluster/council/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -34,10 +35,11 @@
 
 // Response answers it. State is set where the asker's version is older, and always behind a command.
 type Response struct {
-	Leader  string // who leads, as far as is known; where Refused says that it was not this founder
-	Refused string // why nothing came of it
-	Granted bool   // the lease
-	Silent  bool   // this founder does not vote: it has not met all others since it lost what it had
+	Leader  string    // who leads, as far as is known; where Refused says that it was not this founder
+	Refused string    // why nothing came of it
+	Granted bool      // the lease
+	Silent  bool      // this founder does not vote: it has not met all others since it lost what it had
+	Council []Founder // who they are, as far as is known, where it was not this founder to ask
 	State   *State
 }
 
@@ -55,8 +57,9 @@
 	core   *Core
 	keeper *Keeper
 	timing Timing
-	peers  map[uint64]*links.Peer
 	logger zerolog.Logger
+	// Dial makes the way to a founder's address, which is this server's from then on: nothing else delays Raft's messages.
+	Dial func(address string) *links.Peer
 	// Furthest asks keepers how far their copies of a life go, and names the one that is furthest; "" is none. It is called in a
 	// goroutine of its own.
 	Furthest func(ctx context.Context, life Life, keepers []string, s *State) string
@@ -73,11 +76,21 @@
 	fresh   []asking                 // not confirmed for yet
 	joining map[string]*joining      // by name
 	looking map[Life]bool            // jobs whose keepers are being asked
-	out     map[uint64]chan []raftpb.Message
+	lanes   map[uint64]*lane
+	carried sync.WaitGroup // lanes
+	changed time.Duration  // until when a change of the founders may be under way
 	meeting bool
 	said    string // the leader of whom the log has told
 }
 
+// lane is the way to another founder.
+type lane struct {
+	Founder
+	peer *links.Peer
+	out  chan []raftpb.Message
+	end  context.CancelFunc
+}
+
 // asking is a lease that was asked for.
 type asking struct {
 	life  Life
@@ -93,12 +106,12 @@
 }
 
 // NewServer is a founder with what it had kept.
-func NewServer(core *Core, keeper *Keeper, t Timing, peers map[uint64]*links.Peer, logger zerolog.Logger) *Server {
+func NewServer(core *Core, keeper *Keeper, t Timing, logger zerolog.Logger) *Server {
 	return &Server{
-		core: core, keeper: keeper, timing: t, peers: peers, logger: logger, began: time.Now(), events: make(chan func(), 256),
+		core: core, keeper: keeper, timing: t, Dial: links.NewPeer, logger: logger, began: time.Now(), events: make(chan func(), 256),
 		done: make(chan struct{}), token: rand.Uint64(), ticket: rand.Uint64(), leases: Leases{Lease: t.Lease, Margin: t.Margin},
 		waiting: map[uint64]func(Applied){}, asking: map[uint64][]asking{}, joining: map[string]*joining{},
-		looking: map[Life]bool{}, out: map[uint64]chan []raftpb.Message{},
+		looking: map[Life]bool{}, lanes: map[uint64]*lane{},
 	}
 }
 
@@ -106,6 +119,7 @@
 
 // Run serves until ctx ends; an error is one of the disk, after which this founder must not speak.
 func (s *Server) Run(ctx context.Context) (err error) {
+	defer s.carried.Wait()
 	defer close(s.done)
 	defer func() {
 		if r := recover(); r != nil { // Raft's own word for a log that can't be
@@ -114,14 +128,10 @@
 	}()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	for id, peer := range s.peers {
-		lane := make(chan []raftpb.Message, 64)
-		s.out[id] = lane
-		go s.carry(ctx, id, peer, lane)
-	}
 	tick := time.NewTicker(s.timing.Tick)
 	defer tick.Stop()
 	for {
+		s.roster(ctx)
 		select {
 		case f := <-s.events:
 			f()
@@ -136,7 +146,7 @@
 		if s.core.Muted() && !s.meeting {
 			s.meeting = true
 			s.logger.Warn().Str("part", "council").Msg("this founder has nothing, or less than it once said: it does not vote before it has met all others")
-			go s.meet(ctx, s.core.Last())
+			go s.meet(ctx, s.core.Last(), s.others())
 		}
 		s.confirm()
 		for s.core.HasReady() {
@@ -147,12 +157,49 @@
 	}
 }
 
-// meet asks all other founders how far they are, until all have answered.
-func (s *Server) meet(ctx context.Context, last uint64) {
+// roster has a lane to each of the other founders, and to nobody else.
+func (s *Server) roster(ctx context.Context) {
+	keep := map[uint64]bool{}
+	for _, f := range s.core.Founders() {
+		id := ID(f.Name)
+		if id == s.core.id || s.core.Outside() {
+			continue
+		}
+		keep[id] = true
+		if l := s.lanes[id]; l != nil && l.Address == f.Address {
+			continue
+		} else if l != nil {
+			l.end()
+		}
+		l := &lane{Founder: f, peer: s.Dial(f.Address), out: make(chan []raftpb.Message, 64)}
+		var its context.Context
+		its, l.end = context.WithCancel(ctx)
+		s.lanes[id] = l
+		s.carried.Go(func() { s.carry(its, id, l) })
+	}
+	for id, l := range s.lanes {
+		if !keep[id] {
+			l.end()
+			delete(s.lanes, id)
+		}
+	}
+}
+
+// others are the ways to all other founders.
+func (s *Server) others() (out []*links.Peer) {
+	for _, l := range s.lanes {
+		out = append(out, l.peer)
+	}
+	return out
+}
+
+// meet asks all other founders how far they are, until all have answered. It ends where others are the founders by then: the server
+// begins again.
+func (s *Server) meet(ctx context.Context, last uint64, peers []*links.Peer) {
 	defer s.post(func() { s.meeting = false })
 	for ctx.Err() == nil {
 		var all []Standing
-		for _, peer := range s.peers {
+		for _, peer := range peers {
 			var st Standing
 			call, cancel := context.WithTimeout(ctx, stepFor)
 			if peer.Call(call, "Council.Meet", Meeting{s.core.id, last, s.token}, &st) == nil {
@@ -160,21 +207,26 @@
 			}
 			cancel()
 		}
-		if len(all) == len(s.peers) {
-			done := make(chan bool, 1)
-			s.post(func() {
-				s.core.Met(all)
-				last = s.core.Last()
-				done <- !s.core.Muted()
-			})
-			select {
-			case over := <-done:
-				if over {
-					return
-				} // until it has what they know, it asks again: a leader may have to yield for it
-			case <-s.done:
-				return
+		done := make(chan bool, 1)
+		s.post(func() {
+			now := s.others()
+			over := len(now) != len(peers) || slices.ContainsFunc(now, func(p *links.Peer) bool { return !slices.Contains(peers, p) })
+			if !over && len(all) == len(peers) {
+				if err := s.core.Met(all); err != nil {
+					s.logger.Error().Str("part", "council").Err(err).Msg("a founder that can't begin")
+				}
+				over = !s.core.Muted()
 			}
+			last = s.core.Last()
+			done <- over
+		})
+		select {
+		case over := <-done:
+			if over {
+				return
+			} // until it has what they know, it asks again: a leader may have to yield for it
+		case <-s.done:
+			return
 		}
 		select {
 		case <-time.After(s.timing.Tick):
@@ -184,10 +236,11 @@
 }
 
 // carry brings messages to one founder, one behind the other.
-func (s *Server) carry(ctx context.Context, id uint64, peer *links.Peer, lane <-chan []raftpb.Message) {
+func (s *Server) carry(ctx context.Context, id uint64, l *lane) {
+	defer l.peer.Close()
 	for {
 		select {
-		case batch := <-lane:
+		case batch := <-l.out:
 			var raw [][]byte
 			snapshot := false
 			for _, m := range batch {
@@ -199,7 +252,7 @@
 				snapshot = snapshot || m.Type == raftpb.MsgSnap
 			}
 			call, cancel := context.WithTimeout(ctx, stepFor)
-			err := peer.Call(call, "Council.Step", raw, new(bool))
+			err := l.peer.Call(call, "Council.Step", raw, new(bool))
 			cancel()
 			if err != nil || snapshot {
 				s.post(func() {
@@ -240,8 +293,12 @@
 		batches[m.To] = append(batches[m.To], m)
 	}
 	for id, batch := range batches {
+		var out chan<- []raftpb.Message
+		if l := s.lanes[id]; l != nil {
+			out = l.out
+		}
 		select {
-		case s.out[id] <- batch:
+		case out <- batch:
 		default: // it is far behind, or gone; Raft sends again
 			s.core.Unreachable(id)
 		}
@@ -278,6 +335,17 @@
 			line.Stringer("life", c.Life).Strs("keepers", c.Set).Msg("copies that count")
 		case Evacuate, Freeze:
 			line.Str("place", c.Place).Bool("on", c.On).Bool("freeze", c.Kind == Freeze).Msg("operators' order")
+		case Found:
+			s.changed = 0
+			var votes, learn []string
+			for _, f := range s.core.Founders() {
+				if f.Learns {
+					learn = append(learn, f.Name)
+				} else {
+					votes = append(votes, f.Name)
+				}
+			}
+			line.Str("name", c.Life.Name).Bool("on", c.On).Strs("founders", votes).Strs("learning", learn).Msg("the council's founders")
 		case Leave, Remove:
 			line.Str("name", c.Life.Name).Bool("leaving", c.Kind == Leave && c.On).Bool("removed", c.Kind == Remove).Msg("member")
 		}
@@ -353,6 +421,11 @@
 			s.propose(Command{Kind: End, Life: life}, nil)
 		}
 	}
+	for _, f := range s.core.Level() {
+		if s.changed <= now {
+			s.change(f, true, nil)
+		}
+	}
 	for _, j := range state.Jobs {
 		if !j.Done && j.Taker.Number == 0 && !s.looking[j.Life] && s.Furthest != nil {
 			s.look(ctx, j, state.Clone())
@@ -384,6 +457,26 @@
 
 // propose asks for a command and tells what came of it.
 func (s *Server) propose(cmd Command, tell func(Response)) {
+	s.asked(tell, func(ticket uint64) error { return s.core.Propose(ticket, cmd) })
+}
+
+// change asks for a change of the founders, one at a time; a change that got lost is not waited for for long.
+func (s *Server) change(f Founder, on bool, tell func(Response)) {
+	s.asked(tell, func(ticket uint64) error {
+		now := s.now()
+		if s.changed > now {
+			return ErrChanging
+		}
+		err := s.core.Change(ticket, f, on)
+		if err == nil {
+			s.changed = now + answerFor
+		}
+		return err
+	})
+}
+
+// asked proposes something under a ticket and tells what came of it.
+func (s *Server) asked(tell func(Response), propose func(ticket uint64) error) {
 	s.ticket++
 	ticket := s.ticket
 	if tell != nil {
@@ -395,7 +488,7 @@
 			tell(r)
 		}
 	}
-	if err := s.core.Propose(ticket, cmd); err != nil {
+	if err := propose(ticket); err != nil {
 		delete(s.waiting, ticket)
 		if tell != nil {
 			tell(Response{Refused: err.Error(), Leader: s.core.Leader()})
@@ -403,6 +496,28 @@
 	}
 }
 
+// found takes a member into the council, or lets a founder go.
+func (s *Server) found(cmd Command, tell func(Response)) {
+	f := Founder{Name: cmd.Life.Name}
+	if m := s.core.State().Members[f.Name]; cmd.On {
+		switch {
+		case m == nil || !m.Alive:
+			tell(Response{Refused: ErrUnknown.Error()})
+			return
+		case slices.ContainsFunc(s.core.Founders(), func(x Founder) bool { return x.Name == f.Name }):
+			tell(Response{Refused: ErrFounder.Error()})
+			return
+		}
+		f.Address = m.Address
+	}
+	s.change(f, cmd.On, tell)
+}
+
+// Roster tells who the founders are, as decided up to a version: how one that is none of them, or has lost its folder, hears of it.
+func (s *Server) Roster(list []Founder, version uint64) {
+	s.post(func() { s.core.Know(list, version) })
+}
+
 // confirm asks a majority once for all leases that were asked for since.
 func (s *Server) confirm() {
 	if len(s.fresh) == 0 {
@@ -465,7 +580,7 @@
 		}
 		tell(r)
 	case !s.core.Leads() || !s.leases.Leads():
-		tell(Response{Refused: ErrNotLeader.Error(), Leader: s.core.Leader()})
+		tell(Response{Refused: ErrNotLeader.Error(), Leader: s.core.Leader(), Council: s.core.Founders()})
 	case req.Renew != nil:
 		if j := s.joining[req.Renew.Name]; j != nil { // the life goes on: whoever came under its name is another process
 			delete(s.joining, req.Renew.Name)
@@ -475,6 +590,8 @@
 		s.fresh = append(s.fresh, asking{*req.Renew, req.Known, tell})
 	case req.Command.Kind == Join:
 		s.join(*req.Command, tell)
+	case req.Command.Kind == Found:
+		s.found(*req.Command, tell)
 	default:
 		s.propose(*req.Command, tell)
 	}
@@ -533,11 +650,21 @@
 
 // Meet tells how far this founder is.
 func (r RPC) Meet(m Meeting, out *Standing) error {
+	way := make(chan *lane, 1)
+	if !r.s.post(func() { way <- r.s.lanes[m.ID] }) {
+		return ErrNoLeader
+	}
+	var peer *lane
+	select {
+	case peer = <-way:
+	case <-r.s.done:
+		return ErrNoLeader
+	}
 	real := false
-	if peer := r.s.peers[m.ID]; peer != nil { // whoever is at that founder's address: another process of its name changes nothing
+	if peer != nil { // whoever is at that founder's address: another process of its name changes nothing
 		var token uint64
 		call, cancel := context.WithTimeout(context.Background(), stepFor/2)
-		real = peer.Call(call, "Council.Who", true, &token) == nil && token == m.Token
+		real = peer.peer.Call(call, "Council.Who", true, &token) == nil && token == m.Token
 		cancel()
 	}
 	answer := make(chan Standing, 1)
--- a/internal/cluster/council/state.go
+++ b/internal/cluster/council/state.go
@@ -55,6 +55,9 @@
 	Members map[string]*Member
 	Jobs    []*Job // oldest first
 	Plan    Plan   // of where traffic goes
+	// Founders are who holds the council since that was changed, as of version Council; none where it is as it began.
+	Founders []Founder
+	Council  uint64
 }
 
 // Plan is what is decided of where traffic goes. What it says is for package plan.
@@ -88,28 +91,30 @@
 	Propose                  // the next plan of where traffic goes
 	Evacuate                 // a place is to be empty of traffic, or not any more
 	Freeze                   // the plan stays as it is, or not any more
+	Found                    // a member belongs to the council's founders, or not any more
 )
 
 // Command is a change that is asked for. Fields that its kind does not name are ignored.
 type Command struct {
 	Kind    Kind
-	Life    Life     // Join: Number is the one in its folder, 0 for none
-	Whole   bool     // Join: its folder still has the journal of that life
-	Fenced  bool     // Join: the life before can do nothing any more; else Join is refused while that lives
-	Token   string   // Join: drawn by the process
-	Past    string   // Join: that of the process which last had its folder
-	Address string   // Join
-	Zone    string   // Join
-	Region  string   // Join
-	Version int      // Join
-	Space   int64    // Join
-	Taker   Life     // Assign, Done
-	From    uint64   // Keepers: Changed of what it replaces. Propose: the plan's number. Evacuate, Freeze: Ordered, as the operator saw it
-	Set     []string // Keepers
-	On      bool     // Leave, Evacuate, Freeze
-	Number  uint64   // Propose
-	Content []byte   // Propose
-	Place   string   // Evacuate
+	Life    Life      // Join: Number is the one in its folder, 0 for none
+	Whole   bool      // Join: its folder still has the journal of that life
+	Fenced  bool      // Join: the life before can do nothing any more; else Join is refused while that lives
+	Token   string    // Join: drawn by the process
+	Past    string    // Join: that of the process which last had its folder
+	Address string    // Join
+	Zone    string    // Join
+	Region  string    // Join
+	Version int       // Join
+	Space   int64     // Join
+	Taker   Life      // Assign, Done
+	From    uint64    // Keepers: Changed of what it replaces. Propose: the plan's number. Evacuate, Freeze: Ordered, as the operator saw it. Found: Council
+	Set     []string  // Keepers
+	On      bool      // Leave, Evacuate, Freeze, Found
+	Number  uint64    // Propose
+	Content []byte    // Propose
+	Place   string    // Evacuate
+	Council []Founder // Found: all, as they are to be
 }
 
 // The reasons for which a command changes nothing.
@@ -202,6 +207,11 @@
 			s.Plan.Evacuating = append(s.Plan.Evacuating, c.Place)
 			slices.Sort(s.Plan.Evacuating)
 		}
+	case Found:
+		if c.From != s.Council {
+			return ErrLater
+		}
+		s.Founders, s.Council = c.Council, version // never changed in place
 	default: // of a later version: counted, not understood
 	}
 	return nil
@@ -301,7 +311,7 @@
 
 // Clone is a copy that shares nothing.
 func (s *State) Clone() *State {
-	out := &State{Version: s.Version, Plan: s.Plan, Members: make(map[string]*Member, len(s.Members))}
+	out := &State{Version: s.Version, Plan: s.Plan, Founders: s.Founders, Council: s.Council, Members: make(map[string]*Member, len(s.Members))}
 	for name, m := range s.Members {
 		c := *m
 		c.Keepers = slices.Clone(m.Keepers)
--- a/internal/cluster/links/links.go
+++ b/internal/cluster/links/links.go
@@ -131,13 +131,21 @@
 
 // Peers is a set of them by address.
 type Peers struct {
-	// Via maps an address to the one that is dialled for it, where the two differ.
-	Via map[string]string
+	// Other maps an address to the one that is dialled for it, where the two differ.
+	Other map[string]string
 
 	mu    sync.Mutex
 	peers map[string]*Peer
 }
 
+// Via is what is dialled for an address.
+func (p *Peers) Via(address string) string {
+	if via, other := p.Other[address]; other {
+		return via
+	}
+	return address
+}
+
 // At is the peer at an address.
 func (p *Peers) At(address string) *Peer {
 	p.mu.Lock()
@@ -147,11 +155,7 @@
 	}
 	peer := p.peers[address]
 	if peer == nil {
-		dial := address
-		if via, other := p.Via[address]; other {
-			dial = via
-		}
-		peer = NewPeer(dial)
+		peer = NewPeer(p.Via(address))
 		p.peers[address] = peer
 	}
 	return peer
--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -32,15 +32,12 @@
 // Version is that of what members say to each other; a later one may know more kinds of records.
 const Version = 1
 
-// Founder is one of the council's.
-type Founder struct{ Name, Address string }
-
 // Config is what a node starts with.
 type Config struct {
 	Name         string
 	Zone, Region string
 	Listen       string // where its links listen, and where others reach them
-	Founders     []Founder
+	Founders     []council.Founder
 	Via          map[string]string // what is dialled for an address, where that differs
 	Copies       int               // of each message, the owner's own included
 	Timing       council.Timing
@@ -96,7 +93,7 @@
 	listener net.Listener
 	peers    *links.Peers
 	client   *council.Client
-	server   *council.Server // nil where it is no founder
+	server   *council.Server // a founder, or one that may become it
 	keeper   *council.Keeper
 	token    string
 	folder   life // what was found
@@ -156,7 +153,7 @@
 		return nil, errFounders
 	}
 	n := &Node{
-		cfg: cfg, peers: &links.Peers{Via: cfg.Via}, token: fmt.Sprintf("%016x", rand.Uint64()), began: time.Now(),
+		cfg: cfg, peers: &links.Peers{Other: cfg.Via}, token: fmt.Sprintf("%016x", rand.Uint64()), began: time.Now(),
 		state: council.NewState(), sending: map[string]bool{}, missed: map[string]time.Time{}, heard: map[string]time.Time{}, taking: map[council.Life]bool{},
 		wake: make(chan struct{}, 1), shelf: copies.NewShelf(rand.Uint64()), talk: newTalk(cfg),
 	}
@@ -189,34 +186,21 @@
 	return n, nil
 }
 
-// found opens a founder's part, if this is one, and the way to the others.
+// found opens the part in the council, of a founder or of one that may become it, and the way to the others.
 func (n *Node) found(report func(string)) error {
-	var names []string
-	peers, byID := map[string]*links.Peer{}, map[uint64]*links.Peer{}
-	local := ""
-	for _, f := range n.cfg.Founders {
-		names = append(names, f.Name)
-		if f.Name == n.cfg.Name {
-			local = f.Name
-			continue
-		}
-		peers[f.Name] = n.peers.At(f.Address)
-		byID[council.ID(f.Name)] = links.NewPeer(peers[f.Name].Address()) // Raft's own connection: nothing else delays it
+	keeper, kept, err := council.OpenKeeper(fsys.Dir(filepath.Join(n.cfg.Folder, CouncilDir)), report)
+	if err != nil {
+		return err
 	}
-	if local != "" {
-		keeper, kept, err := council.OpenKeeper(fsys.Dir(filepath.Join(n.cfg.Folder, CouncilDir)), report)
-		if err != nil {
-			return err
-		}
-		n.keeper = keeper
-		core, err := council.NewCore(local, names, kept)
-		if err != nil {
-			return errors.Join(err, keeper.Close())
-		}
-		n.server = council.NewServer(core, keeper, n.cfg.Timing, byID, n.cfg.Logger)
-		n.server.Furthest = n.furthest
+	n.keeper = keeper
+	core, err := council.NewCore(n.cfg.Name, n.cfg.Founders, kept)
+	if err != nil {
+		return errors.Join(err, keeper.Close())
 	}
-	n.client = council.NewClient(names, peers, local, n.server)
+	n.server = council.NewServer(core, keeper, n.cfg.Timing, n.cfg.Logger)
+	n.server.Dial = func(address string) *links.Peer { return links.NewPeer(n.peers.Via(address)) }
+	n.server.Furthest = n.furthest
+	n.client = council.NewClient(n.cfg.Founders, n.peers.At, n.cfg.Name, n.server)
 	return nil
 }
 
@@ -266,11 +250,9 @@
 	group, ctx := errgroup.WithContext(ctx)
 	n.tasks = group
 	group.Go(func() error {
-		services := map[string]any{"Copies": copiesRPC{n}, "Status": statusRPC{n}, "Facts": factsRPC{n}, "Plan": planRPC{n}}
-		if n.server != nil {
-			services["Council"] = n.server.Calls()
-		}
-		return links.Serve(n.listener, services)
+		return links.Serve(n.listener, map[string]any{
+			"Copies": copiesRPC{n}, "Status": statusRPC{n}, "Facts": factsRPC{n}, "Plan": planRPC{n}, "Council": n.server.Calls(),
+		})
 	})
 	group.Go(func() error {
 		<-ctx.Done()
@@ -278,14 +260,12 @@
 		n.peers.Close()
 		return nil
 	})
-	if n.server != nil {
-		group.Go(func() error {
-			if err := n.server.Run(ctx); err != nil { // messages go on without it; the other founders decide
-				n.cfg.Logger.Error().Str("part", "council").Err(err).Msg("this founder is silent from here on")
-			}
-			return nil
-		})
-	}
+	group.Go(func() error {
+		if err := n.server.Run(ctx); err != nil { // messages go on without it; the other founders decide
+			n.cfg.Logger.Error().Str("part", "council").Err(err).Msg("this founder is silent from here on")
+		}
+		return nil
+	})
 	group.Go(func() error { n.live(ctx); return nil })
 	group.Go(func() error { n.manage(ctx); return nil })
 	group.Go(func() error { n.expire(ctx); return nil })
@@ -484,12 +464,17 @@
 			delete(n.missed, name)
 		}
 	}
+	changed := s.Council != n.state.Council
 	n.state = s
 	if m := s.Members[n.cfg.Name]; n.owner != nil && n.asked != nil && m != nil && m.Changed != n.asked.From {
 		n.owner.Settled() // that, or something else, was decided: what was asked for cannot be any more
 		n.asked = nil
 	}
 	n.mu.Unlock()
+	if changed {
+		n.client.Know(s.Founders)
+		n.server.Roster(s.Founders, s.Council)
+	}
 	n.shelfMu.Lock()
 	for _, life := range n.shelf.Lives() {
 		if j := s.Job(life); j != nil || !s.Alive(life) && s.Members[life.Name] != nil && s.Members[life.Name].Life >= life.Number {
--- a/internal/cluster/node/plans.go
+++ b/internal/cluster/node/plans.go
@@ -240,7 +240,7 @@
 		return
 	}
 	now := s.n.now()
-	leads := s.n.server != nil && s.n.server.Ask(council.Request{}).Leader == s.n.cfg.Name
+	leads := s.n.server.Ask(council.Request{}).Leader == s.n.cfg.Name
 	s.mu.Lock()
 	r := s.report
 	s.fresh()
--- a/internal/cluster/node/status.go
+++ b/internal/cluster/node/status.go
@@ -11,18 +11,19 @@
 
 // Status is what a member knows, for operators.
 type Status struct {
-	Name    string             `json:"name"`
-	Life    council.Life       `json:"life"`
-	MayAct  bool               `json:"may_act"`
-	Silent  bool               `json:"silent"`      // a founder that does not vote yet
-	Knows   bool               `json:"knows_ended"` // the ids that were over in the life before this one
-	Leader  string             `json:"leader"`      // of the council, as far as this member knows; only founders do
-	State   *council.State     `json:"state"`
-	Unheard map[string]float64 `json:"unheard_s"` // seconds for which a member has not answered this one
-	Keepers []KeeperStatus     `json:"keepers"`
-	Copies  []CopyStatus       `json:"copies"`
-	Disk    store.Stats        `json:"disk"`
-	Figures Figures            `json:"figures"`
+	Name     string             `json:"name"`
+	Life     council.Life       `json:"life"`
+	MayAct   bool               `json:"may_act"`
+	Silent   bool               `json:"silent"`      // a founder that does not vote yet
+	Knows    bool               `json:"knows_ended"` // the ids that were over in the life before this one
+	Leader   string             `json:"leader"`      // of the council, as far as this member knows; only founders do
+	State    *council.State     `json:"state"`
+	Founders []council.Founder  `json:"founders"`  // of the council, as far as this member knows
+	Unheard  map[string]float64 `json:"unheard_s"` // seconds for which a member has not answered this one
+	Keepers  []KeeperStatus     `json:"keepers"`
+	Copies   []CopyStatus       `json:"copies"`
+	Disk     store.Stats        `json:"disk"`
+	Figures  Figures            `json:"figures"`
 }
 
 // KeeperStatus is how far one that keeps copies for this member is.
@@ -68,9 +69,11 @@
 	}
 	n.mu.Unlock()
 	s.MayAct, s.Knows = n.MayAct(), n.knows.Load()
-	if n.server != nil {
-		r := n.server.Ask(council.Request{})
-		s.Leader, s.Silent = r.Leader, r.Silent
+	r := n.server.Ask(council.Request{})
+	s.Leader, s.Silent = r.Leader, r.Silent
+	s.Founders = n.cfg.Founders
+	if len(s.State.Founders) > 0 {
+		s.Founders = s.State.Founders
 	}
 	s.Unheard = map[string]float64{}
 	n.talk.mu.Lock()
--- a/internal/cluster/plan/plan_test.go
+++ b/internal/cluster/plan/plan_test.go
@@ -159,6 +159,19 @@
 	}
 }
 
+// A place's room that shrinks by a little takes a crossing along, though so small a difference is no change elsewhere.
+func TestCrossingKeepsToShrunkRoom(t *testing.T) {
+	s := situation{map[string]float64{"a": 50}, map[string]float64{"c": 40}, func(_, _ string, n float64) Tally { return Tally{OK: n} }}
+	p := New(Defaults(), regions, nil)
+	before, _ := s.play(p, 10)
+	s.capacity["c"] = 38
+	after, _ := s.play(p, 10)
+	bears := 38 * (Defaults().Headroom - Defaults().Reserve)
+	if before.sum("a", "c") <= bears || after.sum("a", "c") > bears+1e-9 {
+		t.Errorf("%v to c, then %v, which bears %v", before.sum("a", "c"), after.sum("a", "c"), bears)
+	}
+}
+
 // Whatever is said, of whatever places, nothing is granted that a place does not have, and nothing panics.
 func TestNothingIsGrantedTwice(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/cluster/plan/planner.go
+++ b/internal/cluster/plan/planner.go
@@ -590,14 +590,16 @@
 	for _, from := range origins {
 		left[from] -= near[from]
 	}
-	crossing := p.cross(d, in, origins, targets, left, room, floor, cut)
+	crossing, spare := p.cross(d, in, origins, targets, left, room, floor, cut)
 	add := func(from, to string, rate float64, trial bool) {
 		if rate <= 0 {
 			return
 		}
 		g := Grant{Destination: d, From: from, To: to, Rate: rate, Share: math.Min(1, rate/math.Max(1e-9, demand[from])), Trial: trial}
-		if old, had := p.last.find(d, from, to); had && !trial && old.Trial == trial && math.Abs(g.Rate-old.Rate) <= sameGrant*old.Rate && g.Rate <= old.Rate {
-			g.Rate, g.Share = old.Rate, math.Min(1, old.Rate/math.Max(1e-9, demand[from])) // a little less wanted is no change
+		old, had := p.last.find(d, from, to)
+		if more := old.Rate - rate; had && !trial && !old.Trial && more > 0 && more <= sameGrant*old.Rate && more <= spare[to] {
+			spare[to] -= more
+			g.Rate, g.Share = old.Rate, math.Min(1, old.Rate/math.Max(1e-9, demand[from])) // a little less wanted is no change, where there is room
 		}
 		out = append(out, g)
 	}
@@ -659,10 +661,10 @@
 }
 
 // cross gives what is left over to others' room, the cheapest first and in equal parts where several want the same. Growth is in
-// steps, the next once all go by the one before and the place has not refused it.
-func (p *Planner) cross(d int64, in Input, origins, targets []string, left, room map[string]float64, floor map[way]float64, cut func(from, to string) bool) map[way]float64 {
-	out := map[way]float64{}
-	start := maps.Clone(room)
+// steps, the next once all go by the one before and the place has not refused it. Spare is the room that nobody has.
+func (p *Planner) cross(d int64, in Input, origins, targets []string, left, room map[string]float64, floor map[way]float64, cut func(from, to string) bool) (out map[way]float64, spare map[string]float64) {
+	out, spare = map[way]float64{}, maps.Clone(room)
+	start := spare
 	for _, to := range targets { // what may be gone by anyhow takes its room; above it, shares of what is left
 		for _, from := range origins {
 			room[to] -= floor[way{d, from, to}]
@@ -731,7 +733,7 @@
 			}
 		}
 	}
-	return out
+	return out, spare
 }
 
 func sameGrants(a, b []Grant) bool {
--- a/internal/lab/cluster/fleet.go
+++ b/internal/lab/cluster/fleet.go
@@ -22,7 +22,7 @@
 // Setup is a fleet.
 type Setup struct {
 	Members  int
-	Founders int // the first of them; 0 is 3, or all there are
+	Founders int // the first of them; 0 is 3, or all there are. They begin the council; it may have others later
 	Copies   int // 0 is 2
 	Zones    int // that members take in turn; 0 is 2
 	Alone    []string
@@ -334,12 +334,15 @@
 	return await(ctx, f, i, what, node.Look, holds)
 }
 
-// Order has the council decide something, whichever founder takes it.
+// Order has the council decide something, whichever member passes it on.
 func (f *Fleet) Order(ctx context.Context, c council.Command) error {
 	for {
 		var r council.Response
 		err := ctx.Err()
-		for i := 0; i < f.Founders && err == nil; i++ {
+		for i := 0; i < len(f.Members) && err == nil; i++ {
+			if !f.Members[i].running {
+				continue
+			}
 			call, cancel := context.WithTimeout(ctx, 2*time.Second)
 			r, err = node.Order(call, f.Members[i].Links, c)
 			cancel()
--- a/internal/lab/cluster/random.go
+++ b/internal/lab/cluster/random.go
@@ -57,7 +57,7 @@
 	lasts time.Duration
 }
 
-var kinds = []string{"kill", "kill", "lose", "pause", "split", "one-way", "slow", "cut", "reset"}
+var kinds = []string{"kill", "kill", "lose", "pause", "split", "one-way", "slow", "cut", "reset", "founders"}
 
 // draw gives a trial's faults. Equal seeds give equal ones.
 func (t Trial) draw() (out []fault) {
@@ -278,12 +278,31 @@
 	case "reset":
 		f.Event("link n%d to n%d: reset", x.who, x.other)
 		f.Relay(x.who, x.other).Refuse(true, true)
+	case "founders":
+		f.changeFounders(ctx, x.who, x.other)
 	}
 	lab.Sleep(ctx, x.lasts)
 	f.Heal()
 	return nil
 }
 
+// changeFounders has a member belong to the council's founders, or not any more; three of them stay. The council may refuse, and its
+// answer may get lost.
+func (f *Fleet) changeFounders(ctx context.Context, who, asking int) {
+	s, err := f.Look(asking)
+	if err != nil {
+		return
+	}
+	is := slices.ContainsFunc(s.Founders, func(x council.Founder) bool { return x.Name == f.Members[who].Name })
+	if is && len(s.Founders) <= 3 {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	r, err := node.Order(call, f.Members[asking].Links, council.Command{Kind: council.Found, Life: council.Life{Name: f.Members[who].Name}, On: !is})
+	f.Event("n%d: founder %v, %q %v", who, !is, r.Refused, err)
+}
+
 // Shrink finds a shorter list of faults that still breaks a rule, asking so many times at the most.
 func (t Trial) Shrink(ctx context.Context, budget int) (only []int, out Outcome) {
 	for i := range t.draw() {
--- a/internal/lab/cluster/register.go
+++ b/internal/lab/cluster/register.go
@@ -60,7 +60,7 @@
 }
 
 func (r *register) client(ctx context.Context, c int, rng *rand.Rand) {
-	peers := make([]*links.Peer, r.f.Founders)
+	peers := make([]*links.Peer, len(r.f.Members)) // whoever holds the council by then
 	for i := range peers {
 		peers[i] = links.NewPeer(r.f.Members[i].Links)
 		defer peers[i].Close()
