Failover: trials no longer close the way they stand beside; silence and patients are seen

Need: hard cases with real processes. A laboratory agent that tells each member other addresses lets relays lie between members and partners (`Agent.Beside`, `Setup.Paths`), so ways can be cut by member and site, silently too. What the new tests found, each measured first:

And trials were booked only once connected, which a dead site's never are: 113 and 116 failed connects in 15 s where 15 to 20 were allowed. Calls are booked when they are made (calls.go, send), and of a trial the module hears only what concerns the message (steer.go, trialled). - A way that is silent was not seen at all in 45 s: calls that the module calls off count for nothing (steer.go). One that it called off for having no answer is late now. - A way that was cut was tried again only where a place has no site of its own; now where near cannot take all (planner.go, grant). - A forwarder that alone is ill was named in one window and forgotten in the next: its own breaker lets less than five calls a window through, and a plan whose list of patients changed was not proposed. Runs of lost calls go over windows (evidence.go, Runs). - "slow" for 17 ms where 7 are usual, on a busy machine: it takes 20 ms more now, at the least. - A process that was stopped goes by nothing that is over when it wakes: what is allowed is looked at again just before the first byte.

Without the first two mends TestFleetWayCutSilently fails, without the third its end does.

--- /dev/null
+++ b/cmd/larkreach/fleet_places_test.go
@@ -0,0 +1,344 @@
+//go:build cluster
+
+package main
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"mulleinbeam/internal/cluster/council"
+	"mulleinbeam/internal/cluster/node"
+	"mulleinbeam/internal/cluster/plan"
+	"mulleinbeam/internal/lab"
+	"mulleinbeam/internal/lab/cluster"
+)
+
+// Harder days of the plan: ways that are cut, members that are ill themselves, orders and releases in the middle of a failover.
+
+// still waits until calls have come to sites, so many to each, from now on.
+func (f *fleetSite) still(calls int, sites ...int) {
+	f.t.Helper()
+	for _, k := range sites {
+		for n := f.came(k); f.came(k) < n+calls; {
+			if !lab.Sleep(f.ctx, 10*time.Millisecond) {
+				f.t.Fatalf("%d calls to p%d, wanted %d", f.came(k)-n, k, calls)
+			}
+		}
+	}
+}
+
+// sees waits until a member sees something of the plan.
+func (f *fleetSite) sees(i int, what string, holds func(node.PlanStatus) bool) {
+	f.t.Helper()
+	must(f.t, f.AwaitPlan(f.ctx, i, what, holds))
+}
+
+// moved counts moves as a member has heard of them.
+func (f *fleetSite) moved(i int, kind, place string) (n int) {
+	f.sees(i, "history", func(s node.PlanStatus) bool { n = movesOf(s, kind, place); return true })
+	return n
+}
+
+// over ends the load and holds all that was seen against the rules.
+func (f *fleetSite) over() {
+	f.t.Helper()
+	f.stop()
+	f.ends(f.All()...)
+}
+
+// obeyOne waits until members go by one plan that is later than a version.
+func (f *fleetSite) obeyOne(later uint64, members ...int) {
+	f.t.Helper()
+	for _, i := range members {
+		f.sees(i, "plan again", func(s node.PlanStatus) bool { return s.Obeys > later && s.Plan != nil && s.Obeys == s.Plan.Version })
+	}
+}
+
+func (f *fleetSite) version(i int) (v uint64) {
+	f.sees(i, "plan", func(s node.PlanStatus) bool { v = s.Obeys; return v > 0 })
+	return v
+}
+
+// A partner that takes calls at a bounded rate and, cold, at a part of it; more than it can take for a second has it fall.
+type coldSite struct {
+	mu     sync.Mutex
+	warm   float64       // calls a second,
+	back   time.Time     // since when it is back; zero is warm
+	begins time.Time     // of the second that is counted
+	calls  float64       //
+	bears  float64       // in it
+	fell   atomic.Int64  // seconds with more than it bears, chance allowed for
+	within time.Duration // until it is warm
+}
+
+func (c *coldSite) handle(call *lab.Call) bool {
+	if call.ReadAll(0) != nil {
+		return false
+	}
+	now := time.Now()
+	c.mu.Lock()
+	share := 1.0
+	if !c.back.IsZero() {
+		share = min(1, 0.3+0.7*now.Sub(c.back).Seconds()/c.within.Seconds())
+	}
+	if now.Sub(c.begins) >= time.Second {
+		if n := c.bears; c.calls > 2*n+3 { // twice what it can do
+			c.fell.Add(1)
+		}
+		c.begins, c.calls, c.bears = now, 0, share*c.warm
+	}
+	c.calls++
+	c.mu.Unlock()
+	return call.Answer(200, "") == nil
+}
+
+// The regions are cut from each other, both ways, links and calls alike; in one of them a partner goes down meanwhile. Each goes on by
+// itself: the one with the majority moves traffic within itself, the other goes by the rule, near alone, and nothing is sent across.
+// Healed, all go by one plan again.
+func TestFleetRegionsCut(t *testing.T) {
+	t.Parallel()
+	s := cluster.Setup{Members: 6, Paths: true, Alone: []string{"safe", "keyed", "unsafe"}} // who has no majority goes on with these alone
+	f := newPlacesFleet(t, s, &lab.Provider{Name: "p", Weight: 200}, 0, 2, 3)
+	f.still(10, 0, 2, 3)
+	west, east := []int{0, 1, 4, 5}, []int{2, 3} // n0, n1 and n2 hold the council
+	f.Split(east...)
+	f.CutPaths(west, east, false) // site k is in zone k
+	f.CutPaths(east, []int{0, 1}, false)
+	for _, i := range east {
+		f.sees(i, "the rule", func(s node.PlanStatus) bool {
+			to := s.Targets[cluster.Group]
+			return s.Obeys == 0 && len(to) == 1 && to[s.Zone].Free
+		})
+	}
+	f.Partners[0].Down()
+	f.sees(4, "way within the region", func(s node.PlanStatus) bool {
+		return stands(s, "z0") == plan.Down && grant(s, "z0", "z1").Rate > 0 && grant(s, "z0", "z2").Rate+grant(s, "z0", "z3").Rate == 0
+	})
+	f.still(20, 1, 2, 3)
+	was := f.version(4)
+	f.Heal()
+	must(t, f.Partners[0].Up())
+	f.obeyOne(was, f.All()...)
+	f.sees(3, "way home", func(s node.PlanStatus) bool { return stands(s, "z0") != plan.Down })
+	f.still(20, 0, 2, 3)
+	for i, place := range []string{"z1", "z2", "z3"} {
+		if n := f.moved(4, "out", place); n > 0 {
+			t.Errorf("z%d was taken for down %d times", i+1, n)
+		}
+	}
+	f.over()
+}
+
+// A way that is silent from one zone alone: what crossed there goes elsewhere, the zone behind it is not taken for down and is served as
+// before by its own members.
+func TestFleetWayCutSilently(t *testing.T) {
+	t.Parallel()
+	f := newPlacesFleet(t, cluster.Setup{Members: 6, Paths: true}, &lab.Provider{Name: "p", Weight: 200}, 2, 3)
+	f.Partners[3].Down()
+	f.sees(3, "way out", func(s node.PlanStatus) bool { return stands(s, "z3") == plan.Down && grant(s, "z3", "z2").Rate > 0 })
+	f.still(10, 2)
+	f.CutPaths([]int{3}, []int{2}, true)
+	f.sees(0, "another way", func(s node.PlanStatus) bool {
+		return s.Plan != nil && slices.ContainsFunc(s.Plan.Sites, func(x plan.Site) bool { return x.Place == "z2" && slices.Contains(x.Cut, "z3") }) &&
+			grant(s, "z3", "z0").Rate+grant(s, "z3", "z1").Rate > 0
+	})
+	f.still(20, 2)
+	if n := f.moved(0, "out", "z2"); n > 0 {
+		t.Errorf("the place behind the way was taken for down %d times", n)
+	}
+	f.Heal()
+	f.sees(0, "way back", func(s node.PlanStatus) bool { return movesOf(s, "path back", "z2") == 1 })
+	f.over()
+}
+
+// One of three members of a zone has a bad network: it is named, and nothing moves. Two of three: nobody can say who is ill, but one that
+// reaches the place is enough for it not to count as down, and nothing moves either.
+func TestFleetSickMembers(t *testing.T) {
+	t.Parallel()
+	f := newPlacesFleet(t, cluster.Setup{Members: 9, Paths: true}, &lab.Provider{Name: "p", Weight: 200}, 0, 4, 8, 1)
+	f.still(10, 0, 1)
+	f.CutPaths([]int{8}, []int{0, 1, 2, 3}, false)
+	f.sees(1, "patient", func(s node.PlanStatus) bool { return s.Plan != nil && slices.Equal(s.Plan.Sick, []string{"n8/1"}) })
+	f.still(20, 0)
+	f.CutPaths([]int{4}, []int{0, 1, 2, 3}, false)
+	f.still(60, 0, 1)
+	for _, place := range []string{"z0", "z1"} {
+		if n := f.moved(1, "out", place) + f.moved(1, "path cut", place); n > 0 {
+			t.Errorf("patients moved %s %d times", place, n)
+		}
+	}
+	f.Heal()
+	f.sees(1, "no patient", func(s node.PlanStatus) bool { return len(s.Plan.Sick) == 0 })
+	f.over()
+}
+
+// A release restarts one member behind the other while a zone's partner is down, and two members die in the middle of it. The zone is moved
+// out once, whoever comes back goes by no older plan than the one before, and every message has its end.
+func TestFleetReleaseDuringFailover(t *testing.T) {
+	t.Parallel()
+	f := newPlaces(t, 0, 2)
+	f.Partners[0].Down()
+	f.sees(5, "way out", func(s node.PlanStatus) bool { return stands(s, "z0") == plan.Down && grant(s, "z0", "z1").Rate > 0 })
+	newest := uint64(0)
+	for i := range f.Members {
+		next := (i + 1) % len(f.Members)
+		newest = max(newest, f.version(next))
+		must(t, f.Stop(i))
+		if i == 3 {
+			must(t, f.Kill(4))
+			must(t, f.Kill(5))
+			must(t, f.Start(4, 5))
+		}
+		must(t, f.Start(i))
+		f.sees(i, "plan that is not older", func(s node.PlanStatus) bool {
+			if s.Obeys > 0 && s.Obeys < newest {
+				t.Errorf("n%d goes by plan %d, and %d was in force before it ended", i, s.Obeys, newest)
+			}
+			return s.Obeys >= newest
+		})
+		must(t, f.AwaitCopied(f.ctx, f.All()...))
+	}
+	f.still(10, 1)
+	for i := range f.Members {
+		if out, back := f.moved(i, "out", "z0"), f.moved(i, "back", "z0"); out > 1 || back > 0 {
+			t.Errorf("n%d heard of %d moves out and %d back", i, out, back)
+		}
+	}
+	f.over()
+}
+
+// The list names a zone anew, then every endpoint of one drains: traffic goes to what is there, and comes back with the list.
+func TestFleetZonesRenamed(t *testing.T) {
+	t.Parallel()
+	f := newPlaces(t, 0, 1)
+	f.still(10, 0, 1)
+	list := slices.Clone(f.Partners)
+	list[0] = list[0].As("q0", "y0", "SERVING")
+	f.Agent.List(list...)
+	f.sees(2, "way without a site near", func(s node.PlanStatus) bool {
+		_, old := s.Sites[cluster.Group]["z0"]
+		return !old && s.Sites[cluster.Group]["y0"] > 0 && grant(s, "z0", "z1").Rate > 0
+	})
+	f.still(20, 1)
+	list[1] = list[1].As("p1", "z1", "DRAINING")
+	f.Agent.List(list[1:]...)
+	f.sees(2, "way out of the region", func(s node.PlanStatus) bool { return grant(s, "z1", "z2").Rate+grant(s, "z1", "z3").Rate > 0 })
+	quiet := f.came(1)
+	f.still(20, 2)
+	if n := f.came(1) - quiet; n > 2 { // what was on its way
+		t.Errorf("%d calls to the one that drains", n)
+	}
+	f.Agent.List(f.Partners...)
+	f.still(20, 0, 1)
+	f.over()
+}
+
+// An evacuation is ordered while the other zone of the region is down: its traffic goes to the other region, within what that has. Taken
+// back half-way, it comes home, and the zone that was down takes no part in any of it.
+func TestFleetEvacuationDuringOutage(t *testing.T) {
+	t.Parallel()
+	f := newPlacesOf(t, 60, 0, 2)
+	f.Partners[1].Down()
+	f.still(10, 0, 2)
+	order := func(place string, on bool) {
+		var seen uint64
+		f.sees(3, "orders", func(s node.PlanStatus) bool { seen = s.Ordered; return s.Plan != nil })
+		r, err := node.Order(f.ctx, f.Members[3].Links, council.Command{Kind: council.Evacuate, Place: place, On: on, From: seen})
+		if must(t, err); r.Refused != "" {
+			t.Fatal(r.Refused)
+		}
+	}
+	order("z0", true)
+	across := func(s node.PlanStatus) float64 {
+		return grant(s, "z0", "z2").Rate + grant(s, "z0", "z3").Rate + grant(s, "z0", "z1").Rate
+	}
+	f.sees(3, "half of the way", func(s node.PlanStatus) bool { return across(s) > 0 && grant(s, "z0", "z0").Share < 0.9 })
+	order("z0", false)
+	f.sees(3, "all at home", func(s node.PlanStatus) bool { return across(s) == 0 && grant(s, "z0", "z0").Share == 1 })
+	f.still(20, 0, 2)
+	f.over()
+}
+
+// One call in twenty fails, and all of one class: errors that are answers move nothing.
+func TestFleetErrorsMoveNothing(t *testing.T) {
+	t.Parallel()
+	var n atomic.Int64
+	p := &lab.Provider{Name: "p", Weight: 200, Handle: func(c *lab.Call) bool {
+		if c.ReadAll(0) != nil {
+			return false
+		}
+		if n.Add(1)%20 == 0 || strings.HasPrefix(c.ID, "keyed") {
+			return c.Answer(500, "") == nil
+		}
+		return c.Answer(200, "") == nil
+	}}
+	f := newPlacesWith(t, p, 0, 3)
+	f.still(150, 0, 3)
+	for _, place := range []string{"z0", "z1", "z2", "z3"} {
+		for _, kind := range []string{"out", "slow", "crossing"} {
+			if n := f.moved(2, kind, place); n > 0 {
+				t.Errorf("%s: %d times %s", place, n, kind)
+			}
+		}
+	}
+	f.over()
+}
+
+// Whoever leads the council is stopped for longer than it takes to choose another, again and again: traffic goes on, and nothing moves.
+func TestFleetLeaderChangesAgainAndAgain(t *testing.T) {
+	t.Parallel()
+	f := newPlaces(t, 3, 5)
+	for range 6 {
+		leader := -1
+		must(t, f.Await(f.ctx, 3, "leader", func(s node.Status) bool {
+			for i, m := range f.Members[:3] {
+				if x, err := f.Look(i); err == nil && x.Leader == m.Name {
+					leader = i
+				}
+			}
+			return leader >= 0
+		}))
+		must(t, f.Pause(leader))
+		must(t, f.Await(f.ctx, (leader+1)%3, "another leader", func(s node.Status) bool { return s.Leader != "" && s.Leader != f.Members[leader].Name }))
+		must(t, f.Wake(leader))
+		f.still(10, 1, 3)
+	}
+	f.obeyOne(0, f.All()...)
+	for _, place := range []string{"z1", "z3"} {
+		if n := f.moved(3, "out", place); n > 0 {
+			t.Errorf("%s moved out %d times", place, n)
+		}
+	}
+	f.over()
+}
+
+// A partner comes back cold while all want it: it gets no more than it bears until it is warm.
+func TestFleetColdReturn(t *testing.T) {
+	t.Parallel()
+	c := &coldSite{warm: 60, within: 14 * time.Second}
+	home := &atomic.Pointer[string]{}
+	p := &lab.Provider{Name: "p", Weight: 60, Handle: func(call *lab.Call) bool {
+		if at := home.Load(); at != nil && call.Conn.LocalAddr().String() == *at {
+			return c.handle(call)
+		}
+		return call.ReadAll(0) == nil && call.Answer(200, "") == nil
+	}}
+	f := newPlacesWith(t, p, 0, 4)
+	at := f.Partners[0].Address()
+	home.Store(&at)
+	f.Partners[0].Down()
+	f.sees(5, "way out", func(s node.PlanStatus) bool { return stands(s, "z0") == plan.Down && grant(s, "z0", "z1").Rate > 0 })
+	c.mu.Lock()
+	c.back = time.Now()
+	c.mu.Unlock()
+	must(t, f.Partners[0].Up())
+	f.sees(5, "all at home", func(s node.PlanStatus) bool { return stands(s, "z0") == plan.Open && grant(s, "z0", "z1").Rate == 0 })
+	if n := c.fell.Load(); n > 0 {
+		t.Errorf("%d seconds with more than it bears", n)
+	}
+	f.over()
+}
--- a/cmd/larkreach/fleet_plan_test.go
+++ b/cmd/larkreach/fleet_plan_test.go
@@ -4,7 +4,10 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -48,14 +51,23 @@
 // newPlacesWith does so with sites that are like one.
 func newPlacesWith(t *testing.T, site *lab.Provider, loaded ...int) *fleetSite {
 	t.Helper()
-	f := newFleetOf(t, cluster.Setup{Members: 6, Zones: 4, Sites: 4, Settings: placesSettings}, site)
+	return newPlacesFleet(t, cluster.Setup{Members: 6}, site, loaded...)
+}
+
+// newPlacesFleet does so with a fleet of another size, or with paths that can be cut.
+func newPlacesFleet(t *testing.T, s cluster.Setup, site *lab.Provider, loaded ...int) *fleetSite {
+	t.Helper()
+	s.Zones, s.Sites = 4, 4
+	s.Settings = strings.Replace(placesSettings, "members = 6", fmt.Sprint("members = ", s.Members), 1)
+	f := newFleetOf(t, s, site)
 	ctx, stop := context.WithCancel(f.ctx)
 	var clients sync.WaitGroup
-	t.Cleanup(func() { stop(); clients.Wait() })
+	f.stop = func() { stop(); clients.Wait() }
+	t.Cleanup(f.stop)
 	for _, i := range loaded {
 		clients.Go(func() {
 			for lab.Sleep(ctx, time.Second/perMember) {
-				f.Hand(i, "safe", 10*time.Second)
+				f.Hand(i, []string{"safe", "keyed", "unsafe"}[rand.IntN(3)], 10*time.Second)
 			}
 		})
 	}
--- a/cmd/larkreach/fleet_test.go
+++ b/cmd/larkreach/fleet_test.go
@@ -68,8 +68,9 @@
 
 type fleetSite struct {
 	*cluster.Fleet
-	t   *testing.T
-	ctx context.Context
+	t    *testing.T
+	ctx  context.Context
+	stop func() // the load, where there is one
 }
 
 // newFleet starts a fleet and waits until each member's copies count.
@@ -93,7 +94,7 @@
 	f, err := cluster.Open(s, p)
 	must(t, err)
 	ctx, cancel := context.WithTimeout(context.Background(), never)
-	site := &fleetSite{f, t, ctx}
+	site := &fleetSite{Fleet: f, t: t, ctx: ctx}
 	t.Cleanup(func() {
 		cancel()
 		f.Close()
--- a/internal/cluster/node/plans.go
+++ b/internal/cluster/node/plans.go
@@ -21,7 +21,7 @@
 
 const (
 	steerEvery  = 100 * time.Millisecond
-	saveUp      = 1500 * time.Millisecond // of what a member may send to a place it may have saved up
+	saveUp      = 750 * time.Millisecond // of what a member may send to a place it may have saved up, and as much it may owe
 	historyMost = 256
 	planMost    = 4 << 20 // bytes of one
 	recordMost  = 64 << 20
@@ -46,6 +46,7 @@
 	follower *plan.Follower
 	shedder  *plan.Shedder
 	report   plan.Report
+	runs     plan.Runs
 	sites    map[int64]map[string]float64
 	targets  map[int64]map[string]plan.Target
 	at       time.Duration // when targets were last made
@@ -70,7 +71,7 @@
 func newSteering(n *Node, cfg PlaceConfig) *steering {
 	s := &steering{
 		n: n, cfg: cfg, follower: plan.NewFollower(n.cfg.Zone), shedder: plan.NewShedder(cfg.Worth), targets: map[int64]map[string]plan.Target{}, saved: map[plan.Path]float64{},
-		others: map[string]plan.Report{}, zones: map[string]plan.Summary{},
+		others: map[string]plan.Report{}, zones: map[string]plan.Summary{}, runs: plan.Runs{},
 	}
 	s.fresh()
 	return s
@@ -120,7 +121,7 @@
 	s.at = now
 	fleet := plan.Fleet{All: s.cfg.Members, Reserve: s.cfg.Planner.Reserve}
 	maps.DeleteFunc(s.targets, func(d int64, _ map[string]plan.Target) bool { return s.sites[d] == nil })
-	maps.DeleteFunc(s.saved, func(at plan.Path, _ float64) bool { _, listed := s.sites[at.Destination][at.To]; return !listed })
+	maps.DeleteFunc(s.saved, func(at plan.Path, _ float64) bool { return !s.lists(at) })
 	for d, capacity := range s.sites {
 		zones := slices.Collect(maps.Keys(capacity))
 		allowed := map[string]plan.Target{}
@@ -133,6 +134,9 @@
 	}
 }
 
+// lists says whether a destination has endpoints in a place; s.mu is held.
+func (s *steering) lists(p plan.Path) bool { _, listed := s.sites[p.Destination][p.To]; return listed }
+
 // Allows says where a call may go now. What the list does not place, as far as is known here yet, it does not bar.
 func (s *steering) Allows(destination int64, zone string) bool {
 	s.mu.Lock()
@@ -141,22 +145,42 @@
 }
 
 func (s *steering) allows(destination int64, zone string) bool {
-	if _, known := s.sites[destination][zone]; !known {
+	if !s.lists(plan.Path{Destination: destination, To: zone}) {
 		return true
 	}
 	_, some := s.targets[destination][zone]
 	return some && s.saved[plan.Path{Destination: destination, To: zone}] >= 1
 }
 
+// Holds says whether calls may go to a zone at all, by what is in force now.
+func (s *steering) Holds(destination int64, zone string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now := s.n.now(); now-s.at > 3*steerEvery { // this process was stopped: what it went by may be over
+		s.look(now)
+	}
+	_, some := s.targets[destination][zone]
+	return some || !s.lists(plan.Path{Destination: destination, To: zone})
+}
+
 // Takes books a call.
-func (s *steering) Takes(destination int64, zone string) bool {
+func (s *steering) Takes(destination int64, zone string) (ok, trial bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.allows(destination, zone) {
-		return false
+	if !s.lists(plan.Path{Destination: destination, To: zone}) {
+		return true, false
+	}
+	t, some := s.targets[destination][zone]
+	at := plan.Path{Destination: destination, To: zone}
+	least := 1.0
+	if !t.Trial { // the module decides on several at once: none of them has to be taken back, and what follows waits
+		least = min(1, 1-t.Rate*saveUp.Seconds())
+	}
+	if !some || s.saved[at] < least {
+		return false, false
 	}
-	s.saved[plan.Path{Destination: destination, To: zone}]--
-	return true
+	s.saved[at]--
+	return true, t.Trial
 }
 
 // run steers until ctx ends.
@@ -243,6 +267,9 @@
 	leads := s.n.server.Ask(council.Request{}).Leader == s.n.cfg.Name
 	s.mu.Lock()
 	r := s.report
+	maps.DeleteFunc(r.Paths, func(p plan.Path, _ plan.Tally) bool { return !s.lists(p) }) // of a list that is over
+	maps.DeleteFunc(s.runs, func(p plan.Path, _ plan.Run) bool { return !s.lists(p) })
+	r.Lost = s.runs.Window(r.Paths)
 	s.fresh()
 	s.shedder.Window()
 	r.Observer, r.Obeys = mine.String(), s.follower.Obeys(now)
--- a/internal/cluster/plan/evidence.go
+++ b/internal/cluster/plan/evidence.go
@@ -82,6 +82,43 @@
 	Obeys    uint64            // the plan that it goes by; 0 is none
 	Demand   map[int64]float64 // messages handed in, by destination
 	Paths    map[Path]Tally
+	Lost     []Path // on which the latest calls had no answer, over windows; see Runs
+}
+
+// Runs count the calls in a row that had no answer, by path and over windows: a forwarder whose breakers let little through sees too
+// little in one to say anything. It is one forwarder's, and not safe for several goroutines at once.
+type Runs map[Path]Run
+
+// Run is one of them.
+type Run struct {
+	lost  float64
+	quiet int // windows without a call
+}
+
+// runQuiet is how many windows without a call a run is remembered for.
+const runQuiet = 30
+
+// Window takes what a window has seen, and names the paths on which so many calls in a row had no answer that it says as much as a window
+// of them.
+func (r Runs) Window(paths map[Path]Tally) (lost []Path) {
+	for p, t := range paths {
+		switch x := r[p]; {
+		case t.OK+t.Failed > 0:
+			delete(r, p)
+		case t.Lost() > 0:
+			r[p] = Run{lost: math.Min(runMost, x.lost+t.Lost()), quiet: -1}
+		}
+	}
+	for p, x := range r {
+		if x.quiet++; x.quiet > runQuiet {
+			delete(r, p)
+			continue
+		}
+		if r[p] = x; x.lost >= runLeast {
+			lost = append(lost, p)
+		}
+	}
+	return lost
 }
 
 // Summary is what a place's forwarders have seen together.
@@ -140,23 +177,35 @@
 	return out
 }
 
-// verdict says how many of an observer's paths are bad, of those on which it made enough calls.
+// verdict says how many of an observer's paths are bad, of those of which it says something.
 func (r Report) verdict() (bad, all int) {
-	for _, t := range r.Paths {
-		if t.Calls() >= callsLeast {
-			if all++; t.Bad() >= lossBad {
-				bad++
-			}
+	for _, isBad := range r.judged() {
+		if all++; isBad {
+			bad++
 		}
 	}
 	return bad, all
 }
 
+// judged says of each path of which it says something whether that is bad.
+func (r Report) judged() map[Path]bool {
+	out := map[Path]bool{}
+	for p, t := range r.Paths {
+		if t.Calls() >= callsLeast {
+			out[p] = t.Bad() >= lossBad
+		}
+	}
+	for _, p := range r.Lost {
+		out[p] = true
+	}
+	return out
+}
+
 // contradicted says whether others did well on most of the paths that are bad for this one.
 func (r Report) contradicted(others map[Path]Tally) bool {
 	bad, well := 0, 0
-	for p, t := range r.Paths {
-		if t.Calls() < callsLeast || t.Bad() < lossBad {
+	for p, isBad := range r.judged() {
+		if !isBad {
 			continue
 		}
 		bad++
--- a/internal/cluster/plan/plan_test.go
+++ b/internal/cluster/plan/plan_test.go
@@ -39,6 +39,54 @@
 	}
 }
 
+// A patient whose breakers let one call a window through is found all the same, from the fourth on and until one is answered.
+func TestPatientOfFewCalls(t *testing.T) {
+	runs := Runs{}
+	for window, calls := range []Tally{{Late: 1}, {}, {Reset: 2}, {NoConnect: 1}, {}, {OK: 1}, {Late: 3}} {
+		well := map[Path]Tally{{1, "a"}: {OK: 10}}
+		sick := saw("sick", "a", map[Path]Tally{{1, "a"}: calls})
+		sick.Lost = runs.Window(sick.Paths)
+		sum := Merge("a", []Report{sick, saw("b", "a", well), saw("c", "a", well)})
+		if want := window == 3 || window == 4; (len(sum.Sick) == 1) != want {
+			t.Errorf("window %d: sick %v", window, sum.Sick)
+		}
+	}
+	for range runQuiet + 1 {
+		runs.Window(nil)
+	}
+	if len(runs) > 0 {
+		t.Errorf("remembered for ever: %v", runs)
+	}
+}
+
+// A way that was cut is tried again where near can't take all, and is gone by when it is back; nobody tries it while near can.
+func TestCutWayIsTriedAgain(t *testing.T) {
+	cut, near := true, 0.0
+	s := situation{map[string]float64{"a": 50, "b": 50}, even(100), func(from, to string, n float64) Tally {
+		switch {
+		case from == "a" && to == "b" && cut:
+			return Tally{Late: n}
+		case to == "a":
+			return Tally{OK: n * near, NoConnect: n * (1 - near)}
+		}
+		return Tally{OK: n}
+	}}
+	p := New(Defaults(), regions, nil)
+	s.play(p, 12)
+	around, _ := p.last.find(1, "a", "b")
+	cut = false
+	s.play(p, 6)
+	back, _ := p.last.find(1, "a", "b")
+	if !around.Trial || back.Trial || back.Rate < 10 {
+		t.Errorf("while it is cut %+v, then %+v", around, back)
+	}
+	cut, near = true, 1
+	s.play(p, 60)
+	if g, some := p.last.find(1, "a", "b"); some {
+		t.Errorf("near takes all, and %+v", g)
+	}
+}
+
 // site is what happens at one place, per second and as seen from everywhere.
 type situation struct {
 	demand   map[string]float64
--- a/internal/cluster/plan/planner.go
+++ b/internal/cluster/plan/planner.go
@@ -34,23 +34,24 @@
 }
 
 const (
-	surelyLost  = 30    // calls lost in one window, of 90 in 100, that need no second window
-	surelyShare = 0.9   //
-	slowFrom    = 2.5   // times the usual median from which a place counts as slow
-	slowLeast   = 0.1   // of its capacity that a slow place keeps
-	trialCalls  = 2     // of one place's forwarders, that say something of a trial
-	wellAgain   = 2     // good windows in a row that end a rest, or a cut
-	sameGrant   = 0.1   // grants that differ by less, as a share, are the same
-	usualDown   = 0.1   // of the latest window in what is usual, where it is faster,
-	usualUp     = 0.005 // and where it is slower: what becomes slow within a minute is not usual
-	foundStep   = 0.05  // by which room that was found short is taken for more, in a window without refusals
-	foundLeast  = 0.1   // of its capacity that a place is taken to have
-	fallShare   = 0.3   // and in a demand that falls
-	evacuation  = 0.25  // of what is asked for there, that leaves a place in one window
-	mostDemand  = 1e7   // messages a second at one place that are believed
-	sway        = 0.25  // by which a crossing may grow while the step before is not seen yet
-	runLeast    = 4     // calls lost in a row, over windows, that say as much as a window,
-	runMost     = 8     // and more say no more
+	surelyLost  = 30                    // calls lost in one window, of 90 in 100, that need no second window
+	surelyShare = 0.9                   //
+	slowFrom    = 2.5                   // times the usual median from which a place counts as slow
+	slowLeast   = 0.1                   // of its capacity that a slow place keeps
+	trialCalls  = 2                     // of one place's forwarders, that say something of a trial
+	wellAgain   = 2                     // good windows in a row that end a rest, or a cut
+	sameGrant   = 0.1                   // grants that differ by less, as a share, are the same
+	slowBy      = 20 * time.Millisecond // and by how much at the least: less is what a busy machine does to any call
+	usualDown   = 0.1                   // of the latest window in what is usual, where it is faster,
+	usualUp     = 0.005                 // and where it is slower: what becomes slow within a minute is not usual
+	foundStep   = 0.05                  // by which room that was found short is taken for more, in a window without refusals
+	foundLeast  = 0.1                   // of its capacity that a place is taken to have
+	fallShare   = 0.3                   // and in a demand that falls
+	evacuation  = 0.25                  // of what is asked for there, that leaves a place in one window
+	mostDemand  = 1e7                   // messages a second at one place that are believed
+	sway        = 0.25                  // by which a crossing may grow while the step before is not seen yet
+	runLeast    = 4                     // calls lost in a row, over windows, that say as much as a window,
+	runMost     = 8                     // and more say no more
 )
 
 // Input is what is known at the end of a window.
@@ -187,7 +188,7 @@
 	for i, g := range next.Grants {
 		next.Grants[i].Each = g.Rate / float64(max(1, p.members(g.From)))
 	}
-	changed = p.aged >= p.cfg.Hold/3 || len(p.moves) > 0 || next.Frozen != p.last.Frozen || !sameGrants(next.Grants, p.last.Grants)
+	changed = p.aged >= p.cfg.Hold/3 || len(p.moves) > 0 || next.Frozen != p.last.Frozen || !slices.Equal(next.Sick, p.last.Sick) || !sameGrants(next.Grants, p.last.Grants)
 	if !changed {
 		return p.last, false
 	}
@@ -486,7 +487,7 @@
 	case now == 0 || s.Phase != Open:
 	case s.Usual == 0:
 		s.Usual = now
-	case float64(now) > slowFrom*float64(s.Usual):
+	case float64(now) > slowFrom*float64(s.Usual) && now > s.Usual+slowBy:
 		before := s.Slow
 		s.Slow = math.Max(slowLeast, math.Min(s.Slow, 1.5*float64(s.Usual)/float64(now)))
 		if before == 1 {
@@ -590,6 +591,10 @@
 	for _, from := range origins {
 		left[from] -= near[from]
 	}
+	wants := map[string]bool{} // more than near can take: ways that are cut would be of use, and are tried
+	for from, n := range left {
+		wants[from] = n > 0
+	}
 	crossing, spare := p.cross(d, in, origins, targets, left, room, floor, cut)
 	add := func(from, to string, rate float64, trial bool) {
 		if rate <= 0 {
@@ -610,7 +615,7 @@
 				rate = near[from]
 			}
 			other := from != to && p.site(d, to).Phase == Down && p.tester(d, to, origins, in) == from
-			tried := other || from == to && (p.site(d, to).Phase == Down || cut(from, to)) || from != to && cut(from, to) && p.lives(d, from, to, capacity)
+			tried := other || from == to && (p.site(d, to).Phase == Down || cut(from, to)) || from != to && cut(from, to) && wants[from]
 			if tried && !in.Evacuate[to] {
 				add(from, to, math.Max(1, p.cfg.Trial*capacity[to]), true)
 				continue
@@ -621,12 +626,6 @@
 	return out
 }
 
-// lives says whether a place has no site of its own, so that a far one is all that it has: the way there is tried as a near one is.
-func (p *Planner) lives(d int64, from, to string, capacity map[string]float64) bool {
-	_, here := capacity[from]
-	return !here && p.places.Order(from, slices.Sorted(maps.Keys(capacity)))[0] == to
-}
-
 // tester is another place whose forwarders try a place that is down: if they reach it, the way from its own is cut, and not the place
 // down.
 func (p *Planner) tester(d int64, to string, origins []string, in Input) string {
--- a/internal/lab/agent.go
+++ b/internal/lab/agent.go
@@ -23,6 +23,9 @@
 	// Told is called with each notice, unless it is nil; it must not wait.
 	Told func(Notice)
 
+	of *Agent                 // whose list this one tells, and to whom notices go; nil is its own
+	at func(*Provider) string // where it says that a provider is; nil is where that listens
+
 	server   *http.Server
 	listener net.Listener
 	mu       sync.Mutex
@@ -34,11 +37,30 @@
 
 // Listen starts an agent that lists providers.
 func (a *Agent) Listen(list ...*Provider) error {
+	a.index, a.list, a.changed = 1, list, make(chan struct{})
+	return a.listen()
+}
+
+// Beside starts an agent on another machine: it tells the same list with other addresses, and passes notices on.
+func (a *Agent) Beside(at func(*Provider) string) (*Agent, error) {
+	b := &Agent{of: a, at: at}
+	return b, b.listen()
+}
+
+// source is the agent whose list this one tells.
+func (a *Agent) source() *Agent {
+	if a.of != nil {
+		return a.of
+	}
+	return a
+}
+
+func (a *Agent) listen() error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
-	a.listener, a.index, a.list, a.changed = l, 1, list, make(chan struct{})
+	a.listener = l
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/servers", a.servers)
 	mux.HandleFunc("POST /reports", a.reports)
@@ -72,24 +94,29 @@
 
 // Directory is the list in discovery's form.
 func (a *Agent) Directory() map[string]any {
-	a.mu.Lock()
-	defer a.mu.Unlock()
+	src := a.source()
+	src.mu.Lock()
+	defer src.mu.Unlock()
 	entries := []any{}
-	for _, p := range a.list {
+	for _, p := range src.list {
+		address := p.Address()
+		if a.at != nil {
+			address = a.at(p)
+		}
 		entries = append(entries, map[string]any{
-			"name": p.Name, "address": p.Address(), "zone": cmp.Or(p.Zone, "z"), "type": "k", "group": p.Group, "status": p.Status,
+			"name": p.Name, "address": address, "zone": cmp.Or(p.Zone, "z"), "type": "k", "group": p.Group, "status": p.Status,
 			"weight": p.weight(), "since_ms": 0,
 		})
 	}
-	return map[string]any{"index": a.index, "snapshot": true, "endpoints": entries}
+	return map[string]any{"index": src.index, "snapshot": true, "endpoints": entries}
 }
 
 func (a *Agent) servers(w http.ResponseWriter, r *http.Request) {
 	since := r.URL.Query().Get("since")
-	for {
-		a.mu.Lock()
-		same, changed := since == fmt.Sprint(a.index), a.changed
-		a.mu.Unlock()
+	for src := a.source(); ; {
+		src.mu.Lock()
+		same, changed := since == fmt.Sprint(src.index), src.changed
+		src.mu.Unlock()
 		if !same {
 			break
 		}
@@ -116,13 +143,14 @@
 		}
 		got = append(got, n)
 	}
-	a.mu.Lock()
-	a.notices = append(a.notices, got...)
-	a.mu.Unlock()
+	src := a.source()
+	src.mu.Lock()
+	src.notices = append(src.notices, got...)
+	src.mu.Unlock()
 	w.WriteHeader(http.StatusNoContent)
-	if a.Told != nil {
+	if src.Told != nil {
 		for _, n := range got {
-			a.Told(n)
+			src.Told(n)
 		}
 	}
 }
--- a/internal/lab/cluster/fleet.go
+++ b/internal/lab/cluster/fleet.go
@@ -37,6 +37,7 @@
 	Amend    func(configuration map[string]any)
 	Body     int64 // bytes of a message; 0 is 200
 	Sites    int   // partners of the one destination, one in each of so many zones; 0 is one in a zone of its own
+	Paths    bool  // members reach partners through relays of their own
 }
 
 // Member is one process with its folder.
@@ -62,6 +63,8 @@
 	Members  []*Member
 
 	relays map[[2]int]*Relay
+	paths  map[[2]int]*Relay // of a member to a partner
+	agents []*lab.Agent      // of members that have paths
 	mu     sync.Mutex
 	events []string
 	began  time.Time
@@ -92,7 +95,7 @@
 	}
 	partner.Group = Group
 	f := &Fleet{
-		Setup: s, Partner: partner, Partners: []*lab.Provider{partner}, Agent: &lab.Agent{}, Check: lab.NewChecker(), relays: map[[2]int]*Relay{}, began: time.Now(),
+		Setup: s, Partner: partner, Partners: []*lab.Provider{partner}, Agent: &lab.Agent{}, Check: lab.NewChecker(), relays: map[[2]int]*Relay{}, paths: map[[2]int]*Relay{}, began: time.Now(),
 		saw: map[*lab.Provider]int{},
 	}
 	if s.Sites > 0 {
@@ -139,13 +142,35 @@
 		from.Forwarder = &lab.Forwarder{
 			Command: s.Program, Env: s.Env, Name: from.Name, Host: host(i), Settings: s.Settings + f.settings(i), Amend: s.Amend, DiskMB: 12, Slots: 16,
 		}
-		if err := from.Prepare(from.Dir, f.Agent); err != nil {
+		agent, err := f.agentOf(i)
+		if err != nil {
+			return nil, err
+		}
+		if err := from.Prepare(from.Dir, agent); err != nil {
 			return nil, err
 		}
 	}
 	return f, nil
 }
 
+// agentOf is a member's: with paths one that says where its relays are.
+func (f *Fleet) agentOf(i int) (*lab.Agent, error) {
+	if !f.Paths {
+		return f.Agent, nil
+	}
+	at := map[string]string{}
+	for k, p := range f.Partners {
+		r, err := NewRelay("127.0.0.1:0", p.Address(), f.Seed+uint64(i*1000+k)+500)
+		if err != nil {
+			return nil, err
+		}
+		f.paths[[2]int{i, k}], at[p.Address()] = r, r.Address()
+	}
+	agent, err := f.Agent.Beside(func(p *lab.Provider) string { return at[p.Address()] })
+	f.agents = append(f.agents, agent)
+	return agent, err
+}
+
 // settings is a member's own TOML.
 func (f *Fleet) settings(i int) string {
 	if f.Off {
@@ -224,6 +249,13 @@
 	return nil
 }
 
+// Stop has a member end by itself.
+func (f *Fleet) Stop(i int) error {
+	f.Event("n%d: SIGTERM", i)
+	f.Members[i].running = false
+	return f.Members[i].End(syscall.SIGTERM)
+}
+
 // Pause stops a member where it is; Wake lets it go on.
 func (f *Fleet) Pause(i int) error {
 	f.Event("n%d: SIGSTOP", i)
@@ -289,13 +321,29 @@
 	f.relays[[2]int{b, a}].Refuse(true, true)
 }
 
-// Heal takes all faults of links back.
+// CutPaths has calls of members to partners' sites reset, or wait without a word, until Heal.
+func (f *Fleet) CutPaths(members, sites []int, silent bool) {
+	f.Event("paths of %v to %v: cut, silent %v", members, sites, silent)
+	for _, i := range members {
+		for _, k := range sites {
+			if r := f.paths[[2]int{i, k}]; silent {
+				r.Set(There, Way{Stall: true})
+			} else {
+				r.Refuse(true, true)
+			}
+		}
+	}
+}
+
+// Heal takes all faults of links and paths back.
 func (f *Fleet) Heal() {
 	f.Event("links healed")
-	for _, r := range f.relays {
-		r.Set(There, Way{})
-		r.Set(Back, Way{})
-		r.Refuse(false, false)
+	for _, all := range []map[[2]int]*Relay{f.relays, f.paths} {
+		for _, r := range all {
+			r.Set(There, Way{})
+			r.Set(Back, Way{})
+			r.Refuse(false, false)
+		}
 	}
 }
 
@@ -485,10 +533,14 @@
 			m.Forwarder.Kill()
 		}
 	}
-	for _, r := range f.relays {
-		r.Close()
+	for _, all := range []map[[2]int]*Relay{f.relays, f.paths} {
+		for _, r := range all {
+			r.Close()
+		}
+	}
+	for _, a := range append(f.agents, f.Agent) {
+		a.Close()
 	}
-	f.Agent.Close()
 	for _, p := range f.Partners {
 		p.Close()
 	}
--- a/internal/lab/places/places.go
+++ b/internal/lab/places/places.go
@@ -139,6 +139,7 @@
 	name    string
 	place   string
 	reports *plan.Report
+	runs    plan.Runs
 	choose  chooser
 	tokens  map[plan.Path]float64
 	served  map[plan.Path]time.Duration // when tokens were last given
@@ -218,6 +219,7 @@
 	for i := range s.Forwarders {
 		f := &forwarder{name: fmt.Sprintf("f%03d", i), place: r.zones[i%len(r.zones)], tokens: map[plan.Path]float64{}, served: map[plan.Path]time.Duration{}, broken: map[plan.Path]breaker{}}
 		f.fresh()
+		f.runs = plan.Runs{}
 		f.choose = r.policy.join(r, f)
 		r.fleet = append(r.fleet, f)
 		r.byZone[f.place] = append(r.byZone[f.place], f)
@@ -502,6 +504,7 @@
 		for _, n := range f.reports.Demand {
 			p.Demand += n
 		}
+		f.reports.Lost = f.runs.Window(f.reports.Paths)
 		reports[f.place] = append(reports[f.place], *f.reports)
 		f.fresh()
 	}
--- a/internal/lab/provider.go
+++ b/internal/lab/provider.go
@@ -112,6 +112,11 @@
 // Address is where it listens.
 func (p *Provider) Address() string { return p.address }
 
+// As is the same machine under another name and status, in another zone, to be listed; it does not listen by itself.
+func (p *Provider) As(name, zone, status string) *Provider {
+	return &Provider{Name: name, Zone: zone, Status: status, Group: p.Group, Weight: p.Weight, address: p.address}
+}
+
 // Down ends the provider as a dead process would: its connections end and new ones are refused, until Up.
 func (p *Provider) Down() {
 	p.mu.Lock()
--- a/internal/routing/calls.go
+++ b/internal/routing/calls.go
@@ -20,6 +20,8 @@
 	begun     bool   // its first byte may have been written
 	mark      uint64 // of that, in what goes to others
 	cancelled bool
+	trial     bool // it goes to a place that is known not to be well; see Steering
+	stuck     bool // the module called it off: it had no answer for far too long
 	cancel    context.CancelFunc
 }
 
@@ -61,6 +63,12 @@
 			return served
 		}
 	}
+	if !r.mayGo(c, r.providers[c.provider]) {
+		r.counters.HeldBack++
+		cancel()
+		r.tasks.Go(func() error { r.post(func() { r.answered(c, Result{Outcome: mb.Moot}) }); return nil })
+		return
+	}
 	r.tasks.Go(func() error {
 		defer cancel()
 		if h.onDisk {
@@ -133,7 +141,7 @@
 	if c.begun { // on another connection now, with nothing written yet
 		return true
 	}
-	if !r.mayGo(p) {
+	if r.cfg.Steering != nil && !r.cfg.Steering.Holds(p.Group, p.Zone) {
 		r.counters.HeldBack++
 		return false
 	}
@@ -188,7 +196,7 @@
 		r.cfg.Invoker.CloseIdle(c.provider) // it was listed so while this call was out
 	}
 	r.decide(mb.Answer{
-		ID: mb.MessageID(h.seq), Attempt: c.number, Endpoint: mb.EndpointID(c.provider), Outcome: out,
+		ID: mb.MessageID(h.seq), Attempt: c.number, Endpoint: mb.EndpointID(c.provider), Outcome: c.trialled(out),
 		Latency: time.Since(c.sentAt), Settled: over || h.ended, Wait: result.Wait, Limit: result.Limit,
 		Kept: result.Kept, Spent: result.Spent,
 	})
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -304,7 +304,7 @@
 			}
 		case mb.Cancel:
 			if h := r.messages[uint64(a.ID)]; h != nil && h.call != nil && h.call.number == a.Attempt {
-				h.call.cancelled = true
+				h.call.cancelled, h.call.stuck = true, true
 				h.call.cancel()
 			}
 		case mb.Close:
--- a/internal/routing/steer.go
+++ b/internal/routing/steer.go
@@ -19,8 +19,12 @@
 	Called(destination int64, zone string, out mb.Outcome, took time.Duration)
 	// Allows says whether a call may go to a destination's endpoints in a zone now.
 	Allows(destination int64, zone string) bool
-	// Takes books a call that is about to begin; false says that what was allowed is used up.
-	Takes(destination int64, zone string) bool
+	// Takes books a call that is to be made, before its connection is looked for: one that can't be connected is a call all the same.
+	// Not ok says that what was allowed is used up. A trial is one to a place that is known not to be well: what becomes of it is
+	// the fleet's evidence.
+	Takes(destination int64, zone string) (ok, trial bool)
+	// Holds says, just before a call's first byte, whether calls may still go there at all.
+	Holds(destination int64, zone string) bool
 }
 
 // Steer looks again at where calls may go. The module takes an endpoint that they may not go to for one that drains: calls that are
@@ -53,20 +57,23 @@
 	}
 }
 
-// mayGo says whether a call may begin where it goes, and books it.
-func (r *Router) mayGo(p Provider) bool {
+// mayGo says whether a call may be made where it goes, and books it.
+func (r *Router) mayGo(c *invocation, p Provider) (ok bool) {
 	if r.cfg.Steering == nil {
 		return true
 	}
-	ok := !r.barred[p.Name] && r.cfg.Steering.Takes(p.Group, p.Zone)
+	ok, c.trial = r.cfg.Steering.Takes(p.Group, p.Zone)
 	if !r.cfg.Steering.Allows(p.Group, p.Zone) { // what is allowed there is used up
 		r.steer()
 	}
 	return ok
 }
 
-// steered tells how a call ended.
+// steered tells how a call ended. One that the module called off because it had no answer for far too long is one without an answer.
 func (r *Router) steered(c *invocation, out mb.Outcome) {
+	if out == mb.Cancelled && c.stuck {
+		out = mb.TimedOut
+	}
 	if r.cfg.Steering == nil || out == mb.Moot || out == mb.Cancelled {
 		return
 	}
@@ -74,6 +81,19 @@
 	r.cfg.Steering.Called(c.msg.Destination, p.Zone, out, time.Since(c.sentAt))
 }
 
+// trialled is what the module hears of a call's end. The module judges a destination as one, wherever its endpoints are: a trial that is
+// lost would have it hold back what goes elsewhere, and well. So it hears what concerns the message alone: that it never ran, or
+// that it may have.
+func (c *invocation) trialled(out mb.Outcome) mb.Outcome {
+	switch {
+	case c.trial && out == mb.ConnectFailed:
+		return mb.Moot
+	case c.trial && (out == mb.TimedOut || out == mb.Reset):
+		return mb.Cancelled
+	}
+	return out
+}
+
 // Sites is what the list says of the capacity that destinations have in each zone, calls a second.
 func (r *Router) Sites() map[int64]map[string]float64 {
 	sites, _ := ask(r, func() map[int64]map[string]float64 {
