--- a/cmd/larkreach/fleet_places_test.go
+++ b/cmd/larkreach/fleet_places_test.go
@@ -133,6 +133,23 @@
 	f.over()
 }
 
+// A zone's site takes calls and answers none: as with one that is down its traffic goes to the next zone, and comes home when it answers.
+func TestFleetZoneFallsSilent(t *testing.T) {
+	t.Parallel()
+	f := newPlacesFleet(t, cluster.Setup{Members: 6, Paths: true}, &lab.Provider{Name: "p", Weight: 200}, 0, 4)
+	f.still(20, 0)
+	f.CutPaths(f.All(), []int{0}, true)
+	f.sees(5, "way out", func(s node.PlanStatus) bool { return stands(s, "z0") == plan.Down && grant(s, "z0", "z1").Rate > 0 })
+	f.still(60, 1)
+	f.Heal()
+	f.sees(5, "way back", func(s node.PlanStatus) bool { return stands(s, "z0") != plan.Down })
+	f.still(20, 0)
+	if out, back := f.moved(5, "out", "z0"), f.moved(5, "back", "z0"); out != 1 || back != 1 {
+		t.Errorf("%d out, %d back", out, back)
+	}
+	f.over()
+}
+
 // A way that is silent from one zone alone: what crossed there goes elsewhere, the zone behind it is not taken for down and is served as
 // before by its own members.
 func TestFleetWayCutSilently(t *testing.T) {
--- a/internal/cluster/node/plans.go
+++ b/internal/cluster/node/plans.go
@@ -164,11 +164,11 @@
 }
 
 // Takes books a call.
-func (s *steering) Takes(destination int64, zone string) (ok, trial bool) {
+func (s *steering) Takes(destination int64, zone string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.lists(plan.Path{Destination: destination, To: zone}) {
-		return true, false
+		return true
 	}
 	t, some := s.targets[destination][zone]
 	at := plan.Path{Destination: destination, To: zone}
@@ -177,10 +177,10 @@
 		least = min(1, 1-t.Rate*saveUp.Seconds())
 	}
 	if !some || s.saved[at] < least {
-		return false, false
+		return false
 	}
 	s.saved[at]--
-	return true, t.Trial
+	return true
 }
 
 // run steers until ctx ends.
--- a/internal/cluster/plan/evidence.go
+++ b/internal/cluster/plan/evidence.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -96,7 +97,7 @@
 }
 
 // runQuiet is how many windows without a call a run is remembered for.
-const runQuiet = 30
+const runQuiet = 20
 
 // Window takes what a window has seen, and names the paths on which so many calls in a row had no answer that it says as much as a window
 // of them.
@@ -130,6 +131,7 @@
 	Who       uint64            // changes where others are heard
 	Demand    map[int64]float64 // messages a second
 	Paths     map[Path]Tally
+	Lost      []Path // on which nobody had an answer in this window, and somebody's latest calls had none
 }
 
 const (
@@ -174,9 +176,22 @@
 		out.Obeys = 0
 	}
 	slices.Sort(out.Sick)
+	lost := map[Path]bool{}
+	for _, r := range reports {
+		for _, p := range r.Lost {
+			if t := out.Paths[p]; !lost[p] && t.OK+t.Failed == 0 && !slices.Contains(out.Sick, r.Observer) {
+				out.Lost, lost[p] = append(out.Lost, p), true
+			}
+		}
+	}
+	slices.SortFunc(out.Lost, comparePaths)
 	return out
 }
 
+func comparePaths(a, b Path) int {
+	return cmp.Or(cmp.Compare(a.Destination, b.Destination), cmp.Compare(a.To, b.To))
+}
+
 // verdict says how many of an observer's paths are bad, of those of which it says something.
 func (r Report) verdict() (bad, all int) {
 	for _, isBad := range r.judged() {
--- a/internal/cluster/plan/plan_test.go
+++ b/internal/cluster/plan/plan_test.go
@@ -39,6 +39,20 @@
 	}
 }
 
+// Demand that grows by a little more than it may while the last step of a crossing is not seen yet turns to no further place.
+func TestSwayTurnsToNoFurtherPlace(t *testing.T) {
+	s := situation{map[string]float64{"a": 50}, map[string]float64{"b": 200, "c": 200}, well}
+	p := New(Defaults(), regions, nil)
+	s.play(p, 10)
+	p.last.Grants[0].Rate *= 0.9 // a step that is not seen yet
+	p.grew["a"] = p.last.Version + 1
+	next, _ := p.Step(Input{Elapsed: time.Second, Zones: map[string]Summary{"a": {Place: "a", Obeys: p.last.Version, Demand: map[int64]float64{1: 58}}},
+		Capacity: map[int64]map[string]float64{1: s.capacity}, Members: map[string]int{"a": 10}})
+	if b, c := next.sum("a", "b"), next.sum("a", "c"); b <= 50 || b >= 58 || c != 0 {
+		t.Errorf("%v to b, %v to c", b, c)
+	}
+}
+
 // A patient whose breakers let one call a window through is found all the same, from the fourth on and until one is answered.
 func TestPatientOfFewCalls(t *testing.T) {
 	runs := Runs{}
--- a/internal/cluster/plan/planner.go
+++ b/internal/cluster/plan/planner.go
@@ -354,7 +354,8 @@
 			if st := p.ways[w]; st != nil && st.cut {
 				needs = trialCalls
 			}
-			if t = p.gather(w, t, needs); t.Calls() < needs {
+			stands := slices.Contains(in.Zones[from].Lost, Path{d, place}) // breakers may keep the next call back for seconds
+			if t = p.gather(w, t, needs, stands); t.Calls() < needs {
 				continue
 			}
 			switch {
@@ -375,10 +376,12 @@
 
 // gather gives what is known of a way: this window's calls where they say enough, else the run of calls that were lost, or answered, one
 // behind the other, over windows. Forwarders' own breakers let few calls through to a place that is down, so that one window tells
-// little.
-func (p *Planner) gather(w way, t Tally, needs float64) Tally {
+// little; what stands is what they saw before.
+func (p *Planner) gather(w way, t Tally, needs float64, stands bool) Tally {
 	run, answered := p.runs[w], t.OK+t.Failed
 	switch {
+	case stands && answered == 0:
+		return Tally{Late: needs}
 	case t.Calls() == 0 || !(t.Calls() < mostDemand):
 		return Tally{} // silence is no news
 	case answered == 0:
@@ -695,7 +698,10 @@
 			case p.site(d, to).Refuses:
 				grown = was
 			case was > 0 && p.seen[from] < p.grew[from] && p.waited[from] < p.cfg.Hold:
-				grown = (1 + sway) * was // demand is never quite the same; no further place is turned to for that
+				grown = (1 + sway) * was
+				if left[from]-grown <= sameGrant*left[from] { // demand is never quite the same: no further place is turned to for that
+					left[from] = math.Min(left[from], grown)
+				}
 			}
 			want[w] = math.Min(left[from], math.Min(most, grown))
 			asks[to] = append(asks[to], w)
--- a/internal/routing/calls.go
+++ b/internal/routing/calls.go
@@ -20,7 +20,6 @@
 	begun     bool   // its first byte may have been written
 	mark      uint64 // of that, in what goes to others
 	cancelled bool
-	trial     bool // it goes to a place that is known not to be well; see Steering
 	stuck     bool // the module called it off: it had no answer for far too long
 	cancel    context.CancelFunc
 }
@@ -63,7 +62,7 @@
 			return served
 		}
 	}
-	if !r.mayGo(c, r.providers[c.provider]) {
+	if !r.mayGo(r.providers[c.provider]) {
 		r.counters.HeldBack++
 		cancel()
 		r.tasks.Go(func() error { r.post(func() { r.answered(c, Result{Outcome: mb.Moot}) }); return nil })
@@ -195,8 +194,11 @@
 	if r.providers[c.provider].State != mb.Serving || r.providers[c.provider].Address == "" {
 		r.cfg.Invoker.CloseIdle(c.provider) // it was listed so while this call was out
 	}
+	if r.cfg.Steering != nil && result.Wait > 0 { // its places are judged apart, and wait together
+		r.decider.Wait(r.now(), mb.DestinationID(h.Destination), result.Wait)
+	}
 	r.decide(mb.Answer{
-		ID: mb.MessageID(h.seq), Attempt: c.number, Endpoint: mb.EndpointID(c.provider), Outcome: c.trialled(out),
+		ID: mb.MessageID(h.seq), Attempt: c.number, Endpoint: mb.EndpointID(c.provider), Outcome: out,
 		Latency: time.Since(c.sentAt), Settled: over || h.ended, Wait: result.Wait, Limit: result.Limit,
 		Kept: result.Kept, Spent: result.Spent,
 	})
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -81,6 +81,7 @@
 
 // New prepares a router: it learns the known list and resumes what an earlier life had taken on. Sends begin with Run.
 func New(cfg Config) (*Router, error) {
+	cfg.Settings.SeparatePlaces = cfg.Settings.SeparatePlaces || cfg.Steering != nil // a zone that is lost says nothing of the others
 	decider, err := mb.New(cfg.Settings, cfg.Seed)
 	if err != nil {
 		return nil, fmt.Errorf("routing: %w", err)
--- a/internal/routing/steer.go
+++ b/internal/routing/steer.go
@@ -20,9 +20,8 @@
 	// Allows says whether a call may go to a destination's endpoints in a zone now.
 	Allows(destination int64, zone string) bool
 	// Takes books a call that is to be made, before its connection is looked for: one that can't be connected is a call all the same.
-	// Not ok says that what was allowed is used up. A trial is one to a place that is known not to be well: what becomes of it is
-	// the fleet's evidence.
-	Takes(destination int64, zone string) (ok, trial bool)
+	// False says that what was allowed is used up.
+	Takes(destination int64, zone string) bool
 	// Holds says, just before a call's first byte, whether calls may still go there at all.
 	Holds(destination int64, zone string) bool
 }
@@ -58,11 +57,11 @@
 }
 
 // mayGo says whether a call may be made where it goes, and books it.
-func (r *Router) mayGo(c *invocation, p Provider) (ok bool) {
+func (r *Router) mayGo(p Provider) bool {
 	if r.cfg.Steering == nil {
 		return true
 	}
-	ok, c.trial = r.cfg.Steering.Takes(p.Group, p.Zone)
+	ok := r.cfg.Steering.Takes(p.Group, p.Zone)
 	if !r.cfg.Steering.Allows(p.Group, p.Zone) { // what is allowed there is used up
 		r.steer()
 	}
@@ -81,19 +80,6 @@
 	r.cfg.Steering.Called(c.msg.Destination, p.Zone, out, time.Since(c.sentAt))
 }
 
-// trialled is what the module hears of a call's end. The module judges a destination as one, wherever its endpoints are: a trial that is
-// lost would have it hold back what goes elsewhere, and well. So it hears what concerns the message alone: that it never ran, or
-// that it may have.
-func (c *invocation) trialled(out mb.Outcome) mb.Outcome {
-	switch {
-	case c.trial && out == mb.ConnectFailed:
-		return mb.Moot
-	case c.trial && (out == mb.TimedOut || out == mb.Reset):
-		return mb.Cancelled
-	}
-	return out
-}
-
 // Sites is what the list says of the capacity that destinations have in each zone, calls a second.
 func (r *Router) Sites() map[int64]map[string]float64 {
 	sites, _ := ask(r, func() map[int64]map[string]float64 {
--- a/mulleinbeam.go
+++ b/mulleinbeam.go
@@ -79,6 +79,7 @@
 	Tenants        []Tenant
 	OverShareWorth float64         // worth of what exceeds a tenant's share, as a fraction
 	SeparateRoutes map[string]bool // by kind: each endpoint is a route with limit and outages of its own
+	SeparatePlaces bool            // a destination's endpoints in each zone have limit and outages of their own; a told wait binds all
 	// BatchByKind says by kind how many messages may share a call; see Send. Kinds that are missing, or below one,
 	// send each message in a call of its own.
 	BatchByKind    map[string]int
--- a/snapshot.go
+++ b/snapshot.go
@@ -27,7 +27,8 @@
 	Lost    LearnedLosses
 }
 
-// LearnedLane is what was learned of a destination, or of one route where routes are apart.
+// LearnedLane is what was learned of a destination, or of one route where routes are apart, or of its endpoints in one zone ("in z")
+// where places are separate.
 type LearnedLane struct {
 	Destination DestinationID
 	Endpoint    EndpointID    // of a route; "" is the whole destination
@@ -75,8 +76,11 @@
 }
 
 func (d *Decider) nameOf(l *lane) laneName {
-	if l.apart {
+	switch {
+	case l.apart:
 		return laneName{l.dest.id, EndpointID(l.name)}
+	case l.place != "":
+		return laneName{l.dest.id, EndpointID("in " + l.place)}
 	}
 	return laneName{destination: l.dest.id}
 }
@@ -192,6 +196,15 @@
 	}
 }
 
+// Wait has a whole destination wait, whichever of its endpoints told so.
+func (d *Decider) Wait(now time.Duration, id DestinationID, wait time.Duration) {
+	if dest := d.dests[id]; dest != nil {
+		for _, l := range dest.lanes {
+			l.waitUntil = max(l.waitUntil, now+wait)
+		}
+	}
+}
+
 // hearFactor is how far off the list's capacity a limit that others tell of may be.
 const hearFactor = 4
 
--- a/state.go
+++ b/state.go
@@ -117,7 +117,8 @@
 	kind       string
 	hint       float64
 	fee        float64
-	apart      bool // it is one route
+	apart      bool   // it is one route
+	place      string // whose endpoints it has, where places are separate
 	state      breakerState
 	window     []bool // true is a failure
 	openUntil  time.Duration
@@ -337,12 +338,20 @@
 func (d *Decider) remember(en Entry) *endpoint {
 	dest := d.dest(en.Destination)
 	var l *lane
-	if apart := d.s.SeparateRoutes[en.Kind]; !apart && len(dest.lanes) > 0 {
-		l = dest.lanes[0]
+	place := ""
+	if d.s.SeparatePlaces {
+		place = en.Zone
+	}
+	i := slices.IndexFunc(dest.lanes, func(l *lane) bool { return l.place == place })
+	if apart := d.s.SeparateRoutes[en.Kind]; !apart && i >= 0 {
+		l = dest.lanes[i]
 	} else {
 		l = &lane{
 			name: fmt.Sprintf("destination %d", dest.id), dest: dest, kind: en.Kind, pace: 1, cap: d.capFloor(),
-			batch: max(1, d.s.BatchByKind[en.Kind]), guardFrom: -1, lastOK: neverOK, lastSend: -time.Hour,
+			batch: max(1, d.s.BatchByKind[en.Kind]), guardFrom: -1, lastOK: neverOK, lastSend: -time.Hour, place: place,
+		}
+		if place != "" {
+			l.name += " in " + place
 		}
 		if apart {
 			l.name, l.fee, l.apart = string(en.Endpoint), d.s.ZoneFee[en.Zone], true
