--- a/cmd/larklab/cluster.go
+++ b/cmd/larklab/cluster.go
@@ -45,6 +45,7 @@
 	Members int           `default:"5" help:"Processes."`
 	Copies  int           `default:"2" help:"Of each message, the owner's included."`
 	Length  time.Duration `default:"30s" help:"Of load and faults."`
+	Places  bool          `help:"Four zones of two regions with a site each, faults of these too, and traffic planned in common ([place])."`
 	Rate    float64       `default:"150" help:"Messages a second, over all members."`
 	Abreast int           `default:"2" help:"Fleets at once."`
 	Shrink  int           `default:"0" help:"How many runs to spend on a shorter list of faults, for a seed that breaks a rule."`
@@ -71,7 +72,7 @@
 		all.Go(func() {
 			defer func() { <-turn }()
 			t := cluster.Trial{
-				Seed: c.Seed + uint64(i), Members: c.Members, Length: c.Length, Rate: c.Rate, Copies: c.Copies, Program: program,
+				Seed: c.Seed + uint64(i), Members: c.Members, Length: c.Length, Rate: c.Rate, Copies: c.Copies, Program: program, Places: c.Places,
 				Dir: filepath.Join(dir, fmt.Sprint(i)),
 			}
 			limited, cancel := context.WithTimeout(ctx, c.Length+3*time.Minute)
--- a/cmd/larkreach/fleet_places_test.go
+++ b/cmd/larkreach/fleet_places_test.go
@@ -5,7 +5,6 @@
 import (
 	"slices"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -63,39 +62,6 @@
 	return v
 }
 
-// A partner that takes calls at a bounded rate and, cold, at a part of it; more than it can take for a second has it fall.
-type coldSite struct {
-	mu     sync.Mutex
-	warm   float64       // calls a second,
-	back   time.Time     // since when it is back; zero is warm
-	begins time.Time     // of the second that is counted
-	calls  float64       //
-	bears  float64       // in it
-	fell   atomic.Int64  // seconds with more than it bears, chance allowed for
-	within time.Duration // until it is warm
-}
-
-func (c *coldSite) handle(call *lab.Call) bool {
-	if call.ReadAll(0) != nil {
-		return false
-	}
-	now := time.Now()
-	c.mu.Lock()
-	share := 1.0
-	if !c.back.IsZero() {
-		share = min(1, 0.3+0.7*now.Sub(c.back).Seconds()/c.within.Seconds())
-	}
-	if now.Sub(c.begins) >= time.Second {
-		if n := c.bears; c.calls > 2*n+3 { // twice what it can do
-			c.fell.Add(1)
-		}
-		c.begins, c.calls, c.bears = now, 0, share*c.warm
-	}
-	c.calls++
-	c.mu.Unlock()
-	return call.Answer(200, "") == nil
-}
-
 // The regions are cut from each other, both ways, links and calls alike; in one of them a partner goes down meanwhile. Each goes on by
 // itself: the one with the majority moves traffic within itself, the other goes by the rule, near alone, and nothing is sent across.
 // Healed, all go by one plan again.
@@ -336,11 +302,11 @@
 // A partner comes back cold while all want it: it gets no more than it bears until it is warm.
 func TestFleetColdReturn(t *testing.T) {
 	t.Parallel()
-	c := &coldSite{warm: 60, within: 14 * time.Second}
+	m := &cluster.Meter{Warm: 60, Cold: 0.3, Within: 14 * time.Second}
 	home := &atomic.Pointer[string]{}
 	p := &lab.Provider{Name: "p", Weight: 60, Handle: func(call *lab.Call) bool {
 		if at := home.Load(); at != nil && call.Conn.LocalAddr().String() == *at {
-			return c.handle(call)
+			m.Call()
 		}
 		return call.ReadAll(0) == nil && call.Answer(200, "") == nil
 	}}
@@ -349,12 +315,10 @@
 	home.Store(&at)
 	f.Partners[0].Down()
 	f.sees(5, "way out", func(s node.PlanStatus) bool { return stands(s, "z0") == plan.Down && grant(s, "z0", "z1").Rate > 0 })
-	c.mu.Lock()
-	c.back = time.Now()
-	c.mu.Unlock()
+	m.Back()
 	must(t, f.Partners[0].Up())
 	f.sees(5, "all at home", func(s node.PlanStatus) bool { return stands(s, "z0") == plan.Open && grant(s, "z0", "z1").Rate == 0 })
-	if n := c.fell.Load(); n > 0 {
+	if n := m.Fell(); n > 0 {
 		t.Errorf("%d seconds with more than it bears", n)
 	}
 	f.over()
--- a/cmd/larkreach/fleet_plan_test.go
+++ b/cmd/larkreach/fleet_plan_test.go
@@ -4,10 +4,8 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -22,18 +20,6 @@
 
 // Six processes in two regions of two zones each, with a partner's site in each zone, under steady load.
 
-const placesSettings = `
-[place]
-window  = "500ms"
-hold    = "3s"
-members = 6
-[place.regions]
-z0 = "r0"
-z1 = "r0"
-z2 = "r1"
-z3 = "r1"
-`
-
 const perMember = 20 // messages a second
 
 // newPlaces starts them, waits for a plan that all go by, and hands messages in at members until the test ends.
@@ -58,7 +44,7 @@
 func newPlacesFleet(t *testing.T, s cluster.Setup, site *lab.Provider, loaded ...int) *fleetSite {
 	t.Helper()
 	s.Zones, s.Sites = 4, 4
-	s.Settings = strings.Replace(placesSettings, "members = 6", fmt.Sprint("members = ", s.Members), 1)
+	s.Settings = cluster.PlacesSettings(s.Members)
 	f := newFleetOf(t, s, site)
 	ctx, stop := context.WithCancel(f.ctx)
 	var clients sync.WaitGroup
--- a/internal/lab/cluster/random.go
+++ b/internal/lab/cluster/random.go
@@ -27,6 +27,7 @@
 	Program []string
 	Env     []string
 	Dir     string
+	Places  bool  // four zones with a site each, faults of these beside the others, and traffic planned in common
 	Only    []int // of the drawn faults, by their place: to find the few that matter; nil is all
 	Log     func(format string, args ...any)
 }
@@ -62,6 +63,10 @@
 // draw gives a trial's faults. Equal seeds give equal ones.
 func (t Trial) draw() (out []fault) {
 	rng := rand.New(rand.NewPCG(t.Seed, 4))
+	kinds := kinds
+	if t.Places { // half and half
+		kinds = append(slices.Clone(kinds), append(append(slices.Clone(placeKinds), placeKinds...), placeKinds[:2]...)...)
+	}
 	for at := time.Duration(0); at < t.Length; {
 		f := fault{
 			kind: kinds[rng.IntN(len(kinds))], who: rng.IntN(t.Members), after: time.Duration(200+rng.IntN(1300)) * time.Millisecond,
@@ -87,11 +92,12 @@
 	if t.Log == nil {
 		t.Log = func(string, ...any) {}
 	}
+	places := &sites{meters: map[string]*Meter{}}
 	var served sync.Map
 	rng := rand.New(rand.NewPCG(t.Seed, 5))
 	var rmu sync.Mutex
 	partner := &lab.Provider{Name: "p", Handle: func(c *lab.Call) bool {
-		if c.ReadAll(0) != nil {
+		if places.count(c); c.ReadAll(0) != nil {
 			return false
 		}
 		rmu.Lock()
@@ -107,9 +113,12 @@
 		served.Store(c.ID, true)
 		return c.Answer(200, "") == nil
 	}}
-	f, err := Open(Setup{
-		Members: t.Members, Copies: t.Copies, Alone: t.Alone, Program: t.Program, Env: t.Env, Dir: t.Dir, Seed: t.Seed,
-	}, partner)
+	setup := Setup{Members: t.Members, Copies: t.Copies, Alone: t.Alone, Program: t.Program, Env: t.Env, Dir: t.Dir, Seed: t.Seed}
+	if t.Places {
+		setup.Zones, setup.Sites, setup.Paths, setup.Settings = 4, 4, true, PlacesSettings(t.Members)
+		partner.Weight = siteRate
+	}
+	f, err := Open(setup, partner)
 	if err != nil {
 		return out, err
 	}
@@ -150,6 +159,10 @@
 	if err == nil {
 		err = f.AwaitJobs(ctx, 0)
 	}
+	if err == nil && t.Places {
+		err = f.AwaitOnePlan(ctx)
+		out.Broken = append(out.Broken, places.fell()...)
+	}
 	for i, m := range f.Members {
 		if err != nil {
 			break
@@ -159,7 +172,7 @@
 			out.TakenOver += s.Figures.Messages
 		}
 	}
-	out.Broken, out.Notices = f.Broken(), len(f.Agent.Notices())
+	out.Broken, out.Notices = append(out.Broken, f.Broken()...), len(f.Agent.Notices())
 	bad := ""
 	if out.Asked, bad = reg.check(); bad != "" {
 		out.Broken = append(out.Broken, bad)
@@ -280,6 +293,10 @@
 		f.Relay(x.who, x.other).Refuse(true, true)
 	case "founders":
 		f.changeFounders(ctx, x.who, x.other)
+	default:
+		back := f.placeFault(x.kind, x.who, rand.New(rand.NewPCG(t.Seed, uint64(x.after))))
+		lab.Sleep(ctx, x.lasts)
+		return back()
 	}
 	lab.Sleep(ctx, x.lasts)
 	f.Heal()
