Failover: limits that answers tell of count as capacity, and a path's capacity is one for all destinations

A limit that an answer carries goes up with its forwarder's report; a zone's word is the middle of them, the planner takes the lowest zone's for 30 s, and only where it is below the list's: it may be one for all of a destination's places together. What crosses a path whose capacity is set is bounded over all destinations together, by what may still be gone by as well.

Tests: TestToldLimits; TestPathIsSharedByDestinations (before: 40 a second over a path that takes 30).

--- a/internal/cluster/node/plans.go
+++ b/internal/cluster/node/plans.go
@@ -115,6 +115,16 @@
 	s.report.Paths[at] = t
 }
 
+// Limited books a limit that an answer carried.
+func (s *steering) Limited(destination int64, zone string, rate float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.report.Limits == nil {
+		s.report.Limits = map[plan.Path]float64{}
+	}
+	s.report.Limits[plan.Path{Destination: destination, To: zone}] = rate
+}
+
 // look makes anew what is allowed, and lets what may be sent come together; s.mu is held.
 func (s *steering) look(now time.Duration) {
 	span := min(now-s.at, saveUp).Seconds()
--- a/internal/cluster/plan/evidence.go
+++ b/internal/cluster/plan/evidence.go
@@ -83,7 +83,8 @@
 	Obeys    uint64            // the plan that it goes by; 0 is none
 	Demand   map[int64]float64 // messages handed in, by destination
 	Paths    map[Path]Tally
-	Lost     []Path // on which the latest calls had no answer, over windows; see Runs
+	Limits   map[Path]float64 // that answers carried, the latest
+	Lost     []Path           // on which the latest calls had no answer, over windows; see Runs
 }
 
 // Runs count the calls in a row that had no answer, by path and over windows: a forwarder whose breakers let little through sees too
@@ -131,7 +132,8 @@
 	Who       uint64            // changes where others are heard
 	Demand    map[int64]float64 // messages a second
 	Paths     map[Path]Tally
-	Lost      []Path // on which nobody had an answer in this window, and somebody's latest calls had none
+	Limits    map[Path]float64 // the middle of what its forwarders were told
+	Lost      []Path           // on which nobody had an answer in this window, and somebody's latest calls had none
 }
 
 const (
@@ -176,8 +178,12 @@
 		out.Obeys = 0
 	}
 	slices.Sort(out.Sick)
+	told := map[Path][]float64{}
 	lost := map[Path]bool{}
 	for _, r := range reports {
+		for p, rate := range r.Limits {
+			told[p] = append(told[p], rate)
+		}
 		for _, p := range r.Lost {
 			if t := out.Paths[p]; !lost[p] && t.OK+t.Failed == 0 && !slices.Contains(out.Sick, r.Observer) {
 				out.Lost, lost[p] = append(out.Lost, p), true
@@ -185,6 +191,13 @@
 		}
 	}
 	slices.SortFunc(out.Lost, comparePaths)
+	for p, rates := range told {
+		if out.Limits == nil {
+			out.Limits = map[Path]float64{}
+		}
+		slices.Sort(rates)
+		out.Limits[p] = rates[(len(rates)-1)/2]
+	}
 	return out
 }
 
--- a/internal/cluster/plan/plan_test.go
+++ b/internal/cluster/plan/plan_test.go
@@ -53,6 +53,66 @@
 	}
 }
 
+// A path's capacity is one for all destinations together, whatever each of them was granted before.
+func TestPathIsSharedByDestinations(t *testing.T) {
+	bounded := Places{Pairs: map[[2]string]Crossing{{"a", "b"}: {Capacity: 30}}}
+	p := New(Defaults(), bounded, nil)
+	most := 0.0
+	for window := range 20 {
+		in := Input{Elapsed: time.Second, Capacity: map[int64]map[string]float64{}, Members: map[string]int{"a": 10}}
+		demand := map[int64]float64{}
+		for d := range int64(3) { // the third joins late
+			if in.Capacity[d] = map[string]float64{"b": 500}; d < 2 || window > 10 {
+				demand[d] = 20
+			}
+		}
+		in.Zones = map[string]Summary{"a": {Place: "a", Obeys: p.last.Version, Demand: demand}}
+		next, _ := p.Step(in)
+		sum := 0.0
+		for _, g := range next.Grants {
+			sum += g.Rate
+		}
+		if most = math.Max(most, sum); sum > 30+1e-9 {
+			t.Fatalf("window %d: %v over a path that takes 30: %+v", window, sum, next.Grants)
+		}
+	}
+	if most < 29 {
+		t.Errorf("%v of 30 are used", most)
+	}
+}
+
+// A limit that answers tell of lowers what a place is taken to have, by the middle of what its forwarders say, and is forgotten; a larger one
+// raises nothing.
+func TestToldLimits(t *testing.T) {
+	p := New(Defaults(), regions, nil)
+	step := func(told ...float64) float64 {
+		var reports []Report
+		for i, rate := range told {
+			r := saw(fmt.Sprint(i), "a", nil)
+			if r.Demand[1] = 40; rate > 0 {
+				r.Limits = map[Path]float64{{1, "b"}: rate}
+			}
+			reports = append(reports, r)
+		}
+		next, _ := p.Step(Input{Elapsed: 10 * time.Second, Zones: map[string]Summary{"a": Merge("a", reports)},
+			Capacity: map[int64]map[string]float64{1: {"b": 100}}, Members: map[string]int{"a": 3}})
+		return next.sum("a", "b")
+	}
+	for i, c := range []struct {
+		told  []float64
+		steps int // of 10 s
+		want  float64
+	}{{[]float64{500, 500, 500}, 3, 91}, {[]float64{60, 1, 70}, 1, 54.6}, {[]float64{0, 0, 0}, 3, 54.6}, {[]float64{0, 0, 0}, 3, 91}} {
+		got := 0.0
+		for range c.steps {
+			got = step(c.told...)
+		}
+		if math.Abs(got-c.want) > 1e-6 {
+			t.Errorf("part %d: %v, want %v", i, got, c.want)
+		}
+	}
+}
+
 // A patient whose breakers let one call a window through is found all the same, from the fourth on and until one is answered.
 func TestPatientOfFewCalls(t *testing.T) {
 	runs := Runs{}
--- a/internal/cluster/plan/planner.go
+++ b/internal/cluster/plan/planner.go
@@ -51,6 +51,7 @@
 	mostDemand  = 1e7                   // messages a second at one place that are believed
 	sway        = 0.25                  // by which a crossing may grow while the step before is not seen yet
 	runLeast    = 4                     // calls lost in a row, over windows, that say as much as a window,
+	limitHolds  = 30 * time.Second      // for which a limit is remembered that no answer tells of any more
 	runMost     = 8                     // and more say no more
 )
 
@@ -95,6 +96,12 @@
 	ago time.Duration
 }
 
+// limit is one that answers told of, and how long ago.
+type limit struct {
+	rate float64
+	ago  time.Duration
+}
+
 // cutState counts the windows in which one way looked cut, or well.
 type cutState struct {
 	bad, good int
@@ -116,7 +123,9 @@
 	grew    map[string]uint64        // the plan by which a place's crossings grew last,
 	waited  map[string]time.Duration // and for how long it has not been seen that all go by it
 	who     map[string]heard
-	most    map[string][]count // of members, of late
+	most    map[string][]count              // of members, of late
+	limits  map[spot]limit                  // that answers told of
+	paths   map[[2]string]map[int64]float64 // what each destination may send over a bounded path: as may still be gone by, or is granted now
 	last    *Plan
 	aged    time.Duration // since the last proposal
 	moves   []Move
@@ -127,7 +136,7 @@
 // New goes on from the plan in force; nil is none. Whatever that grants may be gone by for as long as it holds.
 func New(cfg Config, places Places, from *Plan) *Planner {
 	p := &Planner{
-		cfg: cfg, places: places, sites: map[spot]*Site{}, ways: map[way]*cutState{}, runs: map[way]float64{}, demand: map[spot]float64{}, force: map[way][]force{},
+		cfg: cfg, places: places, sites: map[spot]*Site{}, ways: map[way]*cutState{}, limits: map[spot]limit{}, runs: map[way]float64{}, demand: map[spot]float64{}, force: map[way][]force{},
 		obeys: map[string]uint64{}, seen: map[string]uint64{}, grew: map[string]uint64{}, waited: map[string]time.Duration{}, who: map[string]heard{}, most: map[string][]count{}, last: from,
 	}
 	if from == nil {
@@ -159,6 +168,7 @@
 func (p *Planner) Step(in Input) (next *Plan, changed bool) {
 	p.moves, p.aged = nil, p.aged+in.Elapsed
 	in.Capacity = believed(in.Capacity)
+	p.limit(in)
 	p.age(in)
 	next = &Plan{Version: p.last.Version + 1, Hold: p.cfg.Hold, State: in.State, Frozen: in.Frozen}
 	for _, place := range slices.Sorted(maps.Keys(in.Zones)) {
@@ -177,6 +187,10 @@
 			all[place] = true
 		}
 		p.origins = slices.Sorted(maps.Keys(all))
+		p.paths = map[[2]string]map[int64]float64{}
+		for w := range p.force {
+			p.carries(w, p.possible(w))
+		}
 		for _, d := range slices.Sorted(maps.Keys(in.Capacity)) {
 			p.judge(d, in)
 			next.Grants = append(next.Grants, p.grant(d, in)...)
@@ -226,6 +240,34 @@
 	return out
 }
 
+// limit takes the lowest limit that a zone was told of for a place's capacity, where that is below the list's: it may be one for all of a
+// destination's places together, so it never makes one larger.
+func (p *Planner) limit(in Input) {
+	fresh := map[spot]float64{}
+	for _, z := range in.Zones {
+		for at, rate := range z.Limits {
+			if s := (spot{at.Destination, at.To}); rate > 0 && rate <= mostDemand && (fresh[s] == 0 || rate < fresh[s]) {
+				fresh[s] = rate
+			}
+		}
+	}
+	for at, l := range p.limits {
+		if l.ago += in.Elapsed; l.ago > limitHolds {
+			delete(p.limits, at)
+			continue
+		}
+		p.limits[at] = l
+	}
+	for at, rate := range fresh {
+		p.limits[at] = limit{rate: rate}
+	}
+	for at, l := range p.limits {
+		if c, listed := in.Capacity[at.destination][at.place]; listed {
+			in.Capacity[at.destination][at.place] = math.Min(c, l.rate)
+		}
+	}
+}
+
 // age lets time pass over what may still be gone by.
 func (p *Planner) age(in Input) {
 	for place, z := range in.Zones {
@@ -292,6 +334,30 @@
 	return rate
 }
 
+// carries books what a way may take of the path between its places, where that is bounded.
+func (p *Planner) carries(w way, rate float64) {
+	if at := [2]string{w.from, w.to}; p.places.Crossing(w.from, w.to).Capacity > 0 {
+		if p.paths[at] == nil {
+			p.paths[at] = map[int64]float64{}
+		}
+		p.paths[at][w.destination] = math.Max(p.paths[at][w.destination], rate)
+	}
+}
+
+// bears is what the path between a way's places has left for it, beside all other destinations.
+func (p *Planner) bears(w way) float64 {
+	left := p.places.Crossing(w.from, w.to).Capacity
+	if left <= 0 {
+		return math.Inf(1)
+	}
+	for d, rate := range p.paths[[2]string{w.from, w.to}] {
+		if d != w.destination {
+			left -= rate
+		}
+	}
+	return math.Max(0, left)
+}
+
 // granted is what the last plan grants a way, but for trials.
 func (p *Planner) granted(d int64, from, to string) float64 {
 	if g, had := p.last.find(d, from, to); had && !g.Trial {
@@ -688,10 +754,6 @@
 			if cut(from, to) || p.site(d, to).Phase == Down {
 				continue
 			}
-			most := math.Inf(1)
-			if c := p.places.Crossing(from, to).Capacity; c > 0 {
-				most = c
-			}
 			was := p.granted(d, from, to)
 			grown := was + p.cfg.Step*start[to]
 			switch {
@@ -703,7 +765,7 @@
 					left[from] = math.Min(left[from], grown)
 				}
 			}
-			want[w] = math.Min(left[from], math.Min(most, grown))
+			want[w] = math.Min(left[from], math.Min(p.bears(w), grown))
 			asks[to] = append(asks[to], w)
 		}
 		for _, to := range slices.Sorted(maps.Keys(asks)) {
@@ -728,6 +790,7 @@
 				room[to] -= math.Max(0, out[w]-floor[w])
 				start[to] -= out[w]
 				left[w.from] -= out[w]
+				p.carries(w, out[w])
 				g, had := p.last.find(d, w.from, w.to)
 				if out[w] > g.Rate {
 					p.grew[w.from] = p.last.Version + 1
--- a/internal/routing/calls.go
+++ b/internal/routing/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	mb "mulleinbeam"
@@ -172,6 +173,9 @@
 	}
 	r.counters.outcome(out)
 	r.steered(c, out)
+	if l := result.Limit; r.cfg.Steering != nil && l != nil && l.Rate > 0 && !math.IsInf(l.Rate, 1) {
+		r.cfg.Steering.Limited(h.Destination, r.providers[c.provider].Zone, l.Rate)
+	}
 	h.last = out
 	never := out == mb.Full || out == mb.ConnectFailed || out == mb.Moot
 	if c.begun {
--- a/internal/routing/steer.go
+++ b/internal/routing/steer.go
@@ -17,6 +17,8 @@
 	Handed(destination int64, class string) bool
 	// Called is told how a call ended. One that did not begin says how its connection failed.
 	Called(destination int64, zone string, out mb.Outcome, took time.Duration)
+	// Limited is told of a limit that an answer carried, calls a second from all forwarders together.
+	Limited(destination int64, zone string, rate float64)
 	// Allows says whether a call may go to a destination's endpoints in a zone now.
 	Allows(destination int64, zone string) bool
 	// Takes books a call that is to be made, before its connection is looked for: one that can't be connected is a call all the same.
--- a/test.sh
+++ b/test.sh
@@ -13,5 +13,7 @@
 CGO_ENABLED=1 go build -tags cluster -ldflags=-linkmode=external -o bin/larkreach-cluster ./cmd/larkreach
 go test -race -run '^$' ./... > /dev/null                # builds with all cores;
 go test -race -p 2 -timeout 280s ./...                    # tests that start programs get some of them to themselves
-go test -timeout 150s ./internal/lab/cluster ./internal/cluster/plan             # one thread: the race detector would only slow the walk down
-go test -race -tags cluster -parallel 3 -timeout 200s -run '^TestFleet' ./cmd/larkreach # several processes that keep copies for each other
+go test -timeout 200s ./internal/lab/cluster ./internal/cluster/plan &             # one thread: the race detector would only slow the walk down
+walk=$!
+go test -race -tags cluster -parallel 5 -timeout 250s -run '^TestFleet' ./cmd/larkreach # several processes that keep copies for each other
+wait "$walk"
