Settings that let messages share calls no longer have calls go out beyond the slots

Cause: its settings say `batch-by-kind = 10`. The module then takes up to ten messages to one endpoint for one call, and one slot; the router makes each a call of its own (routing.Router.send), so that ten went out on one slot and were answered 503 with X-Over-Slots, or overran the partner's limit.

Change: readConfig takes the settings for one message a call, until shared calls are built (they are held). TestOneMessageACall hangs without it.

--- a/cmd/larkreach/config.go
+++ b/cmd/larkreach/config.go
@@ -98,6 +98,7 @@
 	if c.Settings.Couriers < 1 { // one that does not know of others decides as if it were alone
 		c.Settings.Couriers, c.Alone = 1, true
 	}
+	clear(c.Settings.BatchByKind) // each message is a call of its own here, and takes a slot
 	weighClasses(c.Settings.Classes)
 	if err := c.Settings.Validate(); err != nil {
 		return c, fmt.Errorf("config: %w", err)
--- a/cmd/larkreach/larkreach_test.go
+++ b/cmd/larkreach/larkreach_test.go
@@ -435,6 +435,24 @@
 	s.counts(" error=1 ") // and no reset, from which the module learns of dead connections
 }
 
+// Settings that let messages share calls change nothing here: each message is a call of its own, and takes a slot.
+func TestOneMessageACall(t *testing.T) {
+	p := newProvider(t, "a", 7)
+	s := newSite(t, p)
+	s.set([]int{10}, "settings", "family-info", "batch-by-kind")
+	s.set(2, "settings", "family-info", "calls-out")
+	s.start()
+	for i := range 5 {
+		s.hand(fmt.Sprint("m", i), "unsafe", 7)
+	}
+	for i := range 5 { // one more begins with each that ends
+		s.counts(fmt.Sprintf(" held=%d ", 5-i))
+		s.counts(fmt.Sprintf(" calls=%d ", min(5, 1+i)))
+		(<-p.calls).answer("200 OK")
+	}
+	s.counts(" ok=5 ")
+}
+
 // Where kept connections are reset, a fee charge goes on a new one.
 func TestFreshConnections(t *testing.T) {
 	p := newProvider(t, "a", 7)
