--- a/cmd/larklab/places.go
+++ b/cmd/larklab/places.go
@@ -15,6 +15,7 @@
 	Seeds    int      `default:"5" help:"Plays of each day and policy."`
 	Days     []string `help:"Some of the days, by name; all if none is named."`
 	Policies []string `help:"Some of the policies (plan, near, alike, alone, truth); all if none is named. The first is compared with the others."`
+	Size     int      `default:"300" help:"Forwarders."`
 	HTML     string   `name:"html" placeholder:"FILE" help:"A report as one page."`
 }
 
@@ -36,7 +37,9 @@
 	}
 	ctx, stop := interruptible()
 	defer stop()
-	results, err := places.Compare(ctx, places.Wide, days, c.Policies, c.Seeds, runtime.NumCPU(), os.Stdout)
+	fleet := places.Wide
+	fleet.Forwarders = c.Size
+	results, err := places.Compare(ctx, fleet, days, c.Policies, c.Seeds, runtime.NumCPU(), os.Stdout)
 	if err != nil || c.HTML == "" {
 		return err
 	}
@@ -44,5 +47,5 @@
 	if err != nil {
 		return err
 	}
-	return errors.Join(places.Page(f, places.Wide, days, c.Policies, results), f.Close())
+	return errors.Join(places.Page(f, fleet, days, c.Policies, results), f.Close())
 }
--- a/internal/lab/places/page.go
+++ b/internal/lab/places/page.go
@@ -40,6 +40,7 @@
 
 // row is what a policy delivered on a day, on average over the seeds.
 type row struct {
+	InForce                          float64 // seconds, the longest
 	Policy                           string
 	Worth, Net, Crossings, Over, P99 float64
 	Needless, Plans                  float64
@@ -57,6 +58,7 @@
 		out.P99 += r.P99.Seconds() * 1000 / n
 		out.Needless += float64(r.Needless) / n
 		out.Plans += float64(r.Plans) / n
+		out.InForce = max(out.InForce, r.InForce.Seconds())
 		out.Tips += r.Tips
 		out.TipsSlow += r.TipsSlow
 		out.Moves = max(out.Moves, r.Moves)
--- a/internal/lab/places/places.go
+++ b/internal/lab/places/places.go
@@ -99,6 +99,7 @@
 	TipsSlow    int // and those that were slow then
 	Moves       int // out and back, of the plan
 	Plans       int
+	InForce     time.Duration // from the first fault until all forwarders go by a plan with a move out; 0 is never
 	P99         time.Duration
 	Series      []Point
 }
--- a/internal/lab/places/policies.go
+++ b/internal/lab/places/policies.go
@@ -79,16 +79,22 @@
 		in.Zones[place] = plan.Merge(place, list)
 	}
 	next, changed := p.planner.Step(in)
+	out := false
 	if changed {
 		r.result.Plans++
 		for _, m := range next.Moves {
-			if m.Kind == "out" || m.Kind == "back" {
+			if out = out || m.Kind == "out"; m.Kind == "out" || m.Kind == "back" {
 				r.result.Moves++
 			}
 		}
 	}
+	last := r.now
 	for _, m := range p.members { // asked for a little later each
-		m.coming = append(m.coming, told{r.now + time.Duration(r.rng.Float64()*float64(hearing)), next})
+		at := r.now + time.Duration(r.rng.Float64()*float64(hearing))
+		m.coming, last = append(m.coming, told{at, next}), max(last, at)
+	}
+	if out && r.result.InForce == 0 && len(r.day.Faults) > 0 {
+		r.result.InForce = last - r.day.Faults[0].At
 	}
 }
 
--- a/internal/lab/places/report.go
+++ b/internal/lab/places/report.go
@@ -43,6 +43,9 @@
 			x := rowOf(p, list)
 			line := fmt.Sprintf("  %-6s worth %.4f of what was offered, less price %.4f  crossings %.3f of calls, needless %6.1f  no room for %6.0f calls  pushed over %d survivors, %d slow ones  p99 %4.0f ms  plans %3.0f, moves %2d at most",
 				p, x.Worth, x.Net, x.Crossings, x.Needless, x.Over, x.Tips, x.TipsSlow, x.P99, x.Plans, x.Moves)
+			if x.InForce > 0 {
+				line += fmt.Sprintf("  in force everywhere after %.1f s", x.InForce)
+			}
 			if j > 0 {
 				diffs := make([]float64, len(list))
 				for k, r := range list {
