--- a/internal/lab/places/page.go
+++ b/internal/lab/places/page.go
@@ -18,7 +18,7 @@
 svg { max-width: 100%; height: auto } figure { margin: 1.5rem 0 } figcaption { color: #555 }
 </style>
 <h1>Days of zones and regions</h1>
-<p>{{.Forwarders}} forwarders in {{.Zones}} zones, {{.Sites}} destinations with a site in each, {{.Seeds}} seeds a day and policy, in virtual time.</p>
+<p>{{.Forwarders}} forwarders in {{.Zones}} zones, {{.Sites}} destinations with a site in each, each day and policy played with {{.Seeds}} seed{{if ne .Seeds 1}}s{{end}}, in virtual time.</p>
 {{range .Days}}<h2>{{.Name}}</h2>
 <table><tr><th>policy<th>worth<th>less price<th>crossings of calls<th>no room, calls<th>survivors pushed over<th>p99, ms<th>moves at most</tr>
 {{range .Rows}}<tr><td>{{.Policy}}<td>{{printf "%.4f" .Worth}}<td>{{printf "%.4f" .Net}}<td>{{printf "%.3f" .Crossings}}<td>{{printf "%.0f" .Over}}<td>{{.Tips}}<td>{{printf "%.0f" .P99}}<td>{{.Moves}}</tr>
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -194,6 +194,9 @@
 	Values []float64
 }
 
+// legendRoom is the part of a plot's width that its legend has.
+const legendRoom = 0.14
+
 // Plot draws lines over seconds, as SVG that stands in a page.
 func Plot(lines []Line) (string, error) {
 	g := plot.New()
@@ -217,6 +220,7 @@
 		g.Add(line)
 		g.Legend.Add(l.Name, line)
 	}
+	g.X.Max += legendRoom * (g.X.Max - g.X.Min) // beside the lines, not on them
 	to, err := g.WriterTo(22*vg.Centimeter, 7*vg.Centimeter, "svg")
 	if err != nil {
 		return "", err
