--- a/cmd/larkreach/fleet_faults_test.go
+++ b/cmd/larkreach/fleet_faults_test.go
@@ -3,6 +3,9 @@
 package main
 
 import (
+	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -241,3 +244,60 @@
 		}
 	}
 }
+
+// An owner whose folder is an older copy returns together with its keepers, one of which has a damaged copy and one an older one, in either
+// order: nothing that was taken on is lost, nothing that began goes again where it may not.
+func TestFleetCopiesThatDiffer(t *testing.T) {
+	t.Parallel()
+	for _, ownerFirst := range []bool{true, false} {
+		t.Run(fmt.Sprintf("owner first %v", ownerFirst), func(t *testing.T) {
+			t.Parallel()
+			g := newGate()
+			f := newFleet(t, cluster.Setup{Members: 4, Copies: 3, Amend: slots(1)}, g)
+			must(t, f.Kill(3))
+			must(t, f.SaveFolder(3)) // as it was before any message
+			must(t, f.Start(3))
+			must(t, f.AwaitCopied(f.ctx, f.All()...))
+			s, err := f.Look(3)
+			must(t, err)
+			first, second := int(s.Keepers[0].Name[1]-'0'), int(s.Keepers[1].Name[1]-'0')
+			out := f.take(3, "unsafe")
+			<-g.calls
+			waiting := []string{f.take(3, "unsafe"), f.take(3, "keyed")}
+			must(t, f.AwaitCopied(f.ctx, 3))
+			must(t, f.Kill(second)) // its copy is an older one from here on
+			must(t, f.Await(f.ctx, 3, "another keeper", func(s node.Status) bool {
+				counts := 0
+				for _, k := range s.Keepers {
+					if k.Counts && int(k.Name[1]-'0') != second && k.Has == k.Of {
+						counts++
+					}
+				}
+				return counts == 2
+			}))
+			waiting = append(waiting, f.take(3, "unsafe"), f.take(3, "safe"))
+			must(t, f.AwaitCopied(f.ctx, 3))
+			life, err := f.Life(3)
+			must(t, err)
+			must(t, f.Kill(3))
+			must(t, f.Kill(first))
+			must(t, f.RollBack(3))
+			must(t, f.Damage(first))
+			g.release()
+			order := []int{3, first, second}
+			if !ownerFirst {
+				slices.Reverse(order)
+			}
+			for _, i := range order {
+				must(t, f.Start(i))
+			}
+			must(t, f.AwaitCopied(f.ctx, f.All()...))
+			must(t, f.AwaitDone(f.ctx, 0, "n3", life))
+			if !strings.Contains(f.Members[first].Log(), "damaged bytes") {
+				t.Error("the damage was not seen")
+			}
+			f.rules(f.All()...)
+			f.reached(append(waiting, out)...)
+		})
+	}
+}
--- a/internal/lab/cluster/fleet.go
+++ b/internal/lab/cluster/fleet.go
@@ -1,10 +1,12 @@
 package cluster
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"io/fs"
 	"net"
 	"os"
 	"path/filepath"
@@ -289,6 +291,33 @@
 	return errors.Join(os.RemoveAll(m.State()), os.CopyFS(m.State(), os.DirFS(m.Dir+"/saved")))
 }
 
+// Damage flips a bit in the middle of what a dead member's folder of copies holds.
+func (f *Fleet) Damage(i int) error {
+	f.Event("n%d: copies damaged", i)
+	var path string
+	var held []byte
+	err := filepath.WalkDir(filepath.Join(f.Members[i].State(), "copies"), func(p string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() {
+			return err
+		}
+		b, err := os.ReadFile(p)
+		if used := bytes.TrimRight(b, "\x00"); err == nil && len(used) > len(held) {
+			path, held = p, b[:len(used)]
+		}
+		return err
+	})
+	if err != nil || path == "" {
+		return errors.Join(err, fmt.Errorf("cluster: n%d has no copies: %q", i, path))
+	}
+	file, err := os.OpenFile(path, os.O_WRONLY, 0)
+	if err != nil {
+		return err
+	}
+	at := len(held) / 2
+	_, err = file.WriteAt([]byte{held[at] ^ 1}, int64(at))
+	return errors.Join(err, file.Close())
+}
+
 // Relay is what carries the connections that one member makes to another.
 func (f *Fleet) Relay(from, to int) *Relay { return f.relays[[2]int{from, to}] }
 
