Read again: ways to founders are looked at only where these changed

Found on reading the change: Server.Run made a map of all founders and went through it at every event and tick, for a list that hardly ever changes; it compares the list first now. Two figures of the planner stood between others they do not belong to; a way and its peer had one name. Behaviour stays as it is.

--- a/internal/cluster/council/server.go
+++ b/internal/cluster/council/server.go
@@ -77,6 +77,7 @@
 	joining map[string]*joining      // by name
 	looking map[Life]bool            // jobs whose keepers are being asked
 	lanes   map[uint64]*lane
+	seen    []Founder      // to whom the lanes are
 	carried sync.WaitGroup // lanes
 	changed time.Duration  // until when a change of the founders may be under way
 	meeting bool
@@ -159,8 +160,12 @@
 
 // roster has a lane to each of the other founders, and to nobody else.
 func (s *Server) roster(ctx context.Context) {
+	if slices.Equal(s.seen, s.core.Founders()) {
+		return // as at almost every event
+	}
+	s.seen = s.core.Founders()
 	keep := map[uint64]bool{}
-	for _, f := range s.core.Founders() {
+	for _, f := range s.seen {
 		id := ID(f.Name)
 		if id == s.core.id || s.core.Outside() {
 			continue
@@ -654,17 +659,17 @@
 	if !r.s.post(func() { way <- r.s.lanes[m.ID] }) {
 		return ErrNoLeader
 	}
-	var peer *lane
+	var to *lane
 	select {
-	case peer = <-way:
+	case to = <-way:
 	case <-r.s.done:
 		return ErrNoLeader
 	}
 	real := false
-	if peer != nil { // whoever is at that founder's address: another process of its name changes nothing
+	if to != nil { // whoever is at that founder's address: another process of its name changes nothing
 		var token uint64
 		call, cancel := context.WithTimeout(context.Background(), stepFor/2)
-		real = peer.peer.Call(call, "Council.Who", true, &token) == nil && token == m.Token
+		real = to.peer.Call(call, "Council.Who", true, &token) == nil && token == m.Token
 		cancel()
 	}
 	answer := make(chan Standing, 1)
--- a/internal/cluster/plan/planner.go
+++ b/internal/cluster/plan/planner.go
@@ -37,11 +37,11 @@
 	surelyLost  = 30                    // calls lost in one window, of 90 in 100, that need no second window
 	surelyShare = 0.9                   //
 	slowFrom    = 2.5                   // times the usual median from which a place counts as slow
+	slowBy      = 20 * time.Millisecond // and by how much at the least: less is what a busy machine does to any call
 	slowLeast   = 0.1                   // of its capacity that a slow place keeps
 	trialCalls  = 2                     // of one place's forwarders, that say something of a trial
 	wellAgain   = 2                     // good windows in a row that end a rest, or a cut
 	sameGrant   = 0.1                   // grants that differ by less, as a share, are the same
-	slowBy      = 20 * time.Millisecond // and by how much at the least: less is what a busy machine does to any call
 	usualDown   = 0.1                   // of the latest window in what is usual, where it is faster,
 	usualUp     = 0.005                 // and where it is slower: what becomes slow within a minute is not usual
 	foundStep   = 0.05                  // by which room that was found short is taken for more, in a window without refusals
@@ -51,8 +51,8 @@
 	mostDemand  = 1e7                   // messages a second at one place that are believed
 	sway        = 0.25                  // by which a crossing may grow while the step before is not seen yet
 	runLeast    = 4                     // calls lost in a row, over windows, that say as much as a window,
-	limitHolds  = 30 * time.Second      // for which a limit is remembered that no answer tells of any more
 	runMost     = 8                     // and more say no more
+	limitHolds  = 30 * time.Second      // for which a limit is remembered that no answer tells of any more
 )
 
 // Input is what is known at the end of a window.
