Discovery: a change is learned within 6 s of its being there, whatever became of calls

Checked: a zero Asking (lists that come by themselves, or under eight forwarders) always asked again after 50 ms; its worst was 1 + 5 s of one silent call whose connection came up late, just over the bound. transport/asking.go (again, start) and agent.go (next, Watch) are at fault.

Now the next call starts at most 5 s behind the start of one that failed, whatever the fleet's size; a call with its connecting lasts 4.75 s, one for the whole list, which has nothing to wait for, 2.5 s; a forgotten version is asked again at once; a move starts the count of failures anew and keeps to 3 s. The sum is a proof at the head of asking.go.

Tests: TestToldInTime (failed without the bound: 5.15 s and more), TestAForgottenVersionCostsNoPause (failed with a pause).

--- a/internal/transport/agent.go
+++ b/internal/transport/agent.go
@@ -16,9 +16,8 @@
 
 const (
 	agentConnect = time.Second
-	mostList     = 4 << 20         // bytes of discovery's list
-	watchFor     = 4 * time.Second // how long one watch call may wait
-	watchSlack   = time.Second     // and how much longer its answer is waited for
+	mostList     = 4 << 20                // bytes of discovery's list
+	watchSlack   = 750 * time.Millisecond // a watch's answer is waited for so much longer than the watch may wait
 	retryPause   = 50 * time.Millisecond
 	reportFor    = 500 * time.Millisecond // an answer to a report
 	reportMost   = 200                    // notices in one report
@@ -135,15 +134,24 @@
 	}
 }
 
+// connect opens a connection unless one is open.
+func (a *agent) connect(ctx context.Context) error {
+	if a.conn != nil {
+		return nil
+	}
+	dialer := net.Dialer{Timeout: agentConnect}
+	conn, err := dialer.DialContext(ctx, "tcp", a.address)
+	if err != nil {
+		return fmt.Errorf("transport: discovery: %w", err)
+	}
+	a.adopt(conn)
+	return nil
+}
+
 // do sends a request and waits for its answer. After an error the next call opens a new connection.
 func (a *agent) do(ctx context.Context, request []byte, wait time.Duration) (*protocol.Message, error) {
-	if a.conn == nil {
-		dialer := net.Dialer{Timeout: agentConnect}
-		conn, err := dialer.DialContext(ctx, "tcp", a.address)
-		if err != nil {
-			return nil, fmt.Errorf("transport: discovery: %w", err)
-		}
-		a.adopt(conn)
+	if err := a.connect(ctx); err != nil {
+		return nil, err
 	}
 	conn := a.conn
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
@@ -207,10 +215,11 @@
 		at, here, release := d.Address.follow(ctx)
 		if first := a.address == ""; a.at(at) {
 			if !first {
-				d.Since, moved = -1, true
+				d.Since, moved, failing = -1, true, 0
 			}
 			a.adopt(d.Address.proven(at))
 		}
+		started := time.Now()
 		list, err := d.next(here, a)
 		switch {
 		case here.Err() != nil && err != nil: // the end, or another address
@@ -218,7 +227,7 @@
 			if failing++; failing == 1 {
 				d.Logger.Warn().Str("part", "directory").Err(err).Msg("no answer, the list held stands")
 			}
-			pause(here, d.Asking.again(failing))
+			pause(here, d.Asking.again(failing, time.Since(started), moved))
 		default:
 			if failing > 0 || moved {
 				d.Logger.Info().Str("part", "directory").Str("address", at).Int64("version", list.Index).Msg("answers")
@@ -244,19 +253,29 @@
 	}
 }
 
+// next makes one call: a watch, or one for the whole list, which has nothing to wait for.
 func (d *Directory) next(ctx context.Context, a *agent) (protocol.Directory, error) {
-	request := protocol.AppendWatch(nil, a.address, d.Since, watchFor)
-	m, err := a.do(ctx, request, watchFor+watchSlack)
+	started, most := time.Now(), callMost
+	if d.Since < 0 {
+		most = listMost
+	}
+	if err := a.connect(ctx); err != nil {
+		return protocol.Directory{}, err
+	}
+	left := most - time.Since(started)
+	m, err := a.do(ctx, protocol.AppendWatch(nil, a.address, d.Since, max(0, left-watchSlack)), left)
 	if err != nil {
 		return protocol.Directory{}, err
 	}
-	if m.Status() != 200 {
-		if m.Status() < 500 { // a version that it does not know any more: the whole list; one that is busy may know it
-			d.Since = -1
-		}
-		return protocol.Directory{}, fmt.Errorf("transport: discovery answered %d", m.Status())
+	switch status := m.Status(); {
+	case status == 200:
+		return protocol.ParseDirectory(m.Body)
+	case status < 500 && d.Since >= 0: // a version that it does not know any more: the whole list; one that is busy may know it
+		d.Since = -1
+		return d.next(ctx, a)
+	default:
+		return protocol.Directory{}, fmt.Errorf("transport: discovery answered %d", status)
 	}
-	return protocol.ParseDirectory(m.Body)
 }
 
 // Reporter sends notices to the platform until each is acknowledged.
--- a/internal/transport/asking_test.go
+++ b/internal/transport/asking_test.go
@@ -51,7 +51,7 @@
 			know++
 		} else {
 			f.failures++
-			f.at += f.again(f.failures)
+			f.at += f.again(f.failures, 0, false)
 		}
 		left = max(left-1, -perSecond) // what is refused keeps it busy, for a second at most
 	}
@@ -77,11 +77,11 @@
 func TestAskingByFleet(t *testing.T) {
 	chance := func(v float64) func() float64 { return func() float64 { return v } }
 	for _, n := range []int{-1, 0, 1, 2, 3, manyForwarders - 1} {
-		if a := AskingFor(n, askWithin, nil); a.start() != 0 || a.again(1) != retryPause || a.again(1000) != retryPause {
+		if a := AskingFor(n, askWithin, nil); a.start() != 0 || a.again(1, 0, false) != retryPause || a.again(1000, 0, false) != retryPause {
 			t.Errorf("%d forwarders don't ask as few do", n)
 		}
 	}
-	if a := AskingFor(80, 0, nil); a.start() != 0 || a.again(5) != retryPause {
+	if a := AskingFor(80, 0, nil); a.start() != 0 || a.again(5, 0, false) != retryPause {
 		t.Error("where the list comes by itself, nothing is spread")
 	}
 	for _, n := range []int{manyForwarders, 80, 1000, 1 << 40} {
@@ -91,7 +91,7 @@
 				t.Errorf("%d forwarders: the first call after %v", n, s)
 			}
 			for _, failures := range []int{0, 1, 2, 10, 1 << 30} {
-				if p := a.again(failures); p < retryPause || p > 2*askWithin {
+				if p := a.again(failures, 0, false); p < retryPause || p > 2*askWithin {
 					t.Errorf("%d forwarders, %d failures: a pause of %v", n, failures, p)
 				}
 			}
@@ -128,6 +128,75 @@
 	}
 }
 
+// Whatever becomes of a call to discovery, and whatever a fleet's settings say, the next one starts so soon that a change is
+// learned toldWithin after discovery had it and could be reached, and movedWithin after a move; see Asking's proof.
+func TestToldInTime(t *testing.T) {
+	if callMost+retryPause > nextWithin || listMost+retryPause > movedNext || callMost-watchSlack < time.Second {
+		t.Fatalf("a call may last %v, one for the whole list %v", callMost, listMost)
+	}
+	chances := []float64{0, 0.3, 1}
+	for _, forwarders := range []int{0, 1, manyForwarders - 1, manyForwarders, 20, 80, 300, 100_000, 1 << 40} {
+		for _, within := range []time.Duration{0, 1, 200 * time.Millisecond, askWithin, time.Hour} {
+			for _, chance := range chances {
+				a := AskingFor(forwarders, within, func() float64 { return chance })
+				if s := a.start(); s > nextWithin {
+					t.Errorf("%d forwarders, %v: the first call %v behind the start", forwarders, within, s)
+				}
+				// A call is refused at once, finds no connection, breaks on the way, or stays silent to its end.
+				for _, took := range []time.Duration{0, 40 * time.Millisecond, agentConnect, listMost, 4 * time.Second, callMost} {
+					for _, failures := range []int{1, 2, 3, 9, 1 << 30} {
+						if next := took + a.again(failures, took, false); next > nextWithin {
+							t.Errorf("%d forwarders, %v: a call that failed within %v is followed by one %v behind its start",
+								forwarders, within, took, next)
+						}
+						if next := took + a.again(failures, took, true); took <= listMost && next > movedNext {
+							t.Errorf("%d forwarders, %v: behind a move, a call that failed within %v is followed by one %v behind its start",
+								forwarders, within, took, next)
+						}
+					}
+				}
+			}
+		}
+	}
+}
+
+// A version that discovery does not know any more costs no pause, however long pauses are: the whole list is asked for at once.
+func TestAForgottenVersionCostsNoPause(t *testing.T) {
+	const list = `{"index":3,"snapshot":true,"endpoints":[]}`
+	discovery := partner(t, func(conn net.Conn, r *http.Request) {
+		if r.URL.Query().Get("since") == "7" {
+			fmt.Fprint(conn, "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n")
+			return
+		}
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	learned, ended := make(chan protocol.Directory, 1), make(chan error, 1)
+	d := Directory{
+		Address: NewAddress(discovery), Since: 7, Logger: zerolog.Nop(),
+		Asking: Asking{first: time.Hour, most: time.Hour, chance: func() float64 { return 0 }},
+		Learn: func(l protocol.Directory) {
+			select {
+			case learned <- l:
+			default: // once is enough
+			}
+		},
+	}
+	go func() { ended <- d.Watch(ctx) }()
+	select {
+	case l := <-learned:
+		if l.Index != 3 {
+			t.Errorf("learned %+v", l)
+		}
+	case <-time.After(nextWithin * 8 / 10): // the shortest pause that there would be
+		t.Error("a pause stands between a forgotten version and the whole list")
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
 // Discovery that goes away, sends half a list, noise or a refusal, many times over, teaches nothing: the list held stands until
 // a whole one comes, which is then learned once.
 func TestAFleetOutlastsBadDiscovery(t *testing.T) {
