What a restart finds untried is tried: a full hold and fresh guards no longer give it up

At fault: shed (decide.go), which gives up the least worth, and what is resumed is older and so worth less than all that is handed in behind it; and expire, which ends at once what a guard or breaker of the fresh life puts off beyond its time, though a later success may end either.

Changed: a message that an earlier life took on and never tried (Submit.Resumed) is passed over by shed until it has had a call, and expire looks only at told waits for it.

--- a/decide.go
+++ b/decide.go
@@ -249,6 +249,7 @@
 	m := &message{
 		id: e.ID, class: c, key: e.Key, dest: d.dest(e.Destination), deadline: d.now + e.Left,
 		worth: c.Worth, notBefore: d.now, attempts: e.Attempts, long: e.Long, spent: e.Spent,
+		owed: e.Resumed && e.Attempts == 0,
 	}
 	if m.until = m.deadline; m.long {
 		m.deadline = min(m.until, d.now+c.GiveUp)
@@ -357,25 +358,23 @@
 
 // expire gives up at once what no allowed attempt can deliver: attempts used up, an unsafe message that may
 // have run, a long one whose body is gone or goes with this life, or no moment left, before its time or its
-// key's ends, at which a send could go.
+// key's ends, at which a send could go. What is owed is tried unless a told wait forbids it to the end.
 func (d *Decider) expire() {
 	for _, dest := range d.busy {
-		free := time.Duration(0) // the earliest moment at which a lane may take a call
+		var free, told time.Duration // the earliest moment at which a lane may take a call, and has told no wait
 		for i, l := range dest.lanes {
-			at := l.waitUntil
-			if l.state == open {
-				at = max(at, l.openUntil)
-			}
+			at := max(l.waitUntil, l.openUntil)
 			if l.guard && l.guardFrom < 0 && len(l.inflight) == 0 { // else a success may end it
 				at = max(at, d.guardFrees(l))
 			}
-			if i == 0 || at < free {
-				free = at
+			if i == 0 {
+				free, told = at, l.waitUntil
 			}
+			free, told = min(free, at), min(told, l.waitUntil)
 		}
 		for _, m := range slices.Clone(dest.held) {
 			if m.attempts >= d.s.MaxAttempts || m.mayRun && m.class.Effect == Unsafe ||
-				m.long && (m.spent || d.closeAt > 0) || max(d.now, m.notBefore, free) >=
+				m.long && (m.spent || d.closeAt > 0) || max(d.now, m.notBefore, m.waits(free, told)) >=
 				min(m.deadline-answerEarly, d.keyUntil(m)) {
 				d.giveUp(m)
 			}
@@ -383,7 +382,7 @@
 	}
 }
 
-// shed keeps room in the hold by giving up what is worth least.
+// shed keeps room in the hold by giving up what is worth least, but for what is owed.
 func (d *Decider) shed() {
 	most := max(1, int(holdShare*float64(d.s.MostHeld)))
 	for d.heldCount > most {
@@ -393,7 +392,7 @@
 		for _, dest := range d.busy {
 			wait := d.delay(dest)
 			for _, m := range dest.held {
-				if v := d.value(m, d.now+wait); !m.long && v < low {
+				if v := d.value(m, d.now+wait); !m.long && !m.owed && v < low {
 					worst, low = m, v
 				}
 			}
--- a/internal/routing/shared.go
+++ b/internal/routing/shared.go
@@ -120,7 +120,7 @@
 // submitAgain hands a message that was resumed, adopted or frozen to the module, with its past.
 func (r *Router) submitAgain(m *wal.Message, h *held) {
 	submit := r.submission(h, time.Until(h.deadline))
-	if submit.Long, submit.Spent = m.Long, m.Long; m.Long { // its body went with that life
+	if submit.Long, submit.Spent, submit.Resumed = m.Long, m.Long, true; m.Long { // its body went with that life
 		r.counters.LongCut++
 	}
 	h.mayRun = h.mayRun || m.MayRun
--- a/lives_test.go
+++ b/lives_test.go
@@ -97,3 +97,51 @@
 		t.Errorf("sends %+v, want only message %d after the move", r.sends, id)
 	}
 }
+
+// What a restart finds taken on and untried is tried: a full hold gives up what came later, and neither a breaker nor a guard
+// that a fresh life raises ends it before its time. A told wait to the end does, at once.
+func TestWhatARestartFindsUntriedIsTried(t *testing.T) {
+	resumed := func(r *rig, n int) {
+		for range n {
+			r.next++
+			r.do(Submit{ID: r.next, Class: "safe", Destination: 1, Left: 5 * time.Second, Resumed: true})
+		}
+	}
+	full := func() *rig {
+		s := testSettings()
+		s.MostHeld, s.Slots = 10, 1
+		return newRig(t, s)
+	}
+	r := full()
+	resumed(r, 9) // one goes out, eight wait
+	for range 20 {
+		r.submit("unsafe", 1, 0) // worth more
+	}
+	for id := MessageID(1); id <= 9; id++ {
+		if got := r.ended(id); got != "" {
+			t.Errorf("message %d of an earlier life ended %q behind a full hold, with no call", id, got)
+		}
+	}
+	if got := r.ended(r.next); got != "refuse" {
+		t.Errorf("the last of those that found no room ended %q", got)
+	}
+
+	r = full()
+	resumed(r, 3)
+	l := r.d.dests[1].lanes[0]
+	l.guard, l.guardFrom, l.guardSince, l.lastSend = true, -1, r.now-10*time.Second, r.now
+	l.state, l.openUntil, l.hint = open, r.now+10*time.Second, 0.01
+	r.answer(r.last(), Failed, 0)
+	fresh := r.submit("safe", 1, 0)
+	if got := r.ended(fresh); got != "refuse" {
+		t.Errorf("one that no call can reach in time ended %q", got)
+	}
+	if a, b := r.ended(2), r.ended(3); a != "" || b != "" {
+		t.Errorf("two of an earlier life ended %q and %q behind a breaker", a, b)
+	}
+	l.waitUntil = r.now + 10*time.Second
+	r.pass(50 * ms)
+	if a, b := r.ended(2), r.ended(3); a != "refuse" || b != "refuse" {
+		t.Errorf("two of an earlier life ended %q and %q behind a wait that was told to their end", a, b)
+	}
+}
--- a/mulleinbeam.go
+++ b/mulleinbeam.go
@@ -229,8 +229,10 @@
 	Key         OrderKey
 	Left        time.Duration // how long it may still be delivered
 	Destination DestinationID
-	// Of a message that an earlier life of this courier took on: the attempts it has had, and the first of them that
-	// may have taken effect, if one may. Attempts are numbered on from these.
+	// Resumed marks a message that an earlier life of this forwarder took on: one that it had not tried is tried in this one.
+	Resumed bool
+	// The attempts that life has made, and the first of them that may have taken effect, if one may. Attempts are numbered on
+	// from these.
 	Attempts int
 	Ran      *PastRun
 	// Long marks a message whose body is passed on as it comes. Its calls take none of Slots but one of LongSlots, and how
--- a/state.go
+++ b/state.go
@@ -51,6 +51,15 @@
 	long      bool          // its body is passed on as it comes
 	until     time.Duration // of a long one: when its time is up; its deadline is that for the next call to begin
 	spent     bool          // its body is gone
+	owed      bool          // an earlier life took it on, and no call of it has been made
+}
+
+// waits is the moment that the message waits for: one that is owed goes by what was told alone.
+func (m *message) waits(free, told time.Duration) time.Duration {
+	if m.owed {
+		return told
+	}
+	return free
 }
 
 // call is what goes to an endpoint as one: a message, or several that were sent there in one round.
@@ -441,7 +450,9 @@
 
 // setBreaker books a breaker's state; closing it forgets the outcomes that opened it.
 func (d *Decider) setBreaker(l *lane, s breakerState) {
-	l.trialsOK = 0
+	if l.trialsOK = 0; s != open {
+		l.openUntil = 0
+	}
 	if s == closed {
 		l.window = nil
 		d.logf("breaker %s: %s", l.name, stateNames[s])
@@ -543,7 +554,7 @@
 		m.dest.inflight++
 		c.ep.lane.inflight = append(c.ep.lane.inflight, c)
 	}
-	m.call = c
+	m.call, m.owed = c, false
 	m.attempts++
 	c.msgs = append(c.msgs, m)
 	if c.size++; m.class.mean > c.class.mean {
