Client connections end in order: what had come is answered, no close resets the last answer

Three ends of a client's connection closed it over bytes that had come or were coming, which resets it: behind the last answer of a connection (asked for, stopping, crowded), the 202 with it; at the end of the resting time or at a stop, where Go's read reports its deadline though a request lies in the buffer; and where drop closed it under its goroutine to make room. Consumers.request, serve, mark and drop (transport/consumers.go) are at fault.

Checked: errors already lingered (farewell), and half requests got their 408; a write that fails withdraws what was taken on, but a reset behind a good write does not show there.

Now all of them go one way: what has come by then is answered as the last request (late), then the sending side is shut and what crosses is read and dropped, so that the client comes again on a new connection (part). drop books a connection as ending and leaves it to its goroutine; only one at its end already is closed at once, so there is room under the same bounds as before. peek is the look into a connection that endpoints' connections had.

TestALastAnswerOutlastsWhatStillComes and TestARequestThatCrossesTheEndOfItsTimeIsAnswered fail without it in all seven cases ('connection reset by peer').

--- a/internal/transport/consumers.go
+++ b/internal/transport/consumers.go
@@ -98,10 +98,12 @@
 	accepted time.Time
 	at       standing
 	since    time.Time
+	parting  bool // it ends with its next answer, or without one where none is due
 }
 
 // Serve accepts connections until ctx ends. When leave ends, which comes first, connections end with their next answer
-// and idle ones at once: a request that crosses that comes again on a new connection, which is still answered.
+// and idle ones at once. A request that had come by then is answered; one that crosses the end is not read as one, and comes
+// again on a new connection, which is still answered.
 func (s *Consumers) Serve(ctx, leave context.Context, listener net.Listener) error {
 	s.mu.Lock()
 	s.conns = map[*consumerConn]struct{}{}
@@ -132,7 +134,7 @@
 			break
 		}
 		s.mu.Lock()
-		_ = s.drop(ending, 0) || s.drop(silent, 0) || s.drop(idle, 0) // out of descriptors, perhaps
+		_ = s.drop(ending, 0) || s.drop(silent, 0) || s.drop(idle, 0) // out of descriptors, perhaps; the next time it has ended
 		s.mu.Unlock()
 		pause(ctx, overloadGap)
 	}
@@ -184,12 +186,14 @@
 		c.at = ending
 	}
 	if len(s.conns)-s.passings > s.Most+overflow {
-		s.drop(ending, 0)
+		s.drop(ending, 0) // perhaps this very one
 	}
 	return room
 }
 
-// drop closes the connection that has been at something the longest, and for so long at least; s.mu is held.
+// drop ends the connection that has been at something the longest, and for so long at least; s.mu is held. One that is at its
+// end already is closed. Any other is booked as one that is, and its goroutine ends it in order: what has come on it is
+// answered, and what crosses the end does not reset it.
 func (s *Consumers) drop(at standing, least time.Duration) bool {
 	var oldest *consumerConn
 	for c := range s.conns {
@@ -201,6 +205,10 @@
 		return false
 	}
 	switch at {
+	case ending:
+		s.forget(oldest)
+		_ = oldest.Close()
+		return true
 	case silent:
 		s.counters.Silent++
 	case idle:
@@ -208,8 +216,9 @@
 	case asking:
 		s.counters.Late++
 	}
-	s.forget(oldest)
-	_ = oldest.Close()
+	s.tally(ending, 1)
+	oldest.at, oldest.parting = ending, true
+	_ = oldest.SetReadDeadline(time.Now())
 	return true
 }
 
@@ -235,13 +244,13 @@
 func (s *Consumers) mark(c *consumerConn, at standing) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, known := s.conns[c]; !known || at == idle && s.leaving {
+	if _, known := s.conns[c]; !known || at == idle && (s.leaving || c.parting) {
 		return false
 	}
 	now := time.Now()
 	until := now.Add(requestFor)
 	switch {
-	case s.leaving:
+	case s.leaving || c.parting:
 		until = now.Add(graceFor)
 	case at == idle && s.crowded():
 		until = now.Add(idleLeast)
@@ -263,11 +272,31 @@
 // on what they hold, so those that stay keep others from asking long before room is short here.
 func (s *Consumers) crowded() bool { return len(s.conns)-s.passings > s.Most/crowdShare }
 
-// last says whether connections end with their next answer.
-func (s *Consumers) last() bool {
+// last says whether a connection ends with its next answer.
+func (s *Consumers) last(c *consumerConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.leaving || s.crowded()
+	return s.leaving || c.parting || s.crowded()
+}
+
+// late says that a connection's time is up for something that only its goroutine could know of: whether bytes have come in
+// the meantime. Then they are read after all, and what they ask for is the last that the connection is for.
+func (s *Consumers) late(c *consumerConn) (comes bool) {
+	if n, err := peek(c.Conn); n == 0 || err != nil {
+		return false
+	}
+	s.mu.Lock()
+	c.parting = true
+	s.mu.Unlock()
+	return s.mark(c, asking)
+}
+
+// part ends a connection on which nothing is due. A close over bytes that have come, or still come, would reset it, and take the
+// last answer from a client that has not read it.
+func (s *Consumers) part(c *consumerConn) {
+	if s.mark(c, ending) {
+		s.linger(c)
+	}
 }
 
 // end closes a connection and forgets it.
@@ -297,7 +326,11 @@
 			return
 		}
 		if m != nil && m.Long {
-			if !s.mark(c, passing) || !s.pass(c, parser, m) || !s.mark(c, idle) {
+			if !s.mark(c, passing) || !s.pass(c, parser, m) {
+				return
+			}
+			if !s.mark(c, idle) {
+				s.part(c)
 				return
 			}
 			parser.Reset()
@@ -311,6 +344,7 @@
 			if first = false; parser.Idle() {
 				parser.Shrink()
 				if quiet = true; !s.mark(c, idle) {
+					s.part(c)
 					return
 				}
 			} else if quiet = false; !s.mark(c, asking) {
@@ -333,12 +367,19 @@
 		if err != nil && n == 0 {
 			timeout := (net.Error)(nil)
 			switch late := errors.As(err, &timeout) && timeout.Timeout(); {
-			case late && !parser.Idle():
+			case !late: // it has ended
+				return
+			case !parser.Idle():
 				s.count(&s.counters.Late)
 				s.farewell(c, &protocol.Rejection{Status: 408, Reason: "request not complete in time", Close: true})
-			case late && first:
+				return
+			case s.late(c):
+				quiet = false
+				continue
+			case first:
 				s.count(&s.counters.Silent)
 			}
+			s.part(c)
 			return
 		}
 	}
@@ -363,7 +404,7 @@
 	old := string(m.Start[2]) == "HTTP/1.0"
 	up := &Upload{
 		passages: s.Long, conn: c, body: body, content: m.Body, raw: raw, framing: framing, length: length,
-		expects: parser.Continue(), old: old, last: func() bool { return m.Close || s.last() },
+		expects: parser.Continue(), old: old, last: func() bool { return m.Close || s.last(c) },
 	}
 	defer up.release()
 	rejection, done := s.Desk.Pass(handover, up)
@@ -414,13 +455,16 @@
 		s.farewell(c, rejection)
 		return false
 	}
-	last := m.Close || s.last()
+	last := m.Close || s.last(c)
 	if !s.answer(c, status, rejection, last) {
 		if withdraw != nil {
 			withdraw()
 		}
 		return false
 	}
+	if last {
+		s.part(c)
+	}
 	return !last
 }
 
@@ -434,8 +478,8 @@
 }
 
 func (s *Consumers) linger(c *consumerConn) {
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok || tcp.CloseWrite() != nil {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
 		return
 	}
 	s.mu.Lock()
@@ -446,10 +490,10 @@
 	s.mu.Unlock()
 	until := time.Now().Add(span)
 	for left := int64(drainMost); left > 0 && time.Now().Before(until); {
-		if tcp.SetReadDeadline(time.Now().Add(drainQuiet)) != nil {
+		if c.SetReadDeadline(time.Now().Add(drainQuiet)) != nil {
 			return
 		}
-		n, err := io.CopyN(io.Discard, tcp, min(left, drainStep))
+		n, err := io.CopyN(io.Discard, c.Conn, min(left, drainStep))
 		if left -= n; err != nil {
 			return
 		}
--- a/internal/transport/providers.go
+++ b/internal/transport/providers.go
@@ -110,17 +110,23 @@
 // quiet says that nothing has come on an idle connection, not even its end: whatever comes there belongs to no call and
 // makes it unusable.
 func (c *providerConn) quiet() bool {
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	_, err := peek(c.Conn)
+	return errors.Is(err, syscall.EAGAIN)
+}
+
+// peek looks for bytes that have come on a connection and takes none: how many, none for its end, EAGAIN for nothing at all. No
+// deadline of the connection holds it up.
+func peek(conn net.Conn) (n int, err error) {
+	raw, err := conn.(syscall.Conn).SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	nothing := false
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		nothing = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && nothing
+	if cut := raw.Control(func(fd uintptr) {
+		n, _, err = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	}); cut != nil {
+		return 0, cut
+	}
+	return max(0, n), err
 }
 
 // connection is the provider's warmest one, or a new one; with fresh a new one in any case.
