Descriptors: what is needed later is set aside, and a machine's own limit counts

Found by counting. 32 descriptors were set aside beside connections and calls. Where the machine gives fewer descriptors than the limits tell, 59 resting clients had 73 of 80 open. And calls out beyond the descriptors (500 at 256) left no room at all: every client was turned away, /healthz too.

At fault: spareFiles and room in cmd/larkreach/main.go. Now shareDescriptors sets aside what each part says it takes (wal.Options.MostFiles, transport.Overflow, the program's own), calls out get half of the rest at the most, and too few are one line and exit 1. The process's own limit binds what is told.

Not changed on the platform but for the room: at 576 descriptors clients get 380 places in place of 402.

--- a/cmd/larkreach/config.go
+++ b/cmd/larkreach/config.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"strconv"
+	"syscall"
 
 	mb "mulleinbeam"
 	"mulleinbeam/internal/protocol"
@@ -81,6 +82,9 @@
 			return c, fmt.Errorf("config: %s is not set", need.name)
 		}
 	}
+	if l := (syscall.Rlimit{}); syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l) == nil { // none can be had beyond these
+		c.Limits.Sockets = int(min(uint64(max(0, c.Limits.Sockets)), l.Cur))
+	}
 	if c.Limits.MemoryMB <= 0 || c.Limits.Sockets < leastSockets || c.Limits.DiskMB <= 0 || c.Limits.Cores <= 0 {
 		return c, fmt.Errorf("config: limits %+v can't be kept", c.Limits)
 	}
--- a/cmd/larkreach/helper_test.go
+++ b/cmd/larkreach/helper_test.go
@@ -45,6 +45,7 @@
 	path       string // of the configuration
 	config     map[string]any
 	env        []string
+	files      int // descriptors that it is given; 0 leaves it as it is
 	cmd        *exec.Cmd
 	log        *logBuffer
 	exited     chan error
@@ -203,6 +204,9 @@
 	s.t.Helper()
 	s.write()
 	cmd := exec.Command(os.Args[0])
+	if s.files > 0 {
+		cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0"`, s.files), os.Args[0])
+	}
 	cmd.Env = append(os.Environ(), childMark+"=1", "ROUTER_CONFIG="+s.path, "ROUTER_STATE="+s.dir)
 	cmd.Env = append(cmd.Env, s.env...)
 	pipe, err := cmd.StderrPipe()
--- a/cmd/larkreach/main.go
+++ b/cmd/larkreach/main.go
@@ -35,7 +35,11 @@
 	settleFor   = 700 * time.Millisecond  // after the stop: the router ends no earlier
 	drainFor    = 3300 * time.Millisecond // after the stop: calls may be out; the kill comes after 3.7 s
 	heapShare   = 0.6                     // of the memory limit: stacks, files and sockets take some too
-	spareFiles  = 32                      // descriptors beside connections, and of consumers that are turned away
+	ownFiles    = 16                      // descriptors of the program's own: streams, poller, listener, discovery, notices, a reload
+	leastRoom   = 16                      // those beside what is set aside, at the least
+	// journalShare: one part of the descriptors is the journal's, at the most, where its settings don't say otherwise and the
+	// disk has room for segments so large.
+	journalShare = 8
 	// filesPerLong are the descriptors of a long call: its connection, and a pipe for each direction.
 	filesPerLong = 5
 	logTime      = "2006-01-02T15:04:05.000000Z07:00"
@@ -64,6 +68,11 @@
 		return err
 	}
 	cfg.Settings.LongSlots = long.Slots
+	disk := journalOptions(own.Journal, own.Learned, cfg.Limits)
+	room, err := shareDescriptors(&cfg, disk, files)
+	if err != nil {
+		return err
+	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
 	debug.SetMemoryLimit(int64(heapShare * float64(cfg.Limits.MemoryMB<<20)))
 	logger := newLogger(out, form, cfg.Name)
@@ -71,7 +80,7 @@
 		logger.Warn().Str("part", "config").Msg("no size of the fleet is told, this forwarder takes itself for the only one")
 	}
 
-	journal, err := wal.Open(cfg.State, journalOptions(own.Journal, own.Learned, cfg.Limits), func(line string) {
+	journal, err := wal.Open(cfg.State, disk, func(line string) {
 		logger.Warn().Str("part", "journal").Msg(strings.TrimPrefix(line, "journal: "))
 	})
 	if err != nil {
@@ -86,7 +95,6 @@
 	}
 	defer listener.Close()
 
-	room := cfg.Limits.Sockets - spareFiles - cfg.Settings.Slots - files
 	providers := transport.NewProviders(cfg.Settings.KeepAlive, cfg.Settings.ConnectTimeout, room/4)
 	defer providers.Close()
 	discovery := transport.NewAddress(cfg.Discovery)
@@ -155,6 +163,23 @@
 	Close() error
 }
 
+// shareDescriptors gives the descriptors for connections, those of clients and those to endpoints that are idle. All others are set
+// aside, so that whoever fills the table with connections takes none that is needed later: for the program's own files, the
+// journal's, connections that are turned away, calls that are out, and long messages. Calls get half of what is left at the most.
+func shareDescriptors(cfg *config, journal wal.Options, long int) (room int, err error) {
+	kept, err := journal.MostFiles()
+	if err != nil {
+		return 0, err
+	}
+	kept += ownFiles + transport.Overflow + long
+	left := cfg.Limits.Sockets - kept
+	if left < leastRoom {
+		return 0, fmt.Errorf("config: limits: %d descriptors are too few, %d of them are not for connections", cfg.Limits.Sockets, kept)
+	}
+	cfg.Settings.Slots = min(cfg.Settings.Slots, left/2)
+	return left - cfg.Settings.Slots, nil
+}
+
 // newLogger writes one JSON object a line, or, on a terminal or where it is asked for, lines for people.
 func newLogger(out io.Writer, form, name string) zerolog.Logger {
 	if f, ok := out.(*os.File); form == "text" || form == "auto" && ok && isatty.IsTerminal(f.Fd()) {
@@ -165,7 +190,7 @@
 
 // journalOptions puts the settings of the journal in its terms. Without settings it is as the platform tells.
 func journalOptions(j *settings.Journal, learned *settings.Learned, l limits) wal.Options {
-	o := wal.Options{Most: int64(l.DiskMB * 1e6)}
+	o := wal.Options{Most: int64(l.DiskMB * 1e6), Files: l.Sockets / journalShare}
 	if learned != nil {
 		o.Other = 2 * (int64(learned.Size) + 512) // the old file and the new one
 	}
--- a/cmd/larkreach/standing_test.go
+++ b/cmd/larkreach/standing_test.go
@@ -37,6 +37,7 @@
 		"no costs":      {func(s *site) { costs(vast(s, 300), nil, nil) }, ""},
 		"costs of 0":    {func(s *site) { costs(vast(s, 300), 0, []float64{0}) }, ""},
 		"absurd costs":  {func(s *site) { costs(vast(s, 300), 1e308, []float64{1e308}) }, ""},
+		"calls beyond":  {func(s *site) { s.set(500, "settings", "family-info", "calls-out") }, ""}, // beyond all descriptors
 		"costs unasked": {func(s *site) { costs(vast(s, 300), 1, []float64{1, 2, 3, 4}) }, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/transport/consumers.go
+++ b/internal/transport/consumers.go
@@ -30,10 +30,15 @@
 	drainStep   = 1 << 20                 // in steps of so many bytes,
 	drainMost   = 64 << 20                // and up to so many bytes; a close under them would take the error away
 	crowdShare  = 4                       // of the room, one part: with more connections than that they no longer stay
-	overflow    = 12                      // connections beyond the most that are being turned away
 	overloadGap = 50 * time.Millisecond   // between two accepts that failed
 )
 
+// Overflow is how many connections there may be beyond the most, while they are turned away or accepted.
+const Overflow = 14
+
+// overflow are those that may stay until they have been told so.
+const overflow = Overflow - 2
+
 // Desk decides on what consumers hand in.
 type Desk interface {
 	// Take answers a handover; a nil Rejection says that it is taken on, and withdraw, unless it is nil, is to be called
