--- a/cmd/larkreach/main.go
+++ b/cmd/larkreach/main.go
@@ -37,9 +37,6 @@
 	heapShare   = 0.6                     // of the memory limit: stacks, files and sockets take some too
 	ownFiles    = 16                      // descriptors of the program's own: streams, poller, listener, discovery, notices, a reload
 	leastRoom   = 16                      // those beside what is set aside, at the least
-	// journalShare: one part of the descriptors is the journal's, at the most, where its settings don't say otherwise and the
-	// disk has room for segments so large.
-	journalShare = 8
 	// filesPerLong are the descriptors of a long call: its connection, and a pipe for each direction.
 	filesPerLong = 5
 	logTime      = "2006-01-02T15:04:05.000000Z07:00"
@@ -68,8 +65,7 @@
 		return err
 	}
 	cfg.Settings.LongSlots = long.Slots
-	disk := journalOptions(own.Journal, own.Learned, cfg.Limits)
-	room, err := shareDescriptors(&cfg, disk, files)
+	room, err := shareDescriptors(&cfg, files)
 	if err != nil {
 		return err
 	}
@@ -80,7 +76,7 @@
 		logger.Warn().Str("part", "config").Msg("no size of the fleet is told, this forwarder takes itself for the only one")
 	}
 
-	journal, err := wal.Open(cfg.State, disk, func(line string) {
+	journal, err := wal.Open(cfg.State, journalOptions(own.Journal, own.Learned, cfg.Limits), func(line string) {
 		logger.Warn().Str("part", "journal").Msg(strings.TrimPrefix(line, "journal: "))
 	})
 	if err != nil {
@@ -166,12 +162,8 @@
 // shareDescriptors gives the descriptors for connections, those of clients and those to endpoints that are idle. All others are set
 // aside, so that whoever fills the table with connections takes none that is needed later: for the program's own files, the
 // journal's, connections that are turned away, calls that are out, and long messages. Calls get half of what is left at the most.
-func shareDescriptors(cfg *config, journal wal.Options, long int) (room int, err error) {
-	kept, err := journal.MostFiles()
-	if err != nil {
-		return 0, err
-	}
-	kept += ownFiles + transport.Overflow + long
+func shareDescriptors(cfg *config, long int) (room int, err error) {
+	kept := ownFiles + wal.Descriptors + transport.Overflow + long
 	left := cfg.Limits.Sockets - kept
 	if left < leastRoom {
 		return 0, fmt.Errorf("config: limits: %d descriptors are too few, %d of them are not for connections", cfg.Limits.Sockets, kept)
@@ -190,7 +182,7 @@
 
 // journalOptions puts the settings of the journal in its terms. Without settings it is as the platform tells.
 func journalOptions(j *settings.Journal, learned *settings.Learned, l limits) wal.Options {
-	o := wal.Options{Most: int64(l.DiskMB * 1e6), Files: l.Sockets / journalShare}
+	o := wal.Options{Most: int64(l.DiskMB * 1e6)}
 	if learned != nil {
 		o.Other = 2 * (int64(learned.Size) + 512) // the old file and the new one
 	}
--- a/internal/routing/wal/lasting_test.go
+++ b/internal/routing/wal/lasting_test.go
@@ -246,6 +246,10 @@
 		for refused < 300 { // they come again, and are refused again
 			m := &Message{Seq: l.Next(), Deadline: epoch, ID: "storm", Class: "c", Body: make([]byte, 200+int(l.Next()%5)*3000)}
 			if !l.Fits(m) {
+				for l.store.Stats().Due { // the worker comes to it: what is refused behind that finds no room
+					l.wake()
+					runtime.Gosched()
+				}
 				if refused++; refused%100 == 0 { // one ends for all these
 					if err := l.End(taken[0], Over, 0); err != nil {
 						t.Fatal(err)
--- a/internal/routing/wal/store/append.go
+++ b/internal/routing/wal/store/append.go
@@ -396,6 +396,7 @@
 	Keys, Segments, Compactions int
 	Syncs                       int   // of all that was not durable
 	Used, Live, Free            int64 // bytes
+	Due                         bool  // a compaction is under way, or would be worth it
 }
 
 // Stats tells how the store stands now.
@@ -414,6 +415,8 @@
 	if !s.closed {
 		state := s.state()
 		st.Used, st.Free = s.plan.Used(state), s.plan.Free(state)
+		_, worth := s.plan.Pick(state, s.refused)
+		st.Due = s.victim != nil || worth && s.failed == nil && !s.stuck
 	}
 	return st
 }
--- a/internal/routing/wal/wal.go
+++ b/internal/routing/wal/wal.go
@@ -152,7 +152,6 @@
 	Segment    int64            // bytes of one segment; 0 is a share of Most
 	Durability store.Durability // what an append outlasts
 	Memory     int64            // bytes of bodies that are kept in memory as well; 0 keeps all
-	Files      int              // descriptors that it should do with, unless Segment is told; 0 is no such bound
 	FS         fsys.FS          // what is read and written; nil is the folder itself
 }
 
@@ -160,11 +159,7 @@
 func (o Options) sizes() (bound, segment int64, err error) {
 	bound, segment = o.Most-o.Other-slack, o.Segment
 	if segment == 0 {
-		shares := int64(segments)
-		if o.Files > 0 {
-			shares = max(leastShares, min(shares, int64(o.Files-besideSegments)))
-		}
-		segment = min(max(usualSegment, bound/shares), bound/leastShares, mostSegment)
+		segment = min(max(usualSegment, bound/segments), bound/leastShares, mostSegment)
 	}
 	if bound < leastBound || segment > bound/leastShares {
 		return 0, 0, fmt.Errorf("wal: %d bytes of disk are too few, %d of them for a segment", o.Most, segment)
@@ -172,18 +167,12 @@
 	return bound, segment, nil
 }
 
-// besideSegments are the descriptors that a journal takes beside those of its segments: the folder's lock, a compaction's output,
-// a manifest, one segment that is still read though it counts no more, and one begun by a write that failed.
-const besideSegments = 5
+// Segments may be many, small ones above all, and only some are in use at a time.
+const openFiles = 8
 
-// MostFiles is how many descriptors a journal has open at once, at the most.
-func (o Options) MostFiles() (int, error) {
-	bound, segment, err := o.sizes()
-	if err != nil {
-		return 0, err
-	}
-	return int((bound+segment-1)/segment) + besideSegments, nil
-}
+// Descriptors is how many a journal has open at once, at the most: its files', the folder's lock, the folder's own to sync it, and
+// that of a segment which is read on though it has gone.
+const Descriptors = openFiles + 3
 
 // Open reads the journal in a folder, which no other process may have open, and takes over what an older version's file
 // there holds. Torn tails are passed over; any other damage is told to report as well, which may be called from another
@@ -206,6 +195,7 @@
 	if o.FS == nil {
 		o.FS = fsys.Dir(dir)
 	}
+	o.FS = fsys.Few(o.FS, openFiles)
 	l.store, err = store.Open(store.Options{
 		FS: o.FS, Bound: bound, Segment: size, Durability: o.Durability, Seed: uint64(time.Now().UnixNano()),
 		Spare: bound / spareShare, Report: report,
