Window for repeats over lives: a clock that was set back opens none anew

Now an instant in the future counts as behind every window, and no deadline lies further off than any message may live.

TestTheWindowCountsOverLives fails without it where the clock went back.

--- a/internal/routing/held.go
+++ b/internal/routing/held.go
@@ -64,9 +64,13 @@
 }
 
 func (r *Router) heldFrom(m *wal.Message) *held {
+	deadline := m.Deadline
+	if most := time.Now().Add(max(r.longest, r.cfg.Long.Longest)); deadline.After(most) { // the clock was set back
+		deadline = most
+	}
 	return &held{
 		Message: Message{ID: m.ID, Key: m.Key, Class: m.Class, Destination: m.Destination, Body: m.Body},
-		seq:     m.Seq, deadline: m.Deadline, attempts: m.Attempts, onDisk: m.OnDisk, cut: m.Long, mayRun: m.MayRun,
+		seq:     m.Seq, deadline: deadline, attempts: m.Attempts, onDisk: m.OnDisk, cut: m.Long, mayRun: m.MayRun,
 	}
 }
 
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -140,6 +140,49 @@
 	}
 }
 
+// The window for repeats counts over lives, from the first byte that may have run: inside it a message goes again, behind it
+// nothing does. A clock that was set back meanwhile opens no window anew, and makes no message live longer.
+func TestTheWindowCountsOverLives(t *testing.T) {
+	for name, c := range map[string]struct {
+		ran   time.Duration // before the start
+		until time.Duration // behind it
+		goes  bool
+	}{
+		"inside":              {200 * time.Millisecond, time.Minute, true},
+		"behind":              {1400 * time.Millisecond, time.Minute, false}, // less than its margin is left
+		"the clock went back": {-time.Hour, time.Hour, false},
+	} {
+		dir := t.TempDir()
+		journal, err := wal.Open(dir, wal.Options{Most: 3e6}, func(string) {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := time.Now()
+		m := &wal.Message{Seq: journal.Next(), Deadline: now.Add(c.until), Destination: 7, ID: "m", Class: "keyed", Body: []byte("b")}
+		if err := journal.Accept(m); err != nil {
+			t.Fatal(err)
+		}
+		if err := journal.Started(m.Seq, now.Add(-c.ran), "z"); err != nil {
+			t.Fatal(err)
+		}
+		journal.Close() // as a kill would
+		_, s, _, end := newRouterIn(t, dir)
+		select {
+		case call := <-s.calls:
+			if !c.goes || call.CutAt.After(now.Add(2*time.Minute)) {
+				t.Errorf("%s: it went again, to be cut at %v", name, call.CutAt)
+			}
+			s.results <- Result{Outcome: mb.OK, Over: true}
+		case n := <-s.notices:
+			if c.goes || n.HandedBack {
+				t.Errorf("%s: it ended, handed back: %v", name, n.HandedBack)
+			}
+			n.Done()
+		}
+		end()
+	}
+}
+
 // An unsafe message whose call was reset is given up by a notice at once; one that never began is held.
 func TestEndings(t *testing.T) {
 	r, s, _ := newRouter(t)
--- a/internal/routing/shared.go
+++ b/internal/routing/shared.go
@@ -126,7 +126,11 @@
 	h.mayRun = h.mayRun || m.MayRun
 	h.attempts = max(h.attempts, m.Attempts)
 	if submit.Attempts = h.attempts; m.MayRun {
-		submit.Ran = &mb.PastRun{Ago: max(0, time.Since(m.RanAt)), Zone: m.RanZone}
+		ago := time.Since(m.RanAt)
+		if ago < 0 { // the clock was set back: nobody knows how long ago, so no window may still be open
+			ago = pastRoom
+		}
+		submit.Ran = &mb.PastRun{Ago: ago, Zone: m.RanZone}
 	}
 	r.decide(submit)
 }
