--- a/cmd/larkreach/crossing_test.go
+++ b/cmd/larkreach/crossing_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -100,3 +101,52 @@
 		})
 	}
 }
+
+// Signals that come together, in any order and more than once, end the program only where one asks for it, in order and with status
+// 0; what was taken on is the next life's.
+func TestSignalsThatCross(t *testing.T) {
+	const hup, term = syscall.SIGHUP, syscall.SIGTERM
+	for name, c := range map[string]struct {
+		signals []syscall.Signal
+		ends    bool
+	}{
+		"two reloads":              {[]syscall.Signal{hup, hup}, false},
+		"a reload and a stop":      {[]syscall.Signal{hup, term}, true},
+		"a stop and a reload":      {[]syscall.Signal{term, hup}, true},
+		"two stops":                {[]syscall.Signal{term, term}, true},
+		"two stops, two reloads":   {[]syscall.Signal{hup, term, hup, term}, true},
+		"a stop and an interrupt":  {[]syscall.Signal{term, syscall.SIGINT}, true},
+		"counters asked at a stop": {[]syscall.Signal{syscall.SIGUSR1, term, syscall.SIGUSR1}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newProvider(t, "a", 7)
+			s := newSite(t, p)
+			s.start()
+			s.hand("held", "unsafe", 7)
+			(<-p.calls).answer("429 Wait\r\nX-RateLimit-Wait-Ms: 9000") // so it is held
+			s.counts(" full=1 ")
+			moved := newDiscovery(t)
+			s.set(moved.address(), "discovery")
+			s.write()
+			s.cmd.Process.Signal(syscall.SIGSTOP) // so it meets all of them at once
+			for _, signal := range c.signals {
+				s.cmd.Process.Signal(signal)
+			}
+			s.cmd.Process.Signal(syscall.SIGCONT)
+			if !c.ends {
+				if got := <-moved.watched; got != "" {
+					t.Errorf("asked %q at the new address", got)
+				}
+				s.cmd.Process.Signal(term)
+			}
+			if err := <-s.exited; err != nil {
+				t.Errorf("exit: %v\n%s", err, s.log)
+			}
+			s.start()
+			if text := s.log.String(); !strings.Contains(text, "resumed what an earlier life had left messages=1 notices=0") {
+				t.Errorf("the next life:\n%s", text)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/transport/resting_test.go
@@ -0,0 +1,88 @@
+package transport
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"mulleinbeam/internal/protocol"
+)
+
+// What an endpoint does to a connection behind its answer is seen before the connection is used again: nothing is written there,
+// and the call goes on a new one, once. The order is made: the next call starts when what was done has come.
+func TestWhatComesOnARestingConnectionIsSeenBeforeItsUse(t *testing.T) {
+	for name, c := range map[string]struct {
+		done func(*net.TCPConn)
+		used bool // the connection can be used again
+	}{
+		"nothing":           {func(*net.TCPConn) {}, true},
+		"it ends":           {func(c *net.TCPConn) { _ = c.CloseWrite() }, false},
+		"it is closed":      {func(c *net.TCPConn) { _ = c.Close() }, false},
+		"it is reset":       {func(c *net.TCPConn) { _ = c.SetLinger(0); _ = c.Close() }, false},
+		"half a line comes": {func(c *net.TCPConn) { _, _ = io.WriteString(c, "HTTP/1.1 20") }, false},
+		"an answer comes":   {func(c *net.TCPConn) { _, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n") }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			conns, requests := make(chan *net.TCPConn, 4), make(chan string, 4)
+			go func() {
+				for {
+					conn, err := l.Accept()
+					if err != nil {
+						return
+					}
+					conns <- conn.(*net.TCPConn)
+					go func() {
+						defer conn.Close()
+						r := bufio.NewReader(conn)
+						for {
+							req, err := http.ReadRequest(r)
+							if err != nil {
+								return
+							}
+							requests <- req.Header.Get("X-Request-ID")
+							_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+						}
+					}()
+				}
+			}()
+			p := NewProviders(time.Minute, time.Second, 8)
+			defer p.Close()
+			invoke := func(id string) {
+				t.Helper()
+				r := p.Invoke(context.Background(), Call{
+					Call: protocol.Call{ID: id, Host: "x"}, Name: "a", Address: l.Addr().String(), Begin: func() bool { return true },
+				})
+				if r.End != Answered || r.Reply.Status != 200 {
+					t.Fatalf("%s ended as %v with %+v", id, r.End, r.Reply)
+				}
+				if got := <-requests; got != id {
+					t.Errorf("%s came", got)
+				}
+			}
+			invoke("first")
+			c.done(<-conns)
+			p.mu.Lock()
+			resting := p.idle["a"][0]
+			p.mu.Unlock()
+			for !c.used && resting.quiet() { // until it has come
+			}
+			invoke("second")
+			opened, ended := int64(2), int64(1)
+			if c.used {
+				opened, ended = 1, 0
+			}
+			if got := p.Counters(); got.Opened != opened || got.Ended != ended || len(requests) != 0 {
+				t.Errorf("%d connections opened, %d had ended, %d further requests", got.Opened, got.Ended, len(requests))
+			}
+		})
+	}
+}
