--- a/cmd/larkreach/config.go
+++ b/cmd/larkreach/config.go
@@ -25,7 +25,7 @@
 	State     string
 	Seed      uint64
 	Limits    limits
-	Known     protocol.Directory
+	Known     protocol.List
 	Settings  mb.Settings
 	Alone     bool // no usable size of the fleet was told
 }
@@ -71,7 +71,7 @@
 	}
 	c = config{
 		Name: told(getenv("ROUTER_NAME"), file.Name), Listen: told(getenv("ROUTER_LISTEN"), file.Listen),
-		Filed: file.Discovery, State: getenv("ROUTER_STATE"), Limits: file.Limits, Known: protocol.Directory{Index: -1},
+		Filed: file.Discovery, State: getenv("ROUTER_STATE"), Limits: file.Limits, Known: protocol.List{Index: -1},
 	}
 	c.Told = told(getenv("ROUTER_DISCOVERY"), c.Filed)
 	c.Discovery = atStart(c.State, c.Told, c.Filed)
@@ -92,7 +92,7 @@
 		return c, fmt.Errorf("config: seed: %w", err)
 	}
 	if len(file.Known) > 0 {
-		if c.Known, err = protocol.ParseDirectory(file.Known); err != nil {
+		if c.Known, err = protocol.ParseList(file.Known); err != nil {
 			return c, fmt.Errorf("config: known: %w", err)
 		}
 	}
@@ -111,7 +111,7 @@
 }
 
 // weighClasses gives classes without a worth one: the module sends nothing that is worth nothing, and what was taken on is owed
-// to its consumer whatever it is worth. It comes behind all others; where none has a worth, all have the same.
+// to its client whatever it is worth. It comes behind all others; where none has a worth, all have the same.
 func weighClasses(classes []mb.Class) {
 	least := 0.0
 	for _, c := range classes {
--- a/cmd/larkreach/crossing_test.go
+++ b/cmd/larkreach/crossing_test.go
@@ -15,10 +15,10 @@
 // A request that has come on a resting connection when the program is told to end is answered and delivered; the
 // connection then ends in order.
 func TestAStopMeetsARequestOnARestingConnection(t *testing.T) {
-	p := newProvider(t, "a", 7)
+	p := newEndpoint(t, "a", 7)
 	s := newSite(t, p)
 	s.start()
-	resting := s.consumer()
+	resting := s.client()
 	resting.send(healthz)
 	s.cmd.Process.Signal(syscall.SIGSTOP) // so it meets both at once
 	io.WriteString(resting.conn, request("crossed", "unsafe", 7, 20*time.Second, "body"))
@@ -59,7 +59,7 @@
 	for name, told := range map[string]int{"as told": files, "fewer than told": 1024} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			a, b := newProvider(t, "a", 7), newProvider(t, "b", 8)
+			a, b := newEndpoint(t, "a", 7), newEndpoint(t, "b", 8)
 			s := newSite(t, a)
 			s.files = files
 			s.set(told, "limits", "sockets")
@@ -69,21 +69,18 @@
 			s.hand("first", "unsafe", 7)
 			(<-a.calls).answer("200 OK")
 			for i := range 2 * files {
-				if c := s.consumer(); i%2 == 0 {
+				if c := s.client(); i%2 == 0 {
 					c.send(healthz) // and then it rests
 				}
 				if n := s.open(); n > files-spare {
 					t.Fatalf("%d descriptors are open behind %d clients", n, i+1)
 				}
 			}
-			back := &discovery{
-				listener: down.listen(t), lists: make(chan map[string]any, 8), watched: make(chan string, 64), reports: make(chan notice, 64),
-			}
-			go back.play()
+			back := discoveryOn(t, down.listen(t))
 			<-back.watched
 			back.lists <- list(2, true, a, b)
 			<-back.watched // it was learned
-			if res := s.consumer().send(healthz); res.StatusCode != 200 {
+			if res := s.client().send(healthz); res.StatusCode != 200 {
 				t.Errorf("/healthz: %s", res.Status)
 			}
 			s.hand("second", "unsafe", 8)
@@ -120,7 +117,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			p := newProvider(t, "a", 7)
+			p := newEndpoint(t, "a", 7)
 			s := newSite(t, p)
 			s.start()
 			s.hand("held", "unsafe", 7)
--- a/cmd/larkreach/disk_test.go
+++ b/cmd/larkreach/disk_test.go
@@ -16,10 +16,10 @@
 	"mulleinbeam/internal/lab"
 )
 
-// journalSite is a forwarder in a folder of its own with one provider, "p" of destination 7.
+// journalSite is a forwarder in a folder of its own with one endpoint, "p" of destination 7.
 type journalSite struct {
 	f     *lab.Forwarder
-	p     *lab.Provider
+	p     *lab.Endpoint
 	agent *lab.Agent
 	check *lab.Checker
 	state string
@@ -28,7 +28,7 @@
 
 func newJournalSite(t *testing.T, own string) *journalSite {
 	t.Helper()
-	s := &journalSite{p: &lab.Provider{Name: "p", Group: 7}, agent: &lab.Agent{}, check: lab.NewChecker()}
+	s := &journalSite{p: &lab.Endpoint{Name: "p", Group: 7}, agent: &lab.Agent{}, check: lab.NewChecker()}
 	must(t, s.p.Listen())
 	must(t, s.agent.Listen(s.p))
 	s.f = &lab.Forwarder{Command: []string{os.Args[0]}, Env: []string{childMark + "=1"}, Settings: own}
--- a/cmd/larkreach/fleet_places_test.go
+++ b/cmd/larkreach/fleet_places_test.go
@@ -68,7 +68,7 @@
 func TestFleetRegionsCut(t *testing.T) {
 	t.Parallel()
 	s := cluster.Setup{Members: 6, Paths: true, Alone: []string{"safe", "keyed", "unsafe"}} // who has no majority goes on with these alone
-	f := newPlacesFleet(t, s, &lab.Provider{Name: "p", Weight: 200}, 0, 2, 3)
+	f := newPlacesFleet(t, s, &lab.Endpoint{Name: "p", Weight: 200}, 0, 2, 3)
 	f.still(10, 0, 2, 3)
 	west, east := []int{0, 1, 4, 5}, []int{2, 3} // n0, n1 and n2 hold the council
 	f.Split(east...)
@@ -102,7 +102,7 @@
 // A zone's site takes calls and answers none: as with one that is down its traffic goes to the next zone, and comes home when it answers.
 func TestFleetZoneFallsSilent(t *testing.T) {
 	t.Parallel()
-	f := newPlacesFleet(t, cluster.Setup{Members: 6, Paths: true}, &lab.Provider{Name: "p", Weight: 200}, 0, 4)
+	f := newPlacesFleet(t, cluster.Setup{Members: 6, Paths: true}, &lab.Endpoint{Name: "p", Weight: 200}, 0, 4)
 	f.still(20, 0)
 	f.CutPaths(f.All(), []int{0}, true)
 	f.sees(5, "way out", func(s node.PlanStatus) bool { return stands(s, "z0") == plan.Down && grant(s, "z0", "z1").Rate > 0 })
@@ -120,7 +120,7 @@
 // before by its own members.
 func TestFleetWayCutSilently(t *testing.T) {
 	t.Parallel()
-	f := newPlacesFleet(t, cluster.Setup{Members: 6, Paths: true}, &lab.Provider{Name: "p", Weight: 200}, 2, 3)
+	f := newPlacesFleet(t, cluster.Setup{Members: 6, Paths: true}, &lab.Endpoint{Name: "p", Weight: 200}, 2, 3)
 	f.Partners[3].Down()
 	f.sees(3, "way out", func(s node.PlanStatus) bool { return stands(s, "z3") == plan.Down && grant(s, "z3", "z2").Rate > 0 })
 	f.still(10, 2)
@@ -142,7 +142,7 @@
 // reaches the place is enough for it not to count as down, and nothing moves either.
 func TestFleetSickMembers(t *testing.T) {
 	t.Parallel()
-	f := newPlacesFleet(t, cluster.Setup{Members: 9, Paths: true}, &lab.Provider{Name: "p", Weight: 200}, 0, 4, 8, 1)
+	f := newPlacesFleet(t, cluster.Setup{Members: 9, Paths: true}, &lab.Endpoint{Name: "p", Weight: 200}, 0, 4, 8, 1)
 	f.still(10, 0, 1)
 	f.CutPaths([]int{8}, []int{0, 1, 2, 3}, false)
 	f.sees(1, "patient", func(s node.PlanStatus) bool { return s.Plan != nil && slices.Equal(s.Plan.Sick, []string{"n8/1"}) })
@@ -250,7 +250,7 @@
 func TestFleetErrorsMoveNothing(t *testing.T) {
 	t.Parallel()
 	var n atomic.Int64
-	p := &lab.Provider{Name: "p", Weight: 200, Handle: func(c *lab.Call) bool {
+	p := &lab.Endpoint{Name: "p", Weight: 200, Handle: func(c *lab.Call) bool {
 		if c.ReadAll(0) != nil {
 			return false
 		}
@@ -304,7 +304,7 @@
 	t.Parallel()
 	m := &cluster.Meter{Warm: 60, Cold: 0.3, Within: 14 * time.Second}
 	home := &atomic.Pointer[string]{}
-	p := &lab.Provider{Name: "p", Weight: 60, Handle: func(call *lab.Call) bool {
+	p := &lab.Endpoint{Name: "p", Weight: 60, Handle: func(call *lab.Call) bool {
 		if at := home.Load(); at != nil && call.Conn.LocalAddr().String() == *at {
 			m.Call()
 		}
--- a/cmd/larkreach/fleet_plan_test.go
+++ b/cmd/larkreach/fleet_plan_test.go
@@ -31,17 +31,17 @@
 // newPlacesOf does so with sites that take so many calls a second.
 func newPlacesOf(t *testing.T, capacity float64, loaded ...int) *fleetSite {
 	t.Helper()
-	return newPlacesWith(t, &lab.Provider{Name: "p", Weight: capacity}, loaded...)
+	return newPlacesWith(t, &lab.Endpoint{Name: "p", Weight: capacity}, loaded...)
 }
 
 // newPlacesWith does so with sites that are like one.
-func newPlacesWith(t *testing.T, site *lab.Provider, loaded ...int) *fleetSite {
+func newPlacesWith(t *testing.T, site *lab.Endpoint, loaded ...int) *fleetSite {
 	t.Helper()
 	return newPlacesFleet(t, cluster.Setup{Members: 6}, site, loaded...)
 }
 
 // newPlacesFleet does so with a fleet of another size, or with paths that can be cut.
-func newPlacesFleet(t *testing.T, s cluster.Setup, site *lab.Provider, loaded ...int) *fleetSite {
+func newPlacesFleet(t *testing.T, s cluster.Setup, site *lab.Endpoint, loaded ...int) *fleetSite {
 	t.Helper()
 	s.Zones, s.Sites = 4, 4
 	s.Settings = cluster.PlacesSettings(s.Members)
@@ -233,7 +233,7 @@
 func TestFleetSlowZone(t *testing.T) {
 	t.Parallel()
 	var slow atomic.Pointer[string] // its address
-	p := &lab.Provider{Name: "p", Weight: 100, Handle: func(c *lab.Call) bool {
+	p := &lab.Endpoint{Name: "p", Weight: 100, Handle: func(c *lab.Call) bool {
 		if at := slow.Load(); at != nil && c.Conn.LocalAddr().String() == *at {
 			time.Sleep(300 * time.Millisecond) // the partner's own time
 		}
--- a/cmd/larkreach/fleet_test.go
+++ b/cmd/larkreach/fleet_test.go
@@ -76,9 +76,9 @@
 // newFleet starts a fleet and waits until each member's copies count.
 func newFleet(t *testing.T, s cluster.Setup, g *gate) *fleetSite {
 	t.Helper()
-	var p *lab.Provider
+	var p *lab.Endpoint
 	if g != nil {
-		p = &lab.Provider{Name: "p", Handle: g.handle}
+		p = &lab.Endpoint{Name: "p", Handle: g.handle}
 	}
 	site := newFleetOf(t, s, p)
 	if g != nil {
@@ -88,7 +88,7 @@
 }
 
 // newFleetOf does so with a partner that is told.
-func newFleetOf(t *testing.T, s cluster.Setup, p *lab.Provider) *fleetSite {
+func newFleetOf(t *testing.T, s cluster.Setup, p *lab.Endpoint) *fleetSite {
 	t.Helper()
 	s.Program, s.Env, s.Dir, s.Seed = []string{os.Args[0]}, []string{childMark + "=1"}, t.TempDir(), 1
 	f, err := cluster.Open(s, p)
--- a/cmd/larkreach/helper_test.go
+++ b/cmd/larkreach/helper_test.go
@@ -99,8 +99,8 @@
  "name":"safe","target":800000},{"credit":5,"effect":"unsafe","give-up":20000000,"group":"all","late-worth":0.4,
  "name":"unsafe","target":3000000}]`
 
-// newSite lists providers by name and group; start starts the program.
-func newSite(t *testing.T, providers ...*provider) *site {
+// newSite lists endpoints by name and group; start starts the program.
+func newSite(t *testing.T, endpoints ...*endpoint) *site {
 	t.Helper()
 	s := &site{t: t, discovery: newDiscovery(t), dir: t.TempDir(), path: filepath.Join(t.TempDir(), "config.json")}
 	l := listenOn(t)
@@ -113,7 +113,7 @@
 	s.config = map[string]any{
 		"name": "n0", "listen": s.listen, "discovery": s.address(), "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 256, "disk_mb": 3},
-		"known":  list(1, true, providers...),
+		"known":  list(1, true, endpoints...),
 		"settings": map[string]any{
 			"balancers": 1, "weight-source": "nominal", "azs": []string{"z"}, "kinds": []string{"k"}, "services": services,
 			"family-info": map[string]any{"calls-out": 8, "fades": "even"},
@@ -128,9 +128,15 @@
 }
 
 func newDiscovery(t *testing.T) *discovery {
+	t.Helper()
+	return discoveryOn(t, listenOn(t))
+}
+
+// discoveryOn is an agent where something listens already.
+func discoveryOn(t *testing.T, l net.Listener) *discovery {
 	t.Helper()
 	d := &discovery{
-		listener: listenOn(t), lists: make(chan map[string]any, 8), watched: make(chan string, 64),
+		listener: l, lists: make(chan map[string]any, 8), watched: make(chan string, 64),
 		reports: make(chan notice, 64),
 	}
 	go d.play()
@@ -158,9 +164,9 @@
 	m[path[len(path)-1]] = value
 }
 
-func list(index int, whole bool, providers ...*provider) map[string]any {
+func list(index int, whole bool, endpoints ...*endpoint) map[string]any {
 	entries := []any{}
-	for _, p := range providers {
+	for _, p := range endpoints {
 		entries = append(entries, map[string]any{
 			"name": p.name, "address": p.address, "zone": "z", "type": "k", "group": p.group, "status": p.status,
 			"weight": 50.0, "since_ms": 0,
@@ -302,7 +308,7 @@
 	}
 }
 
-// call is one that reached a provider; the test answers it.
+// call is one that reached an endpoint; the test answers it.
 type call struct {
 	id, key, body, timeout string
 	conn                   net.Conn
@@ -319,7 +325,7 @@
 // drop ends the connection.
 func (c *call) drop() { c.conn.Close(); close(c.next) }
 
-type provider struct {
+type endpoint struct {
 	name, address, status string
 	group                 int
 	listener              net.Listener
@@ -327,10 +333,10 @@
 	ends                  chan int // connections that the forwarder ended, by number
 }
 
-// newProvider listens as an endpoint of a group.
-func newProvider(t *testing.T, name string, group int) *provider {
+// newEndpoint listens as an endpoint of a group.
+func newEndpoint(t *testing.T, name string, group int) *endpoint {
 	t.Helper()
-	p := &provider{
+	p := &endpoint{
 		name: name, group: group, status: "SERVING", listener: listenOn(t), calls: make(chan *call, 64), ends: make(chan int, 64),
 	}
 	p.address = p.listener.Addr().String()
@@ -363,21 +369,21 @@
 	return p
 }
 
-// consumer is one client connection.
-type consumer struct {
+// client is one client connection.
+type client struct {
 	t    *testing.T
 	conn net.Conn
 	r    *bufio.Reader
 }
 
-func (s *site) consumer() *consumer {
+func (s *site) client() *client {
 	s.t.Helper()
 	conn, err := net.Dial("tcp", s.listen)
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	s.t.Cleanup(func() { conn.Close() })
-	return &consumer{t: s.t, conn: conn, r: bufio.NewReader(conn)}
+	return &client{t: s.t, conn: conn, r: bufio.NewReader(conn)}
 }
 
 // request is a handover as a client writes it.
@@ -388,7 +394,7 @@
 }
 
 // send writes bytes and reads one answer.
-func (c *consumer) send(raw string) *http.Response {
+func (c *client) send(raw string) *http.Response {
 	c.t.Helper()
 	if _, err := io.WriteString(c.conn, raw); err != nil {
 		c.t.Fatal(err)
@@ -396,7 +402,7 @@
 	return c.read()
 }
 
-func (c *consumer) read() *http.Response {
+func (c *client) read() *http.Response {
 	c.t.Helper()
 	res, err := http.ReadResponse(c.r, nil)
 	if err != nil {
@@ -409,7 +415,7 @@
 // hand hands a message in and wants it taken on.
 func (s *site) hand(id, class string, dest int) {
 	s.t.Helper()
-	if res := s.consumer().send(request(id, class, dest, 20*time.Second, "body of "+id)); res.StatusCode != 202 {
+	if res := s.client().send(request(id, class, dest, 20*time.Second, "body of "+id)); res.StatusCode != 202 {
 		s.t.Fatalf("%s: answered %s", id, res.Status)
 	}
 }
--- a/cmd/larkreach/kill_test.go
+++ b/cmd/larkreach/kill_test.go
@@ -37,7 +37,7 @@
 
 func killUnderLoad(t *testing.T, kills int, own string) {
 	const between = 150 // messages taken on from kill to kill
-	p, q := &lab.Provider{Name: "p", Group: 7}, &lab.Provider{Name: "q", Group: 8}
+	p, q := &lab.Endpoint{Name: "p", Group: 7}, &lab.Endpoint{Name: "q", Group: 8}
 	agent := &lab.Agent{}
 	must(t, p.Listen())
 	must(t, q.Listen())
@@ -112,7 +112,7 @@
 
 // The tools tell what a journal holds while the program goes on, and find what was spoilt.
 func TestJournalTools(t *testing.T) {
-	p := newProvider(t, "a", 7)
+	p := newEndpoint(t, "a", 7)
 	s := newSite(t, p)
 	s.start()
 	s.hand("held", "unsafe", 7)
--- a/cmd/larkreach/larkreach_test.go
+++ b/cmd/larkreach/larkreach_test.go
@@ -15,11 +15,11 @@
 
 // A message goes on byte for byte, connections are kept, and the counters at the end tell what was done.
 func TestDelivery(t *testing.T) {
-	p := newProvider(t, "a", 7)
+	p := newEndpoint(t, "a", 7)
 	s := newSite(t, p)
 	s.start()
 	body := "\x00\xff\r\n\r\nPOST / HTTP/1.1\r\n" + strings.Repeat("x", 60<<10)
-	c := s.consumer()
+	c := s.client()
 	for i, id := range []string{"0000000000000001", "<&é\"'>"} {
 		if res := c.send(request(id, "keyed", 7, 5*time.Second, body)); res.StatusCode != 202 {
 			t.Fatalf("answered %s", res.Status)
@@ -84,7 +84,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			p := newProvider(t, "a", 7)
+			p := newEndpoint(t, "a", 7)
 			s := newSite(t, p)
 			s.start()
 			s.hand("m1", c.class, 7)
@@ -121,7 +121,7 @@
 // A restart with no warning loses nothing: what may have run is given up or repeated as its class allows, what was not
 // sent is sent, and a notice that was not acknowledged comes again.
 func TestKillAndRestart(t *testing.T) {
-	p, q := newProvider(t, "a", 7), newProvider(t, "b", 8)
+	p, q := newEndpoint(t, "a", 7), newEndpoint(t, "b", 8)
 	s := newSite(t, p, q)
 	s.start()
 	s.hand("unsafe", "unsafe", 7)
@@ -158,18 +158,18 @@
 	}
 }
 
-// After SIGTERM consumers are still answered, a call that is out may finish, and what can't go is the next life's.
+// After SIGTERM clients are still answered, a call that is out may finish, and what can't go is the next life's.
 func TestStop(t *testing.T) {
-	p := newProvider(t, "a", 7)
+	p := newEndpoint(t, "a", 7)
 	s := newSite(t, p)
 	s.start()
 	s.hand("out", "unsafe", 7)
 	out := <-p.calls
-	kept := s.consumer()
+	kept := s.client()
 	kept.send("GET /healthz HTTP/1.1\r\n\r\n")
 	// The program stands still while a request comes in and the signal is sent, so it meets both at once.
 	s.cmd.Process.Signal(syscall.SIGSTOP)
-	comes := s.consumer()
+	comes := s.client()
 	io.WriteString(comes.conn, request("late", "safe", 7, time.Minute, ""))
 	s.cmd.Process.Signal(syscall.SIGTERM)
 	s.cmd.Process.Signal(syscall.SIGCONT)
@@ -198,7 +198,7 @@
 
 // Whatever comes in is answered with a definite status, and what can't be read ends the connection.
 func TestBadInput(t *testing.T) {
-	p := newProvider(t, "a", 7)
+	p := newEndpoint(t, "a", 7)
 	s := newSite(t, p)
 	s.start()
 	post := func(extra string) string { return "POST /api HTTP/1.1\r\n" + extra + "\r\n" }
@@ -232,7 +232,7 @@
 		"bare line feed in head": {post("X: a\nb\r\nContent-Length: 0\r\n"), 400},
 	} {
 		t.Run(name, func(t *testing.T) {
-			client := s.consumer()
+			client := s.client()
 			res := client.send(c.raw)
 			if res.StatusCode != c.want || !res.Close {
 				t.Errorf("answered %s, closing %v; want %d", res.Status, res.Close, c.want)
@@ -242,16 +242,16 @@
 			}
 		})
 	}
-	res := s.consumer().send(request("m", "safe", 7, 0, "")) // its time is up: given up at once
+	res := s.client().send(request("m", "safe", 7, 0, "")) // its time is up: given up at once
 	if res.StatusCode != 503 || res.Header.Get("Retry-After") == "" {
 		t.Errorf("time up: %s, Retry-After %q", res.Status, res.Header.Get("Retry-After"))
 	}
-	slow := s.consumer()
+	slow := s.client()
 	io.WriteString(slow.conn, whole[:30])
 	if res := slow.read(); res.StatusCode != 408 {
 		t.Errorf("half a request: %s", res.Status)
 	}
-	waits := s.consumer()
+	waits := s.client()
 	head, body, _ := strings.Cut(request("m", "safe", 7, time.Minute, "1234"), "\r\n\r\n")
 	if res := waits.send(head + "\r\nExpect: 100-continue\r\n\r\n"); res.StatusCode != 100 {
 		t.Fatalf("asked whether to go on: %s", res.Status)
@@ -271,11 +271,11 @@
 		body string
 	}{"most held": {1, ""}, "disk": {1000, strings.Repeat("x", 64<<10)}} {
 		t.Run(name, func(t *testing.T) {
-			p := newProvider(t, "a", 7)
+			p := newEndpoint(t, "a", 7)
 			s := newSite(t, p)
 			s.set(c.held, "settings", "limits", "most-held")
 			s.start()
-			client, taken := s.consumer(), 0
+			client, taken := s.client(), 0
 			for {
 				res := client.send(request(fmt.Sprint("m", taken), "safe", 7, time.Minute, c.body))
 				if res.StatusCode != 202 {
@@ -300,8 +300,8 @@
 }
 
 // The known list serves while discovery is silent; what it tells later holds from then on.
-func TestDirectory(t *testing.T) {
-	a, b := newProvider(t, "a", 7), newProvider(t, "b", 7)
+func TestList(t *testing.T) {
+	a, b := newEndpoint(t, "a", 7), newEndpoint(t, "b", 7)
 	s := newSite(t, a)
 	s.start()
 	if got := <-s.watched; got != "" { // the known list's version may be that of another address
@@ -330,7 +330,7 @@
 	if got := <-a.ends; got != 1 {
 		t.Errorf("connection %d of an endpoint that is gone ended", got)
 	}
-	moved := newProvider(t, "b", 9) // a whole list, and b is another group's now
+	moved := newEndpoint(t, "b", 9) // a whole list, and b is another group's now
 	s.lists <- list(4, true, moved)
 	<-s.watched
 	<-s.watched
@@ -343,7 +343,7 @@
 // SIGHUP moves the watch and the notices to the file's discovery at once, though it was the environment's that held
 // before; calls and connections stay, and a restart does not go back.
 func TestReload(t *testing.T) {
-	a, b := newProvider(t, "a", 7), newProvider(t, "b", 8)
+	a, b := newEndpoint(t, "a", 7), newEndpoint(t, "b", 8)
 	s := newSite(t, a)
 	old := s.discovery
 	s.env = []string{"ROUTER_DISCOVERY=" + s.address()}
@@ -387,9 +387,9 @@
 	}
 }
 
-// A connection that the provider has closed while it was idle is noticed: the next call goes on a new one, and only once.
+// A connection that the endpoint has closed while it was idle is noticed: the next call goes on a new one, and only once.
 func TestIdleConnectionThatEnded(t *testing.T) {
-	p := newProvider(t, "a", 7)
+	p := newEndpoint(t, "a", 7)
 	s := newSite(t, p)
 	s.start()
 	s.hand("m1", "unsafe", 7)
@@ -405,7 +405,7 @@
 // What stands behind an answer is never read as the next call's, whether it comes with the answer or later.
 func TestSurplus(t *testing.T) {
 	const ok, error500 = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
-	p := newProvider(t, "a", 7)
+	p := newEndpoint(t, "a", 7)
 	s := newSite(t, p)
 	s.start()
 	for i, extra := range []string{error500, "noise", ""} {
@@ -437,7 +437,7 @@
 
 // Settings that let messages share calls change nothing here: each message is a call of its own, and takes a slot.
 func TestOneMessageACall(t *testing.T) {
-	p := newProvider(t, "a", 7)
+	p := newEndpoint(t, "a", 7)
 	s := newSite(t, p)
 	s.set([]int{10}, "settings", "family-info", "batch-by-kind")
 	s.set(2, "settings", "family-info", "calls-out")
@@ -455,7 +455,7 @@
 
 // Where kept connections are reset, a fee charge goes on a new one.
 func TestFreshConnections(t *testing.T) {
-	p := newProvider(t, "a", 7)
+	p := newEndpoint(t, "a", 7)
 	s := newSite(t, p)
 	s.start()
 	s.hand("first", "safe", 7)
@@ -477,9 +477,9 @@
 	}
 }
 
-// A connection closes before the provider would close it, and a call that is cut closes its own: slots are never kept.
+// A connection closes before the endpoint would close it, and a call that is cut closes its own: slots are never kept.
 func TestConnectionsEndInTime(t *testing.T) {
-	p := newProvider(t, "a", 7)
+	p := newEndpoint(t, "a", 7)
 	s := newSite(t, p)
 	s.set(1000000, "settings", "limits", "keepalive")
 	s.start()
@@ -488,7 +488,7 @@
 	if got := <-p.ends; got != 1 {
 		t.Errorf("connection %d ended first", got)
 	}
-	if res := s.consumer().send(request("m2", "unsafe", 7, 1500*time.Millisecond, "")); res.StatusCode != 202 {
+	if res := s.client().send(request("m2", "unsafe", 7, 1500*time.Millisecond, "")); res.StatusCode != 202 {
 		t.Fatal(res.Status)
 	}
 	silent := <-p.calls
@@ -533,25 +533,25 @@
 
 const healthz = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
 
-// A flood of connections that ask for nothing, or for half a thing, gives way to consumers that ask.
-func TestTooManyConsumers(t *testing.T) {
-	s := newSite(t, newProvider(t, "a", 7))
+// A flood of connections that ask for nothing, or for half a thing, gives way to clients that ask.
+func TestTooManyClients(t *testing.T) {
+	s := newSite(t, newEndpoint(t, "a", 7))
 	s.set(64, "limits", "sockets")
 	s.start()
-	c := s.consumer()
+	c := s.client()
 	// A message that nobody answers is this test's clock: its notice comes when its time is up.
 	c.send(request("long enough for half a request", "unsafe", 7, 1500*time.Millisecond, ""))
 	for i := range 200 {
-		if c := s.consumer(); i%2 == 0 {
+		if c := s.client(); i%2 == 0 {
 			io.WriteString(c.conn, "POST /api HTTP/1.1\r\n") // and no more
 		}
 	}
 	<-s.reports
-	res := s.consumer().send(request("m", "unsafe", 7, time.Second, ""))
+	res := s.client().send(request("m", "unsafe", 7, time.Second, ""))
 	if res.StatusCode != 202 || !res.Close {
 		t.Errorf("among connections that ask for nothing: %s, closing %v", res.Status, res.Close)
 	}
-	s.counts("consumers: connections=")
+	s.counts("clients: connections=")
 	if text := s.log.String(); strings.Contains(text, " silent=0 ") {
 		t.Errorf("counters:\n%s", text)
 	}
@@ -560,12 +560,12 @@
 // While few are open connections stay; with more than a quarter of the room taken they end with their answer, since
 // clients that may hold no more of them could not ask.
 func TestConnectionsStayWhileFewAreOpen(t *testing.T) {
-	s := newSite(t, newProvider(t, "a", 7))
+	s := newSite(t, newEndpoint(t, "a", 7))
 	s.set(74, "limits", "sockets") // of these, 19 for clients
 	s.start()
 	var got []bool
 	for range 6 {
-		got = append(got, s.consumer().send(healthz).Close)
+		got = append(got, s.client().send(healthz).Close)
 	}
 	if diff := cmp.Diff([]bool{false, false, false, false, true, true}, got); diff != "" {
 		t.Errorf("closing:\n%s", diff)
@@ -573,15 +573,15 @@
 }
 
 // A connection that asks for nothing is closed in time, and an error reaches a client that sends on and reads later.
-func TestBadConsumers(t *testing.T) {
-	s := newSite(t, newProvider(t, "a", 7))
+func TestBadClients(t *testing.T) {
+	s := newSite(t, newEndpoint(t, "a", 7))
 	s.start()
-	quiet := s.consumer()
+	quiet := s.client()
 	for name, raw := range map[string]string{
 		"length":  fmt.Sprintf("Content-Length: %d\r\n\r\n", 60<<20),
 		"chunked": fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", 60<<20),
 	} {
-		c := s.consumer()
+		c := s.client()
 		raw = "POST /api HTTP/1.1\r\n" + raw + strings.Repeat("x", 60<<20)
 		if res := c.send(raw); res.StatusCode != 413 {
 			t.Errorf("60 MB, %s: %s", name, res.Status)
@@ -594,7 +594,7 @@
 
 // An id that is held or was delivered is not sent again, and one that ended otherwise is not taken on again.
 func TestKnownID(t *testing.T) {
-	p := newProvider(t, "a", 7)
+	p := newEndpoint(t, "a", 7)
 	s := newSite(t, p)
 	s.start()
 	s.hand("m1", "unsafe", 7)
@@ -609,7 +609,7 @@
 	}
 	c.answer("500 Error")
 	<-s.reports
-	if res := s.consumer().send(request("m2", "unsafe", 7, time.Second, "")); res.StatusCode != 409 {
+	if res := s.client().send(request("m2", "unsafe", 7, time.Second, "")); res.StatusCode != 409 {
 		t.Errorf("an id that was given up: %s", res.Status)
 	}
 	s.counts("in: requests=5 taken=2 repeated=3 ")
--- a/cmd/larkreach/long_test.go
+++ b/cmd/larkreach/long_test.go
@@ -13,7 +13,7 @@
 	"mulleinbeam/internal/lab"
 )
 
-// The hard cases of long bodies, each with the real program between the laboratory's client and provider. What a test
+// The hard cases of long bodies, each with the real program between the laboratory's client and endpoint. What a test
 // waits for is an event: a call, an answer, a notice or a counter.
 
 const bodies = `[bodies]
@@ -25,11 +25,11 @@
 longest = "2m"
 `
 
-// long is a forwarder with long bodies on, one provider, "p" of destination 7, and all that checks them.
+// long is a forwarder with long bodies on, one endpoint, "p" of destination 7, and all that checks them.
 type long struct {
 	t        *testing.T
 	f        *lab.Forwarder
-	p        *lab.Provider
+	p        *lab.Endpoint
 	agent    *lab.Agent
 	calls    chan *pending // each call, until the test lets it go
 	over     chan struct{} // the test is
@@ -38,7 +38,7 @@
 	settings string
 }
 
-// pending is a call that the provider has until the test ends it.
+// pending is a call that the endpoint has until the test ends it.
 type pending struct {
 	*lab.Call
 	gone chan bool
@@ -47,14 +47,14 @@
 // end lets the call go; keep says whether its connection may carry another.
 func (p *pending) end(keep bool) { p.gone <- keep }
 
-// newLong starts them. The provider's calls come to calls, and last until the test ends them.
-func newLong(t *testing.T, idle time.Duration, others ...*lab.Provider) *long {
+// newLong starts them. The endpoint's calls come to calls, and last until the test ends them.
+func newLong(t *testing.T, idle time.Duration, others ...*lab.Endpoint) *long {
 	t.Helper()
 	l := &long{
 		t: t, calls: make(chan *pending, 64), over: make(chan struct{}), notices: make(chan lab.Notice, 64),
 		check: lab.NewChecker(),
 	}
-	l.p = &lab.Provider{Name: "p", Group: 7, Small: 64 << 10, Handle: func(c *lab.Call) bool {
+	l.p = &lab.Endpoint{Name: "p", Group: 7, Small: 64 << 10, Handle: func(c *lab.Call) bool {
 		p := &pending{c, make(chan bool, 1)}
 		l.calls <- p
 		select {
@@ -65,7 +65,7 @@
 		}
 	}}
 	l.agent = &lab.Agent{Told: func(n lab.Notice) { l.notices <- n }}
-	all := append([]*lab.Provider{l.p}, others...)
+	all := append([]*lab.Endpoint{l.p}, others...)
 	for _, p := range all {
 		must(t, p.Listen())
 	}
@@ -123,7 +123,7 @@
 	return answer
 }
 
-// next is the provider's next call.
+// next is the endpoint's next call.
 func (l *long) next() *pending { return <-l.calls }
 
 // free waits until no long call is out and none is held.
@@ -229,8 +229,8 @@
 	l.wants(<-answer, 200, false)
 }
 
-// Hard case 1: the provider stops reading half-way. Its client is slowed to a stop, and idle ends the call.
-func TestProviderStopsReading(t *testing.T) {
+// Hard case 1: the endpoint stops reading half-way. Its client is slowed to a stop, and idle ends the call.
+func TestEndpointStopsReading(t *testing.T) {
 	l := newLong(t, 700*time.Millisecond)
 	h := upload("stalled", "unsafe", 48<<20)
 	answer := l.hand(h)
@@ -239,7 +239,7 @@
 	a := <-answer
 	l.wants(a, 504, true)
 	if a.Sent > 40<<20 {
-		t.Errorf("%d bytes were taken from the client while the provider had read %d", a.Sent, call.Bytes())
+		t.Errorf("%d bytes were taken from the client while the endpoint had read %d", a.Sent, call.Bytes())
 	}
 	l.free()
 	if err := call.ReadAll(0); err == nil {
@@ -248,7 +248,7 @@
 	call.end(false)
 }
 
-// Hard case 2: the client goes away in the middle of a fee batch. The provider can't take it for whole, a notice ends it
+// Hard case 2: the client goes away in the middle of a fee batch. The endpoint can't take it for whole, a notice ends it
 // as one that may have run, and nothing sends it again: not the same id, and not a restart.
 func TestClientGoesAway(t *testing.T) {
 	for _, chunked := range []bool{false, true} {
@@ -259,7 +259,7 @@
 			answer := l.hand(h)
 			call := l.next()
 			if err := call.ReadAll(0); err == nil {
-				t.Error("the provider took a part for whole")
+				t.Error("the endpoint took a part for whole")
 			}
 			call.end(false)
 			<-answer
@@ -286,7 +286,7 @@
 	}
 }
 
-// Hard case 3: the provider answers before the body is whole. The answer reaches a client that is still sending, and
+// Hard case 3: the endpoint answers before the body is whole. The answer reaches a client that is still sending, and
 // neither connection is used again.
 func TestEarlyAnswers(t *testing.T) {
 	back := lab.Content{Seed: 3, Size: large}
@@ -319,7 +319,7 @@
 			}
 			l.free()
 			if err := call.ReadAll(0); err == nil {
-				t.Error("the provider's call went on to its end")
+				t.Error("the endpoint's call went on to its end")
 			}
 			call.end(false)
 		})
@@ -494,7 +494,7 @@
 
 // Hard case 7: long uploads by the hundred. Those beyond slots and total are refused cleanly, and short messages go on.
 func TestManyLongUploads(t *testing.T) {
-	quick := &lab.Provider{Name: "quick", Group: 8}
+	quick := &lab.Endpoint{Name: "quick", Group: 8}
 	l := newLong(t, 20*time.Second, quick)
 	var answers []<-chan lab.Answer
 	var slots []*pending
@@ -527,9 +527,9 @@
 
 // Without settings nothing changes: a body over 64 KiB is refused at once.
 func TestLongBodiesAreOff(t *testing.T) {
-	s := newSite(t, newProvider(t, "a", 7))
+	s := newSite(t, newEndpoint(t, "a", 7))
 	s.start()
-	c := s.consumer()
+	c := s.client()
 	io.WriteString(c.conn, upload("m", "safe", 64<<10+1).Head())
 	if res := c.read(); res.StatusCode != http.StatusRequestEntityTooLarge {
 		t.Errorf("answered %s", res.Status)
@@ -566,7 +566,7 @@
 	}
 }
 
-// A client that goes silent is no fault of its provider's: the call ends by idleness, and the next one goes at once.
+// A client that goes silent is no fault of its endpoint's: the call ends by idleness, and the next one goes at once.
 func TestClientGoesSilent(t *testing.T) {
 	l := newLong(t, 500*time.Millisecond)
 	resume := make(chan struct{})
--- a/cmd/larkreach/main.go
+++ b/cmd/larkreach/main.go
@@ -1,4 +1,4 @@
-// Command larkreach is the forwarder on sockets: consumers hand messages in over HTTP, the decision module says when
+// Command larkreach is the forwarder on sockets: clients hand messages in over HTTP, the decision module says when
 // and where each goes, and what was taken on outlasts the process.
 package main
 
@@ -31,7 +31,7 @@
 )
 
 const (
-	stillComing = 600 * time.Millisecond  // after the stop: consumers come for 0.4 s, and are answered
+	stillComing = 600 * time.Millisecond  // after the stop: clients come for 0.4 s, and are answered
 	settleFor   = 700 * time.Millisecond  // after the stop: the router ends no earlier
 	drainFor    = 3300 * time.Millisecond // after the stop: calls may be out; the kill comes after 3.7 s
 	heapShare   = 0.6                     // of the memory limit: stacks, files and sockets take some too
@@ -91,13 +91,13 @@
 	}
 	defer listener.Close()
 
-	providers := transport.NewProviders(cfg.Settings.KeepAlive, cfg.Settings.ConnectTimeout, room/4)
-	defer providers.Close()
+	endpoints := transport.NewEndpoints(cfg.Settings.KeepAlive, cfg.Settings.ConnectTimeout, room/4)
+	defer endpoints.Close()
 	discovery := transport.NewAddress(cfg.Discovery)
 	reporter := transport.NewReporter(discovery, logger)
 	setup := routing.Config{
-		Settings: cfg.Settings, Seed: cfg.Seed, Known: directory(cfg.Known, true), Log: journal,
-		Invoker: invoker{providers}, Notifier: notifier{reporter}, Logger: logger, Drain: drainFor, Settle: settleFor,
+		Settings: cfg.Settings, Seed: cfg.Seed, Known: listOf(cfg.Known, true), Log: journal,
+		Caller: caller{endpoints}, Notifier: notifier{reporter}, Logger: logger, Drain: drainFor, Settle: settleFor,
 		Long: long,
 	}
 	if remembered != nil {
@@ -117,13 +117,13 @@
 	if err != nil {
 		return err
 	}
-	consumers := &transport.Consumers{Desk: desk{router}, Most: room * 3 / 4, Long: passages}
+	clients := &transport.Clients{Handler: handler{router}, Most: room * 3 / 4, Long: passages}
 	counters := func(when string) {
 		now, line := router.Counters(), logger.Info()
 		if passages != nil {
 			line.Object("long calls", passages)
 		}
-		line.Object("consumers", consumers.Counters()).Object("providers", providers.Counters())
+		line.Object("clients", clients.Counters()).Object("endpoints", endpoints.Counters())
 		now.Log(line, passages != nil)
 		if remembered != nil {
 			line.Object("learned", saves(remembered.Saves()))
@@ -145,7 +145,7 @@
 			remembered.Run(ctx, time.Duration(own.Learned.Interval), func() memory.Snapshot { return snapshot(router) })
 		}
 	}
-	err = serve(cfg, logger, router, reporter, reload, hup, consumers, listener, counters, save, keep)
+	err = serve(cfg, logger, router, reporter, reload, hup, clients, listener, counters, save, keep)
 	counters("counters at exit")
 	return err
 }
@@ -259,9 +259,9 @@
 	return limits, &transport.Passages{Most: int64(b.Most), Idle: time.Duration(b.Idle), Window: int(b.Window)}, files, nil
 }
 
-// serve runs the parts and ends them in order: the consumers, the router, then what it still needs.
+// serve runs the parts and ends them in order: the clients, the router, then what it still needs.
 func serve(cfg config, logger zerolog.Logger, router *routing.Router, reporter *transport.Reporter,
-	reload reloader, hup <-chan os.Signal, consumers *transport.Consumers, listener net.Listener, counters func(string),
+	reload reloader, hup <-chan os.Signal, clients *transport.Clients, listener net.Listener, counters func(string),
 	save func(context.Context), keep func(context.Context) error) error {
 	stop, cancelStop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancelStop()
@@ -283,9 +283,9 @@
 	group.Go(func() error { return keep(after) })
 	group.Go(func() error { return reload.run(after, hup) })
 	group.Go(func() error {
-		watch := transport.Directory{
+		watch := transport.Discovery{
 			Address: reload.address, Since: cfg.since(), Logger: logger, Asking: cfg.asking(),
-			Learn: func(d protocol.Directory) { router.Learn(directory(d, false)) },
+			Learn: func(d protocol.List) { router.Learn(listOf(d, false)) },
 		}
 		return watch.Watch(after)
 	})
@@ -307,7 +307,7 @@
 		}
 		logger.Info().Str("listen", cfg.Listen).Msg("ready")
 		defer context.AfterFunc(ctx, func() { time.AfterFunc(stillComing, stopServing) })()
-		return consumers.Serve(serving, ctx, listener)
+		return clients.Serve(serving, ctx, listener)
 	})
 	return group.Wait()
 }
--- a/cmd/larkreach/standing_test.go
+++ b/cmd/larkreach/standing_test.go
@@ -41,7 +41,7 @@
 		"costs unasked": {func(s *site) { costs(vast(s, 300), 1, []float64{1, 2, 3, 4}) }, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := newProvider(t, "a", 7)
+			p := newEndpoint(t, "a", 7)
 			s := newSite(t, p)
 			c.odd(s)
 			s.start()
@@ -78,11 +78,11 @@
 // its time; half a list, an older one and one that comes many times over are what they say, the newest heard being the one
 // that holds. One that cannot be read changes nothing.
 func TestOddListsInAFleet(t *testing.T) {
-	a, b := newProvider(t, "a", 7), newProvider(t, "b", 8)
+	a, b := newEndpoint(t, "a", 7), newEndpoint(t, "b", 8)
 	s := vast(newSite(t, a, b), 300)
 	s.set(list(5, true, a, b), "known")
 	s.start()
-	served := func(p *provider, id string) {
+	served := func(p *endpoint, id string) {
 		t.Helper()
 		s.hand(id, "unsafe", p.group)
 		(<-p.calls).answer("200 OK")
@@ -114,7 +114,7 @@
 		c.answer("200 OK")
 	}
 	tell(list(8, true), "since=8&") // empty
-	if res := s.consumer().send(request("short", "safe", 7, 300*time.Millisecond, "x")); res.StatusCode == 202 {
+	if res := s.client().send(request("short", "safe", 7, 300*time.Millisecond, "x")); res.StatusCode == 202 {
 		if n := <-s.reports; n.Message != "short" {
 			t.Errorf("told of %+v", n)
 		}
@@ -177,7 +177,7 @@
 		}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := newProvider(t, "a", 7)
+			p := newEndpoint(t, "a", 7)
 			s := vast(newSite(t, p), 300)
 			s.start()
 			s.hand("held", "keyed", 7)
@@ -206,7 +206,7 @@
 // An address that takes no connection is not moved to: the old one's lists still count, with one line in the log. Once
 // something listens there, the forwarder moves.
 func TestReloadToADeadAddress(t *testing.T) {
-	a, b := newProvider(t, "a", 7), newProvider(t, "b", 8)
+	a, b := newEndpoint(t, "a", 7), newEndpoint(t, "b", 8)
 	s := vast(newSite(t, a), 300)
 	old := s.discovery
 	s.start()
@@ -226,10 +226,7 @@
 	if !s.sees(unused) { // the file, this time; what was wanted before stands
 		t.Fatal(s.log)
 	}
-	moved := &discovery{
-		listener: dead.listen(t), lists: make(chan map[string]any, 8), watched: make(chan string, 64), reports: make(chan notice, 64),
-	}
-	go moved.play()
+	moved := discoveryOn(t, dead.listen(t))
 	if !s.sees("reload: discovery has moved address=" + dead.address) {
 		t.Fatal(s.log)
 	}
--- a/cmd/larkreach/wiring.go
+++ b/cmd/larkreach/wiring.go
@@ -15,10 +15,10 @@
 
 // This file joins the parts: what the protocol's formats say is put in the router's terms, and the other way round.
 
-// desk puts consumers' handovers before the router.
-type desk struct{ router *routing.Router }
+// handler puts clients' handovers before the router.
+type handler struct{ router *routing.Router }
 
-func (d desk) Take(h protocol.Handover) (*protocol.Rejection, func()) {
+func (d handler) Take(h protocol.Handover) (*protocol.Refusal, func()) {
 	id := string(h.ID)
 	v := d.router.Take(routing.Message{
 		ID: id, Key: string(h.Key), Class: string(h.Class), Destination: h.Destination, Left: h.Left,
@@ -30,10 +30,10 @@
 	case routing.Known:
 		return nil, nil // whoever handed it in first has been told
 	}
-	return rejection(v), nil
+	return refusal(v), nil
 }
 
-func (d desk) Pass(h protocol.Handover, up *transport.Upload) (*protocol.Rejection, <-chan transport.Passed) {
+func (d handler) Pass(h protocol.Handover, up *transport.Upload) (*protocol.Refusal, <-chan transport.Passed) {
 	done := make(chan transport.Passed, 1) // the router does not wait
 	v := d.router.Pass(routing.Message{
 		ID: string(h.ID), Key: string(h.Key), Class: string(h.Class), Destination: h.Destination, Left: h.Left,
@@ -42,26 +42,26 @@
 	if v.Kind == routing.Taken {
 		return nil, done
 	}
-	return rejection(v), nil
+	return refusal(v), nil
 }
 
-// rejection is the answer to a message that was not taken on.
-func rejection(v routing.Verdict) *protocol.Rejection {
+// refusal is the answer to a message that was not taken on.
+func refusal(v routing.Verdict) *protocol.Refusal {
 	switch v.Kind {
 	case routing.Failed:
-		return &protocol.Rejection{Status: 504, Reason: "can't be delivered"}
+		return &protocol.Refusal{Status: 504, Reason: "can't be delivered"}
 	case routing.Ended:
-		return &protocol.Rejection{Status: 409, Reason: "this id has ended"}
+		return &protocol.Refusal{Status: 409, Reason: "this id has ended"}
 	case routing.UnknownClass:
-		return &protocol.Rejection{Status: 422, Reason: "unknown class", Close: true}
+		return &protocol.Refusal{Status: 422, Reason: "unknown class", Close: true}
 	case routing.UnknownDestination:
-		return &protocol.Rejection{Status: 422, Reason: "unknown destination", Close: true}
+		return &protocol.Refusal{Status: 422, Reason: "unknown destination", Close: true}
 	case routing.Unsure: // no answer is the only true one
-		return &protocol.Rejection{Close: true}
+		return &protocol.Refusal{Close: true}
 	case routing.Stopped:
-		return &protocol.Rejection{Status: 503, Reason: "going down", RetryAfter: v.RetryAfter, Close: true}
+		return &protocol.Refusal{Status: 503, Reason: "going down", RetryAfter: v.RetryAfter, Close: true}
 	}
-	return &protocol.Rejection{Status: 503, Reason: "come again", RetryAfter: v.RetryAfter}
+	return &protocol.Refusal{Status: 503, Reason: "come again", RetryAfter: v.RetryAfter}
 }
 
 // passed is the answer to a long message that was taken on and has ended.
@@ -69,7 +69,7 @@
 	if e.Kind == routing.Known {
 		return transport.Passed{}
 	}
-	r := &protocol.Rejection{Status: 502, Reason: "not delivered", Run: protocol.NeverRan, Close: true}
+	r := &protocol.Refusal{Status: 502, Reason: "not delivered", Run: protocol.NeverRan, Close: true}
 	if e.MayHaveRun {
 		r.Run = protocol.MayHaveRun
 	}
@@ -82,7 +82,7 @@
 	case e.TimeUp:
 		r.Status = 504
 	}
-	return transport.Passed{Rejection: r, Told: e.Told}
+	return transport.Passed{Refusal: r, Told: e.Told}
 }
 
 // notifier passes the router's notices to the reporter.
@@ -94,18 +94,18 @@
 	})
 }
 
-// invoker makes the router's calls over the providers' connections.
-type invoker struct{ providers *transport.Providers }
+// caller makes the router's calls over the endpoints' connections.
+type caller struct{ endpoints *transport.Endpoints }
 
-func (i invoker) CloseIdle(provider string) { i.providers.CloseIdle(provider) }
+func (i caller) CloseIdle(endpoint string) { i.endpoints.CloseIdle(endpoint) }
 
-func (i invoker) Invoke(ctx context.Context, c routing.InvokerCall) routing.Result {
+func (i caller) Call(ctx context.Context, c routing.Attempt) routing.Result {
 	if up, long := c.Source.(*transport.Upload); long {
 		return i.pass(ctx, c, up)
 	}
-	r := i.providers.Invoke(ctx, transport.Call{
+	r := i.endpoints.Call(ctx, transport.Call{
 		Call: protocol.Call{ID: c.ID, Key: c.Key, Host: c.Address, Body: c.Body},
-		Name: c.Provider, Address: c.Address, Fresh: c.Fresh, Begin: c.Begin,
+		Name: c.Endpoint, Address: c.Address, Fresh: c.Fresh, Begin: c.Begin,
 	})
 	res := routing.Result{Outcome: ends[r.End]}
 	if r.End == transport.Answered {
@@ -115,12 +115,12 @@
 	return res
 }
 
-// pass makes a call with a long message. What its client brought about speaks of no provider.
-func (i invoker) pass(ctx context.Context, c routing.InvokerCall, up *transport.Upload) routing.Result {
-	r := i.providers.Pass(ctx, transport.Passage{
+// pass makes a call with a long message. What its client brought about speaks of no endpoint.
+func (i caller) pass(ctx context.Context, c routing.Attempt, up *transport.Upload) routing.Result {
+	r := i.endpoints.Pass(ctx, transport.Passage{
 		Call: transport.Call{
 			Call: protocol.Call{ID: c.ID, Key: c.Key, Host: c.Address},
-			Name: c.Provider, Address: c.Address, Fresh: c.Fresh, Begin: c.Begin,
+			Name: c.Endpoint, Address: c.Address, Fresh: c.Fresh, Begin: c.Begin,
 		},
 		Upload: up, Settle: c.Settle,
 	})
@@ -141,19 +141,19 @@
 
 // passEnds are the outcomes of calls with long messages of which the first byte was written.
 var passEnds = map[pump.End]mb.Outcome{
-	pump.Delivered: mb.OK, pump.Spoilt: mb.Failed, pump.Broken: mb.Reset, pump.ProviderStalled: mb.TimedOut,
+	pump.Delivered: mb.OK, pump.Spoilt: mb.Failed, pump.Broken: mb.Reset, pump.EndpointStalled: mb.TimedOut,
 	pump.ClientGone: mb.Cancelled, pump.ClientStalled: mb.Cancelled, pump.ClientBad: mb.Cancelled,
 	pump.TimeUp: mb.Cancelled, pump.Aborted: mb.Cancelled, pump.NotBegun: mb.Moot,
 }
 
-// ends are the outcomes of calls that were not answered. One whose answer is spoilt is an error: the provider is there,
+// ends are the outcomes of calls that were not answered. One whose answer is spoilt is an error: the endpoint is there,
 // and its connection was not a dead one.
 var ends = map[transport.CallEnd]mb.Outcome{
 	transport.NotBegun: mb.Moot, transport.Unconnected: mb.ConnectFailed, transport.Broken: mb.Reset,
 	transport.Spoilt: mb.Failed, transport.Abandoned: mb.TimedOut,
 }
 
-// result reads a provider's answer as an outcome.
+// result reads an endpoint's answer as an outcome.
 func result(r protocol.Reply) routing.Result {
 	var res routing.Result
 	var stats map[string]float64
@@ -183,11 +183,11 @@
 	protocol.Serving: mb.Serving, protocol.Draining: mb.Draining, protocol.Deleted: mb.Deleted,
 }
 
-// directory puts discovery's list in the router's terms.
-func directory(d protocol.Directory, saved bool) routing.Directory {
-	out := routing.Directory{Whole: d.Whole, Saved: saved}
-	for _, p := range d.Providers {
-		out.Providers = append(out.Providers, routing.Provider{
+// listOf puts discovery's list in the router's terms.
+func listOf(d protocol.List, saved bool) routing.List {
+	out := routing.List{Whole: d.Whole, Saved: saved}
+	for _, p := range d.Endpoints {
+		out.Endpoints = append(out.Endpoints, routing.Endpoint{
 			Name: p.Name, Address: p.Address, Zone: p.Zone, Kind: p.Kind, Group: p.Group, Weight: p.Weight,
 			State: states[p.Status],
 		})
--- a/internal/lab/agent.go
+++ b/internal/lab/agent.go
@@ -24,25 +24,25 @@
 	Told func(Notice)
 
 	of *Agent                 // whose list this one tells, and to whom notices go; nil is its own
-	at func(*Provider) string // where it says that a provider is; nil is where that listens
+	at func(*Endpoint) string // where it says that an endpoint is; nil is where that listens
 
 	server   *http.Server
 	listener net.Listener
 	mu       sync.Mutex
 	index    int
-	list     []*Provider
+	list     []*Endpoint
 	changed  chan struct{} // closed with each change
 	notices  []Notice
 }
 
-// Listen starts an agent that lists providers.
-func (a *Agent) Listen(list ...*Provider) error {
+// Listen starts an agent that lists endpoints.
+func (a *Agent) Listen(list ...*Endpoint) error {
 	a.index, a.list, a.changed = 1, list, make(chan struct{})
 	return a.listen()
 }
 
 // Beside starts an agent on another machine: it tells the same list with other addresses, and passes notices on.
-func (a *Agent) Beside(at func(*Provider) string) (*Agent, error) {
+func (a *Agent) Beside(at func(*Endpoint) string) (*Agent, error) {
 	b := &Agent{of: a, at: at}
 	return b, b.listen()
 }
@@ -75,8 +75,8 @@
 // Close ends it.
 func (a *Agent) Close() { _ = a.server.Close() }
 
-// List lists other providers from now on.
-func (a *Agent) List(list ...*Provider) {
+// List lists other endpoints from now on.
+func (a *Agent) List(list ...*Endpoint) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.index++
@@ -92,8 +92,8 @@
 	return append([]Notice(nil), a.notices...)
 }
 
-// Directory is the list in discovery's form.
-func (a *Agent) Directory() map[string]any {
+// Listed is the list in discovery's form.
+func (a *Agent) Listed() map[string]any {
 	src := a.source()
 	src.mu.Lock()
 	defer src.mu.Unlock()
@@ -126,7 +126,7 @@
 			return
 		}
 	}
-	_ = json.NewEncoder(w).Encode(a.Directory())
+	_ = json.NewEncoder(w).Encode(a.Listed())
 }
 
 func (a *Agent) reports(w http.ResponseWriter, r *http.Request) {
--- a/internal/lab/checker.go
+++ b/internal/lab/checker.go
@@ -19,7 +19,7 @@
 	answers  []Answer
 	notices  []Notice
 	arrivals []Arrival
-	answered Content // what the provider's 200 carried, if Answers told so
+	answered Content // what the endpoint's 200 carried, if Answers told so
 	carried  bool
 }
 
@@ -48,7 +48,7 @@
 	s.answers = append(s.answers, a)
 }
 
-// Carries tells which body the provider's 200 for a message carries.
+// Carries tells which body the endpoint's 200 for a message carries.
 func (c *Checker) Carries(id string, body Content) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -56,7 +56,7 @@
 	s.answered, s.carried = body, true
 }
 
-// Saw tells of all that a provider and an agent have seen in a run.
+// Saw tells of all that an endpoint and an agent have seen in a run.
 func (c *Checker) Saw(notices []Notice, arrivals ...[]Arrival) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -87,7 +87,7 @@
 				ends++
 			}
 			if a.Status == 200 && s.carried && a.Whole && a.Digest != s.answered.Digest() {
-				bad("the answer differs from what the provider sent, %d bytes for %d", a.Bytes, s.answered.Size)
+				bad("the answer differs from what the endpoint sent, %d bytes for %d", a.Bytes, s.answered.Size)
 			}
 		}
 		outcomes := map[string]bool{} // a notice whose acknowledgement a kill has crossed comes again, and says the same
@@ -109,7 +109,7 @@
 				whole++
 			}
 			if a.Whole && s.Class != "" && a.Digest != s.Body.Digest() {
-				bad("the body that reached %s differs, %d bytes for %d", a.Provider, a.Bytes, s.Body.Size)
+				bad("the body that reached %s differs, %d bytes for %d", a.Endpoint, a.Bytes, s.Body.Size)
 			}
 		}
 		if s.Class == "unsafe" && effects > 1 {
--- a/internal/lab/cluster/demo.go
+++ b/internal/lab/cluster/demo.go
@@ -34,7 +34,7 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
-	partner := &lab.Provider{Name: "partner", Handle: func(c *lab.Call) bool {
+	partner := &lab.Endpoint{Name: "partner", Handle: func(c *lab.Call) bool {
 		if c.ReadAll(0) != nil {
 			return false
 		}
--- a/internal/lab/cluster/fleet.go
+++ b/internal/lab/cluster/fleet.go
@@ -58,8 +58,8 @@
 // Fleet is the processes with what lies between them, one partner, an agent and clients that are seen by one checker.
 type Fleet struct {
 	Setup
-	Partner  *lab.Provider // the first of
-	Partners []*lab.Provider
+	Partner  *lab.Endpoint // the first of
+	Partners []*lab.Endpoint
 	Agent    *lab.Agent
 	Check    *lab.Checker
 	Members  []*Member
@@ -72,7 +72,7 @@
 	began  time.Time
 	next   int
 	told   int                   // notices that the checker has seen,
-	saw    map[*lab.Provider]int // and arrivals
+	saw    map[*lab.Endpoint]int // and arrivals
 }
 
 // fleets counts those that this process has opened.
@@ -82,7 +82,7 @@
 const Group = 7
 
 // Open lays a fleet out; Start starts its members. Partner may be nil for one that answers 200 at once.
-func Open(s Setup, partner *lab.Provider) (*Fleet, error) {
+func Open(s Setup, partner *lab.Endpoint) (*Fleet, error) {
 	if s.Founders == 0 {
 		s.Founders = min(3, s.Members)
 	}
@@ -93,17 +93,17 @@
 		s.Zones = 2
 	}
 	if partner == nil {
-		partner = &lab.Provider{Name: "p"}
+		partner = &lab.Endpoint{Name: "p"}
 	}
 	partner.Group = Group
 	f := &Fleet{
-		Setup: s, Partner: partner, Partners: []*lab.Provider{partner}, Agent: &lab.Agent{}, Check: lab.NewChecker(), relays: map[[2]int]*Relay{}, paths: map[[2]int]*Relay{}, began: time.Now(),
-		saw: map[*lab.Provider]int{},
+		Setup: s, Partner: partner, Partners: []*lab.Endpoint{partner}, Agent: &lab.Agent{}, Check: lab.NewChecker(), relays: map[[2]int]*Relay{}, paths: map[[2]int]*Relay{}, began: time.Now(),
+		saw: map[*lab.Endpoint]int{},
 	}
 	if s.Sites > 0 {
 		partner.Name, partner.Zone = "p0", "z0"
 		for i := 1; i < s.Sites; i++ {
-			f.Partners = append(f.Partners, &lab.Provider{Name: fmt.Sprint("p", i), Zone: fmt.Sprint("z", i), Group: Group, Weight: partner.Weight, Handle: partner.Handle})
+			f.Partners = append(f.Partners, &lab.Endpoint{Name: fmt.Sprint("p", i), Zone: fmt.Sprint("z", i), Group: Group, Weight: partner.Weight, Handle: partner.Handle})
 		}
 	}
 	for _, p := range f.Partners {
@@ -168,7 +168,7 @@
 		}
 		f.paths[[2]int{i, k}], at[p.Address()] = r, r.Address()
 	}
-	agent, err := f.Agent.Beside(func(p *lab.Provider) string { return at[p.Address()] })
+	agent, err := f.Agent.Beside(func(p *lab.Endpoint) string { return at[p.Address()] })
 	f.agents = append(f.agents, agent)
 	return agent, err
 }
--- a/internal/lab/cluster/measure.go
+++ b/internal/lab/cluster/measure.go
@@ -38,7 +38,7 @@
 	arrived := make(chan string, 1024)
 	open := &atomic.Bool{}
 	closed := make(chan struct{})
-	partner := &lab.Provider{Name: "p", Handle: func(c *lab.Call) bool {
+	partner := &lab.Endpoint{Name: "p", Handle: func(c *lab.Call) bool {
 		if c.ReadAll(0) != nil {
 			return false
 		}
@@ -183,7 +183,7 @@
 	if copies == 0 {
 		s.Members, s.Program = 1, c.Plain
 	}
-	f, err := Open(s, &lab.Provider{Name: "p", Weight: costWeight}) // it is not what holds them up
+	f, err := Open(s, &lab.Endpoint{Name: "p", Weight: costWeight}) // it is not what holds them up
 	if err != nil {
 		return l, err
 	}
@@ -337,7 +337,7 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
-	f, err := Open(Setup{Members: 3, Program: c.Program, Env: c.Env, Dir: dir, Seed: 1, Direct: true, Amend: busy, Extra: c.Extra}, &lab.Provider{Name: "p", Weight: costWeight})
+	f, err := Open(Setup{Members: 3, Program: c.Program, Env: c.Env, Dir: dir, Seed: 1, Direct: true, Amend: busy, Extra: c.Extra}, &lab.Endpoint{Name: "p", Weight: costWeight})
 	if err != nil {
 		return err
 	}
--- a/internal/lab/cluster/random.go
+++ b/internal/lab/cluster/random.go
@@ -96,7 +96,7 @@
 	var served sync.Map
 	rng := rand.New(rand.NewPCG(t.Seed, 5))
 	var rmu sync.Mutex
-	partner := &lab.Provider{Name: "p", Handle: func(c *lab.Call) bool {
+	partner := &lab.Endpoint{Name: "p", Handle: func(c *lab.Call) bool {
 		if places.count(c); c.ReadAll(0) != nil {
 			return false
 		}
--- a/internal/lab/content.go
+++ b/internal/lab/content.go
@@ -1,4 +1,4 @@
-// Package lab is the project's laboratory: paced clients and providers, an agent, the real program as a process, and a
+// Package lab is the project's laboratory: paced clients and endpoints, an agent, the real program as a process, and a
 // checker of the rules. It speaks HTTP with the standard library, so that the project's own parsers meet others'. All of
 // it stays on loopback addresses, and whatever it starts it ends.
 package lab
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -35,7 +35,7 @@
 `
 
 type partner struct {
-	*lab.Provider
+	*lab.Endpoint
 	what string
 }
 
@@ -72,13 +72,13 @@
 	defer os.RemoveAll(dir)
 	s := &show{out: out, began: time.Now(), check: lab.NewChecker(), counts: map[string]int{}, lost: make(chan struct{})}
 	partners := s.partners()
-	var list []*lab.Provider
+	var list []*lab.Endpoint
 	for _, p := range partners {
 		if err := p.Listen(); err != nil {
 			return fmt.Errorf("demo: partner %s: %w", p.Name, err)
 		}
 		defer p.Close()
-		list = append(list, p.Provider)
+		list = append(list, p.Endpoint)
 	}
 	agent := &lab.Agent{Told: func(n lab.Notice) {
 		s.count(n.Outcome)
@@ -118,7 +118,7 @@
 			return c.Answer(200, "") == nil
 		}
 	}
-	steady := &lab.Provider{Name: "steady", Group: 1}
+	steady := &lab.Endpoint{Name: "steady", Group: 1}
 	steady.Handle = func(c *lab.Call) bool {
 		if c.Length < longBody {
 			return serve(0)(c)
@@ -133,7 +133,7 @@
 		return c.AnswerWith(receipt, "chunked") == nil
 	}
 	limit := &window{most: perSecond}
-	failing := &lab.Provider{Name: "failing", Group: 3}
+	failing := &lab.Endpoint{Name: "failing", Group: 3}
 	failing.Handle = func(c *lab.Call) bool {
 		if c.ID != lostFee {
 			return serve(0)(c)
@@ -145,9 +145,9 @@
 	}
 	return []partner{
 		{steady, "answers at once, and takes long bodies"},
-		{&lab.Provider{Name: "slow", Group: 2, Handle: serve(slowness)}, fmt.Sprintf("answers after %v", slowness)},
+		{&lab.Endpoint{Name: "slow", Group: 2, Handle: serve(slowness)}, fmt.Sprintf("answers after %v", slowness)},
 		{failing, fmt.Sprintf("is down for %v", downFor)},
-		{&lab.Provider{Name: "limited", Group: 4, Handle: func(c *lab.Call) bool {
+		{&lab.Endpoint{Name: "limited", Group: 4, Handle: func(c *lab.Call) bool {
 			if wait := limit.take(); wait > 0 {
 				_ = c.ReadAll(0)
 				return c.Answer(429, fmt.Sprintf("X-RateLimit-Wait-Ms: %d\r\n", wait.Milliseconds()+1)) == nil
@@ -273,7 +273,7 @@
 }
 
 // close waits for the last messages, stops the program and checks what all sides have seen.
-func (s *show) close(f *lab.Forwarder, agent *lab.Agent, list []*lab.Provider) error {
+func (s *show) close(f *lab.Forwarder, agent *lab.Agent, list []*lab.Endpoint) error {
 	for until := time.Now().Add(settles); time.Now().Before(until); {
 		if held, err := f.Counter("in", "held"); err != nil {
 			return fmt.Errorf("demo: %w", err)
--- a/internal/lab/provider.go
+++ b/internal/lab/endpoint.go
@@ -10,7 +10,7 @@
 	"sync"
 )
 
-// Call is one that reached a provider, from the last byte of its head on.
+// Call is one that reached an endpoint, from the last byte of its head on.
 type Call struct {
 	ID, Key, Timeout string
 	Length           int64 // of its body as told; -1: chunked
@@ -20,12 +20,12 @@
 	tally            Tally
 	refused          bool
 	whole            bool
-	provider         *Provider
+	endpoint         *Endpoint
 }
 
-// Arrival is what a provider has seen of a call.
+// Arrival is what an endpoint has seen of a call.
 type Arrival struct {
-	Provider   string
+	Endpoint   string
 	ID         string
 	Connection int
 	Bytes      int64 // of its body
@@ -34,9 +34,9 @@
 	Refused    bool // it was answered that it never ran
 }
 
-// Provider is an endpoint. Handle is called for each call, in the goroutine of its connection; the connection ends when
+// Endpoint is an endpoint. Handle is called for each call, in the goroutine of its connection; the connection ends when
 // it says so. Without it a call is read whole and answered 200.
-type Provider struct {
+type Endpoint struct {
 	Name   string
 	Group  int
 	Status string
@@ -55,8 +55,8 @@
 	wg       sync.WaitGroup
 }
 
-// Listen starts a provider on a loopback address of its own.
-func (p *Provider) Listen() error {
+// Listen starts an endpoint on a loopback address of its own.
+func (p *Endpoint) Listen() error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -70,7 +70,7 @@
 }
 
 // accept takes connections until the listener is closed.
-func (p *Provider) accept(l net.Listener) {
+func (p *Endpoint) accept(l net.Listener) {
 	p.mu.Lock()
 	p.listener = l
 	p.mu.Unlock()
@@ -102,7 +102,7 @@
 	}()
 }
 
-func (p *Provider) weight() float64 {
+func (p *Endpoint) weight() float64 {
 	if p.Weight > 0 {
 		return p.Weight
 	}
@@ -110,15 +110,15 @@
 }
 
 // Address is where it listens.
-func (p *Provider) Address() string { return p.address }
+func (p *Endpoint) Address() string { return p.address }
 
 // As is the same machine under another name and status, in another zone, to be listed; it does not listen by itself.
-func (p *Provider) As(name, zone, status string) *Provider {
-	return &Provider{Name: name, Zone: zone, Status: status, Group: p.Group, Weight: p.Weight, address: p.address}
+func (p *Endpoint) As(name, zone, status string) *Endpoint {
+	return &Endpoint{Name: name, Zone: zone, Status: status, Group: p.Group, Weight: p.Weight, address: p.address}
 }
 
-// Down ends the provider as a dead process would: its connections end and new ones are refused, until Up.
-func (p *Provider) Down() {
+// Down ends the endpoint as a dead process would: its connections end and new ones are refused, until Up.
+func (p *Endpoint) Down() {
 	p.mu.Lock()
 	_ = p.listener.Close()
 	for c := range p.conns {
@@ -128,7 +128,7 @@
 }
 
 // Up listens at its address again.
-func (p *Provider) Up() error {
+func (p *Endpoint) Up() error {
 	l, err := net.Listen("tcp", p.address)
 	if err == nil {
 		p.accept(l)
@@ -137,19 +137,19 @@
 }
 
 // Close ends it with all its connections.
-func (p *Provider) Close() {
+func (p *Endpoint) Close() {
 	p.Down()
 	p.wg.Wait()
 }
 
 // Arrivals are the calls that have ended so far.
-func (p *Provider) Arrivals() []Arrival {
+func (p *Endpoint) Arrivals() []Arrival {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return append([]Arrival(nil), p.arrivals...)
 }
 
-func (p *Provider) serve(conn net.Conn, number int) {
+func (p *Endpoint) serve(conn net.Conn, number int) {
 	defer conn.Close()
 	r := bufio.NewReaderSize(conn, 64<<10)
 	for {
@@ -159,7 +159,7 @@
 		}
 		c := &Call{
 			ID: req.Header.Get("X-Request-ID"), Key: req.Header.Get("Idempotency-Key"), Timeout: req.Header.Get("X-Timeout-Ms"),
-			Length: req.ContentLength, Connection: number, Request: req, Conn: conn, provider: p,
+			Length: req.ContentLength, Connection: number, Request: req, Conn: conn, endpoint: p,
 		}
 		handle := p.Handle
 		if handle == nil {
@@ -168,7 +168,7 @@
 		keep := handle(c)
 		p.mu.Lock()
 		p.arrivals = append(p.arrivals, Arrival{
-			Provider: p.Name, ID: c.ID, Connection: number, Bytes: c.tally.Bytes, Digest: c.tally.Digest(), Whole: c.whole,
+			Endpoint: p.Name, ID: c.ID, Connection: number, Bytes: c.tally.Bytes, Digest: c.tally.Digest(), Whole: c.whole,
 			Refused: c.refused,
 		})
 		p.mu.Unlock()
--- a/internal/lab/experiment/long.go
+++ b/internal/lab/experiment/long.go
@@ -33,11 +33,11 @@
 idle = "30s"
 `
 
-// bench is a forwarder with one provider, ready to be measured.
+// bench is a forwarder with one endpoint, ready to be measured.
 type bench struct {
 	f     *lab.Forwarder
-	p     *lab.Provider
-	quick *lab.Provider
+	p     *lab.Endpoint
+	quick *lab.Endpoint
 	agent *lab.Agent
 	dir   string
 }
@@ -49,8 +49,8 @@
 		return nil, err
 	}
 	b := &bench{
-		dir: dir, agent: &lab.Agent{}, p: &lab.Provider{Name: "p", Group: 7, Handle: handle},
-		quick: &lab.Provider{Name: "quick", Group: 8},
+		dir: dir, agent: &lab.Agent{}, p: &lab.Endpoint{Name: "p", Group: 7, Handle: handle},
+		quick: &lab.Endpoint{Name: "quick", Group: 8},
 	}
 	b.f = &lab.Forwarder{Command: l.Program, Settings: settings}
 	for _, step := range []func() error{
@@ -94,11 +94,11 @@
 }
 
 // transfer moves one body through the forwarder, up or back as an answer.
-func (l Long) transfer(size, clientRate, providerRate int64, back bool) (moved, error) {
+func (l Long) transfer(size, clientRate, endpointRate int64, back bool) (moved, error) {
 	content := lab.Content{Seed: 1, Size: size}
 	arrived := make(chan uint64, 1)
 	b, err := l.start(func(c *lab.Call) bool {
-		if c.ReadAll(providerRate) != nil {
+		if c.ReadAll(endpointRate) != nil {
 			return false
 		}
 		arrived <- c.Digest()
@@ -144,7 +144,7 @@
 func (l Long) relayed(size int64) (moved, error) {
 	content := lab.Content{Seed: 1, Size: size}
 	arrived := make(chan uint64, 1)
-	p := &lab.Provider{Name: "p", Handle: func(c *lab.Call) bool {
+	p := &lab.Endpoint{Name: "p", Handle: func(c *lab.Call) bool {
 		if c.ReadAll(0) != nil {
 			return false
 		}
@@ -193,16 +193,16 @@
 	say := func(format string, args ...any) { fmt.Fprintf(l.Out, format+"\n", args...) }
 	for _, c := range []struct {
 		what             string
-		client, provider int64
+		client, endpoint int64
 		back             bool
 	}{
-		{"fast client, throttled provider", 0, l.Rate, false},
-		{"throttled client, fast provider", l.Rate, 0, false},
+		{"fast client, throttled endpoint", 0, l.Rate, false},
+		{"throttled client, fast endpoint", l.Rate, 0, false},
 		{"back as an answer", 0, 0, true},
 	} {
 		var peaks []int64
 		for _, size := range []int64{l.Small, l.Size} {
-			m, err := l.transfer(size, c.client, c.provider, c.back)
+			m, err := l.transfer(size, c.client, c.endpoint, c.back)
 			if err != nil {
 				return fmt.Errorf("%s: %w", c.what, err)
 			}
--- a/internal/lab/forwarder.go
+++ b/internal/lab/forwarder.go
@@ -98,7 +98,7 @@
 	out := map[string]any{
 		"name": name, "listen": f.listen, "discovery": f.agent.Address(), "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": f.Cores, "memory_mb": f.MemoryMB, "sockets": f.Sockets, "disk_mb": disk},
-		"known":  f.agent.Directory(),
+		"known":  f.agent.Listed(),
 		"settings": map[string]any{
 			"balancers": 1, "weight-source": "nominal", "azs": []string{"z"}, "kinds": []string{"k"}, "services": services,
 			"family-info": map[string]any{"calls-out": f.Slots, "fades": "even"},
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -56,7 +56,7 @@
 type site struct {
 	mu        sync.Mutex
 	partner   world.Partner
-	endpoints []*lab.Provider
+	endpoints []*lab.Endpoint
 	down      bool
 }
 
@@ -125,11 +125,11 @@
 	if err != nil {
 		return err
 	}
-	var all []*lab.Provider
+	var all []*lab.Endpoint
 	for _, p := range partners {
 		t := &site{partner: p}
 		for _, name := range p.Endpoints() {
-			e := &lab.Provider{Name: name, Group: p.Number(), Weight: p.Hint(), Handle: func(c *lab.Call) bool { return s.call(t, c) }}
+			e := &lab.Endpoint{Name: name, Group: p.Number(), Weight: p.Hint(), Handle: func(c *lab.Call) bool { return s.call(t, c) }}
 			if err := e.Listen(); err != nil {
 				return err
 			}
--- a/internal/protocol/body.go
+++ b/internal/protocol/body.go
@@ -240,10 +240,10 @@
 // Framing tells how the body of the message that Next gave last is framed, and its length with ByLength.
 func (p *Parser) Framing() (Framing, int64) { return p.framing, int64(p.need) }
 
-// passedOn are the fields of a provider's answer that its client gets: what describes the body.
+// passedOn are the fields of an endpoint's answer that its client gets: what describes the body.
 var passedOn = []string{"Content-Type", "Content-Encoding", "Content-Language", "Content-Disposition", "Last-Modified", "ETag"}
 
-// AppendDelivered writes the head of the answer that tells a client of a delivery. m is the provider's answer whose body
+// AppendDelivered writes the head of the answer that tells a client of a delivery. m is the endpoint's answer whose body
 // follows; nil stands for one that could not be read behind its first line.
 func AppendDelivered(b []byte, m *Message, f Framing, length int64, last bool) []byte {
 	b = append(b, "HTTP/1.1 200 OK"...)
--- a/internal/protocol/handover.go
+++ b/internal/protocol/handover.go
@@ -9,7 +9,7 @@
 	"unicode/utf8"
 )
 
-// Handover is a message that a consumer hands in. Its slices lie in the parser's buffer.
+// Handover is a message that a client hands in. Its slices lie in the parser's buffer.
 type Handover struct {
 	ID, Key, Class []byte
 	Destination    int64
@@ -17,14 +17,14 @@
 	Body           []byte
 }
 
-// Rejection is an answer that does not take a message on: a refusal, a failure or an unreadable request.
-type Rejection struct {
+// Refusal is an answer that does not take a message on: a refusal, a failure or an unreadable request.
+type Refusal struct {
 	Status     int
 	Reason     string
 	RetryAfter time.Duration // with a refusal: when to come again
 	Close      bool          // the connection ends with it
 	Run        RunMark       // of a long message: whether it may have run
-	spoilt     bool          // the provider's answer was
+	spoilt     bool          // the endpoint's answer was
 }
 
 // RunMark says whether a message that was not delivered may have run.
@@ -37,31 +37,31 @@
 	MayHaveRun
 )
 
-// Delivered is the answer to a long message that was delivered and whose provider's answer can't be passed on.
-func Delivered() *Rejection { return &Rejection{Status: 200, Close: true, spoilt: true} }
+// Delivered is the answer to a long message that was delivered and whose endpoint's answer can't be passed on.
+func Delivered() *Refusal { return &Refusal{Status: 200, Close: true, spoilt: true} }
 
 // mostName bounds an id and a key: they are kept beyond the request. An id is UTF-8 as well, since notices name it in
 // JSON.
 const mostName = 256
 
-// mostLeft bounds a consumer's time; more is taken for an error.
+// mostLeft bounds a client's time; more is taken for an error.
 const mostLeft = 24 * time.Hour
 
-// Asked is what a consumer's request wants.
+// Asked is what a client's request wants.
 type Asked int
 
-// The requests of a consumer.
+// The requests of a client.
 const (
 	AskHandover Asked = iota
 	AskReady
 )
 
-func bad(status int, reason string) *Rejection {
-	return &Rejection{Status: status, Reason: reason, Close: true}
+func bad(status int, reason string) *Refusal {
+	return &Refusal{Status: status, Reason: reason, Close: true}
 }
 
 // Unreadable is the answer to a request that the parser gave up on.
-func Unreadable(err error) *Rejection {
+func Unreadable(err error) *Refusal {
 	switch {
 	case errors.Is(err, ErrHeadSize):
 		return bad(431, "head too large")
@@ -71,8 +71,8 @@
 	return bad(400, "malformed request")
 }
 
-// ReadRequest tells what a consumer's request wants, or why it can't be had.
-func ReadRequest(m *Message) (Asked, Handover, *Rejection) {
+// ReadRequest tells what a client's request wants, or why it can't be had.
+func ReadRequest(m *Message) (Asked, Handover, *Refusal) {
 	var h Handover
 	path, _, _ := bytes.Cut(m.Start[1], []byte("?"))
 	switch string(path) {
@@ -130,7 +130,7 @@
 }
 
 // AppendAnswer writes an answer without a body; r nil stands for the plain status.
-func AppendAnswer(b []byte, status int, r *Rejection, last bool) []byte {
+func AppendAnswer(b []byte, status int, r *Refusal, last bool) []byte {
 	text := ""
 	if r != nil {
 		status, text, last = r.Status, r.Reason, last || r.Close
@@ -158,7 +158,7 @@
 	return append(append(b, "\r\n\r\n"...), text...)
 }
 
-// Call is what goes to a provider. Id, key and body go on byte for byte.
+// Call is what goes to an endpoint. Id, key and body go on byte for byte.
 type Call struct {
 	ID, Key string
 	Timeout time.Duration // how long the forwarder will wait
@@ -186,7 +186,7 @@
 	return b
 }
 
-// Reply is what a provider's answer to a call says.
+// Reply is what an endpoint's answer to a call says.
 type Reply struct {
 	Status    int
 	Wait      time.Duration // with 429: how long it told to wait
@@ -194,11 +194,11 @@
 	Load      []byte        // a load report as JSON, if there is one
 }
 
-// loadReport is the field in which a provider may tell of its load. What stands there is its own affair: an answer is
+// loadReport is the field in which an endpoint may tell of its load. What stands there is its own affair: an answer is
 // good whether or not it can be read.
 const loadReport = "X-Server-Load"
 
-// ReadReply reads a provider's answer.
+// ReadReply reads an endpoint's answer.
 func ReadReply(m *Message) Reply {
 	r := Reply{Status: m.Status(), Load: bytes.Clone(m.Get(loadReport))}
 	if ms, ok := number(m.Get("X-RateLimit-Wait-Ms")); ok {
--- a/internal/protocol/directory.go
+++ b/internal/protocol/list.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// Provider is one line of discovery's list.
-type Provider struct {
+// Endpoint is one line of discovery's list.
+type Endpoint struct {
 	Name    string  `json:"name"`
 	Address string  `json:"address"`
 	Zone    string  `json:"zone"`
@@ -18,32 +18,32 @@
 	Weight  float64 `json:"weight"`
 }
 
-// Status is what the list says of a provider.
+// Status is what the list says of an endpoint.
 type Status string
 
-// The states of a provider; Deleted stands only among changes.
+// The states of an endpoint; Deleted stands only among changes.
 const (
 	Serving  Status = "SERVING"
 	Draining Status = "DRAINING"
 	Deleted  Status = "DELETED"
 )
 
-// Directory is the list of providers, or the entries of it that changed.
-type Directory struct {
+// List is the list of endpoints, or the entries of it that changed.
+type List struct {
 	Index     int64      `json:"index"`
 	Whole     bool       `json:"snapshot"`
-	Providers []Provider `json:"endpoints"`
+	Endpoints []Endpoint `json:"endpoints"`
 }
 
-// ParseDirectory reads discovery's list.
-func ParseDirectory(body []byte) (Directory, error) {
-	var d Directory
+// ParseList reads discovery's list.
+func ParseList(body []byte) (List, error) {
+	var d List
 	if err := json.Unmarshal(body, &d); err != nil {
-		return d, fmt.Errorf("%w: directory: %w", ErrMalformed, err)
+		return d, fmt.Errorf("%w: list: %w", ErrMalformed, err)
 	}
-	for _, p := range d.Providers {
+	for _, p := range d.Endpoints {
 		if p.Name == "" || p.Status != Serving && p.Status != Draining && p.Status != Deleted {
-			return d, fmt.Errorf("%w: directory: provider %q with status %q", ErrMalformed, p.Name, p.Status)
+			return d, fmt.Errorf("%w: list: endpoint %q with status %q", ErrMalformed, p.Name, p.Status)
 		}
 	}
 	return d, nil
--- a/internal/protocol/message.go
+++ b/internal/protocol/message.go
@@ -1,4 +1,4 @@
-// Package protocol holds the forwarder's wire formats: HTTP/1.1 heads and bodies, the consumers' and providers'
+// Package protocol holds the forwarder's wire formats: HTTP/1.1 heads and bodies, the clients' and endpoints'
 // messages in them, discovery's list and the platform's notices. Everything here is fed bytes and gives bytes; it
 // knows no socket and no clock, so that a transport of any kind can drive it.
 package protocol
@@ -21,7 +21,7 @@
 	mostInterim = 16 // answers with 1xx in front of one
 )
 
-// The errors of a message that can't be read. A Rejection's status follows from them.
+// The errors of a message that can't be read. A Refusal's status follows from them.
 var (
 	ErrMalformed = errors.New("protocol: malformed message")
 	ErrHeadSize  = errors.New("protocol: head too large")
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -162,7 +162,7 @@
 		"call with no key or body": {false, flat(Call{ID: "i", Host: "h"}.Buffers()),
 			read{"POST|/v1/messages|HTTP/1.1", "Host=h&X-Timeout-Ms=1&Content-Length=0&X-Request-ID=i", "", false}},
 		"taken on": {true, string(AppendAnswer(nil, 202, nil, false)), read{"HTTP/1.1|202|Accepted", "Content-Length=0", "", false}},
-		"refused": {true, string(AppendAnswer(nil, 0, &Rejection{Status: 503, Reason: "later", RetryAfter: 1200400 * time.Microsecond}, true)),
+		"refused": {true, string(AppendAnswer(nil, 0, &Refusal{Status: 503, Reason: "later", RetryAfter: 1200400 * time.Microsecond}, true)),
 			read{"HTTP/1.1|503|Service Unavailable", "Retry-After=1.201&Connection=close&Content-Length=5", "later", true}},
 		"report": {false, string(report), read{"POST|/reports|HTTP/1.1", "Host=d:1&Content-Type=application/json&Content-Length=99",
 			`{"message":"a\"b","outcome":"given_up"}` + "\n" + `{"message":"c","outcome":"handed_back","retry_in_ms":1500}` + "\n", false}},
@@ -199,14 +199,14 @@
 			t.Errorf("%q:\n%s", raw, diff)
 		}
 	}
-	got, err := ParseDirectory([]byte(`{"index":41,"snapshot":true,"more":1,"endpoints":[
+	got, err := ParseList([]byte(`{"index":41,"snapshot":true,"more":1,"endpoints":[
 		{"name":"s","address":"a:1","zone":"z","type":"m2","group":3,"status":"DRAINING","weight":1.5,"since_ms":0}]}`))
-	want := Directory{41, true, []Provider{{"s", "a:1", "z", "m2", 3, Draining, 1.5}}}
+	want := List{41, true, []Endpoint{{"s", "a:1", "z", "m2", 3, Draining, 1.5}}}
 	if diff := cmp.Diff(want, got); diff != "" || err != nil {
 		t.Errorf("list: %v\n%s", err, diff)
 	}
 	for _, raw := range []string{"", "[]", `{"endpoints":[{"name":"s","status":"ODD"}]}`, `{"endpoints":[{"status":"SERVING"}]}`} {
-		if _, err := ParseDirectory([]byte(raw)); !errors.Is(err, ErrMalformed) {
+		if _, err := ParseList([]byte(raw)); !errors.Is(err, ErrMalformed) {
 			t.Errorf("%s: %v", raw, err)
 		}
 	}
--- a/internal/pump/exchange.go
+++ b/internal/pump/exchange.go
@@ -14,7 +14,7 @@
 
 // The directions.
 const (
-	Up   Side = iota // from the client to the provider
+	Up   Side = iota // from the client to the endpoint
 	Down             // and back
 )
 
@@ -29,7 +29,7 @@
 	Pull             // take up to Step.Most bytes from the source unseen, and hold them
 	Push             // give Step.Most of the bytes held to the sink
 	Begin            // ask whether the first byte may go; an error, ErrForbidden or another, says no
-	Settle           // the provider has said that the message is delivered: book that before its client can hear of it
+	Settle           // the endpoint has said that the message is delivered: book that before its client can hear of it
 )
 
 // ErrForbidden tells Did that a call must not begin. Any other error there says that there is no connection to begin on.
@@ -50,14 +50,14 @@
 // End says how an exchange ended.
 type End int
 
-// The ends. But for Delivered and Answered nothing of them is known to the provider, or from it.
+// The ends. But for Delivered and Answered nothing of them is known to the endpoint, or from it.
 const (
 	Running         End = iota
-	Delivered           // the provider answered 200
+	Delivered           // the endpoint answered 200
 	Answered            // it answered otherwise; Reply holds
 	Spoilt              // its answer can't be read, or is not whole
 	Broken              // its connection ended before it answered
-	ProviderStalled     // no byte moved, and it was the provider's turn
+	EndpointStalled     // no byte moved, and it was the endpoint's turn
 	ClientGone          // the client's connection ended before its body
 	ClientStalled       // no byte moved, and it was the client's turn
 	ClientBad           // what the client sent is no body
@@ -66,7 +66,7 @@
 	Aborted
 )
 
-var endNames = [...]string{"running", "delivered", "answered", "spoilt", "broken", "provider stalled", "client gone",
+var endNames = [...]string{"running", "delivered", "answered", "spoilt", "broken", "endpoint stalled", "client gone",
 	"client stalled", "client bad", "time up", "not begun", "aborted"}
 
 // String names the end.
@@ -80,7 +80,7 @@
 
 // Config is what an exchange starts with. Times count from any one moment.
 type Config struct {
-	Up      *Pipe            // the client's body, with the provider's head
+	Up      *Pipe            // the client's body, with the endpoint's head
 	Answers *protocol.Parser // set to StreamAnswered
 	Window  func() []byte    // gives the window of the answer's body
 	Most    int64            // bytes of that body
@@ -107,16 +107,16 @@
 	end      End
 	movedAt  time.Duration
 	step     [2]Op // what each side is at
-	upOff    bool  // nothing goes to the provider any more
+	upOff    bool  // nothing goes to the endpoint any more
 	drain    int   // bytes that the client may still send to nobody
 	draining bool
-	begun    bool // a byte has gone to the provider
+	begun    bool // a byte has gone to the endpoint
 	early    bool // it answered before it had the whole body
 	phase    downPhase
 	answerBy time.Duration // the answer's head has to be there; 0 while nothing of it came
 	down     *Pipe
 	reply    protocol.Reply
-	last     bool // the provider's connection can't be used again
+	last     bool // the endpoint's connection can't be used again
 	heard    bool // a byte of the answer may have gone to the client
 	spoilt   bool // what came of the body while the exchange ended is none
 	cut      bool // the answer did not reach the client whole
@@ -128,10 +128,10 @@
 // End tells how the exchange ended.
 func (x *Exchange) End() End { return x.end }
 
-// Reply is the provider's answer, with Answered.
+// Reply is the endpoint's answer, with Answered.
 func (x *Exchange) Reply() protocol.Reply { return x.reply }
 
-// Begun says that a byte may have gone to the provider.
+// Begun says that a byte may have gone to the endpoint.
 func (x *Exchange) Begun() bool { return x.begun }
 
 // Heard says that a byte of the answer may have gone to the client.
@@ -150,10 +150,10 @@
 // Whole says that the client has its whole answer, with Delivered.
 func (x *Exchange) Whole() bool { return x.end == Delivered && !x.cut }
 
-// Reusable says whether the provider's and the client's connection can carry another message.
-func (x *Exchange) Reusable() (provider, client bool) {
-	provider = !x.early && x.cfg.Up.Done() && !x.last && (x.end == Answered || x.Whole())
-	return provider, x.Whole() && !x.early && x.cfg.Up.Whole() && !x.cfg.Up.Surplus() && !x.cfg.Last && !x.cfg.Old
+// Reusable says whether the endpoint's and the client's connection can carry another message.
+func (x *Exchange) Reusable() (endpoint, client bool) {
+	endpoint = !x.early && x.cfg.Up.Done() && !x.last && (x.end == Answered || x.Whole())
+	return endpoint, x.Whole() && !x.early && x.cfg.Up.Whole() && !x.cfg.Up.Surplus() && !x.cfg.Last && !x.cfg.Old
 }
 
 // Next says what a side is to do.
@@ -423,7 +423,7 @@
 	case clients:
 		x.finish(ClientStalled)
 	default:
-		x.finish(ProviderStalled)
+		x.finish(EndpointStalled)
 	}
 }
 
--- a/internal/pump/pipe.go
+++ b/internal/pump/pipe.go
@@ -1,4 +1,4 @@
-// Package pump moves the two bodies of a long message between a client's and a provider's connection, holding no more
+// Package pump moves the two bodies of a long message between a client's and an endpoint's connection, holding no more
 // of either than a fixed window. Everything here is a state machine that is fed bytes and times; it knows no socket and
 // no clock. Pipe is one direction, Exchange a whole call.
 package pump
--- a/internal/pump/pump_test.go
+++ b/internal/pump/pump_test.go
@@ -142,12 +142,12 @@
 	now      time.Duration
 	toSend   []byte // the client's
 	sendsEnd bool   // then it closes
-	answer   []byte // the provider's, from answerAt bytes of the call on
+	answer   []byte // the endpoint's, from answerAt bytes of the call on
 	answerAt int
-	ends     bool // the provider closes behind its answer
+	ends     bool // the endpoint closes behind its answer
 	stalls   bool // it stops reading at answerAt
 	resets   bool // it ends its connection there
-	provider []byte
+	endpoint []byte
 	client   []byte
 	held     [2][]byte // what the driver holds unseen, by side
 	settled  bool
@@ -196,15 +196,15 @@
 	case st.Op == Write && s == Up:
 		all := bytes.Join(st.Out, nil)
 		switch n = 1 + w.rng.IntN(len(all)); {
-		case w.stalls && len(w.provider) >= w.answerAt:
+		case w.stalls && len(w.endpoint) >= w.answerAt:
 			n, err = 0, os.ErrDeadlineExceeded
 			w.now = max(w.now, st.Until)
-		case w.resets && len(w.provider) >= w.answerAt:
+		case w.resets && len(w.endpoint) >= w.answerAt:
 			n, err = 0, errBroken
 		}
-		w.provider = append(w.provider, all[:n]...)
+		w.endpoint = append(w.endpoint, all[:n]...)
 	case st.Op == Read && s == Down:
-		switch ready := len(w.provider) >= w.answerAt; {
+		switch ready := len(w.endpoint) >= w.answerAt; {
 		case ready && w.resets:
 			err = io.EOF
 		case ready && len(w.answer) > 0:
@@ -257,7 +257,7 @@
 			}
 		}
 		answerWhole := true
-		switch rapid.IntRange(0, 7).Draw(t, "provider") {
+		switch rapid.IntRange(0, 7).Draw(t, "endpoint") {
 		case 0:
 			w.answer = []byte(head + "Transfer-Encoding: chunked\r\n\r\n" + string(wire(back, protocol.Chunked, "", rng)))
 		case 1:
@@ -308,14 +308,14 @@
 			}
 		}
 		end := w.x.End()
-		if up.Done() != (len(w.provider) > 4 && wholeCall(w.provider[4:], f, len(content))) {
-			t.Fatalf("%v: done %v with %d bytes at the provider", end, up.Done(), len(w.provider))
+		if up.Done() != (len(w.endpoint) > 4 && wholeCall(w.endpoint[4:], f, len(content))) {
+			t.Fatalf("%v: done %v with %d bytes at the endpoint", end, up.Done(), len(w.endpoint))
 		}
-		if sent := w.provider[min(4, len(w.provider)):]; f == protocol.ByLength && cut != 3 && !bytes.HasPrefix(content, sent) {
-			t.Fatalf("%v: the provider has other bytes", end)
+		if sent := w.endpoint[min(4, len(w.endpoint)):]; f == protocol.ByLength && cut != 3 && !bytes.HasPrefix(content, sent) {
+			t.Fatalf("%v: the endpoint has other bytes", end)
 		}
 		if (end == ClientGone || end == ClientStalled || end == ClientBad) && up.Done() {
-			t.Fatalf("%v, and the provider has a whole call", end)
+			t.Fatalf("%v, and the endpoint has a whole call", end)
 		}
 		if w.settled && end != Delivered || w.x.Heard() && !w.settled {
 			t.Fatalf("%v, settled %v", end, w.settled)
@@ -331,7 +331,7 @@
 				t.Fatalf("answer of %d bytes, %d wanted", len(body), len(back))
 			}
 		}
-		if provider, client := w.x.Reusable(); (provider || client) && !up.Done() {
+		if endpoint, client := w.x.Reusable(); (endpoint || client) && !up.Done() {
 			t.Fatalf("%v: connections are kept behind half a call", end)
 		}
 		for w.step(Up) || w.step(Down) {
--- a/internal/routing/calls.go
+++ b/internal/routing/calls.go
@@ -11,11 +11,11 @@
 
 // Calls that are out. The router's goroutine only, but for what a call's own goroutine does in between.
 
-// invocation is a call that is out, from its Send until its connection has nothing of it any more.
-type invocation struct {
+// attempt is a call that is out, from its Send until its connection has nothing of it any more.
+type attempt struct {
 	msg       *held
 	number    int
-	provider  string
+	endpoint  string
 	sentAt    time.Time
 	cutAt     time.Time
 	begun     bool   // its first byte may have been written
@@ -35,7 +35,7 @@
 		return
 	}
 	now := time.Now()
-	c := &invocation{msg: h, number: h.attempts, provider: string(a.Endpoint), sentAt: now, cutAt: h.deadline}
+	c := &attempt{msg: h, number: h.attempts, endpoint: string(a.Endpoint), sentAt: now, cutAt: h.deadline}
 	if cut := r.clock(a.CutAt); a.CutAt > 0 && cut.Before(c.cutAt) {
 		c.cutAt = cut
 	}
@@ -48,8 +48,8 @@
 	r.counters.Sends++
 	ctx, cancel := context.WithDeadline(r.ctx, c.cutAt)
 	c.cancel = cancel
-	call := InvokerCall{
-		ID: h.ID, Key: h.Key, Body: h.Body, Provider: c.provider, Address: r.providers[c.provider].Address, CutAt: c.cutAt,
+	call := Attempt{
+		ID: h.ID, Key: h.Key, Body: h.Body, Endpoint: c.endpoint, Address: r.endpoints[c.endpoint].Address, CutAt: c.cutAt,
 		Fresh: a.Fresh,
 		Begin: func() bool { return r.letGo(c) },
 	}
@@ -63,7 +63,7 @@
 			return served
 		}
 	}
-	if !r.mayGo(r.providers[c.provider]) {
+	if !r.mayGo(r.endpoints[c.endpoint]) {
 		r.counters.HeldBack++
 		cancel()
 		r.tasks.Go(func() error { r.post(func() { r.answered(c, Result{Outcome: mb.Moot}) }); return nil })
@@ -79,7 +79,7 @@
 			}
 			call.Body = body
 		}
-		result := r.cfg.Invoker.Invoke(ctx, call)
+		result := r.cfg.Caller.Call(ctx, call)
 		r.post(func() { r.answered(c, result) })
 		return nil
 	})
@@ -87,7 +87,7 @@
 
 // letGo lets a call's first byte go, in its own goroutine. Its start outlasts what the journal's durability says by then;
 // where that took its time, all is looked at again.
-func (r *Router) letGo(c *invocation) bool {
+func (r *Router) letGo(c *attempt) bool {
 	begin := func() (record uint64) {
 		if r.begin(c) {
 			record = r.cfg.Log.Last()
@@ -112,7 +112,7 @@
 }
 
 // unreadable ends a message whose body can't be read back for a call: no later one could be made either.
-func (r *Router) unreadable(c *invocation, err error) {
+func (r *Router) unreadable(c *attempt, err error) {
 	h := c.msg
 	r.counters.Lost++
 	r.trouble().Uint64("message", h.seq).Err(err).Msg("body not readable, message ended")
@@ -126,8 +126,8 @@
 
 // begin lets a call's first byte go. Between the module's send and this moment the list may have changed, the message
 // may have ended, its time or its window may be up, or a wait may have been told.
-func (r *Router) begin(c *invocation) bool {
-	p, listed := r.providers[c.provider]
+func (r *Router) begin(c *attempt) bool {
+	p, listed := r.endpoints[c.endpoint]
 	switch {
 	case r.over, c.msg.ended, c.cancelled, !time.Now().Before(c.cutAt):
 		return false
@@ -157,7 +157,7 @@
 }
 
 // answered books the end of a call.
-func (r *Router) answered(c *invocation, result Result) {
+func (r *Router) answered(c *attempt, result Result) {
 	h := c.msg
 	h.call = nil
 	r.calls--
@@ -174,7 +174,7 @@
 	r.counters.outcome(out)
 	r.steered(c, out)
 	if l := result.Limit; r.cfg.Steering != nil && l != nil && l.Rate > 0 && !math.IsInf(l.Rate, 1) {
-		r.cfg.Steering.Limited(h.Destination, r.providers[c.provider].Zone, l.Rate)
+		r.cfg.Steering.Limited(h.Destination, r.endpoints[c.endpoint].Zone, l.Rate)
 	}
 	h.last = out
 	never := out == mb.Full || out == mb.ConnectFailed || out == mb.Moot
@@ -195,14 +195,14 @@
 		h.away, h.returns = false, false
 		defer r.submitAgain(m, h)
 	}
-	if r.providers[c.provider].State != mb.Serving || r.providers[c.provider].Address == "" {
-		r.cfg.Invoker.CloseIdle(c.provider) // it was listed so while this call was out
+	if r.endpoints[c.endpoint].State != mb.Serving || r.endpoints[c.endpoint].Address == "" {
+		r.cfg.Caller.CloseIdle(c.endpoint) // it was listed so while this call was out
 	}
 	if r.cfg.Steering != nil && result.Wait > 0 { // its places are judged apart, and wait together
 		r.decider.Wait(r.now(), mb.DestinationID(h.Destination), result.Wait)
 	}
 	r.decide(mb.Answer{
-		ID: mb.MessageID(h.seq), Attempt: c.number, Endpoint: mb.EndpointID(c.provider), Outcome: out,
+		ID: mb.MessageID(h.seq), Attempt: c.number, Endpoint: mb.EndpointID(c.endpoint), Outcome: out,
 		Latency: time.Since(c.sentAt), Settled: over || h.ended, Wait: result.Wait, Limit: result.Limit,
 		Kept: result.Kept, Spent: result.Spent,
 	})
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -11,7 +11,7 @@
 	HandedIn, Taken, Repeated            int64 // requests; taken on; handed in again while held
 	RefusedAtOnce, FailedAtOnce          int64 // by the module, before anything was owed
 	TurnedAway, NoRoom, Unreadable       int64 // over most-held; no room on disk; unknown class or destination
-	Withdrawn, Resumed                   int64 // consumer gone before its 202; of an earlier life
+	Withdrawn, Resumed                   int64 // client gone before its 202; of an earlier life
 	Lost                                 int64 // body not readable in the journal any more
 	Sends, HeldBack                      int64 // calls; those stopped before their first byte
 	Delivered, Errors, Full, TimedOut    int64 // outcomes
--- a/internal/routing/held.go
+++ b/internal/routing/held.go
@@ -19,7 +19,7 @@
 	mark     uint64 // and its place in what goes to others
 	deadline time.Time
 	attempts int
-	call     *invocation // the attempt that is out
+	call     *attempt // the attempt that is out
 	ended    bool
 	mayRun   bool        // an attempt may have run
 	last     mb.Outcome  // of its latest attempt
--- a/internal/routing/lasting_test.go
+++ b/internal/routing/lasting_test.go
@@ -65,7 +65,7 @@
 	return r, s, g, faults
 }
 
-// Neither the answer to a consumer nor a call's first byte comes before its record is durable; the router goes on meanwhile.
+// Neither the answer to a client nor a call's first byte comes before its record is durable; the router goes on meanwhile.
 func TestNothingIsToldBeforeItLasts(t *testing.T) {
 	r, s, g, _ := newLasting(t, wal.Options{Durability: store.Batch})
 	g.shut()
@@ -106,18 +106,18 @@
 	begun := make(chan bool, 1)
 	go func() { begun <- c.Begin() }()
 	<-g.tried
-	r.Learn(Directory{Providers: []Provider{{Name: "a", Address: "a:1", Group: 7, State: mb.Draining}}})
+	r.Learn(List{Endpoints: []Endpoint{{Name: "a", Address: "a:1", Group: 7, State: mb.Draining}}})
 	r.Counters() // behind the list
 	g.open(nil)
 	if <-begun {
-		t.Error("a call began to a provider that drains")
+		t.Error("a call began to an endpoint that drains")
 	}
 	s.results <- Result{Outcome: mb.Moot}
 	for r.Counters().Moot == 0 {
 	}
 }
 
-// When a sync fails the consumer is refused with a time to come again, and no call of the message leaves.
+// When a sync fails the client is refused with a time to come again, and no call of the message leaves.
 func TestNothingLeavesWithoutTheSync(t *testing.T) {
 	r, s, g, _ := newLasting(t, wal.Options{Durability: store.Batch})
 	g.shut()
--- a/internal/routing/long.go
+++ b/internal/routing/long.go
@@ -11,7 +11,7 @@
 // Long marks a message whose body is passed on as it comes. Nothing of the body is held or journalled, so no later life
 // can send it: a restart ends it.
 type Long struct {
-	Source any // what the invoker takes the body from, and passes the answer to
+	Source any // what the caller takes the body from, and passes the answer to
 	// Ended is told, once, how the message ended, which outlasts what the journal's durability says; it must not wait.
 	Ended func(Ending)
 }
@@ -22,7 +22,7 @@
 	RetryAfter time.Duration // with Refused: when to come again
 	MayHaveRun bool          // with Refused or Failed
 	TimeUp     bool          // with Failed
-	// Told must be called, unless it is nil: whether the consumer has its answer. If it has not, a notice ends the message.
+	// Told must be called, unless it is nil: whether the client has its answer. If it has not, a notice ends the message.
 	Told func(bool)
 }
 
@@ -33,7 +33,7 @@
 	Longest time.Duration // how long one may live
 }
 
-// toldFor is how long the end of this life waits for consumers to be told of their long messages' ends. It ends before
+// toldFor is how long the end of this life waits for clients to be told of their long messages' ends. It ends before
 // the kill that follows a stop.
 const toldFor = 300 * time.Millisecond
 
@@ -56,15 +56,15 @@
 	}
 }
 
-// settle books a delivery that a provider has told of, before the consumer can hear of it.
-func (r *Router) settle(c *invocation) {
+// settle books a delivery that an endpoint has told of, before the client can hear of it.
+func (r *Router) settle(c *attempt) {
 	if !c.msg.ended {
 		r.end(c.msg, wal.Over, 0)
 	}
 }
 
-// finishLong tells a long message's consumer of its end. The end is journalled by now; should this life end before the
-// consumer is told, the next one's notice tells it.
+// finishLong tells a long message's client of its end. The end is journalled by now; should this life end before the
+// client is told, the next one's notice tells it.
 func (r *Router) finishLong(h *held, e wal.Ending, retry time.Duration) {
 	end := Ending{Kind: Failed, RetryAfter: retry, MayHaveRun: h.mayRun, TimeUp: h.timeUp()}
 	if e == wal.Refused {
@@ -83,7 +83,7 @@
 			}
 		})
 	}
-	r.cfg.Log.AfterCommit(func(error) { h.Long.Ended(end) }) // told even if nobody knows: its consumer waits
+	r.cfg.Log.AfterCommit(func(error) { h.Long.Ended(end) }) // told even if nobody knows: its client waits
 }
 
 // timeUp says that a message was given up because its time, or that of an attempt, was over.
@@ -109,7 +109,7 @@
 	r.journal(r.cfg.Log.End(h.seq, wal.Over, 0)) // its id's time is over by now
 }
 
-// overLong tells a long message's consumer that nothing more is owed: it was delivered, or nobody wants it.
+// overLong tells a long message's client that nothing more is owed: it was delivered, or nobody wants it.
 func (r *Router) overLong(h *held, delivered bool) {
 	end := Ending{Kind: Known}
 	if !delivered {
--- a/internal/routing/long_test.go
+++ b/internal/routing/long_test.go
@@ -19,7 +19,7 @@
 	}, ends
 }
 
-// A delivery is journalled as over before its consumer can hear of it, and told once.
+// A delivery is journalled as over before its client can hear of it, and told once.
 func TestLongDeliveryIsBookedFirst(t *testing.T) {
 	dir := t.TempDir()
 	r, s, journal, end := newRouterIn(t, dir)
@@ -32,7 +32,7 @@
 		t.Errorf("call %+v", call)
 	}
 	if live, _ := ask(r, func() int { return len(journal.Live()) }); live != 0 || len(ends) != 0 {
-		t.Errorf("%d live messages when the consumer hears, %d ends", live, len(ends))
+		t.Errorf("%d live messages when the client hears, %d ends", live, len(ends))
 	}
 	s.results <- Result{Outcome: mb.OK, Spent: true}
 	if e := <-ends; e.Kind != Known || e.Told != nil {
@@ -47,7 +47,7 @@
 	}
 }
 
-// A consumer that was told gets no notice, one that was not gets one; either way the id of what may have run is known
+// A client that was told gets no notice, one that was not gets one; either way the id of what may have run is known
 // beyond a restart, and nothing is sent again.
 func TestLongEndsAreToldOnce(t *testing.T) {
 	for _, told := range []bool{true, false} {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -25,13 +25,13 @@
 type Config struct {
 	Settings mb.Settings
 	Seed     uint64
-	Known    Directory
+	Known    List
 	Log      *wal.Log
-	Invoker  Invoker
+	Caller   Caller
 	Notifier Notifier
 	Logger   zerolog.Logger
 	Drain    time.Duration // after the stop: how long calls may be out, at the most
-	Settle   time.Duration // after the stop: how long consumers may still come, and are answered
+	Settle   time.Duration // after the stop: how long clients may still come, and are answered
 	Long     LongLimits
 	Recall   *mb.Learned // what an earlier life had learned; nil is nothing
 	// Past says whether a message of that id has ended in an earlier life, and whether it was delivered; nil knows of none.
@@ -56,18 +56,18 @@
 	events    chan func()
 	done      chan struct{}
 	classes   map[string]time.Duration // how long a message may live
-	providers map[string]Provider
+	endpoints map[string]Endpoint
 	groups    map[int64]bool  // destinations ever listed
-	barred    map[string]bool // providers to which calls may not go now; see Steering
+	barred    map[string]bool // endpoints to which calls may not go now; see Steering
 	messages  map[uint64]*held
-	ids       map[string]*held // by the consumers' id, until the end
+	ids       map[string]*held // by the clients' id, until the end
 	past      pastIDs
 	waiting   map[uint64]*held // ended in an earlier life; whether this one tells of it is not known yet
 	noticed   map[uint64]*held // ended, and not acknowledged; kept only where others hold copies
 	longest   time.Duration    // of any class
 	longs     int              // long messages held or out
 	longCalls int              // of these, those out
-	untold    int              // ends of long messages of which the consumer has not been told
+	untold    int              // ends of long messages of which the client has not been told
 	calls     int
 	notices   int // not acknowledged yet
 	timers    []timer
@@ -88,7 +88,7 @@
 	}
 	r := &Router{
 		cfg: cfg, decider: decider, startedAt: time.Now(), events: make(chan func(), eventRoom),
-		done: make(chan struct{}), classes: map[string]time.Duration{}, providers: map[string]Provider{},
+		done: make(chan struct{}), classes: map[string]time.Duration{}, endpoints: map[string]Endpoint{},
 		groups: map[int64]bool{}, barred: map[string]bool{}, messages: map[uint64]*held{}, ids: map[string]*held{},
 		past: pastIDs{delivered: map[string]bool{}}, waiting: map[uint64]*held{}, noticed: map[uint64]*held{},
 	}
@@ -149,7 +149,7 @@
 	}
 }
 
-// drainEvents serves what is left after the last call: its outcome, and whether consumers of long messages were told.
+// drainEvents serves what is left after the last call: its outcome, and whether clients of long messages were told.
 func (r *Router) drainEvents() {
 	late := time.NewTimer(toldFor)
 	defer late.Stop()
@@ -179,7 +179,7 @@
 	r.decide(mb.Closing{In: in})
 }
 
-// drained says whether this life may end: consumers have stopped coming, and nothing is held, out or still to be told.
+// drained says whether this life may end: clients have stopped coming, and nothing is held, out or still to be told.
 func (r *Router) drained() bool {
 	if r.stopAt.IsZero() {
 		return false
@@ -239,7 +239,7 @@
 	return v
 }
 
-// Withdraw drops a message whose consumer could not be told that it was taken on: to the consumer it counts for
+// Withdraw drops a message whose client could not be told that it was taken on: to the client it counts for
 // nothing, and it will be handed in again.
 func (r *Router) Withdraw(id string) {
 	r.post(func() {
@@ -253,8 +253,8 @@
 	})
 }
 
-// Learn tells of the directory's list.
-func (r *Router) Learn(d Directory) { r.post(func() { r.learn(d) }) }
+// Learn tells of discovery's list.
+func (r *Router) Learn(d List) { r.post(func() { r.learn(d) }) }
 
 // Counters gives the counters as they are now.
 func (r *Router) Counters() Counters {
@@ -309,12 +309,12 @@
 				h.call.cancel()
 			}
 		case mb.Close:
-			r.cfg.Invoker.CloseIdle(string(a.Endpoint))
+			r.cfg.Caller.CloseIdle(string(a.Endpoint))
 		case mb.SetTimer:
 			r.timers = append(r.timers, timer{time.Now().Add(a.After), a.Cookie})
 		case mb.Log:
 			r.cfg.Logger.Info().Str("part", "module").Msg(a.Text)
-		case mb.Probe, mb.Subscribe: // probing is ruled out; the directory's watch always runs
+		case mb.Probe, mb.Subscribe: // probing is ruled out; discovery's watch always runs
 		}
 	}
 }
@@ -355,7 +355,7 @@
 	}
 }
 
-func (r *Router) learn(d Directory) {
+func (r *Router) learn(d List) {
 	scope := mb.ListChanges
 	switch {
 	case d.Saved:
@@ -364,27 +364,27 @@
 		scope = mb.ListWhole
 	}
 	if scope != mb.ListChanges { // what is not in it is gone
-		listed := make(map[string]bool, len(d.Providers))
-		for _, p := range d.Providers {
+		listed := make(map[string]bool, len(d.Endpoints))
+		for _, p := range d.Endpoints {
 			listed[p.Name] = true
 		}
-		for name := range r.providers {
+		for name := range r.endpoints {
 			if !listed[name] {
-				r.cfg.Invoker.CloseIdle(name)
-				delete(r.providers, name)
+				r.cfg.Caller.CloseIdle(name)
+				delete(r.endpoints, name)
 				delete(r.barred, name)
 			}
 		}
 	}
-	entries := make([]mb.Entry, 0, len(d.Providers))
-	for _, p := range d.Providers {
-		if old, ok := r.providers[p.Name]; p.State != mb.Serving || ok && old.Address != p.Address {
-			r.cfg.Invoker.CloseIdle(p.Name)
+	entries := make([]mb.Entry, 0, len(d.Endpoints))
+	for _, p := range d.Endpoints {
+		if old, ok := r.endpoints[p.Name]; p.State != mb.Serving || ok && old.Address != p.Address {
+			r.cfg.Caller.CloseIdle(p.Name)
 		}
 		if p.State == mb.Deleted {
-			delete(r.providers, p.Name)
+			delete(r.endpoints, p.Name)
 		} else {
-			r.providers[p.Name] = p
+			r.endpoints[p.Name] = p
 			r.groups[p.Group] = true
 		}
 		entries = append(entries, r.entry(p))
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -1,6 +1,6 @@
 // Package routing runs the decision module in real time. One goroutine, the Router's, owns the Decider, the messages
 // held, the calls out, the timers, the journal and the counters: events go in, actions come out. It knows no wire
-// format; what speaks one is put before it (Take, Learn) and behind it (Invoker, Notifier).
+// format; what speaks one is put before it (Take, Learn) and behind it (Caller, Notifier).
 package routing
 
 import (
@@ -10,7 +10,7 @@
 	mb "mulleinbeam"
 )
 
-// Message is what a consumer hands in.
+// Message is what a client hands in.
 type Message struct {
 	ID, Key     string
 	Class       string
@@ -31,7 +31,7 @@
 // VerdictKind says what became of a message that was handed in.
 type VerdictKind int
 
-// The verdicts. Unknown classes and destinations are the consumer's error.
+// The verdicts. Unknown classes and destinations are the client's error.
 const (
 	Taken VerdictKind = iota
 	Known             // taken on before under this id, and held or delivered
@@ -44,8 +44,8 @@
 	Unsure  // taken on, perhaps, and perhaps held by others: nothing can be told
 )
 
-// Provider is one endpoint as the directory lists it.
-type Provider struct {
+// Endpoint is one endpoint as discovery lists it.
+type Endpoint struct {
 	Name, Address string
 	Zone, Kind    string
 	Group         int64
@@ -53,23 +53,23 @@
 	State         mb.Readiness
 }
 
-// Directory is a list of providers: the whole one, or the entries that changed.
-type Directory struct {
+// List is a list of endpoints: the whole one, or the entries that changed.
+type List struct {
 	Whole     bool
 	Saved     bool // the list as it was last held, perhaps out of date
-	Providers []Provider
+	Endpoints []Endpoint
 }
 
-// InvokerCall is one attempt: a message on its way to a provider.
-type InvokerCall struct {
+// Attempt is one attempt: a message on its way to an endpoint.
+type Attempt struct {
 	ID, Key  string
 	Body     []byte
-	Provider string
+	Endpoint string
 	Address  string
 	CutAt    time.Time // the attempt is abandoned then
 	Fresh    bool      // on a new connection
 	Source   any       // of a long message: Long.Source; there is no Body then
-	// Settle must be asked, for a long message, once its delivery is known and before its consumer can hear of that.
+	// Settle must be asked, for a long message, once its delivery is known and before its client can hear of that.
 	Settle func() bool
 	// Begin must be asked just before the first byte is written; false forbids it.
 	Begin func() bool
@@ -79,18 +79,18 @@
 type Result struct {
 	Outcome mb.Outcome
 	Wait    time.Duration   // with Full: the wait told, zero if none
-	Limit   *mb.LimitReport // what the provider told of its limit, if anything
+	Limit   *mb.LimitReport // what the endpoint told of its limit, if anything
 	Over    bool            // the message is over: nothing more is owed
 	Kept    bool            // it went on a connection that had carried a call before
 	Spent   bool            // of a long message: its body is gone, and no further attempt can be made
 }
 
-// Invoker makes calls. Invoke returns when the attempt has ended and nothing of it is on a connection any more; when
+// Caller makes calls. Call returns when the attempt has ended and nothing of it is on a connection any more; when
 // ctx ends before that, it gives the attempt up.
-type Invoker interface {
-	Invoke(ctx context.Context, call InvokerCall) Result
-	// CloseIdle closes the idle connections to a provider.
-	CloseIdle(provider string)
+type Caller interface {
+	Call(ctx context.Context, call Attempt) Result
+	// CloseIdle closes the idle connections to an endpoint.
+	CloseIdle(endpoint string)
 }
 
 // Notice tells the platform how a message ended that was taken on and not delivered.
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -14,14 +14,14 @@
 	"mulleinbeam/internal/routing/wal"
 )
 
-// script is an invoker and a notifier that tell the test what they are given.
+// script is an caller and a notifier that tell the test what they are given.
 type script struct {
-	calls   chan InvokerCall
+	calls   chan Attempt
 	results chan Result
 	notices chan Notice
 }
 
-func (s script) Invoke(ctx context.Context, c InvokerCall) Result {
+func (s script) Call(ctx context.Context, c Attempt) Result {
 	s.calls <- c
 	select {
 	case r := <-s.results:
@@ -35,7 +35,7 @@
 
 func (s script) Notify(n Notice) { s.notices <- n }
 
-// newRouter runs a router with one provider, "a" of destination 7, on a journal in a folder of its own.
+// newRouter runs a router with one endpoint, "a" of destination 7, on a journal in a folder of its own.
 func newRouter(t *testing.T) (*Router, script, *wal.Log) {
 	t.Helper()
 	r, s, journal, _ := newRouterIn(t, t.TempDir())
@@ -56,7 +56,7 @@
 // runRouter runs a router on a journal, which it closes at the end.
 func runRouter(t *testing.T, journal *wal.Log) (r *Router, s script, end func()) {
 	t.Helper()
-	s = script{make(chan InvokerCall, 8), make(chan Result, 8), make(chan Notice, 8)}
+	s = script{make(chan Attempt, 8), make(chan Result, 8), make(chan Notice, 8)}
 	r, err := New(Config{
 		Settings: mb.Settings{
 			Couriers: 1, Slots: 4, LongSlots: 1, MostHeld: 10, MaxAttempts: 6, MaxRetryAfter: time.Second,
@@ -65,8 +65,8 @@
 				{Name: "keyed", Target: time.Second, GiveUp: time.Minute, Worth: 1, Effect: mb.Keyed, KeyTTL: 1500 * time.Millisecond},
 			},
 		},
-		Known: Directory{Whole: true, Saved: true, Providers: []Provider{{Name: "a", Address: "a:1", Group: 7, Weight: 50}}},
-		Log:   journal, Invoker: s, Notifier: s, Logger: zerolog.Nop(),
+		Known: List{Whole: true, Saved: true, Endpoints: []Endpoint{{Name: "a", Address: "a:1", Group: 7, Weight: 50}}},
+		Log:   journal, Caller: s, Notifier: s, Logger: zerolog.Nop(),
 		Long: LongLimits{Most: 2, Slots: 1, Longest: time.Hour},
 	})
 	if err != nil {
@@ -99,7 +99,7 @@
 
 // Between a send and its first byte the list may change: then the call does not begin, and counts as never sent.
 func TestListIsLookedAtAgainBeforeTheFirstByte(t *testing.T) {
-	for name, change := range map[string]Provider{
+	for name, change := range map[string]Endpoint{
 		"drains":        {Name: "a", Address: "a:1", Group: 7, State: mb.Draining},
 		"is gone":       {Name: "a", Address: "a:1", Group: 7, State: mb.Deleted},
 		"changes group": {Name: "a", Address: "a:1", Group: 8},
@@ -109,15 +109,15 @@
 			t.Fatalf("verdict %+v", got)
 		}
 		c := <-s.calls
-		r.Learn(Directory{Providers: []Provider{change}})
+		r.Learn(List{Endpoints: []Endpoint{change}})
 		if c.Begin() {
-			t.Errorf("a call began to a provider that %s", name)
+			t.Errorf("a call began to an endpoint that %s", name)
 		}
 		s.results <- Result{Outcome: mb.Moot}
 	}
 }
 
-// A repeat that is sent within its window, on a connection that comes up only behind it, does not begin: the provider would
+// A repeat that is sent within its window, on a connection that comes up only behind it, does not begin: the endpoint would
 // take it for a new message. It was fleets' rule of duplicates that this broke, where connects took their whole second.
 func TestAConnectionThatComesUpBehindTheWindowCarriesNoRepeat(t *testing.T) {
 	for _, took := range []time.Duration{500 * time.Millisecond, 1700 * time.Millisecond} {
--- a/internal/routing/shared.go
+++ b/internal/routing/shared.go
@@ -310,7 +310,7 @@
 }
 
 // confirmTaken waits, outside the router's goroutine, until a message that was taken on is held by whoever counts. Where that is
-// not known in time, some may hold it and take it over: it stays, and its consumer is told nothing.
+// not known in time, some may hold it and take it over: it stays, and its client is told nothing.
 func (r *Router) confirmTaken(m Message, v Verdict) Verdict {
 	alone, err := r.cfg.Guard.Held(v.mark, m.Class)
 	switch {
--- a/internal/routing/steer.go
+++ b/internal/routing/steer.go
@@ -34,7 +34,7 @@
 
 func (r *Router) steer() {
 	var entries []mb.Entry
-	for name, p := range r.providers {
+	for name, p := range r.endpoints {
 		if p.State == mb.Serving && r.barred[name] == r.cfg.Steering.Allows(p.Group, p.Zone) {
 			entries = append(entries, r.entry(p))
 		}
@@ -45,7 +45,7 @@
 }
 
 // entry is what the module is told of an endpoint.
-func (r *Router) entry(p Provider) mb.Entry {
+func (r *Router) entry(p Endpoint) mb.Entry {
 	state := p.State
 	if r.cfg.Steering != nil {
 		if delete(r.barred, p.Name); state == mb.Serving && !r.cfg.Steering.Allows(p.Group, p.Zone) {
@@ -59,7 +59,7 @@
 }
 
 // mayGo says whether a call may be made where it goes, and books it.
-func (r *Router) mayGo(p Provider) bool {
+func (r *Router) mayGo(p Endpoint) bool {
 	if r.cfg.Steering == nil {
 		return true
 	}
@@ -71,14 +71,14 @@
 }
 
 // steered tells how a call ended. One that the module called off because it had no answer for far too long is one without an answer.
-func (r *Router) steered(c *invocation, out mb.Outcome) {
+func (r *Router) steered(c *attempt, out mb.Outcome) {
 	if out == mb.Cancelled && c.stuck {
 		out = mb.TimedOut
 	}
 	if r.cfg.Steering == nil || out == mb.Moot || out == mb.Cancelled {
 		return
 	}
-	p := r.providers[c.provider]
+	p := r.endpoints[c.endpoint]
 	r.cfg.Steering.Called(c.msg.Destination, p.Zone, out, time.Since(c.sentAt))
 }
 
@@ -86,7 +86,7 @@
 func (r *Router) Sites() map[int64]map[string]float64 {
 	sites, _ := ask(r, func() map[int64]map[string]float64 {
 		out := map[int64]map[string]float64{}
-		for _, p := range r.providers {
+		for _, p := range r.endpoints {
 			if p.State != mb.Serving {
 				continue
 			}
--- a/internal/transport/agent.go
+++ b/internal/transport/agent.go
@@ -194,18 +194,18 @@
 	}
 }
 
-// Directory watches discovery's list.
-type Directory struct {
+// Discovery watches discovery's list.
+type Discovery struct {
 	Address *Address
 	Since   int64 // the version known; below zero for none
 	Asking  Asking
-	Learn   func(protocol.Directory)
+	Learn   func(protocol.List)
 	Logger  zerolog.Logger
 }
 
 // Watch passes on every change until ctx ends. While discovery is silent it keeps asking; nothing waits for it. When
 // the address moves, it turns there at once and asks for the whole list: versions are the old address's own.
-func (d *Directory) Watch(ctx context.Context) error {
+func (d *Discovery) Watch(ctx context.Context) error {
 	a := &agent{}
 	defer a.close()
 	defer d.Address.drop()
@@ -225,16 +225,16 @@
 		case here.Err() != nil && err != nil: // the end, or another address
 		case err != nil:
 			if failing++; failing == 1 {
-				d.Logger.Warn().Str("part", "directory").Err(err).Msg("no answer, the list held stands")
+				d.Logger.Warn().Str("part", "discovery").Err(err).Msg("no answer, the list held stands")
 			}
 			pause(here, d.Asking.again(failing, time.Since(started), moved))
 		default:
 			if failing > 0 || moved {
-				d.Logger.Info().Str("part", "directory").Str("address", at).Int64("version", list.Index).Msg("answers")
+				d.Logger.Info().Str("part", "discovery").Str("address", at).Int64("version", list.Index).Msg("answers")
 			}
 			failing, moved = 0, false
 			d.Since = list.Index
-			if list.Whole || len(list.Providers) > 0 {
+			if list.Whole || len(list.Endpoints) > 0 {
 				d.Learn(list)
 			}
 		}
@@ -254,27 +254,27 @@
 }
 
 // next makes one call: a watch, or one for the whole list, which has nothing to wait for.
-func (d *Directory) next(ctx context.Context, a *agent) (protocol.Directory, error) {
+func (d *Discovery) next(ctx context.Context, a *agent) (protocol.List, error) {
 	started, most := time.Now(), callMost
 	if d.Since < 0 {
 		most = listMost
 	}
 	if err := a.connect(ctx); err != nil {
-		return protocol.Directory{}, err
+		return protocol.List{}, err
 	}
 	left := most - time.Since(started)
 	m, err := a.do(ctx, protocol.AppendWatch(nil, a.address, d.Since, max(0, left-watchSlack)), left)
 	if err != nil {
-		return protocol.Directory{}, err
+		return protocol.List{}, err
 	}
 	switch status := m.Status(); {
 	case status == 200:
-		return protocol.ParseDirectory(m.Body)
+		return protocol.ParseList(m.Body)
 	case status < 500 && d.Since >= 0: // a version that it does not know any more: the whole list; one that is busy may know it
 		d.Since = -1
 		return d.next(ctx, a)
 	default:
-		return protocol.Directory{}, fmt.Errorf("transport: discovery answered %d", status)
+		return protocol.List{}, fmt.Errorf("transport: discovery answered %d", status)
 	}
 }
 
--- a/internal/transport/asking_test.go
+++ b/internal/transport/asking_test.go
@@ -113,9 +113,9 @@
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan error, 1)
-		d := Directory{
+		d := Discovery{
 			Address: NewAddress(discovery), Since: 7, Logger: zerolog.Nop(),
-			Learn: func(protocol.Directory) { t.Error("a refusal taught a list") },
+			Learn: func(protocol.List) { t.Error("a refusal taught a list") },
 		}
 		go func() { ended <- d.Watch(ctx) }()
 		if first, second := <-asked, <-asked; first != "7" || second != since {
@@ -171,11 +171,11 @@
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list)
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	learned, ended := make(chan protocol.Directory, 1), make(chan error, 1)
-	d := Directory{
+	learned, ended := make(chan protocol.List, 1), make(chan error, 1)
+	d := Discovery{
 		Address: NewAddress(discovery), Since: 7, Logger: zerolog.Nop(),
 		Asking: Asking{first: time.Hour, most: time.Hour, chance: func() float64 { return 0 }},
-		Learn: func(l protocol.Directory) {
+		Learn: func(l protocol.List) {
 			select {
 			case learned <- l:
 			default: // once is enough
@@ -218,15 +218,15 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	learned := make(chan protocol.Directory, 100)
-	d := Directory{
+	learned := make(chan protocol.List, 100)
+	d := Discovery{
 		Address: NewAddress(discovery), Since: 7, Logger: zerolog.Nop(),
 		Asking: AskingFor(80, 20*time.Millisecond, rand.New(rand.NewPCG(1, 2)).Float64), // pauses of retryPause
-		Learn:  func(list protocol.Directory) { learned <- list },
+		Learn:  func(list protocol.List) { learned <- list },
 	}
 	ended := make(chan error, 1)
 	go func() { ended <- d.Watch(ctx) }()
-	if first := <-learned; first.Index != 9 || len(first.Providers) != 1 {
+	if first := <-learned; first.Index != 9 || len(first.Endpoints) != 1 {
 		t.Errorf("learned %+v", first)
 	}
 	cancel()
--- a/internal/transport/consumers.go
+++ b/internal/transport/clients.go
@@ -1,5 +1,5 @@
 // Package transport has the thin drivers that read and write sockets for the state machines of package protocol: the
-// consumers' listener, the providers' connections, discovery's watch and the notices. It decides nothing.
+// clients' listener, the endpoints' connections, discovery's watch and the notices. It decides nothing.
 package transport
 
 import (
@@ -24,7 +24,7 @@
 	askLeast    = 500 * time.Millisecond  // a request that is not whole, where there is no room
 	requestFor  = 2400 * time.Millisecond // a request from its first byte to its last, the first one from the accept on
 	answerFor   = 2 * time.Second         // the writing of an answer
-	graceFor    = 300 * time.Millisecond  // for a request that has begun, once consumers are to leave
+	graceFor    = 300 * time.Millisecond  // for a request that has begun, once clients are to leave
 	drainFor    = 3 * time.Second         // after an error: what still comes is read for so long,
 	drainQuiet  = 500 * time.Millisecond  // while it does not pause for so long,
 	drainStep   = 1 << 20                 // in steps of so many bytes,
@@ -39,37 +39,37 @@
 // overflow are those that may stay until they have been told so.
 const overflow = Overflow - 2
 
-// Desk decides on what consumers hand in.
-type Desk interface {
-	// Take answers a handover; a nil Rejection says that it is taken on, and withdraw, unless it is nil, is to be called
-	// if its consumer could not be told so. The handover's slices are the caller's.
-	Take(h protocol.Handover) (r *protocol.Rejection, withdraw func())
-	// Pass takes a long message, whose Body is not there. Without a Rejection it is taken on, and its end comes once.
-	Pass(h protocol.Handover, up *Upload) (*protocol.Rejection, <-chan Passed)
+// Handler decides on what clients hand in.
+type Handler interface {
+	// Take answers a handover; a nil Refusal says that it is taken on, and withdraw, unless it is nil, is to be called
+	// if its client could not be told so. The handover's slices are the caller's.
+	Take(h protocol.Handover) (r *protocol.Refusal, withdraw func())
+	// Pass takes a long message, whose Body is not there. Without a Refusal it is taken on, and its end comes once.
+	Pass(h protocol.Handover, up *Upload) (*protocol.Refusal, <-chan Passed)
 }
 
 // Passed is the end of a long message.
 type Passed struct {
-	Rejection *protocol.Rejection // nil for a delivery
-	Told      func(bool)          // to be called unless it is nil: whether the client was told of the Rejection
+	Refusal *protocol.Refusal // nil for a delivery
+	Told    func(bool)        // to be called unless it is nil: whether the client was told of the Refusal
 }
 
-// Consumers serves the clients' side.
-type Consumers struct {
-	Desk Desk
-	Most int       // connections at once, beside those with long messages
-	Long *Passages // nil: no body may be longer than protocol.MostBody
+// Clients serves the clients' side.
+type Clients struct {
+	Handler Handler
+	Most    int       // connections at once, beside those with long messages
+	Long    *Passages // nil: no body may be longer than protocol.MostBody
 
 	mu       sync.Mutex
-	conns    map[*consumerConn]struct{}
+	conns    map[*clientConn]struct{}
 	endings  int // of them, those at their end,
 	passings int // and those with a long message
 	leaving  bool
-	counters ConsumerCounters
+	counters ClientCounters
 }
 
-// ConsumerCounters counts connections and what became of those that did not just ask.
-type ConsumerCounters struct {
+// ClientCounters counts connections and what became of those that did not just ask.
+type ClientCounters struct {
 	Accepted   int64
 	TurnedAway int64 // there was no room for one more
 	ClosedIdle int64 // to make room, after their idle time
@@ -80,7 +80,7 @@
 }
 
 // MarshalZerologObject writes the counters' group of the log.
-func (c ConsumerCounters) MarshalZerologObject(e *zerolog.Event) {
+func (c ClientCounters) MarshalZerologObject(e *zerolog.Event) {
 	e.Int64("connections", c.Accepted).Int("open", c.Open).Int64("turned_away", c.TurnedAway).Int64("closed_idle", c.ClosedIdle).
 		Int64("silent", c.Silent).Int64("late", c.Late).Int64("unreadable", c.Unreadable)
 }
@@ -97,8 +97,8 @@
 	ending                    // it has its last answer; what it still sends is drained
 )
 
-// consumerConn is one connection. Its goroutine owns it; Consumers.mu guards the rest.
-type consumerConn struct {
+// clientConn is one connection. Its goroutine owns it; Clients.mu guards the rest.
+type clientConn struct {
 	net.Conn
 	accepted time.Time
 	at       standing
@@ -109,9 +109,9 @@
 // Serve accepts connections until ctx ends. When leave ends, which comes first, connections end with their next answer
 // and idle ones at once. A request that had come by then is answered; one that crosses the end is not read as one, and comes
 // again on a new connection, which is still answered.
-func (s *Consumers) Serve(ctx, leave context.Context, listener net.Listener) error {
+func (s *Clients) Serve(ctx, leave context.Context, listener net.Listener) error {
 	s.mu.Lock()
-	s.conns = map[*consumerConn]struct{}{}
+	s.conns = map[*clientConn]struct{}{}
 	s.mu.Unlock()
 	var group errgroup.Group
 	defer context.AfterFunc(leave, s.leave)()
@@ -123,7 +123,7 @@
 	for {
 		conn, err := listener.Accept()
 		if err == nil {
-			c := &consumerConn{Conn: conn, accepted: time.Now()}
+			c := &clientConn{Conn: conn, accepted: time.Now()}
 			if room := s.admit(c); room {
 				group.Go(func() error { s.serve(c); return nil })
 			} else {
@@ -147,21 +147,21 @@
 }
 
 // Counters gives the counters as they are now.
-func (s *Consumers) Counters() ConsumerCounters {
+func (s *Clients) Counters() ClientCounters {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counters.Open = len(s.conns)
 	return s.counters
 }
 
-func (s *Consumers) count(which *int64) {
+func (s *Clients) count(which *int64) {
 	s.mu.Lock()
 	*which++
 	s.mu.Unlock()
 }
 
 // leave closes the idle connections and gives the others a moment to finish what they have begun.
-func (s *Consumers) leave() {
+func (s *Clients) leave() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leaving = true
@@ -177,7 +177,7 @@
 
 // admit books a new connection; false says that there is no room for it and it is to be turned away. Who gives way to
 // it is one that has asked for nothing, one that has been idle for long enough, or one whose request does not come on.
-func (s *Consumers) admit(c *consumerConn) bool {
+func (s *Clients) admit(c *clientConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counters.Accepted++
@@ -199,8 +199,8 @@
 // drop ends the connection that has been at something the longest, and for so long at least; s.mu is held. One that is at its
 // end already is closed. Any other is booked as one that is, and its goroutine ends it in order: what has come on it is
 // answered, and what crosses the end does not reset it.
-func (s *Consumers) drop(at standing, least time.Duration) bool {
-	var oldest *consumerConn
+func (s *Clients) drop(at standing, least time.Duration) bool {
+	var oldest *clientConn
 	for c := range s.conns {
 		if c.at == at && (oldest == nil || c.since.Before(oldest.since)) {
 			oldest = c
@@ -228,7 +228,7 @@
 }
 
 // forget takes a connection out of the books; s.mu is held.
-func (s *Consumers) forget(c *consumerConn) {
+func (s *Clients) forget(c *clientConn) {
 	if _, known := s.conns[c]; known {
 		s.tally(c.at, -1)
 	}
@@ -236,7 +236,7 @@
 }
 
 // tally books a connection among those that count apart; s.mu is held.
-func (s *Consumers) tally(at standing, n int) {
+func (s *Clients) tally(at standing, n int) {
 	switch at {
 	case ending:
 		s.endings += n
@@ -246,7 +246,7 @@
 }
 
 // mark books what a connection is at and sets how long its next bytes may take; false says that it has to end.
-func (s *Consumers) mark(c *consumerConn, at standing) bool {
+func (s *Clients) mark(c *clientConn, at standing) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, known := s.conns[c]; !known || at == idle && (s.leaving || c.parting) {
@@ -275,10 +275,10 @@
 
 // crowded says that many connections are open, most of them surely idle; s.mu is held. Clients have a bound of their own
 // on what they hold, so those that stay keep others from asking long before room is short here.
-func (s *Consumers) crowded() bool { return len(s.conns)-s.passings > s.Most/crowdShare }
+func (s *Clients) crowded() bool { return len(s.conns)-s.passings > s.Most/crowdShare }
 
 // last says whether a connection ends with its next answer.
-func (s *Consumers) last(c *consumerConn) bool {
+func (s *Clients) last(c *clientConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.leaving || c.parting || s.crowded()
@@ -286,7 +286,7 @@
 
 // late says that a connection's time is up for something that only its goroutine could know of: whether bytes have come in
 // the meantime. Then they are read after all, and what they ask for is the last that the connection is for.
-func (s *Consumers) late(c *consumerConn) (comes bool) {
+func (s *Clients) late(c *clientConn) (comes bool) {
 	if n, err := peek(c.Conn); n == 0 || err != nil {
 		return false
 	}
@@ -298,26 +298,26 @@
 
 // part ends a connection on which nothing is due. A close over bytes that have come, or still come, would reset it, and take the
 // last answer from a client that has not read it.
-func (s *Consumers) part(c *consumerConn) {
+func (s *Clients) part(c *clientConn) {
 	if s.mark(c, ending) {
 		s.linger(c)
 	}
 }
 
 // end closes a connection and forgets it.
-func (s *Consumers) end(c *consumerConn) {
+func (s *Clients) end(c *clientConn) {
 	s.mu.Lock()
 	s.forget(c)
 	s.mu.Unlock()
 	_ = c.Close()
 }
 
-func (s *Consumers) turnAway(c *consumerConn) {
+func (s *Clients) turnAway(c *clientConn) {
 	defer s.end(c)
-	s.farewell(c, &protocol.Rejection{Status: 503, Reason: "too many connections", RetryAfter: time.Second, Close: true})
+	s.farewell(c, &protocol.Refusal{Status: 503, Reason: "too many connections", RetryAfter: time.Second, Close: true})
 }
 
-func (s *Consumers) serve(c *consumerConn) {
+func (s *Clients) serve(c *clientConn) {
 	defer s.end(c)
 	parser, quiet, first := protocol.NewRequestParser(protocol.MostBody), true, true
 	if s.Long != nil {
@@ -376,7 +376,7 @@
 				return
 			case !parser.Idle():
 				s.count(&s.counters.Late)
-				s.farewell(c, &protocol.Rejection{Status: 408, Reason: "request not complete in time", Close: true})
+				s.farewell(c, &protocol.Refusal{Status: 408, Reason: "request not complete in time", Close: true})
 				return
 			case s.late(c):
 				quiet = false
@@ -391,18 +391,18 @@
 }
 
 // pass has a long message passed on and answers it once it has ended; false ends the connection.
-func (s *Consumers) pass(c *consumerConn, parser *protocol.Parser, m *protocol.Message) bool {
-	asked, handover, rejection := protocol.ReadRequest(m)
-	if rejection == nil && asked != protocol.AskHandover {
-		rejection = protocol.Unreadable(protocol.ErrBodySize)
+func (s *Clients) pass(c *clientConn, parser *protocol.Parser, m *protocol.Message) bool {
+	asked, handover, refusal := protocol.ReadRequest(m)
+	if refusal == nil && asked != protocol.AskHandover {
+		refusal = protocol.Unreadable(protocol.ErrBodySize)
 	}
 	body, raw, err := parser.Rest(s.Long.Most)
-	if rejection == nil && err != nil {
-		rejection = protocol.Unreadable(err)
+	if refusal == nil && err != nil {
+		refusal = protocol.Unreadable(err)
 	}
-	if rejection != nil {
+	if refusal != nil {
 		s.count(&s.counters.Unreadable)
-		s.farewell(c, rejection)
+		s.farewell(c, refusal)
 		return false
 	}
 	framing, length := parser.Framing()
@@ -412,19 +412,19 @@
 		expects: parser.Continue(), old: old, last: func() bool { return m.Close || s.last(c) },
 	}
 	defer up.release()
-	rejection, done := s.Desk.Pass(handover, up)
-	if rejection != nil { // the body that follows is nobody's
-		rejection.Close = true
-		s.farewell(c, rejection)
+	refusal, done := s.Handler.Pass(handover, up)
+	if refusal != nil { // the body that follows is nobody's
+		refusal.Close = true
+		s.farewell(c, refusal)
 		return false
 	}
 	end := <-done
 	switch {
-	case end.Rejection != nil:
+	case end.Refusal != nil:
 		if s.mark(c, ending); up.end == pump.ClientBad {
-			end.Rejection.Status, end.Rejection.Reason = 400, "malformed body"
+			end.Refusal.Status, end.Refusal.Reason = 400, "malformed body"
 		}
-		told := up.end != pump.ClientGone && s.answer(c, 0, end.Rejection, true)
+		told := up.end != pump.ClientGone && s.answer(c, 0, end.Refusal, true)
 		if end.Told != nil {
 			end.Told(told)
 		}
@@ -444,24 +444,24 @@
 }
 
 // request answers one request; false ends the connection.
-func (s *Consumers) request(c *consumerConn, m *protocol.Message) bool {
-	asked, handover, rejection := protocol.ReadRequest(m)
+func (s *Clients) request(c *clientConn, m *protocol.Message) bool {
+	asked, handover, refusal := protocol.ReadRequest(m)
 	status, withdraw := 200, func() {}
-	if rejection != nil {
+	if refusal != nil {
 		s.count(&s.counters.Unreadable)
 	} else if asked == protocol.AskHandover {
 		status = 202
-		rejection, withdraw = s.Desk.Take(handover)
+		refusal, withdraw = s.Handler.Take(handover)
 	}
-	if rejection != nil && rejection.Status == 0 { // nothing that could be said is known to be so
+	if refusal != nil && refusal.Status == 0 { // nothing that could be said is known to be so
 		return false
 	}
-	if rejection != nil && rejection.Close {
-		s.farewell(c, rejection)
+	if refusal != nil && refusal.Close {
+		s.farewell(c, refusal)
 		return false
 	}
 	last := m.Close || s.last(c)
-	if !s.answer(c, status, rejection, last) {
+	if !s.answer(c, status, refusal, last) {
 		if withdraw != nil {
 			withdraw()
 		}
@@ -475,14 +475,14 @@
 
 // farewell writes a connection's last answer, an error, and reads on for a while: a close while bytes come would
 // reset the connection and take the answer from a client that is still sending.
-func (s *Consumers) farewell(c *consumerConn, r *protocol.Rejection) {
+func (s *Clients) farewell(c *clientConn, r *protocol.Refusal) {
 	s.mark(c, ending)
 	if s.answer(c, 0, r, true) {
 		s.linger(c)
 	}
 }
 
-func (s *Consumers) linger(c *consumerConn) {
+func (s *Clients) linger(c *clientConn) {
 	half, ok := c.Conn.(interface{ CloseWrite() error })
 	if !ok || half.CloseWrite() != nil {
 		return
@@ -505,7 +505,7 @@
 	}
 }
 
-func (s *Consumers) answer(c *consumerConn, status int, r *protocol.Rejection, last bool) bool {
+func (s *Clients) answer(c *clientConn, status int, r *protocol.Refusal, last bool) bool {
 	if c.SetWriteDeadline(time.Now().Add(answerFor)) != nil {
 		return false
 	}
--- a/internal/transport/providers.go
+++ b/internal/transport/endpoints.go
@@ -31,13 +31,13 @@
 	mostAnswer = 64 << 10               // bytes of an answer's body
 	wholeFor   = time.Second            // an answer from its first byte to its last
 	restFor    = 200 * time.Millisecond // the rest of one that is known to be a delivery
-	idleMargin = 0.05                   // of the keep-alive time: connections are closed so much before the provider would
+	idleMargin = 0.05                   // of the keep-alive time: connections are closed so much before the endpoint would
 	leastEarly = 300 * time.Millisecond
 )
 
-// Providers keeps the connections to providers. A connection carries one call at a time; the one used last is used
+// Endpoints keeps the connections to endpoints. A connection carries one call at a time; the one used last is used
 // next, so that few stay warm. One that is idle holds no buffer and no goroutine.
-type Providers struct {
+type Endpoints struct {
 	keep    time.Duration
 	connect time.Duration
 	most    int // idle connections at once
@@ -46,14 +46,14 @@
 	longAnswers sync.Pool
 
 	mu       sync.Mutex
-	idle     map[string][]*providerConn // by provider, warmest last
+	idle     map[string][]*endpointConn // by endpoint, warmest last
 	idles    int
 	closed   bool
-	counters ProviderCounters
+	counters EndpointCounters
 }
 
-// ProviderCounters counts connections and answers that were not as they should be.
-type ProviderCounters struct {
+// EndpointCounters counts connections and answers that were not as they should be.
+type EndpointCounters struct {
 	Opened  int64 // connections
 	Ended   int64 // those that had ended, or held bytes that nobody asked for, when they were to be used
 	Spoilt  int64 // answers that can't be read or don't come whole
@@ -63,16 +63,16 @@
 }
 
 // MarshalZerologObject writes the counters' group of the log.
-func (c ProviderCounters) MarshalZerologObject(e *zerolog.Event) {
+func (c EndpointCounters) MarshalZerologObject(e *zerolog.Event) {
 	e.Int64("opened", c.Opened).Int("idle", c.Idle).Int64("ended_before_use", c.Ended).Int64("spoilt", c.Spoilt).
 		Int64("delivered_all_the_same", c.True).Int64("surplus", c.Surplus)
 }
 
-// NewProviders keeps at most so many idle connections, each for less than keepAlive.
-func NewProviders(keepAlive, connectTimeout time.Duration, most int) *Providers {
+// NewEndpoints keeps at most so many idle connections, each for less than keepAlive.
+func NewEndpoints(keepAlive, connectTimeout time.Duration, most int) *Endpoints {
 	early := max(leastEarly, time.Duration(idleMargin*float64(keepAlive)))
-	p := &Providers{
-		keep: max(0, keepAlive-early), connect: connectTimeout, most: max(1, most), idle: map[string][]*providerConn{},
+	p := &Endpoints{
+		keep: max(0, keepAlive-early), connect: connectTimeout, most: max(1, most), idle: map[string][]*endpointConn{},
 	}
 	p.parsers.New = func() any { return protocol.NewAnswerParser(mostAnswer) }
 	p.longAnswers.New = func() any {
@@ -84,21 +84,21 @@
 }
 
 // Counters gives the counters as they are now.
-func (p *Providers) Counters() ProviderCounters {
+func (p *Endpoints) Counters() EndpointCounters {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.counters.Idle = p.idles
 	return p.counters
 }
 
-func (p *Providers) count(which *int64) {
+func (p *Endpoints) count(which *int64) {
 	p.mu.Lock()
 	*which++
 	p.mu.Unlock()
 }
 
-// providerConn is one connection: the call's that it carries, or the pool's while it is idle.
-type providerConn struct {
+// endpointConn is one connection: the call's that it carries, or the pool's while it is idle.
+type endpointConn struct {
 	net.Conn
 	name    string
 	address string
@@ -109,7 +109,7 @@
 
 // quiet says that nothing has come on an idle connection, not even its end: whatever comes there belongs to no call and
 // makes it unusable.
-func (c *providerConn) quiet() bool {
+func (c *endpointConn) quiet() bool {
 	_, err := peek(c.Conn)
 	return errors.Is(err, syscall.EAGAIN)
 }
@@ -129,8 +129,8 @@
 	return max(0, n), err
 }
 
-// connection is the provider's warmest one, or a new one; with fresh a new one in any case.
-func (p *Providers) connection(ctx context.Context, name, address string, fresh bool) (*providerConn, error) {
+// connection is the endpoint's warmest one, or a new one; with fresh a new one in any case.
+func (p *Endpoints) connection(ctx context.Context, name, address string, fresh bool) (*endpointConn, error) {
 	for !fresh {
 		c := p.warmest(name, address)
 		if c == nil {
@@ -148,10 +148,10 @@
 		return nil, err
 	}
 	p.count(&p.counters.Opened)
-	return &providerConn{Conn: conn, name: name, address: address}, nil
+	return &endpointConn{Conn: conn, name: name, address: address}, nil
 }
 
-// Call is one to a provider. Begin is asked just before the first byte, and once more if the connection then turns out
+// Call is one to an endpoint. Begin is asked just before the first byte, and once more if the connection then turns out
 // to have ended.
 type Call struct {
 	protocol.Call
@@ -167,8 +167,8 @@
 	Kept  bool // its connection had carried a call before
 }
 
-// Invoke makes one call; nothing is ever written twice.
-func (p *Providers) Invoke(ctx context.Context, call Call) Result {
+// Call makes one call; nothing is ever written twice.
+func (p *Endpoints) Call(ctx context.Context, call Call) Result {
 	for {
 		c, err := p.connection(ctx, call.Name, call.Address, call.Fresh)
 		if err != nil {
@@ -192,7 +192,7 @@
 }
 
 // exchange writes a call and reads its answer. When ctx ends first, the connection is closed before it returns.
-func (p *Providers) exchange(ctx context.Context, c *providerConn, call protocol.Call) (protocol.Reply, CallEnd) {
+func (p *Endpoints) exchange(ctx context.Context, c *endpointConn, call protocol.Call) (protocol.Reply, CallEnd) {
 	if deadline, ok := ctx.Deadline(); ok {
 		call.Timeout = time.Until(deadline)
 	}
@@ -224,7 +224,7 @@
 
 // read reads a call's answer; keep says that the connection can carry another call. A first line with 200 is a
 // delivery however the answer goes on. Any other answer that is not whole may stand for a call that ran.
-func (p *Providers) read(ctx context.Context, c *providerConn) (reply protocol.Reply, end CallEnd, keep bool) {
+func (p *Endpoints) read(ctx context.Context, c *endpointConn) (reply protocol.Reply, end CallEnd, keep bool) {
 	parser := p.parsers.Get().(*protocol.Parser)
 	defer func() {
 		parser.Reset()
@@ -273,8 +273,8 @@
 	}
 }
 
-// CloseIdle closes the idle connections to a provider.
-func (p *Providers) CloseIdle(name string) {
+// CloseIdle closes the idle connections to an endpoint.
+func (p *Endpoints) CloseIdle(name string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(p.idle[name]) > 0 {
@@ -283,19 +283,19 @@
 }
 
 // Close closes all idle connections and keeps no more.
-func (p *Providers) Close() {
+func (p *Endpoints) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
 	for _, conns := range p.idle {
-		for _, c := range append([]*providerConn(nil), conns...) {
+		for _, c := range append([]*endpointConn(nil), conns...) {
 			p.drop(c)
 		}
 	}
 }
 
-// warmest takes the connection to a provider that was used last.
-func (p *Providers) warmest(name, address string) *providerConn {
+// warmest takes the connection to an endpoint that was used last.
+func (p *Endpoints) warmest(name, address string) *endpointConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for {
@@ -314,7 +314,7 @@
 }
 
 // keepIdle puts a connection back until it is used again, ends, or has been idle for too long.
-func (p *Providers) keepIdle(c *providerConn) {
+func (p *Endpoints) keepIdle(c *endpointConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || p.keep == 0 {
@@ -335,8 +335,8 @@
 }
 
 // coldest is the idle connection that was used least lately.
-func (p *Providers) coldest() *providerConn {
-	var coldest *providerConn
+func (p *Endpoints) coldest() *endpointConn {
+	var coldest *endpointConn
 	for _, conns := range p.idle {
 		if coldest == nil || conns[0].since.Before(coldest.since) {
 			coldest = conns[0]
@@ -346,7 +346,7 @@
 }
 
 // drop closes a connection if it is idle; p.mu is held.
-func (p *Providers) drop(c *providerConn) {
+func (p *Endpoints) drop(c *endpointConn) {
 	if p.remove(c) {
 		c.expire.Stop()
 		_ = c.Close()
@@ -354,7 +354,7 @@
 }
 
 // remove takes a connection out of the idle ones; p.mu is held.
-func (p *Providers) remove(c *providerConn) bool {
+func (p *Endpoints) remove(c *endpointConn) bool {
 	conns := p.idle[c.name]
 	for i, o := range conns {
 		if o == c {
--- a/internal/transport/parting_test.go
+++ b/internal/transport/parting_test.go
@@ -14,21 +14,21 @@
 	"mulleinbeam/internal/protocol"
 )
 
-// Two events that cross at the end of a client's connection. The order is made: by a desk that acts while a request is with it,
+// Two events that cross at the end of a client's connection. The order is made: by a handler that acts while a request is with it,
 // and by a connection whose time is up just when it is told so.
 
-// actingDesk takes on all that is handed in, and acts first.
-type actingDesk struct{ act func() }
+// actingHandler takes on all that is handed in, and acts first.
+type actingHandler struct{ act func() }
 
-func (d actingDesk) Take(protocol.Handover) (*protocol.Rejection, func()) {
+func (d actingHandler) Take(protocol.Handover) (*protocol.Refusal, func()) {
 	if d.act != nil {
 		d.act()
 	}
 	return nil, nil
 }
 
-func (actingDesk) Pass(protocol.Handover, *Upload) (*protocol.Rejection, <-chan Passed) {
-	return &protocol.Rejection{Status: 503, Close: true}, nil
+func (actingHandler) Pass(protocol.Handover, *Upload) (*protocol.Refusal, <-chan Passed) {
+	return &protocol.Refusal{Status: 503, Close: true}, nil
 }
 
 // handIn is a request for a message, with further lines in its head.
@@ -68,8 +68,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			leave, stop := context.WithCancel(t.Context())
-			s := &Consumers{Most: c.most}
-			s.Desk = actingDesk{func() {
+			s := &Clients{Most: c.most}
+			s.Handler = actingHandler{func() {
 				if c.stops {
 					stop()
 					for left := false; !left; { // it is told in a goroutine of its own
@@ -122,17 +122,17 @@
 // A request that has come when its connection's time is up is answered as the last one: the time may be the resting one's, the
 // place may be wanted for others, or the forwarder may have been told to stop.
 func TestARequestThatCrossesTheEndOfItsTimeIsAnswered(t *testing.T) {
-	for name, cut := range map[string]func(*Consumers, *consumerConn){
-		"its own time":     func(*Consumers, *consumerConn) {},
-		"others' place":    func(s *Consumers, _ *consumerConn) { s.mu.Lock(); s.drop(silent, 0); s.mu.Unlock() },
-		"told to stop":     func(s *Consumers, _ *consumerConn) { s.leave() },
-		"both, one by one": func(s *Consumers, _ *consumerConn) { s.mu.Lock(); s.drop(silent, 0); s.mu.Unlock(); s.leave() },
+	for name, cut := range map[string]func(*Clients, *clientConn){
+		"its own time":     func(*Clients, *clientConn) {},
+		"others' place":    func(s *Clients, _ *clientConn) { s.mu.Lock(); s.drop(silent, 0); s.mu.Unlock() },
+		"told to stop":     func(s *Clients, _ *clientConn) { s.leave() },
+		"both, one by one": func(s *Clients, _ *clientConn) { s.mu.Lock(); s.drop(silent, 0); s.mu.Unlock(); s.leave() },
 	} {
 		t.Run(name, func(t *testing.T) {
 			client, conn := ends(t)
 			gate := &timedOut{conn.(*net.TCPConn), make(chan struct{})}
-			s := &Consumers{Desk: actingDesk{}, Most: 4, conns: map[*consumerConn]struct{}{}}
-			c := &consumerConn{Conn: gate}
+			s := &Clients{Handler: actingHandler{}, Most: 4, conns: map[*clientConn]struct{}{}}
+			c := &clientConn{Conn: gate}
 			s.admit(c)
 			served := make(chan struct{})
 			up := gate.up
--- a/internal/transport/passage.go
+++ b/internal/transport/passage.go
@@ -34,7 +34,7 @@
 	n("spoilt", pump.Spoilt)
 	n("broken", pump.Broken)
 	n("not_begun", pump.NotBegun)
-	n("provider_stalled", pump.ProviderStalled)
+	n("endpoint_stalled", pump.EndpointStalled)
 	n("client_gone", pump.ClientGone)
 	n("client_stalled", pump.ClientStalled)
 	n("client_bad", pump.ClientBad)
@@ -51,7 +51,7 @@
 }
 
 // Upload is the client's side of a long message, from its head to its final answer. One attempt at a time uses it; between
-// them its consumer's goroutine waits.
+// them its client's goroutine waits.
 type Upload struct {
 	passages *Passages
 	conn     net.Conn
@@ -110,7 +110,7 @@
 type PassResult struct {
 	End   pump.End
 	Reply protocol.Reply // with pump.Answered
-	Begun bool           // a byte may have gone to the provider
+	Begun bool           // a byte may have gone to the endpoint
 	Sent  bool           // all of the body has
 	Again bool           // the body is kept: another attempt can be made
 	Kept  bool           // its connection had carried a call before
@@ -119,8 +119,8 @@
 var errNoConnection = errors.New("transport: no connection")
 
 // Pass makes one call with a long message. It returns once neither connection has anything of it under way; the
-// provider's is then closed or idle, the client's is left to its consumer.
-func (p *Providers) Pass(ctx context.Context, call Passage) PassResult {
+// endpoint's is then closed or idle, the client's is left to its client.
+func (p *Endpoints) Pass(ctx context.Context, call Passage) PassResult {
 	u := call.Upload
 	s := u.passages
 	c, err := p.connection(ctx, call.Name, call.Address, call.Fresh)
@@ -133,7 +133,7 @@
 		p.keepIdle(c)
 		return PassResult{End: u.end, Kept: c.kept}
 	}
-	d := &duplex{base: time.Now(), client: tcp(u.conn), provider: tcp(c), settle: call.Settle, passages: s}
+	d := &duplex{base: time.Now(), client: tcp(u.conn), endpoint: tcp(c), settle: call.Settle, passages: s}
 	cutAt := 24 * time.Hour
 	if deadline, ok := ctx.Deadline(); ok {
 		cutAt = time.Until(deadline)
@@ -172,7 +172,7 @@
 			if err != nil {
 				return errNoConnection
 			}
-			c, d.provider = next, tcp(next)
+			c, d.endpoint = next, tcp(next)
 		}
 	}
 	stop := context.AfterFunc(ctx, func() {
@@ -188,7 +188,7 @@
 }
 
 // passed puts the connections in order behind an exchange and tells how it ended.
-func (p *Providers) passed(d *duplex, c *providerConn, u *Upload) PassResult {
+func (p *Endpoints) passed(d *duplex, c *endpointConn, u *Upload) PassResult {
 	d.mu.Lock() // an abort may just be under way
 	defer d.mu.Unlock()
 	x := d.x
@@ -211,9 +211,9 @@
 // tcp is the connection itself, whose writes gather pieces.
 func tcp(c net.Conn) net.Conn {
 	switch c := c.(type) {
-	case *consumerConn:
+	case *clientConn:
 		return c.Conn
-	case *providerConn:
+	case *endpointConn:
 		return c.Conn
 	}
 	return c
@@ -225,7 +225,7 @@
 	mu               sync.Mutex
 	x                *pump.Exchange
 	base             time.Time // the exchange's times count from it
-	client, provider net.Conn
+	client, endpoint net.Conn
 	begin            func() error
 	settle           func() bool
 	passages         *Passages
@@ -276,7 +276,7 @@
 // step does one step of a direction; false says that there is none any more.
 func (d *duplex) step(s pump.Side, g *gather) bool {
 	d.mu.Lock()
-	source, sink := d.client, d.provider
+	source, sink := d.client, d.endpoint
 	if s == pump.Down {
 		source, sink = sink, source
 	}
@@ -326,7 +326,7 @@
 
 // wake ends what a direction is at; d.mu is held.
 func (d *duplex) wake(s pump.Side) {
-	source, sink := d.client, d.provider
+	source, sink := d.client, d.endpoint
 	if s == pump.Down {
 		source, sink = sink, source
 	}
--- a/internal/transport/passage_test.go
+++ b/internal/transport/passage_test.go
@@ -90,15 +90,15 @@
 	})
 	client, conn := ends(t)
 	go func() { _, _ = client.Write(make([]byte, 1<<20)) }()
-	providers := NewProviders(time.Minute, time.Second, 8)
-	r := providers.Pass(ctx, passage(conn, address, 2<<20))
+	endpoints := NewEndpoints(time.Minute, time.Second, 8)
+	r := endpoints.Pass(ctx, passage(conn, address, 2<<20))
 	if r.End != pump.Aborted || !r.Begun || r.Sent || r.Again {
 		t.Errorf("%v, %+v", r.End, r)
 	}
 	if err := <-closed; err == nil {
 		t.Error("the partner took it for whole")
 	}
-	if got := providers.Counters(); got.Idle != 0 {
+	if got := endpoints.Counters(); got.Idle != 0 {
 		t.Errorf("%d connections are kept", got.Idle)
 	}
 	client.Close()
@@ -124,7 +124,7 @@
 			}
 		}
 	}()
-	if r := NewProviders(time.Minute, time.Second, 8).Pass(b.Context(), passage(conn, address, int64(b.N)<<20)); r.End != pump.Delivered {
+	if r := NewEndpoints(time.Minute, time.Second, 8).Pass(b.Context(), passage(conn, address, int64(b.N)<<20)); r.End != pump.Delivered {
 		b.Fatal(r.End)
 	}
 }
--- a/internal/transport/resting_test.go
+++ b/internal/transport/resting_test.go
@@ -54,11 +54,11 @@
 					}()
 				}
 			}()
-			p := NewProviders(time.Minute, time.Second, 8)
+			p := NewEndpoints(time.Minute, time.Second, 8)
 			defer p.Close()
 			invoke := func(id string) {
 				t.Helper()
-				r := p.Invoke(context.Background(), Call{
+				r := p.Call(context.Background(), Call{
 					Call: protocol.Call{ID: id, Host: "x"}, Name: "a", Address: l.Addr().String(), Begin: func() bool { return true },
 				})
 				if r.End != Answered || r.Reply.Status != 200 {
