--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -104,6 +104,7 @@
 	at       standing
 	since    time.Time
 	parting  bool // it ends with its next answer, or without one where none is due
+	overtime bool // its time was up, and what had come by then was let in
 }
 
 // Serve accepts connections until ctx ends. When leave ends, which comes first, connections end with their next answer
@@ -285,13 +286,14 @@
 }
 
 // late says that a connection's time is up for something that only its goroutine could know of: whether bytes have come in
-// the meantime. Then they are read after all, and what they ask for is the last that the connection is for.
+// the meantime. Then they are read after all, and what they ask for is the last that the connection is for. Whoever sends on
+// without asking for anything gets no further time.
 func (s *Clients) late(c *clientConn) (comes bool) {
-	if n, err := peek(c.Conn); n == 0 || err != nil {
+	if n, err := peek(c.Conn); n == 0 || err != nil || c.overtime {
 		return false
 	}
 	s.mu.Lock()
-	c.parting = true
+	c.parting, c.overtime = true, true
 	s.mu.Unlock()
 	return s.mark(c, asking)
 }
--- a/internal/transport/parting_test.go
+++ b/internal/transport/parting_test.go
@@ -152,3 +152,39 @@
 		})
 	}
 }
+
+// Bytes that ask for nothing buy no time: whoever sends empty lines on and on is ended like one that is silent.
+func TestEmptyLinesBuyNoTime(t *testing.T) {
+	client, conn := ends(t)
+	l := &lines{TCPConn: conn.(*net.TCPConn)}
+	s := &Clients{Handler: actingHandler{}, Most: 4, conns: map[*clientConn]struct{}{}}
+	c := &clientConn{Conn: l}
+	s.admit(c)
+	served := make(chan struct{})
+	go func() { defer close(served); s.serve(c) }()
+	fmt.Fprint(client, "\r\n\r\n") // never read: more is always waiting
+	if n, err := io.Copy(io.Discard, client); n != 0 || err != nil {
+		t.Errorf("answered %d bytes, %v", n, err)
+	}
+	client.Close()
+	<-served
+	if l.times > 3 {
+		t.Errorf("its time was up %d times", l.times)
+	}
+}
+
+// lines is a connection on which an empty line comes just before each time that its time is up.
+type lines struct {
+	*net.TCPConn
+	reads, times int
+}
+
+func (l *lines) Read(b []byte) (int, error) {
+	if l.reads++; l.reads%2 == 0 {
+		return copy(b, "\r\n"), nil
+	}
+	if l.times++; l.times > 100 {
+		return 0, io.EOF
+	}
+	return 0, os.ErrDeadlineExceeded
+}
