Start: what is resumed goes to the module at once, not with a look at all for each

The first call of a life now goes to what is worth most, not to what was journalled first.

TestAStartHandsAllOverAtOnce fails without it, with no measure of time.

--- a/internal/routing/held.go
+++ b/internal/routing/held.go
@@ -31,9 +31,11 @@
 	dropped  atomic.Bool // its notice is somebody else's
 }
 
-// resume takes up what an earlier life left: its notices, and its messages with their past.
+// resume takes up what an earlier life left: its notices, and its messages with their past. The module gets all of them at once:
+// it looks at all it holds each time, and a start must not take the square of that.
 func (r *Router) resume() {
 	live := r.cfg.Log.Live()
+	var again []mb.Event
 	for _, m := range live {
 		h := r.heldFrom(m)
 		if m.Ending == wal.Closed {
@@ -54,9 +56,12 @@
 		r.messages[h.seq], r.ids[h.ID] = h, h
 		r.counters.Resumed++
 		if h.away = r.cfg.Guard != nil; !h.away {
-			r.submitAgain(m, h)
+			again = append(again, r.resubmission(m, h))
 		}
 	}
+	if len(again) > 0 {
+		r.decide(again...)
+	}
 	if len(live) > 0 {
 		r.cfg.Logger.Info().Int64("messages", r.counters.Resumed).Int("notices", len(live)-int(r.counters.Resumed)-r.past.closed).
 			Msg("resumed what an earlier life had left")
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -183,6 +183,32 @@
 	}
 }
 
+// What a restart finds goes to the module at once, however much it is: a look at all that is held for each of them would take the
+// square of it before the forwarder is ready. So the first call is for what is worth most of all, not for the first of them.
+func TestAStartHandsAllOverAtOnce(t *testing.T) {
+	dir := t.TempDir()
+	journal, err := wal.Open(dir, wal.Options{Most: 3e6}, func(string) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range []string{"nearly over", "nearly over as well", "fresh"} {
+		left := 4 * time.Second
+		if id == "fresh" {
+			left = time.Minute
+		}
+		m := &wal.Message{Seq: journal.Next(), Deadline: time.Now().Add(left), Destination: 7, ID: id, Class: "unsafe", Body: []byte("b")}
+		if err := journal.Accept(m); err != nil {
+			t.Fatal(err)
+		}
+	}
+	journal.Close() // as a kill would
+	_, s, _, _ := newRouterIn(t, dir)
+	if c := <-s.calls; c.ID != "fresh" {
+		t.Errorf("%s goes first", c.ID)
+	}
+	s.results <- Result{Outcome: mb.OK, Over: true}
+}
+
 // An unsafe message whose call was reset is given up by a notice at once; one that never began is held.
 func TestEndings(t *testing.T) {
 	r, s, _ := newRouter(t)
--- a/internal/routing/shared.go
+++ b/internal/routing/shared.go
@@ -117,8 +117,11 @@
 	r.submitAgain(m, h)
 }
 
-// submitAgain hands a message that was resumed, adopted or frozen to the module, with its past.
-func (r *Router) submitAgain(m *wal.Message, h *held) {
+// submitAgain hands a message that was adopted or frozen to the module, with its past.
+func (r *Router) submitAgain(m *wal.Message, h *held) { r.decide(r.resubmission(m, h)) }
+
+// resubmission is a message with its past, in the module's terms.
+func (r *Router) resubmission(m *wal.Message, h *held) mb.Submit {
 	submit := r.submission(h, time.Until(h.deadline))
 	if submit.Long, submit.Spent, submit.Resumed = m.Long, m.Long, true; m.Long { // its body went with that life
 		r.counters.LongCut++
@@ -132,7 +135,7 @@
 		}
 		submit.Ran = &mb.PastRun{Ago: ago, Zone: m.RanZone}
 	}
-	r.decide(submit)
+	return submit
 }
 
 // leave drops a message that is somebody else's. Its id stays known: whoever handed it in has been told that it was taken on.
