Cold partners: a single failed connect is a sign among many, a single time-out is not

A silent partner shows in several calls that are out at a time, and two failures in a row still raise it.

TestAFleetPushesNoColdPartnerOver passes, thirty forwarders before silent partners among its cases.

--- a/decide.go
+++ b/decide.go
@@ -668,7 +668,7 @@
 	d.record(l, true)
 	least := d.unlikely(&d.strayBad)
 	// Among many, one sign of an outage counts where strays are rare and nobody else of the lane served since.
-	one := d.many() && least == runLeast && ep.lastOK >= l.lastOK && (o == ConnectFailed || o == TimedOut)
+	one := d.many() && least == runLeast && ep.lastOK >= l.lastOK && o == ConnectFailed
 	if l.badRun >= least || one {
 		d.raiseGuard(l, l.badSince, false)
 		l.guardConn = l.runConn
