A repeat that was told it is known keeps its message over the first client's withdrawal

Now a message that somebody was told of stays.

TestARepeatThatIsToldOutlastsTheFirstsWithdrawal fails without it.

--- a/internal/routing/held.go
+++ b/internal/routing/held.go
@@ -22,6 +22,7 @@
 	call     *attempt // the attempt that is out
 	ended    bool
 	mayRun   bool        // an attempt may have run
+	repeated bool        // somebody who handed it in again is told that it is taken on
 	last     mb.Outcome  // of its latest attempt
 	cut      bool        // a long one of an earlier life
 	apart    bool        // taken on while this life may not act for others' copies: nobody else has it
@@ -100,6 +101,7 @@
 		return Verdict{Kind: Ended}
 	case r.ids[m.ID] != nil: // handed in twice
 		r.counters.Repeated++
+		r.ids[m.ID].repeated = true
 		return Verdict{Kind: Known, record: r.ids[m.ID].record, mark: r.ids[m.ID].mark, seq: r.ids[m.ID].seq}
 	case delivered:
 		r.counters.Repeated++
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -240,10 +240,10 @@
 }
 
 // Withdraw drops a message whose client could not be told that it was taken on: to the client it counts for
-// nothing, and it will be handed in again.
+// nothing, and it will be handed in again. If it has been by then, and that was told to be known, it stays.
 func (r *Router) Withdraw(id string) {
 	r.post(func() {
-		if h := r.ids[id]; h != nil {
+		if h := r.ids[id]; h != nil && !h.repeated {
 			r.counters.Withdrawn++
 			r.journal(r.cfg.Log.Withdraw(h.seq))
 			r.end(h, wal.Over, 0)
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -209,6 +209,29 @@
 	s.results <- Result{Outcome: mb.OK, Over: true}
 }
 
+// A client whose connection broke under its request hands that in again, and is told that it is known, before the first answer is
+// found to reach nobody: the message stays, since somebody was told. One that nobody was told of is dropped.
+func TestARepeatThatIsToldOutlastsTheFirstsWithdrawal(t *testing.T) {
+	r, s, _ := newRouter(t)
+	for _, id := range []string{"repeated", "alone"} {
+		if got := r.Take(message(id)); got.Kind != Taken {
+			t.Fatalf("verdict %+v", got)
+		}
+	}
+	if got := r.Take(message("repeated")); got.Kind != Known {
+		t.Errorf("the repeat: %+v", got)
+	}
+	r.Withdraw("repeated")
+	r.Withdraw("alone")
+	if c := r.Counters(); c.Held != 1 || c.Withdrawn != 1 {
+		t.Errorf("counters %+v", c)
+	}
+	if c := <-s.calls; c.ID != "repeated" {
+		t.Errorf("%s goes", c.ID)
+	}
+	s.results <- Result{Outcome: mb.OK, Over: true}
+}
+
 // An unsafe message whose call was reset is given up by a notice at once; one that never began is held.
 func TestEndings(t *testing.T) {
 	r, s, _ := newRouter(t)
