Read again: what a cold partner bears is worked out once a call

The laboratory's partner worked out its budget, a root among it, twice for each call that reaches it cold.

--- a/internal/lab/world/partner.go
+++ b/internal/lab/world/partner.go
@@ -156,8 +156,8 @@
 			p.arrived = p.arrived[1:]
 		}
 		p.arrived = append(p.arrived, arrival{now, seen})
-		n := float64(len(p.arrived))
-		if p.crowd = max(p.crowd, n/p.bears(share)); n > p.bears(share) {
+		n, bears := float64(len(p.arrived)), p.bears(share)
+		if p.crowd = max(p.crowd, n/bears); n > bears {
 			knew := 0
 			for _, a := range p.arrived {
 				if a.seen {
