A call ends before its message's time; an answer behind the told time is not taken

Cause: X-Timeout-Ms was rounded down, and a message's time counts from its client's sending, before its reading here. A 200 in the last millisecond was booked as a delivery that the endpoint did not count, and nobody was told.

Change: the told time is rounded up, an answer read behind the call's deadline is not taken, and a call ends 10 ms before its message's deadline.

--- a/internal/protocol/body.go
+++ b/internal/protocol/body.go
@@ -280,8 +280,7 @@
 // AppendPassage writes it.
 func AppendPassage(b []byte, p Passage) []byte {
 	b = append(append(b, "POST /v1/messages HTTP/1.1\r\nHost: "...), p.Host...)
-	b = append(b, "\r\nX-Timeout-Ms: "...)
-	b = strconv.AppendInt(b, max(1, p.Timeout.Milliseconds()), 10)
+	b = appendTimeout(b, p.Timeout)
 	if p.Framing == Chunked {
 		b = append(b, "\r\nTransfer-Encoding: chunked"...)
 	} else {
--- a/internal/protocol/handover.go
+++ b/internal/protocol/handover.go
@@ -166,12 +166,19 @@
 	Body    []byte
 }
 
+// appendTimeout writes how long the forwarder will wait, in whole milliseconds and one at the least. It is rounded up: an endpoint may take
+// an answer for too late as soon as the told time is over, and must not do so while the forwarder still waits.
+func appendTimeout(b []byte, wait time.Duration) []byte {
+	milliseconds := (wait + time.Millisecond - 1) / time.Millisecond
+	b = append(b, "\r\nX-Timeout-Ms: "...)
+	return strconv.AppendInt(b, max(1, int64(milliseconds)), 10)
+}
+
 // Buffers gives the call's pieces for a gathered write; nothing of the message is copied.
 func (c Call) Buffers() net.Buffers {
 	head := make([]byte, 0, 128)
 	head = append(append(head, "POST /v1/messages HTTP/1.1\r\nHost: "...), c.Host...)
-	head = append(head, "\r\nX-Timeout-Ms: "...)
-	head = strconv.AppendInt(head, max(1, c.Timeout.Milliseconds()), 10)
+	head = appendTimeout(head, c.Timeout)
 	head = append(head, "\r\nContent-Length: "...)
 	head = strconv.AppendInt(head, int64(len(c.Body)), 10)
 	head = append(head, "\r\nX-Request-ID: "...)
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -159,6 +159,8 @@
 	}{
 		"call": {false, flat(Call{ID: "i", Key: "k", Timeout: 1500 * time.Millisecond, Host: "h:1", Body: []byte("b")}.Buffers()),
 			read{"POST|/v1/messages|HTTP/1.1", "Host=h:1&X-Timeout-Ms=1500&Content-Length=1&X-Request-ID=i&Idempotency-Key=k", "b", false}},
+		"call that waits for a part of a millisecond": {false, flat(Call{ID: "i", Timeout: 1500*time.Millisecond + time.Microsecond, Host: "h"}.Buffers()),
+			read{"POST|/v1/messages|HTTP/1.1", "Host=h&X-Timeout-Ms=1501&Content-Length=0&X-Request-ID=i", "", false}},
 		"call with no key or body": {false, flat(Call{ID: "i", Host: "h"}.Buffers()),
 			read{"POST|/v1/messages|HTTP/1.1", "Host=h&X-Timeout-Ms=1&Content-Length=0&X-Request-ID=i", "", false}},
 		"taken on": {true, string(AppendAnswer(nil, 202, nil, false)), read{"HTTP/1.1|202|Accepted", "Content-Length=0", "", false}},
--- a/internal/routing/calls.go
+++ b/internal/routing/calls.go
@@ -25,6 +25,17 @@
 	cancel    context.CancelFunc
 }
 
+// requestTravel is how long a client's request may have taken until it was read here. A message's time counts from its sending, which
+// this side does not see: its deadline here may be later than its client's by so much.
+const requestTravel = 10 * time.Millisecond
+
+// lastAnswer is until when an answer is waited for. One that came in the last moments before the deadline could be too late for the
+// client already, and the message would then end without anybody being told; so a call is abandoned before that, and its message's end
+// is reported. Of a message that has hardly any time left a half remains.
+func lastAnswer(now, deadline time.Time) time.Time {
+	return deadline.Add(-min(requestTravel, max(0, deadline.Sub(now)/2)))
+}
+
 func (r *Router) send(a mb.Send) {
 	h := r.messages[uint64(a.ID)]
 	if h == nil || r.over { // its accept could not be journalled, or it is for the next life to send
@@ -35,7 +46,7 @@
 		return
 	}
 	now := time.Now()
-	c := &attempt{msg: h, number: h.attempts, endpoint: string(a.Endpoint), sentAt: now, cutAt: h.deadline}
+	c := &attempt{msg: h, number: h.attempts, endpoint: string(a.Endpoint), sentAt: now, cutAt: lastAnswer(now, h.deadline)}
 	if cut := r.clock(a.CutAt); a.CutAt > 0 && cut.Before(c.cutAt) {
 		c.cutAt = cut
 	}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -256,3 +256,28 @@
 		t.Errorf("counters %+v", got)
 	}
 }
+
+// A message's time counts from its client's sending, and an answer that comes as it ends may be too late for the client. So a call without
+// an answer is abandoned a little earlier, and the message's end is reported within its time.
+func TestACallEndsBeforeItsMessagesTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, s, _ := newRouter(t)
+		m := message("m")
+		m.Left = time.Second
+		taken := time.Now()
+		r.Take(m)
+		(<-s.calls).Begin()
+		n := <-s.notices
+		if n.ID != "m" || n.HandedBack || time.Since(taken) > m.Left-requestTravel {
+			t.Errorf("%+v after %v", n, time.Since(taken))
+		}
+	})
+	now := time.Now()
+	for left, want := range map[time.Duration]time.Duration{
+		time.Minute: time.Minute - requestTravel, requestTravel: requestTravel / 2, time.Millisecond: time.Millisecond / 2, 0: 0, -time.Second: -time.Second,
+	} {
+		if got := lastAnswer(now, now.Add(left)).Sub(now); got != want {
+			t.Errorf("%v left: answers are waited for for %v, wanted %v", left, got, want)
+		}
+	}
+}
--- a/internal/transport/endpoints.go
+++ b/internal/transport/endpoints.go
@@ -191,9 +191,11 @@
 	}
 }
 
-// exchange writes a call and reads its answer. When ctx ends first, the connection is closed before it returns.
+// exchange writes a call and reads its answer. When ctx ends first, the connection is closed before it returns. An answer that was
+// read behind ctx's deadline is not taken: the endpoint was told that nobody waits for it any more, and may not count it.
 func (p *Endpoints) exchange(ctx context.Context, c *endpointConn, call protocol.Call) (protocol.Reply, CallEnd) {
-	if deadline, ok := ctx.Deadline(); ok {
+	deadline, limited := ctx.Deadline()
+	if limited {
 		call.Timeout = time.Until(deadline)
 	}
 	closed := make(chan struct{})
@@ -209,6 +211,9 @@
 	if written == total {
 		var whole bool
 		reply, end, whole = p.read(ctx, c)
+		if limited && !time.Now().Before(deadline) {
+			reply, end, whole = protocol.Reply{}, Abandoned, false
+		}
 		keep = keep && whole
 	}
 	switch {
