--- a/cmd/larklab/main.go
+++ b/cmd/larklab/main.go
@@ -29,16 +29,17 @@
 )
 
 type cli struct {
-	LongBodies longCmd    `cmd:"" help:"Move long bodies through the forwarder: memory, throughput, processor time, and what short messages notice."`
-	Journal    journalCmd `cmd:"" help:"Take messages through their whole life in the journal: accepts a second, longest stop, bytes written, opening, memory."`
-	Run        runCmd     `cmd:"" help:"Play a scenario in virtual time; status 1 if a rule was broken."`
-	Sweep      sweepCmd   `cmd:"" help:"Play a scenario for each combination of some settings."`
-	Compare    compareCmd `cmd:"" help:"Play a scenario with and without a change, paired by seed."`
-	Live       liveCmd    `cmd:"" help:"Play a scenario in real time with the real program, with and without learned state, beside virtual time."`
-	Places     placesCmd  `cmd:"" help:"Days of a fleet in several zones and regions in virtual time, by the plan and by what it is compared with."`
-	Plan       planCmd    `cmd:"" help:"What was decided on recorded evidence of a fleet's traffic, and what other settings would have said to it."`
-	Cluster    clusterCmd `cmd:"" help:"A fleet of real processes that keep copies for each other, and what lies between them."`
-	Relay      relayCmd   `cmd:"" hidden:"" help:"A bare relay to compare with."`
+	LongBodies longCmd     `cmd:"" help:"Move long bodies through the forwarder: memory, throughput, processor time, and what short messages notice."`
+	Journal    journalCmd  `cmd:"" help:"Take messages through their whole life in the journal: accepts a second, longest stop, bytes written, opening, memory."`
+	Run        runCmd      `cmd:"" help:"Play a scenario in virtual time; status 1 if a rule was broken."`
+	Sweep      sweepCmd    `cmd:"" help:"Play a scenario for each combination of some settings."`
+	Compare    compareCmd  `cmd:"" help:"Play a scenario with and without a change, paired by seed."`
+	Live       liveCmd     `cmd:"" help:"Play a scenario in real time with the real program, with and without learned state, beside virtual time."`
+	Places     placesCmd   `cmd:"" help:"Days of a fleet in several zones and regions in virtual time, by the plan and by what it is compared with."`
+	Plan       planCmd     `cmd:"" help:"What was decided on recorded evidence of a fleet's traffic, and what other settings would have said to it."`
+	Cluster    clusterCmd  `cmd:"" help:"A fleet of real processes that keep copies for each other, and what lies between them."`
+	Capacity   capacityCmd `cmd:"" help:"How the program grows with a deployment, and what the planned size would take."`
+	Relay      relayCmd    `cmd:"" hidden:"" help:"A bare relay to compare with."`
 }
 
 // interruptible ends with a signal to end the program.
--- /dev/null
+++ b/internal/lab/capacity/probe_control.go
@@ -0,0 +1,408 @@
+package capacity
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.etcd.io/raft/v3/raftpb"
+
+	"mulleinbeam/internal/cluster/changelog"
+	"mulleinbeam/internal/cluster/council"
+	"mulleinbeam/internal/cluster/links"
+	"mulleinbeam/internal/routing/wal/fsys"
+)
+
+// The control plane: the decided state, its leader, and what goes to every member.
+
+func memberName(i int) string { return fmt.Sprintf("forwarder-%05d", i) }
+
+// fleetState is what is decided of a fleet of so many members in 22 zones of 6 regions, with one replica each.
+func fleetState(members int) (*council.State, error) {
+	s := council.NewState()
+	version := uint64(1)
+	decide := func(c council.Command) error {
+		version++
+		return s.Apply(version, c)
+	}
+	for i := range members {
+		join := council.Command{
+			Kind: council.Join, Life: council.Life{Name: memberName(i)}, Token: fmt.Sprintf("%016x", i), Address: fmt.Sprintf("10.%d.%d.%d:7100", i>>16, i>>8&255, i&255),
+			Zone: fmt.Sprintf("zone-%02d", i%22), Region: fmt.Sprintf("region-%d", i%6), Version: 1, Space: 64 << 20,
+		}
+		if err := decide(join); err != nil {
+			return nil, err
+		}
+	}
+	for i := range members {
+		replica := council.Command{
+			Kind: council.Keepers, Life: council.Life{Name: memberName(i), Number: 1}, From: s.Members[memberName(i)].Changed,
+			Set: []string{memberName((i + 1) % members)},
+		}
+		if err := decide(replica); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func encodeGob(v any) ([]byte, error) {
+	var b bytes.Buffer
+	err := gob.NewEncoder(&b).Encode(v)
+	return b.Bytes(), err
+}
+
+// probeState measures the decided state as it goes to every member.
+func probeState(_ context.Context, sizes []int, effort time.Duration) ([]Series, error) {
+	var t table
+	t.column("state.bytes", "members", "B", "decided state, encoded for a link")
+	t.column("state.encode", "members", "s", "to encode it")
+	t.column("state.decode", "members", "s", "to decode it")
+	t.column("state.clone", "members", "s", "to copy it for an answer")
+	t.column("state.ranking", "members", "s", "to rank the members that may keep a replica")
+	t.column("state.memory", "members", "B", "memory of the decided state")
+	for _, n := range sizes {
+		before := heap()
+		s, err := fleetState(n)
+		if err != nil {
+			return nil, err
+		}
+		memory := heap() - before
+		raw, err := encodeGob(s)
+		if err != nil {
+			return nil, err
+		}
+		var failed error
+		encode := timed(effort, func() { _, err := encodeGob(s); failed = errors.Join(failed, err) })
+		decode := timed(effort, func() {
+			failed = errors.Join(failed, gob.NewDecoder(bytes.NewReader(raw)).Decode(council.NewState()))
+		})
+		clone := timed(effort, func() { s.Clone() })
+		ranking := timed(effort, func() { s.Ranking(memberName(0), nil) })
+		if failed != nil {
+			return nil, failed
+		}
+		t.row(n, float64(len(raw)), encode, decode, clone, ranking, memory)
+	}
+	return t.series, nil
+}
+
+// probeChanges measures what a member gets of decided changes: one change, and a snapshot in pieces.
+func probeChanges(ctx context.Context, sizes []int, effort time.Duration) ([]Series, error) {
+	var t table
+	t.column("change.bytes", "members", "B", "one decided change, encoded for a link that has carried others")
+	t.column("change.encode", "members", "s", "to read and encode it for one member")
+	t.column("change.learn", "members", "s", "of a member to take it into its view")
+	t.column("snapshot.bytes", "members", "B", "of a snapshot for a member that knows nothing, all pieces")
+	t.column("snapshot.encode", "members", "s", "to read and encode it")
+	t.column("snapshot.learn", "members", "s", "of a member to take it, decoding not counted")
+	for _, n := range sizes {
+		l, _, err := startFleet(ctx, n, shortTick)
+		if err != nil {
+			return nil, err
+		}
+		values, err := changesOf(l, effort)
+		l.end()
+		if err != nil {
+			return nil, err
+		}
+		t.row(n, values...)
+	}
+	return t.series, nil
+}
+
+// changesOf has a leader decide one change and gives it, and a snapshot, to a view.
+func changesOf(l leader, effort time.Duration) (values []float64, err error) {
+	var size bytes.Buffer
+	link := gob.NewEncoder(&size)
+	view := council.NewView()
+	read := func(w *council.Watch) (council.Response, error) {
+		r := l.server.Ask(council.Request{Watch: w})
+		if r.Changes == nil {
+			return r, errors.New("the leader gives no changes")
+		}
+		return r, link.Encode(r)
+	}
+	var pieces []council.Response
+	encode, learn := 0.0, 0.0
+	for more := true; more; {
+		began := time.Now()
+		r, err := read(view.Watch())
+		if err != nil {
+			return nil, err
+		}
+		encode += time.Since(began).Seconds()
+		pieces = append(pieces, r)
+		began = time.Now()
+		if _, more, err = view.Learn(r.Changes); err != nil {
+			return nil, err
+		}
+		learn += time.Since(began).Seconds()
+	}
+	snapshot := float64(size.Len())
+	before := view.Watch()
+	r := l.server.Ask(council.Request{Command: &council.Command{Kind: council.Leave, Life: council.Life{Name: memberName(0)}, On: true}})
+	if r.Refused != "" {
+		return nil, errors.New(r.Refused)
+	}
+	size.Reset()
+	change, err := read(before)
+	if err != nil {
+		return nil, err
+	}
+	bytesOfOne := float64(size.Len())
+	var failed error
+	encodeOne := timed(effort, func() { _, err := read(before); failed = errors.Join(failed, err) })
+	learnOne := timed(effort, func() {
+		view.State().With(change.Version, &changelog.Change[council.Item]{Records: change.Changes.Records})
+	})
+	return []float64{bytesOfOne, encodeOne, learnOne, snapshot, encode, learn}, failed
+}
+
+// leader is a control plane of one voter that begins with a state.
+type leader struct {
+	server *council.Server
+	end    func()
+}
+
+const voterName = "voter"
+
+// The ticks of a leader's clock: as a deployment has it, and short where only the time until it leads depends on it.
+const (
+	usualTick = 100 * time.Millisecond
+	shortTick = 10 * time.Millisecond
+)
+
+// startLeader starts it and waits until it leads. Leases are so long that none ends meanwhile.
+func startLeader(ctx context.Context, s *council.State, tick time.Duration) (l leader, err error) {
+	store, kept, err := council.OpenKeeper(fsys.NewMem(), func(string) {})
+	if err != nil {
+		return l, err
+	}
+	if s != nil {
+		kept.Snapshot = raftpb.Snapshot{Metadata: raftpb.SnapshotMetadata{Index: s.Version, Term: 1, ConfState: raftpb.ConfState{Voters: []uint64{council.ID(voterName)}}}}
+		if kept.Snapshot.Data, err = encodeGob(s); err != nil {
+			return l, err
+		}
+	}
+	core, err := council.NewCore(voterName, []council.Founder{{Name: voterName}}, kept)
+	if err != nil {
+		return l, err
+	}
+	timing := council.Timing{Tick: tick, Lease: time.Hour, Margin: time.Minute}
+	l.server = council.NewServer(core, store, timing, zerolog.Nop())
+	running, cancel := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = l.server.Run(running) }()
+	l.end = func() { cancel(); <-ended; _ = store.Close() }
+	for l.server.Ask(council.Request{}).Leader == "" {
+		select {
+		case <-time.After(10 * time.Millisecond):
+		case <-ctx.Done():
+			l.end()
+			return l, ctx.Err()
+		}
+	}
+	return l, nil
+}
+
+// probeControlPlane measures what the leader spends on members that renew their leases, on one decided change, and on nobody at all.
+func probeControlPlane(ctx context.Context, sizes []int, effort time.Duration) ([]Series, error) {
+	var t table
+	t.column("leader.idle", "members", "cores", "processor time of a leader whom nobody asks")
+	t.column("leader.renewal", "members", "s", "processor time of one lease renewal at the leader, links not counted")
+	t.column("leader.change", "members", "s", "processor time of one decided change, with its answer to who asked, links not counted")
+	for _, n := range sizes {
+		l, s, err := startFleet(ctx, n, usualTick)
+		if err != nil {
+			return nil, err
+		}
+		idle := idleLoad(effort)
+		watch := watchBehind(s)
+		renewal := perCall(effort, func(i int) {
+			l.server.Ask(council.Request{Renew: &council.Life{Name: memberName(i % n), Number: 1}, Watch: watch})
+		})
+		change := perCall(effort, func(i int) {
+			l.server.Ask(council.Request{Command: &council.Command{Kind: council.Leave, Life: council.Life{Name: memberName(i % n)}, On: i%2 == 0}})
+		})
+		l.end()
+		t.row(n, idle, renewal, change)
+	}
+	return t.series, nil
+}
+
+// startFleet starts a leader of a fleet of so many members.
+func startFleet(ctx context.Context, members int, tick time.Duration) (leader, *council.State, error) {
+	s, err := fleetState(members)
+	if err != nil {
+		return leader{}, nil, err
+	}
+	l, err := startLeader(ctx, s, tick)
+	return l, s, err
+}
+
+// watchBehind is that of a member which has all of a state.
+func watchBehind(s *council.State) *council.Watch {
+	return &council.Watch{Cursor: changelog.Cursor{Has: s.Version, Revision: s.Version}, Selector: council.Everything}
+}
+
+// idleLoad is the processor time a second that this process takes by itself.
+func idleLoad(effort time.Duration) float64 {
+	const least = 400 * time.Millisecond // some ticks of the leader's clock
+	length := max(least, 5*effort)
+	before, began := processorTime(), time.Now()
+	time.Sleep(length)
+	return max(1e-6, (processorTime()-before)/time.Since(began).Seconds())
+}
+
+// perCall is the processor time of one call of many, made by some goroutines at once for the effort.
+func perCall(effort time.Duration, call func(i int)) float64 {
+	const callers = 64
+	var calls atomic.Int64
+	var all sync.WaitGroup
+	before, began := processorTime(), time.Now()
+	for range callers {
+		all.Go(func() {
+			for time.Since(began) < 2*effort {
+				call(int(calls.Add(1)))
+			}
+		})
+	}
+	all.Wait()
+	return (processorTime() - before) / float64(calls.Load())
+}
+
+// probeJoins measures how long it takes until all members of a fleet have joined, some at a time.
+func probeJoins(ctx context.Context, sizes []int, _ time.Duration) ([]Series, error) {
+	const atOnce = 64
+	var t table
+	t.column("joins", "members", "s", "until all members have joined, 64 at a time, memory for a disk, no links")
+	for _, n := range sizes {
+		l, err := startLeader(ctx, nil, shortTick)
+		if err != nil {
+			return nil, err
+		}
+		var next atomic.Int64
+		var all sync.WaitGroup
+		began := time.Now()
+		for range atOnce {
+			all.Go(func() {
+				for i := int(next.Add(1)) - 1; i < n; i = int(next.Add(1)) - 1 {
+					join := council.Command{Kind: council.Join, Life: council.Life{Name: memberName(i)}, Token: memberName(i), Zone: "z", Region: "r", Address: "10.0.0.1:7100"}
+					l.server.Ask(council.Request{Command: &join})
+				}
+			})
+		}
+		all.Wait()
+		took := time.Since(began).Seconds()
+		l.end()
+		t.row(n, took)
+	}
+	return t.series, nil
+}
+
+// countedListener counts the bytes that its connections move, both ways.
+type countedListener struct {
+	net.Listener
+	moved *atomic.Int64
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{conn, l.moved}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	moved *atomic.Int64
+}
+
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.moved.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.moved.Add(int64(n))
+	return n, err
+}
+
+// probeLinks measures lease renewals over loopback sockets, by the number of connections.
+func probeLinks(ctx context.Context, sizes []int, effort time.Duration) ([]Series, error) {
+	var t table
+	t.column("link.renewal", "connections", "s", "processor time of one lease renewal over a loopback socket, both ends and the leader")
+	t.column("link.renewal.bytes", "connections", "B", "of one lease renewal and its answer, without the network's own heads")
+	for _, n := range sizes {
+		l, s, err := startFleet(ctx, n, shortTick)
+		if err != nil {
+			return nil, err
+		}
+		cpu, size, err := renewOverSockets(ctx, l, n, watchBehind(s), effort)
+		l.end()
+		if err != nil {
+			return nil, err
+		}
+		t.row(n, cpu, size)
+	}
+	return t.series, nil
+}
+
+func renewOverSockets(ctx context.Context, l leader, n int, watch *council.Watch, effort time.Duration) (cpu, size float64, err error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return 0, 0, err
+	}
+	moved := &atomic.Int64{}
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = links.Serve(countedListener{listener, moved}, map[string]any{"Council": l.server.Calls()})
+	}()
+	defer func() { _ = listener.Close(); <-served }()
+	peers := make([]*links.Peer, n)
+	ask := func(i int) error {
+		var r council.Response
+		req := council.Request{Renew: &council.Life{Name: memberName(i), Number: 1}, Watch: watch}
+		return peers[i].Call(ctx, "Council.Ask", req, &r)
+	}
+	for i := range peers {
+		peers[i] = links.NewPeer(listener.Addr().String())
+		defer peers[i].Close()
+		if err := ask(i); err != nil { // the connection comes up, and types are told once
+			return 0, 0, err
+		}
+	}
+	var calls atomic.Int64
+	var failed atomic.Pointer[error]
+	before, bytesBefore, began := processorTime(), moved.Load(), time.Now()
+	var all sync.WaitGroup
+	for i := range peers {
+		all.Go(func() {
+			for round := 0; round == 0 || time.Since(began) < 2*effort; round++ {
+				if err := ask(i); err != nil {
+					failed.Store(&err)
+					return
+				}
+				calls.Add(1)
+			}
+		})
+	}
+	all.Wait()
+	if e := failed.Load(); e != nil {
+		return 0, 0, *e
+	}
+	k := float64(calls.Load())
+	return (processorTime() - before) / k, float64(moved.Load()-bytesBefore) / k, nil
+}
