A message of a class in alone that is taken over may have run, recorded or not

Cause: calls of classes in alone begin without waiting until a replica has the begin. The table in docs/design/replication.md says that a taker counts such a message as one that may have run; no code did.

Change: Router.Adopt assumes a run at an unknown time for classes that are not strict. Safe goes again, all else is given up with one notice.

--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -55,14 +55,22 @@
 
 // runRouter runs a router on a journal, which it closes at the end.
 func runRouter(t *testing.T, journal *wal.Log) (r *Router, s script, end func()) {
+	t.Helper()
+	return runGuarded(t, journal, nil)
+}
+
+// runGuarded does so with a guard; nil is none.
+func runGuarded(t *testing.T, journal *wal.Log, guard Guard) (r *Router, s script, end func()) {
 	t.Helper()
 	s = script{make(chan Attempt, 8), make(chan Result, 8), make(chan Notice, 8)}
 	r, err := New(Config{
+		Guard: guard,
 		Settings: mb.Settings{
 			Couriers: 1, Slots: 4, LongSlots: 1, MostHeld: 10, MaxAttempts: 6, MaxRetryAfter: time.Second,
 			Classes: []mb.Class{
 				{Name: "unsafe", Target: time.Second, GiveUp: time.Minute, Worth: 1, Effect: mb.Unsafe},
 				{Name: "keyed", Target: time.Second, GiveUp: time.Minute, Worth: 1, Effect: mb.Keyed, KeyTTL: 1500 * time.Millisecond},
+				{Name: "safe", Target: time.Second, GiveUp: time.Minute, Worth: 1, Effect: mb.Safe},
 			},
 		},
 		Known: List{Whole: true, Saved: true, Endpoints: []Endpoint{{Name: "a", Address: "a:1", Group: 7, Weight: 50}}},
--- a/internal/routing/shared.go
+++ b/internal/routing/shared.go
@@ -189,6 +189,9 @@
 			own := *m
 			own.Seq, own.Owner, own.Life = r.cfg.Log.Next(), owner, life
 			own.Settle() // a call of it that was out has ended by now, and may have run
+			if !r.cfg.Guard.Strict(own.Class) {
+				own.AssumeRun(time.Now().Add(-pastRoom)) // its calls began without a copy that says so, nobody knows when
+			}
 			if !r.cfg.Log.Fits(&own) {
 				err = wal.ErrFull
 			} else {
--- a/internal/routing/wal/copy.go
+++ b/internal/routing/wal/copy.go
@@ -115,6 +115,15 @@
 // Settle books a call that was out, when nobody can tell any more how it ended, as one that may have run.
 func (m *Message) Settle() { m.outcome(true) }
 
+// AssumeRun books that an attempt of which there is no record may have run, at a moment or later. It changes nothing where a recorded one may
+// have run already, or where the message has ended.
+func (m *Message) AssumeRun(at time.Time) {
+	if m.MayRun || m.Ending != Unended {
+		return
+	}
+	m.MayRun, m.RanAt, m.RanZone = true, at, ""
+}
+
 // Full gives a message of this log with its body, which may have to be read from the disk.
 func (l *Log) Full(m *Message) (*Message, error) {
 	out := *m
