Control plane: relays carry renewals in batches; CBOR on links; callers no longer fill a voter

Cause, by descriptors, connections and a profile of the leader: callers that gave up after 800 ms dialled anew at once; net/rpc kept each old connection until its call had ended, so voters stood at 20,000 descriptors with some 30,000 connections in CLOSE-WAIT, and gob compiled all types anew for each connection (some 2 ms). Ruled out: the leader's own goroutine (1.7 % of its samples), the laboratory's memory.

Change: a server closes what its caller has closed; a peer that stalls is dialled after growing random delays; requests and answers are single CBOR values, items encoded once for all; the Raft log's entries too (gob is still read). internal/cluster/relay: a pure core with a mirror and one batch at a time, a thin server, and a walk that finds the broken rule for each safeguard left out. council.Route ranks relays, near first. server.go parted into requests.go and rpc.go.

Relays are not wired into the program yet.

--- a/internal/cluster/changelog/changelog.go
+++ b/internal/cluster/changelog/changelog.go
@@ -19,20 +19,20 @@
 
 // Record is the latest change of a key.
 type Record[V any] struct {
-	Key      string
-	Revision uint64
-	Deleted  bool // Value is nothing then
-	Value    V
+	Key      string `cbor:"1,keyasint,omitempty"`
+	Revision uint64 `cbor:"2,keyasint,omitempty"`
+	Deleted  bool   `cbor:"3,keyasint,omitempty"` // Value is nothing then
+	Value    V      `cbor:"4,keyasint,omitzero"`
 }
 
 // Cursor is how far a watcher has read.
 type Cursor struct {
-	Selection uint64 // counts the watcher's selectors; an answer to an earlier one is not applied
-	Has       uint64 // the revision of the view that it goes by
-	Revision  uint64 // it has every selected record up to here; beyond Has only while an answer is in pieces
-	Began     uint64 // the log's revision when the snapshot under way began; 0 is none
-	Seen      uint64 // the highest revision of a log that gave a piece of the answer under way; 0 is none
-	Restart   bool   // a snapshot is wanted, whatever it has
+	Selection uint64 `cbor:"1,keyasint,omitempty"` // counts the watcher's selectors; an answer to an earlier one is not applied
+	Has       uint64 `cbor:"2,keyasint,omitempty"` // the revision of the view that it goes by
+	Revision  uint64 `cbor:"3,keyasint,omitempty"` // it has every selected record up to here; beyond Has only while an answer is in pieces
+	Began     uint64 `cbor:"4,keyasint,omitempty"` // the log's revision when the snapshot under way began; 0 is none
+	Seen      uint64 `cbor:"5,keyasint,omitempty"` // the highest revision of a log that gave a piece of the answer under way; 0 is none
+	Restart   bool   `cbor:"6,keyasint,omitempty"` // a snapshot is wanted, whatever it has
 }
 
 // Newest is the revision that a source must have to go on from here.
@@ -40,11 +40,11 @@
 
 // Selector says which keys a watcher wants.
 type Selector struct {
-	All      bool
-	Prefixes []string
-	Keys     []string
+	All      bool     `cbor:"1,keyasint,omitempty"`
+	Prefixes []string `cbor:"2,keyasint,omitempty"`
+	Keys     []string `cbor:"3,keyasint,omitempty"`
 	// Mirror has snapshots contain deletions as well: for a replica that serves watchers itself.
-	Mirror bool
+	Mirror bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Matches says whether a key is selected.
@@ -54,11 +54,12 @@
 
 // Batch is an answer to a watcher, or a piece of one.
 type Batch[V any] struct {
-	From, To Cursor
-	Records  []Record[V] // in the order of their revisions; no revision is divided between two pieces
-	Reset    bool        // the first piece of a snapshot: what the watcher has is replaced once it has the last
-	More     bool        // another piece can be had from To on
-	Floor    uint64      // of the log, for a mirror
+	From    Cursor      `cbor:"1,keyasint,omitzero"`
+	To      Cursor      `cbor:"2,keyasint,omitzero"`
+	Records []Record[V] `cbor:"3,keyasint,omitempty"` // in the order of their revisions; no revision is divided between two pieces
+	Reset   bool        `cbor:"4,keyasint,omitempty"` // the first piece of a snapshot: what the watcher has is replaced once it has the last
+	More    bool        `cbor:"5,keyasint,omitempty"` // another piece can be had from To on
+	Floor   uint64      `cbor:"6,keyasint,omitempty"` // of the log, for a mirror
 }
 
 // ErrBehind is given by a source that has not what a watcher has already. Another source may.
--- a/internal/cluster/council/client.go
+++ b/internal/cluster/council/client.go
@@ -1,12 +1,16 @@
 package council
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"mulleinbeam/internal/cluster/links"
 )
 
@@ -16,15 +20,25 @@
 	local  string // this very process
 	server *Server
 
+	began    time.Time
 	mu       sync.Mutex
 	first    []Founder // of the settings
 	founders []Founder
-	leader   string
+	route    *Route // nil: the voters are asked
+	target   string // the voter that answered last
+	leader   string // as the latest answer says
 }
 
 // NewClient asks founders, by ways that at gives; local and server are this process's own part.
 func NewClient(founders []Founder, at func(address string) *links.Peer, local string, server *Server) *Client {
-	return &Client{first: founders, founders: founders, at: at, local: local, server: server}
+	return &Client{first: founders, founders: founders, at: at, local: local, server: server, began: time.Now()}
+}
+
+// Via has requests go through relays, the preferred first; voters are asked only while none of them answers. It is called before Do.
+func (c *Client) Via(relays []Relay) {
+	if len(relays) > 0 {
+		c.route = NewRoute(relays)
+	}
 }
 
 // Know takes who the founders are by now; none is those of the settings. Those are asked behind them.
@@ -40,49 +54,108 @@
 }
 
 const (
-	tryFor  = 800 * time.Millisecond // of one founder, before the next is tried
-	between = 50 * time.Millisecond  // two rounds over all founders
+	tryFor      = 800 * time.Millisecond // of one voter, before the next is tried
+	between     = 50 * time.Millisecond  // the mean pause behind the first round in which nobody did what was asked for
+	betweenMost = 250 * time.Millisecond // the mean pause, however many there were
 )
 
-// Do asks until somebody who leads has answered, or ctx ends.
+// Do asks until somebody has done what is asked for, or ctx ends.
 func (c *Client) Do(ctx context.Context, req Request) (Response, error) {
-	for {
-		c.mu.Lock()
-		names, address := []string{c.leader}, map[string]string{}
-		for _, f := range c.founders {
-			names = append(names, f.Name)
-			address[f.Name] = f.Address
+	pauses := &backoff.ExponentialBackOff{InitialInterval: between, MaxInterval: betweenMost, Multiplier: 1.5, RandomizationFactor: 0.5}
+	for ctx.Err() == nil {
+		r, done, again := c.round(ctx, req)
+		if done {
+			return r, nil
 		}
-		c.mu.Unlock()
-		tried := map[string]bool{}
-		for _, name := range names {
-			for name != "" && !tried[name] && ctx.Err() == nil { // and whom it names
-				tried[name] = true
-				r, err := c.one(ctx, name, address[name], req)
-				if err != nil {
-					break
-				}
-				if r.Refused != ErrNotLeader.Error() && r.Refused != ErrNoLeader.Error() {
-					c.mu.Lock()
-					c.leader = name
-					c.mu.Unlock()
-					return r, nil
-				}
-				for _, f := range r.Council { // founders may have changed since this member last heard
-					address[f.Name] = f.Address
-				}
-				name = r.Leader
-			}
+		if again {
+			continue
 		}
 		select {
-		case <-time.After(between):
+		case <-time.After(pauses.NextBackOff()):
 		case <-ctx.Done():
-			return Response{}, errors.Join(ErrNoLeader, ctx.Err())
 		}
 	}
+	return Response{}, errors.Join(ErrNoLeader, ctx.Err())
+}
+
+// round asks a relay, or all voters. Again says that another relay is to be asked at once.
+func (c *Client) round(ctx context.Context, req Request) (r Response, done, again bool) {
+	c.mu.Lock()
+	if c.route != nil {
+		if relay, patience, some := c.route.Next(time.Since(c.began)); some {
+			c.mu.Unlock()
+			return c.viaRelay(ctx, relay, patience, req)
+		}
+	}
+	c.mu.Unlock()
+	r, done = c.viaVoters(ctx, req)
+	return r, done, false
+}
+
+// viaRelay asks one relay.
+func (c *Client) viaRelay(ctx context.Context, relay Relay, patience time.Duration, req Request) (r Response, done, again bool) {
+	if req.Command != nil { // it has to be decided first
+		patience = max(patience, tryFor)
+	}
+	call, cancel := context.WithTimeout(ctx, patience)
+	err := c.at(relay.Address).Call(call, "Council.Ask", req, &r)
+	cancel()
+	if ctx.Err() != nil {
+		return r, err == nil && !r.elsewhere(), false // the caller had no time left: that says nothing of the relay
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch now := time.Since(c.began); {
+	case err != nil:
+		c.route.Silent(relay, now, rand.Float64())
+		return r, false, true
+	case r.elsewhere():
+		c.route.Refused(relay, now)
+		return r, false, false
+	}
+	c.route.Answered(relay)
+	c.leader = r.Leader
+	return r, true, false
+}
+
+// elsewhere says that whoever answered could not do what was asked for, and another may.
+func (r Response) elsewhere() bool {
+	return r.Refused == ErrNotLeader.Error() || r.Refused == ErrNoLeader.Error()
+}
+
+// viaVoters asks one voter after the other, and whom they name.
+func (c *Client) viaVoters(ctx context.Context, req Request) (r Response, done bool) {
+	c.mu.Lock()
+	names, address := []string{c.target}, map[string]string{}
+	for _, f := range c.founders {
+		names = append(names, f.Name)
+		address[f.Name] = f.Address
+	}
+	c.mu.Unlock()
+	tried := map[string]bool{}
+	for _, name := range names {
+		for name != "" && !tried[name] && ctx.Err() == nil {
+			tried[name] = true
+			r, err := c.one(ctx, name, address[name], req)
+			if err != nil {
+				break
+			}
+			if !r.elsewhere() {
+				c.mu.Lock()
+				c.target, c.leader = name, cmp.Or(r.Leader, name)
+				c.mu.Unlock()
+				return r, true
+			}
+			for _, f := range r.Council { // founders may have changed since this member last heard
+				address[f.Name] = f.Address
+			}
+			name = r.Leader
+		}
+	}
+	return r, false
 }
 
-// Leader is the founder that led when it was last asked; "" is none known.
+// Leader is the voter that led when somebody was last asked; "" is none known.
 func (c *Client) Leader() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/cluster/council/core.go
+++ b/internal/cluster/council/core.go
@@ -60,8 +60,8 @@
 
 // entry is a command as it stands in the log.
 type entry struct {
-	Ticket  uint64
-	Command Command
+	Ticket  uint64  `cbor:"1,keyasint,omitempty"`
+	Command Command `cbor:"2,keyasint,omitzero"`
 }
 
 // Core is one founder's part in the Raft group: events go in, Ready gives what to do. It has no clock, no socket and no
@@ -323,7 +323,7 @@
 	if !c.Leads() {
 		return ErrNotLeader
 	}
-	data, err := encode(entry{ticket, cmd})
+	data, err := encodeEntry(entry{ticket, cmd})
 	if err != nil {
 		return err
 	}
@@ -399,7 +399,7 @@
 		}
 		var in entry
 		a := Applied{Version: e.Index}
-		if err := gob.NewDecoder(bytes.NewReader(data)).Decode(&in); err != nil {
+		if err := decodeEntry(data, &in); err != nil {
 			a.Err = fmt.Errorf("council: command %d: %w", e.Index, err) // on all founders alike
 		} else {
 			a.Ticket, a.Command = in.Ticket, in.Command
@@ -482,7 +482,7 @@
 		}
 		index, term = e.Index, max(term, e.Term)
 		var in entry
-		if e.Type == raftpb.EntryNormal && len(e.Data) > 0 && gob.NewDecoder(bytes.NewReader(e.Data)).Decode(&in) == nil {
+		if e.Type == raftpb.EntryNormal && len(e.Data) > 0 && decodeEntry(e.Data, &in) == nil {
 			_ = state.Apply(e.Index, in.Command)
 		}
 	}
--- a/internal/cluster/council/founders.go
+++ b/internal/cluster/council/founders.go
@@ -14,9 +14,9 @@
 
 // Founder is one of those who hold the council, or may.
 type Founder struct {
-	Name    string
-	Address string
-	Learns  bool // it is told of everything, and does not vote yet
+	Name    string `cbor:"1,keyasint,omitempty"`
+	Address string `cbor:"2,keyasint,omitempty"`
+	Learns  bool   `cbor:"3,keyasint,omitempty"` // it is told of everything, and does not vote yet
 }
 
 // MostFounders bounds a council: more make it slower and hardly safer.
@@ -111,7 +111,7 @@
 	default:
 		return ErrFounder
 	}
-	data, err := encode(entry{ticket, Command{Kind: Found, Life: Life{Name: f.Name}, On: on, From: c.state.Council, Council: list}})
+	data, err := encodeEntry(entry{ticket, Command{Kind: Found, Life: Life{Name: f.Name}, On: on, From: c.state.Council, Council: list}})
 	if err != nil {
 		return err
 	}
--- a/internal/cluster/council/items.go
+++ b/internal/cluster/council/items.go
@@ -13,18 +13,21 @@
 // The decided state as a change log: every member, takeover, the plan and the voters have a key, and the version of a command is the revision
 // of all keys that it has changed.
 
-// Item is what a key stands for; one of its fields is set.
+// Item is what a key stands for; one of its exported fields is set. One that was sealed, or came over a link, is encoded once for all who get
+// it.
 type Item struct {
-	Member *Member
-	Job    *Job
-	Plan   *Plan
-	Voters *Voters
+	Member *Member `cbor:"1,keyasint,omitempty"`
+	Job    *Job    `cbor:"2,keyasint,omitempty"`
+	Plan   *Plan   `cbor:"3,keyasint,omitempty"`
+	Voters *Voters `cbor:"4,keyasint,omitempty"`
+
+	encoded []byte
 }
 
 // Voters are who holds the control plane, as of a version.
 type Voters struct {
-	List    []Founder
-	Council uint64
+	List    []Founder `cbor:"1,keyasint,omitempty"`
+	Council uint64    `cbor:"2,keyasint,omitempty"`
 }
 
 // Change is one to a key.
@@ -74,6 +77,11 @@
 // Everything selects the whole state.
 var Everything = changelog.Selector{All: true}
 
+// NewMirror has nothing yet; it is for a relay.
+func NewMirror() *changelog.Mirror[Item] {
+	return changelog.NewMirror(2*mostDeletions, changeSize)
+}
+
 // touch notes that a key has changed at this version.
 func (s *State) touch(key string) {
 	if s.Revisions == nil {
@@ -141,16 +149,16 @@
 	switch name, isMember := strings.CutPrefix(key, memberPrefix); {
 	case isMember:
 		m := s.Members[name]
-		return Item{Member: m}, m != nil
+		return Item{Member: m}.sealed(), m != nil
 	case key == planKey:
 		plan := s.Plan
-		return Item{Plan: &plan}, true
+		return Item{Plan: &plan}.sealed(), true
 	case key == votersKey:
-		return Item{Voters: &Voters{s.Founders, s.Council}}, true
+		return Item{Voters: &Voters{s.Founders, s.Council}}.sealed(), true
 	}
 	for _, j := range s.Jobs {
 		if jobKey(j.Life) == key {
-			return Item{Job: j}, true
+			return Item{Job: j}.sealed(), true
 		}
 	}
 	return Item{}, false
@@ -164,7 +172,7 @@
 	}
 	for key, revision := range s.Revisions {
 		if j := jobs[key]; j != nil {
-			out = append(out, Change{Key: key, Revision: revision, Value: Item{Job: j}})
+			out = append(out, Change{Key: key, Revision: revision, Value: Item{Job: j}.sealed()})
 		} else if v, known := s.item(key); known {
 			out = append(out, Change{Key: key, Revision: revision, Value: v})
 		}
--- /dev/null
+++ b/internal/cluster/council/route_test.go
@@ -0,0 +1,85 @@
+package council
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Members prefer relays of their own zone and spread over them; one that goes moves only its own members, and spreads them over the others.
+func TestRelaysAreRankedByZoneAndSpread(t *testing.T) {
+	var relays []Relay
+	for i := range 6 {
+		relays = append(relays, Relay{Zone: fmt.Sprint("z", i%2), Address: fmt.Sprint("r", i)})
+	}
+	first, second := map[string]int{}, map[string]int{}
+	const members = 3000
+	for i := range members {
+		ranked := RankRelays(relays, fmt.Sprint("m", i), "z1")
+		for k, r := range ranked {
+			if (r.Zone == "z1") != (k < 3) {
+				t.Fatalf("%v", ranked)
+			}
+		}
+		first[ranked[0].Address]++
+		if ranked[0].Address == "r1" {
+			second[ranked[1].Address]++
+		}
+	}
+	for _, address := range []string{"r1", "r3", "r5"} {
+		if n := first[address]; n < members/4 || n > members/2 {
+			t.Errorf("%s is the first of %d", address, n)
+		}
+	}
+	if len(second) != 2 || second["r3"] < members/9 || second["r5"] < members/9 {
+		t.Errorf("members of r1 go to %v", second)
+	}
+}
+
+// A relay without an answer is passed over, tried again later for a short time only, and preferred again once it answers.
+func TestARelayThatIsSilentIsPassedOver(t *testing.T) {
+	a, b := Relay{Address: "a"}, Relay{Address: "b"}
+	r := NewRoute([]Relay{a, b})
+	at := time.Duration(0)
+	next := func(want Relay, patience time.Duration) {
+		t.Helper()
+		if got, wait, some := r.Next(at); !some || got != want || wait != patience {
+			t.Errorf("at %v: %v for %v, %v", at, got, wait, some)
+		}
+	}
+	next(a, relayPatience)
+	r.Silent(a, at, 0)
+	next(b, relayPatience)
+	at += silentAside/2 - 1
+	next(b, relayPatience)
+	at++
+	next(a, returnPatience)
+	r.Silent(a, at, 1)
+	at += silentAside
+	next(b, relayPatience)
+	at += silentAside / 2
+	next(a, returnPatience)
+	r.Answered(a)
+	next(a, relayPatience)
+}
+
+// While relays answer that there is no leader, voters are not asked: only silence of all relays leads to them.
+func TestVotersAreAskedOnlyWhileAllRelaysAreSilent(t *testing.T) {
+	a, b := Relay{Address: "a"}, Relay{Address: "b"}
+	r := NewRoute([]Relay{a, b})
+	r.Refused(a, 0)
+	if got, _, some := r.Next(1); !some || got != b {
+		t.Errorf("%v, %v", got, some)
+	}
+	r.Silent(b, 1, 0)
+	if got, _, some := r.Next(2); !some || got != a {
+		t.Errorf("%v, %v: it refused, and answers", got, some)
+	}
+	r.Silent(a, 2, 0)
+	if got, _, some := r.Next(3); some {
+		t.Errorf("%v, and both are silent", got)
+	}
+	if _, _, some := NewRoute(nil).Next(0); some {
+		t.Error("a relay where there is none")
+	}
+}
--- a/internal/cluster/council/server.go
+++ b/internal/cluster/council/server.go
@@ -12,7 +12,6 @@
 	"github.com/rs/zerolog"
 	"go.etcd.io/raft/v3/raftpb"
 
-	"mulleinbeam/internal/cluster/changelog"
 	"mulleinbeam/internal/cluster/links"
 )
 
@@ -26,34 +25,6 @@
 // paused is how many ticks may be missed before a leader takes itself for one that slept: everybody's askings may lie unread.
 const paused = 3
 
-// Watch is how far a watcher of what is decided has read, and what it wants.
-type Watch struct {
-	Cursor   changelog.Cursor
-	Selector changelog.Selector
-}
-
-// Request is one to the council. With a Command it asks for that; with a life in Renew for its lease. With a Watch the answer brings what
-// has changed, whatever else it is.
-type Request struct {
-	Command  *Command
-	Renew    *Life
-	Sequence uint64 // of the renewal, among those of its life
-	Watch    *Watch
-}
-
-// Response answers it.
-type Response struct {
-	Leader   string    // who leads, as far as is known; where Refused says that it was not this founder
-	Refused  string    // why nothing came of it
-	Granted  bool      // the lease,
-	Sequence uint64    // to the renewal of this number: a lease counts from when that one was sent
-	Silent   bool      // this founder does not vote: it has not met all others since it lost what it had
-	Council  []Founder // who they are, as far as is known, where it was not this founder to ask
-	Version  uint64    // of what is decided as far as is known here; behind a command, as of which it was carried out
-	Joined   *Member   // behind a Join: the life that has begun
-	Changes  *Changes  // with a Watch; nil is none
-}
-
 // ErrNoLeader is given while nobody can be found who leads.
 var ErrNoLeader = errors.New("council: no leader")
 
@@ -75,25 +46,25 @@
 	// goroutine of its own.
 	Furthest func(ctx context.Context, life Life, keepers []string, s *State) string
 
-	began   time.Time
-	events  chan func()
-	done    chan struct{}
-	token   uint64 // of this process
-	ticket  uint64
-	leases  Leases
-	ticked  time.Duration
-	waiting map[uint64]func(Applied) // by ticket
-	asking  map[uint64][]asking      // by ticket of their confirmation
-	fresh   []asking                 // not confirmed for yet
-	joining map[string]*joining      // by name
-	ticks   int                      // in this leadership
-	looking map[Life]bool            // jobs whose keepers are being asked
-	lanes   map[uint64]*lane
-	seen    []Founder      // to whom the lanes are
-	carried sync.WaitGroup // lanes
-	changed time.Duration  // until when a change of the founders may be under way
-	meeting bool
-	said    string // the leader of whom the log has told
+	began       time.Time
+	events      chan func()
+	done        chan struct{}
+	token       uint64 // of this process
+	ticket      uint64
+	leases      Leases
+	ticked      time.Duration
+	waiting     map[uint64]func(Applied)  // by ticket
+	unconfirmed map[uint64][]leaseRequest // by ticket of their confirmation
+	fresh       []leaseRequest            // not confirmed for yet
+	joining     map[string]*joining       // by name
+	ticks       int                       // in this leadership
+	looking     map[Life]bool             // jobs whose keepers are being asked
+	lanes       map[uint64]*lane
+	seen        []Founder      // to whom the lanes are
+	carried     sync.WaitGroup // lanes
+	changed     time.Duration  // until when a change of the founders may be under way
+	meeting     bool
+	said        string // the leader of whom the log has told
 }
 
 // lane is the way to another founder.
@@ -104,13 +75,6 @@
 	end  context.CancelFunc
 }
 
-// asking is a lease that was asked for.
-type asking struct {
-	life     Life
-	sequence uint64
-	tell     func(Response)
-}
-
 // joining is a process that waits for an earlier life of its name to be over.
 type joining struct {
 	cmd   Command
@@ -123,7 +87,7 @@
 	return &Server{
 		core: core, keeper: keeper, timing: t, Dial: links.NewPeer, logger: logger, began: time.Now(), events: make(chan func(), 256),
 		done: make(chan struct{}), token: rand.Uint64(), ticket: rand.Uint64(), leases: Leases{Lease: t.Lease, Margin: t.Margin},
-		waiting: map[uint64]func(Applied){}, asking: map[uint64][]asking{}, joining: map[string]*joining{},
+		waiting: map[uint64]func(Applied){}, unconfirmed: map[uint64][]leaseRequest{}, joining: map[string]*joining{},
 		looking: map[Life]bool{}, lanes: map[uint64]*lane{},
 	}
 }
@@ -325,10 +289,10 @@
 		s.decided(a)
 	}
 	for _, t := range step.Confirmed {
-		for _, a := range s.asking[t] {
+		for _, a := range s.unconfirmed[t] {
 			s.grant(a)
 		}
-		delete(s.asking, t)
+		delete(s.unconfirmed, t)
 	}
 	s.follow()
 	return nil
@@ -410,11 +374,11 @@
 // refuseAll sends everybody who waits to the next leader.
 func (s *Server) refuseAll() {
 	no := Response{Refused: ErrNotLeader.Error()}
-	for t, list := range s.asking {
+	for t, list := range s.unconfirmed {
 		for _, a := range list {
 			a.tell(no)
 		}
-		delete(s.asking, t)
+		delete(s.unconfirmed, t)
 	}
 	for name, j := range s.joining {
 		j.tell(no)
@@ -450,7 +414,7 @@
 	}
 	for _, j := range state.Jobs {
 		if !j.Done && j.Taker.Number == 0 && !s.looking[j.Life] && s.Furthest != nil {
-			s.look(ctx, j, state.Clone())
+			s.look(ctx, j, state)
 		}
 	}
 }
@@ -502,6 +466,7 @@
 		return // until one of them is back
 	}
 	s.looking[life] = true
+	state = state.Clone()
 	go func() {
 		name := s.Furthest(ctx, life, keepers, state)
 		s.post(func() {
@@ -512,263 +477,3 @@
 		})
 	}()
 }
-
-// propose asks for a command and tells what came of it.
-func (s *Server) propose(cmd Command, tell func(Response)) {
-	s.asked(tell, func(ticket uint64) error { return s.core.Propose(ticket, cmd) })
-}
-
-// change asks for a change of the founders, one at a time; a change that got lost is not waited for for long.
-func (s *Server) change(f Founder, on bool, tell func(Response)) {
-	s.asked(tell, func(ticket uint64) error {
-		now := s.now()
-		if s.changed > now {
-			return ErrChanging
-		}
-		err := s.core.Change(ticket, f, on)
-		if err == nil {
-			s.changed = now + answerFor
-		}
-		return err
-	})
-}
-
-// asked proposes something under a ticket and tells what came of it.
-func (s *Server) asked(tell func(Response), propose func(ticket uint64) error) {
-	s.ticket++
-	ticket := s.ticket
-	if tell != nil {
-		s.waiting[ticket] = func(a Applied) {
-			r := Response{Version: a.Version}
-			if a.Err != nil {
-				r.Refused = a.Err.Error()
-			} else if a.Command.Kind == Join {
-				r.Joined = s.core.State().Members[a.Command.Life.Name]
-			}
-			tell(r)
-		}
-	}
-	if err := propose(ticket); err != nil {
-		delete(s.waiting, ticket)
-		if tell != nil {
-			tell(Response{Refused: err.Error(), Leader: s.core.Leader()})
-		}
-	}
-}
-
-// found takes a member into the council, or lets a founder go.
-func (s *Server) found(cmd Command, tell func(Response)) {
-	f := Founder{Name: cmd.Life.Name}
-	if m := s.core.State().Members[f.Name]; cmd.On {
-		switch {
-		case m == nil || !m.Alive:
-			tell(Response{Refused: ErrUnknown.Error()})
-			return
-		case slices.ContainsFunc(s.core.Founders(), func(x Founder) bool { return x.Name == f.Name }):
-			tell(Response{Refused: ErrFounder.Error()})
-			return
-		}
-		f.Address = m.Address
-	}
-	s.change(f, cmd.On, tell)
-}
-
-// Roster tells who the founders are, as decided up to a version: how one that is none of them, or has lost its folder, hears of it.
-func (s *Server) Roster(list []Founder, version uint64) {
-	s.post(func() { s.core.Know(list, version) })
-}
-
-// confirm asks a majority once for all leases that were asked for since.
-func (s *Server) confirm() {
-	if len(s.fresh) == 0 {
-		return
-	}
-	s.ticket++
-	if err := s.core.Confirm(s.ticket); err != nil {
-		for _, a := range s.fresh {
-			a.tell(Response{Refused: err.Error(), Leader: s.core.Leader()})
-		}
-	} else {
-		s.asking[s.ticket] = s.fresh
-	}
-	s.fresh = nil
-}
-
-// grant answers a lease that a majority has confirmed.
-func (s *Server) grant(a asking) {
-	state := s.core.State()
-	r := Response{Granted: state.Alive(a.life) && s.leases.Leads() && !s.leases.ending[a.life], Sequence: a.sequence, Version: state.Version}
-	if !r.Granted {
-		r.Refused = ErrEnded.Error()
-	}
-	a.tell(r)
-}
-
-// Ask answers a request, in any goroutine.
-func (s *Server) Ask(req Request) Response {
-	answer := make(chan Response, 1)
-	tell := func(r Response) {
-		select {
-		case answer <- r:
-		default:
-		}
-	}
-	if !s.post(func() { s.ask(req, tell) }) {
-		return Response{Refused: ErrNoLeader.Error()}
-	}
-	late := time.NewTimer(answerFor)
-	defer late.Stop()
-	select {
-	case r := <-answer:
-		return r
-	case <-late.C:
-		return Response{Refused: ErrNoLeader.Error()}
-	case <-s.done:
-		return Response{Refused: ErrNoLeader.Error()}
-	}
-}
-
-func (s *Server) ask(req Request, answer func(Response)) {
-	tell := func(r Response) {
-		if req.Watch != nil {
-			r.Changes = s.changes(*req.Watch)
-		}
-		answer(r)
-	}
-	switch {
-	case req.Command == nil && req.Renew == nil: // what is decided, as far as this founder knows
-		r := Response{Leader: s.core.Leader(), Silent: s.core.Muted(), Version: s.core.State().Version}
-		if req.Watch != nil && (r.Leader == "" || s.behind(req.Watch.Cursor)) {
-			r.Refused = ErrNoLeader.Error() // others may know more
-		}
-		tell(r)
-	case !s.core.Leads() || !s.leases.Leads():
-		tell(Response{Refused: ErrNotLeader.Error(), Leader: s.core.Leader(), Council: s.core.Founders()})
-	case req.Renew != nil:
-		if j := s.joining[req.Renew.Name]; j != nil { // the life goes on: whoever came under its name is another process
-			delete(s.joining, req.Renew.Name)
-			j.tell(Response{Refused: ErrTaken.Error()})
-		}
-		s.leases.Asked(s.now(), *req.Renew)
-		s.fresh = append(s.fresh, asking{*req.Renew, req.Sequence, tell})
-	case req.Command.Kind == Join:
-		s.join(*req.Command, tell)
-	case req.Command.Kind == Found:
-		s.found(*req.Command, tell)
-	default:
-		s.propose(*req.Command, tell)
-	}
-}
-
-// behind says whether a watcher has more than this founder.
-func (s *Server) behind(c changelog.Cursor) bool {
-	return c.Newest() > s.core.Log().Revision()
-}
-
-// changes are what a watcher does not have yet, or the next piece of it; nil is nothing.
-func (s *Server) changes(w Watch) *Changes {
-	b, err := s.core.Log().Read(w.Cursor, w.Selector, PieceBytes)
-	if err != nil || b.To == w.Cursor {
-		return nil
-	}
-	return &b
-}
-
-// join begins a life at once where the one before can do nothing any more: its process had this folder and this address, which
-// one process has at a time. Else it waits until that one's lease is over; if it is renewed meanwhile, the name is taken.
-func (s *Server) join(cmd Command, tell func(Response)) {
-	m := s.core.State().Members[cmd.Life.Name]
-	switch {
-	case m == nil || !m.Alive || m.Token == cmd.Token:
-		s.propose(cmd, tell)
-	case m.Token == cmd.Past && m.Address == cmd.Address:
-		cmd.Fenced = true
-		s.propose(cmd, tell)
-	default:
-		if old := s.joining[cmd.Life.Name]; old != nil && old.cmd.Token != cmd.Token {
-			old.tell(Response{Refused: ErrTaken.Error()})
-		}
-		s.joining[cmd.Life.Name] = &joining{cmd, s.now(), tell}
-	}
-}
-
-// RPC is what other processes call.
-type RPC struct{ s *Server }
-
-// Calls gives the service of a founder, to be registered as Council.
-func (s *Server) Calls() RPC { return RPC{s} }
-
-// Step takes messages of another founder.
-func (r RPC) Step(raw [][]byte, _ *bool) error {
-	var batch []raftpb.Message
-	for _, b := range raw {
-		var m raftpb.Message
-		if err := m.Unmarshal(b); err != nil {
-			return fmt.Errorf("council: message: %w", err)
-		}
-		batch = append(batch, m)
-	}
-	if !r.s.post(func() {
-		for _, m := range batch {
-			r.s.core.Hear(m)
-		}
-	}) {
-		return ErrNoLeader
-	}
-	return nil
-}
-
-// Meeting is what a founder says of itself that has to meet the others.
-type Meeting struct {
-	ID    uint64
-	Last  uint64 // index of the latest entry in its log
-	Token uint64 // of its process
-}
-
-// Meet tells how far this founder is.
-func (r RPC) Meet(m Meeting, out *Standing) error {
-	way := make(chan *lane, 1)
-	if !r.s.post(func() { way <- r.s.lanes[m.ID] }) {
-		return ErrNoLeader
-	}
-	var to *lane
-	select {
-	case to = <-way:
-	case <-r.s.done:
-		return ErrNoLeader
-	}
-	real := false
-	if to != nil { // whoever is at that founder's address: another process of its name changes nothing
-		var token uint64
-		call, cancel := context.WithTimeout(context.Background(), stepFor/2)
-		real = to.peer.Call(call, "Council.Who", true, &token) == nil && token == m.Token
-		cancel()
-	}
-	answer := make(chan Standing, 1)
-	if !r.s.post(func() {
-		if real {
-			r.s.core.Yield(m.ID, m.Last)
-		}
-		answer <- r.s.core.Standing()
-	}) {
-		return ErrNoLeader
-	}
-	select {
-	case *out = <-answer:
-		return nil
-	case <-r.s.done:
-		return ErrNoLeader
-	}
-}
-
-// Who tells this founder's process from another of its name.
-func (r RPC) Who(_ bool, out *uint64) error {
-	*out = r.s.token
-	return nil
-}
-
-// Ask answers a request.
-func (r RPC) Ask(req Request, out *Response) error {
-	*out = r.s.Ask(req)
-	return nil
-}
--- a/internal/cluster/council/state.go
+++ b/internal/cluster/council/state.go
@@ -18,35 +18,35 @@
 
 // Life names one life of one forwarder: from the council's word that it begins to its word that it has ended. Numbers only grow.
 type Life struct {
-	Name   string
-	Number uint64
+	Name   string `cbor:"1,keyasint,omitempty"`
+	Number uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 func (l Life) String() string { return fmt.Sprintf("%s/%d", l.Name, l.Number) }
 
 // Member is a forwarder that belongs to the fleet.
 type Member struct {
-	Life     uint64 // the latest
-	Alive    bool   // it has not ended
-	Token    string // of the folder that it began with; tells two processes of one name apart
-	Address  string // of its links
-	Zone     string
-	Region   string
-	Leaving  bool     // keeps no copies any more and is counted by nobody
-	Keepers  []string // whose copies count for this life
-	Lost     bool     // it came back without its folder
-	Changed  uint64   // at which its keepers were last decided
-	Version  int      // of the program
-	Capacity int64    // bytes that it has for copies; 0 is not told
+	Life     uint64   `cbor:"1,keyasint,omitempty"` // the latest
+	Alive    bool     `cbor:"2,keyasint,omitempty"` // it has not ended
+	Token    string   `cbor:"3,keyasint,omitempty"` // of the folder that it began with; tells two processes of one name apart
+	Address  string   `cbor:"4,keyasint,omitempty"` // of its links
+	Zone     string   `cbor:"5,keyasint,omitempty"`
+	Region   string   `cbor:"6,keyasint,omitempty"`
+	Leaving  bool     `cbor:"7,keyasint,omitempty"`  // keeps no copies any more and is counted by nobody
+	Keepers  []string `cbor:"8,keyasint,omitempty"`  // whose copies count for this life
+	Lost     bool     `cbor:"9,keyasint,omitempty"`  // it came back without its folder
+	Changed  uint64   `cbor:"10,keyasint,omitempty"` // at which its keepers were last decided
+	Version  int      `cbor:"11,keyasint,omitempty"` // of the program
+	Capacity int64    `cbor:"12,keyasint,omitempty"` // bytes that it has for copies; 0 is not told
 }
 
 // Job is the taking over of what an ended life owed.
 type Job struct {
-	Life    Life
-	Keepers []string // whose copies counted at its end
-	Taker   Life     // zero while nobody is left who has a copy
-	Done    bool     // what was owed is the taker's from here on
-	At      uint64   // when it ended
+	Life    Life     `cbor:"1,keyasint,omitzero"`
+	Keepers []string `cbor:"2,keyasint,omitempty"` // whose copies counted at its end
+	Taker   Life     `cbor:"3,keyasint,omitzero"`  // zero while nobody is left who has a copy
+	Done    bool     `cbor:"4,keyasint,omitempty"` // what was owed is the taker's from here on
+	At      uint64   `cbor:"5,keyasint,omitempty"` // when it ended
 }
 
 // State is what has been decided. Version is the last command applied to it. Members and jobs are replaced when they change, never
@@ -70,11 +70,11 @@
 
 // Plan is what is decided of where traffic goes. What it says is for package plan.
 type Plan struct {
-	Number     uint64   // of the plan; 0 is none
-	Content    []byte   // never changed
-	Evacuating []string // places that operators have ordered empty, in their order
-	Frozen     bool     // operators have ordered that it stays as it is
-	Ordered    uint64   // the version of the latest order
+	Number     uint64   `cbor:"1,keyasint,omitempty"` // of the plan; 0 is none
+	Content    []byte   `cbor:"2,keyasint,omitempty"` // never changed
+	Evacuating []string `cbor:"3,keyasint,omitempty"` // places that operators have ordered empty, in their order
+	Frozen     bool     `cbor:"4,keyasint,omitempty"` // operators have ordered that it stays as it is
+	Ordered    uint64   `cbor:"5,keyasint,omitempty"` // the version of the latest order
 }
 
 // mostJobs bounds what is remembered of a name's lives that are done with. A message remembers whose it was by them, so they have to
@@ -106,25 +106,25 @@
 
 // Command is a change that is asked for. Fields that its kind does not name are ignored.
 type Command struct {
-	Kind    Kind
-	Life    Life      // Join: Number is the one in its folder, 0 for none
-	Whole   bool      // Join: its folder still has the journal of that life
-	Fenced  bool      // Join: the life before can do nothing any more; else Join is refused while that lives
-	Token   string    // Join: drawn by the process
-	Past    string    // Join: that of the process which last had its folder
-	Address string    // Join
-	Zone    string    // Join
-	Region  string    // Join
-	Version int       // Join
-	Space   int64     // Join
-	Taker   Life      // Assign, Done
-	From    uint64    // Keepers: Changed of what it replaces. Propose: the plan's number. Evacuate, Freeze: Ordered, as the operator saw it. Found: Council
-	Set     []string  // Keepers
-	On      bool      // Leave, Evacuate, Freeze, Found
-	Number  uint64    // Propose
-	Content []byte    // Propose
-	Place   string    // Evacuate
-	Council []Founder // Found: all, as they are to be
+	Kind    Kind      `cbor:"1,keyasint,omitempty"`
+	Life    Life      `cbor:"2,keyasint,omitzero"`   // Join: Number is the one in its folder, 0 for none
+	Whole   bool      `cbor:"3,keyasint,omitempty"`  // Join: its folder still has the journal of that life
+	Fenced  bool      `cbor:"4,keyasint,omitempty"`  // Join: the life before can do nothing any more; else Join is refused while that lives
+	Token   string    `cbor:"5,keyasint,omitempty"`  // Join: drawn by the process
+	Past    string    `cbor:"6,keyasint,omitempty"`  // Join: that of the process which last had its folder
+	Address string    `cbor:"7,keyasint,omitempty"`  // Join
+	Zone    string    `cbor:"8,keyasint,omitempty"`  // Join
+	Region  string    `cbor:"9,keyasint,omitempty"`  // Join
+	Version int       `cbor:"10,keyasint,omitempty"` // Join
+	Space   int64     `cbor:"11,keyasint,omitempty"` // Join
+	Taker   Life      `cbor:"12,keyasint,omitzero"`  // Assign, Done
+	From    uint64    `cbor:"13,keyasint,omitempty"` // Keepers: Changed of what it replaces. Propose: the plan's number. Evacuate, Freeze: Ordered, as the operator saw it. Found: Council
+	Set     []string  `cbor:"14,keyasint,omitempty"` // Keepers
+	On      bool      `cbor:"15,keyasint,omitempty"` // Leave, Evacuate, Freeze, Found
+	Number  uint64    `cbor:"16,keyasint,omitempty"` // Propose
+	Content []byte    `cbor:"17,keyasint,omitempty"` // Propose
+	Place   string    `cbor:"18,keyasint,omitempty"` // Evacuate
+	Council []Founder `cbor:"19,keyasint,omitempty"` // Found: all, as they are to be
 }
 
 // The reasons for which a command changes nothing.
--- a/internal/cluster/links/links.go
+++ b/internal/cluster/links/links.go
@@ -1,6 +1,8 @@
 // Package links carries calls between the forwarders of a fleet: the standard library's net/rpc with gob over TCP, one
 // connection a direction, on a network that is trusted. gob leaves out what a side does not know, so versions may differ. A
-// call that has no answer in its time takes its connection along: a link that stalls without a word is not waited on twice.
+// call that has no answer in its time takes its connection along: a link that stalls without a word is not waited on twice. A peer that
+// takes no connections, or whose calls have no answers again and again, is dialled after growing and random delays, so that many callers
+// do not keep it busy with new connections; meanwhile calls to it fail at once.
 package links
 
 import (
@@ -11,11 +13,14 @@
 	"net/rpc"
 	"sync"
 	"time"
+
+	"github.com/cenkalti/backoff/v5"
 )
 
 const (
 	dialFor    = time.Second
-	retryAfter = 100 * time.Millisecond // a peer that refuses is not dialled again before
+	retryAfter = 100 * time.Millisecond // the mean delay until a peer that failed once is dialled again
+	retryMost  = 2 * time.Second        // the mean delay, however often it has failed
 )
 
 // ErrDown is given while a peer that could not be reached is left alone for a moment.
@@ -28,13 +33,19 @@
 	mu      sync.Mutex
 	client  *rpc.Client
 	dialing chan struct{} // closed when the dial under way has ended
-	failed  time.Time
+	delays  *backoff.ExponentialBackOff
+	stalls  int       // calls without an answer since the latest that had one
+	next    time.Time // it is not dialled before
 	err     error
 	closed  bool
 }
 
 // NewPeer is one that is dialled when it is first called.
-func NewPeer(address string) *Peer { return &Peer{address: address} }
+func NewPeer(address string) *Peer {
+	return &Peer{address: address, delays: &backoff.ExponentialBackOff{
+		InitialInterval: retryAfter, MaxInterval: retryMost, Multiplier: 2, RandomizationFactor: 0.5,
+	}}
+}
 
 // Address is where it is dialled.
 func (p *Peer) Address() string { return p.address }
@@ -51,6 +62,8 @@
 		var said rpc.ServerError
 		if call.Error != nil && !errors.As(call.Error, &said) {
 			p.drop(client)
+		} else {
+			p.answered()
 		}
 		if call.Error != nil {
 			return fmt.Errorf("links: %s: %w", p.address, call.Error)
@@ -58,6 +71,7 @@
 		return nil
 	case <-ctx.Done():
 		p.drop(client)
+		p.stalled(ctx.Err())
 		<-call.Done // reply is nobody else's again
 		return fmt.Errorf("links: %s: %w", p.address, ctx.Err())
 	}
@@ -82,7 +96,7 @@
 			case <-ctx.Done():
 				return nil, ctx.Err()
 			}
-		case time.Since(p.failed) < retryAfter:
+		case time.Now().Before(p.next):
 			defer p.mu.Unlock()
 			return nil, errors.Join(ErrDown, p.err)
 		}
@@ -95,7 +109,7 @@
 		p.dialing = nil
 		close(done)
 		if err != nil {
-			p.failed, p.err = time.Now(), err
+			p.delay(err)
 			p.mu.Unlock()
 			return nil, err
 		}
@@ -108,6 +122,28 @@
 	}
 }
 
+// delay has the peer left alone for a while; p.mu is held.
+func (p *Peer) delay(err error) {
+	p.next, p.err = time.Now().Add(p.delays.NextBackOff()), err
+}
+
+// answered notes that the peer answers calls.
+func (p *Peer) answered() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stalls = 0
+	p.delays.Reset()
+}
+
+// stalled notes a call without an answer. The first of them is tried again at once, on a new connection.
+func (p *Peer) stalled(err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stalls++; p.stalls > 1 {
+		p.delay(err)
+	}
+}
+
 // drop ends a connection that is of no use, if it is still the one.
 func (p *Peer) drop(client *rpc.Client) {
 	p.mu.Lock()
@@ -176,6 +212,19 @@
 // Close closes all.
 func (p *Peers) Close() { p.Keep(nil) }
 
+// servedConn is closed as soon as its other end has closed it or it has failed. net/rpc would keep it, and its descriptor, until the last
+// call that came on it has ended, although nobody is left to have the answer.
+type servedConn struct{ net.Conn }
+
+// Read is net.Conn's.
+func (c servedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil {
+		_ = c.Close()
+	}
+	return n, err
+}
+
 // Serve answers calls to services, by name, until the listener is closed; it returns when all its connections have ended.
 func Serve(listener net.Listener, services map[string]any) error {
 	server := rpc.NewServer()
@@ -208,7 +257,7 @@
 		conns[conn] = true
 		mu.Unlock()
 		wg.Go(func() {
-			server.ServeConn(conn)
+			server.ServeConn(servedConn{conn})
 			_ = conn.Close()
 			mu.Lock()
 			delete(conns, conn)
--- /dev/null
+++ b/internal/cluster/relay/server_test.go
@@ -0,0 +1,137 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"mulleinbeam/internal/cluster/council"
+	"mulleinbeam/internal/cluster/links"
+	"mulleinbeam/internal/routing/wal/fsys"
+)
+
+// serve runs something on a link until the test ends.
+func serve(t *testing.T, run func(ctx context.Context) error) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// newVoter runs the only voter of a control plane.
+func newVoter(t *testing.T) council.Founder {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	voter := council.Founder{Name: "n0", Address: listener.Addr().String()}
+	store, kept, err := council.OpenKeeper(fsys.Dir(t.TempDir()), func(line string) { t.Log(line) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	core, err := council.NewCore(voter.Name, []council.Founder{voter}, kept)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = store.Close() })
+	timing := council.Timing{Tick: 10 * time.Millisecond, Lease: time.Minute, Margin: 10 * time.Second}
+	server := council.NewServer(core, store, timing, zerolog.Nop())
+	serve(t, server.Run)
+	serve(t, func(ctx context.Context) error {
+		go func() { <-ctx.Done(); _ = listener.Close() }()
+		return links.Serve(listener, map[string]any{"Council": server.Calls()})
+	})
+	return voter
+}
+
+func newRelay(t *testing.T, voters ...council.Founder) council.Relay {
+	t.Helper()
+	s, err := Open(Config{Listen: "127.0.0.1:0", Voters: voters, Logger: zerolog.Nop()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	serve(t, s.Run)
+	return council.Relay{Address: s.Address()}
+}
+
+// A member that knows relays alone joins, holds its lease and learns what is decided; when its relay's address stands empty it goes to
+// another, and with none left to the voters.
+func TestAMemberBehindRelays(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	t.Run("world", func(t *testing.T) {
+		voter := newVoter(t)
+		gone := func() council.Relay {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			return council.Relay{Address: l.Addr().String()}
+		}
+		for name, relays := range map[string][]council.Relay{
+			"one": {newRelay(t, voter)}, "first gone": {gone(), newRelay(t, voter)}, "all gone": {gone(), gone()},
+		} {
+			peers := &links.Peers{}
+			defer peers.Close()
+			client := council.NewClient([]council.Founder{voter}, peers.At, "", nil)
+			client.Via(relays)
+			member(t, client, name)
+		}
+	})
+}
+
+// member joins, renews and follows until it knows of itself.
+func member(t *testing.T, client *council.Client, name string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	view := council.NewView()
+	r, err := client.Do(ctx, council.Request{Command: &council.Command{Kind: council.Join, Life: council.Life{Name: name}, Token: name, Address: "a:1"}})
+	if err != nil || r.Joined == nil || r.Joined.Life != 1 {
+		t.Fatalf("%s: %+v, %v", name, r, err)
+	}
+	life, lease := council.Life{Name: name, Number: 1}, council.Lease{Length: time.Minute}
+	for granted := false; !granted || view.State().Members[name] == nil; {
+		req := lease.Renewal(0, life)
+		req.Watch = view.Watch()
+		if r, err = client.Do(ctx, req); err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		if _, _, err := view.Learn(r.Changes); err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		_, granted = lease.Granted(r)
+	}
+	if client.Leader() != "n0" {
+		t.Errorf("%s: %q leads", name, client.Leader())
+	}
+	req := lease.Renewal(0, council.Life{Name: name, Number: 7})
+	if r, err = client.Do(ctx, req); err != nil || r.Granted || r.Refused != council.ErrEnded.Error() {
+		t.Errorf("%s: a life that never was: %+v, %v", name, r, err)
+	}
+}
+
+// Without a voter a relay answers, within a member's patience, that there is no leader.
+func TestARelayWithoutVoters(t *testing.T) {
+	gone := council.Founder{Name: "n0", Address: "127.0.0.1:1"}
+	peers := &links.Peers{}
+	defer peers.Close()
+	peer := peers.At(newRelay(t, gone).Address)
+	for _, req := range []council.Request{{}, renewalOf(a1, 1), {Command: &council.Command{Kind: council.Leave}}} {
+		var r council.Response
+		if err := peer.Call(t.Context(), "Council.Ask", req, &r); err != nil || r.Refused != council.ErrNoLeader.Error() {
+			t.Errorf("%+v, %v", r, err)
+		}
+	}
+}
