Relays in the program and the laboratory; members fall back to voters one behind the other

Change: `larkreach relay` and `[cluster] relays`; members go to a relay of their zone first, leave one that is silent for 400 ms, keep to relays that answer that nobody leads, and go to the voters only when all are silent, spread over 2 s. larklab cluster scale plays relays and faults (kill, stop, replacement of relays, a voter stopped, the leader killed, a zone restarted). The laboratory's link relays are FaultProxy now, so that two things do not share a name.

--- a/cmd/larkreach/cli.go
+++ b/cmd/larkreach/cli.go
@@ -24,6 +24,7 @@
 	Config  configCmd        `cmd:"" help:"Look at settings."`
 	Journal journalCmd       `cmd:"" help:"Look at a journal's folder, also beside a running program."`
 	Cluster clusterCmd       `cmd:"" help:"Look at a fleet that keeps copies, and change who belongs to it."`
+	Relay   relayCmd         `cmd:"" help:"Carry the requests of a large fleet's members to the voters of its control plane, and what is decided back."`
 	Plan    planCmd          `cmd:"" help:"Look at where a fleet's traffic goes, and order it."`
 	Demo    demoCmd          `cmd:"" help:"Show the forwarder at work on loopback, with partners that are slow, limited or down for a while."`
 	Version kong.VersionFlag `help:"Print the version and exit."`
--- a/cmd/larkreach/fleet_faults_test.go
+++ b/cmd/larkreach/fleet_faults_test.go
@@ -102,8 +102,8 @@
 	waiting := []string{f.take(3, "unsafe")}
 	must(t, f.AwaitCopied(f.ctx, 3))
 	keeper := f.keeperOf(3)
-	f.Relay(3, keeper).Set(cluster.Back, cluster.Way{Stall: true})
-	there, _ := f.Relay(3, keeper).Carried()
+	f.Proxy(3, keeper).Set(cluster.Back, cluster.Way{Stall: true})
+	there, _ := f.Proxy(3, keeper).Carried()
 	answered := make(chan string, 1)
 	go func() {
 		id, a := f.Hand(3, "keyed", 20*time.Second)
@@ -112,7 +112,7 @@
 		}
 		answered <- id
 	}()
-	for now := there; now < there+200; now, _ = f.Relay(3, keeper).Carried() { // the record is on its way
+	for now := there; now < there+200; now, _ = f.Proxy(3, keeper).Carried() { // the record is on its way
 		must(t, f.ctx.Err())
 	}
 	life, err := f.Life(3)
--- a/cmd/larkreach/fleet_off.go
+++ b/cmd/larkreach/fleet_off.go
@@ -53,3 +53,10 @@
 
 // Run hands over.
 func (planCmd) Run() error { return handOver(os.Args[1:]) }
+
+type relayCmd struct {
+	Args []string `arg:"" optional:"" passthrough:""`
+}
+
+// Run hands over.
+func (relayCmd) Run() error { return handOver(os.Args[1:]) }
--- a/cmd/larkreach/fleet_on.go
+++ b/cmd/larkreach/fleet_on.go
@@ -34,6 +34,10 @@
 	if err != nil {
 		return nil, err
 	}
+	relays, err := c.RelayList()
+	if err != nil {
+		return nil, err
+	}
 	setup := node.Config{
 		Name: cfg.Name, Zone: c.Zone, Region: c.Region, Listen: c.Listen, Via: c.Via, Copies: c.Copies, Space: int64(c.Space),
 		Timing:   council.Timing{Tick: time.Duration(c.Tick), Lease: time.Duration(c.Lease), Margin: time.Duration(c.Margin)},
@@ -44,6 +48,9 @@
 	for _, f := range founders {
 		setup.Founders = append(setup.Founders, council.Founder{Name: f.Name, Address: f.Address})
 	}
+	for _, r := range relays {
+		setup.Relays = append(setup.Relays, council.Relay{Zone: r.Zone, Address: r.Address})
+	}
 	for _, class := range c.Alone {
 		setup.Alone[class] = true
 	}
--- a/cmd/larkreach/fleet_test.go
+++ b/cmd/larkreach/fleet_test.go
@@ -586,11 +586,11 @@
 		}
 		return first != ""
 	}))
-	var links []*cluster.Relay // to whoever may be chosen next
+	var links []*cluster.FaultProxy // to whoever may be chosen next
 	var rest []int
 	for i := range 3 {
 		if f.Members[i].Name != first {
-			links, rest = append(links, f.Relay(3, i)), append(rest, i)
+			links, rest = append(links, f.Proxy(3, i)), append(rest, i)
 		}
 	}
 	const piece, part = 600_000, 200_000 // bytes: a piece of the snapshot with some of the next, and not one
--- a/internal/cluster/council/client.go
+++ b/internal/cluster/council/client.go
@@ -80,16 +80,26 @@
 
 // round asks a relay, or all voters. Again says that another relay is to be asked at once.
 func (c *Client) round(ctx context.Context, req Request) (r Response, done, again bool) {
-	c.mu.Lock()
-	if c.route != nil {
-		if relay, patience, some := c.route.Next(time.Since(c.began)); some {
-			c.mu.Unlock()
-			return c.viaRelay(ctx, relay, patience, req)
-		}
+	step, relay, patience := c.next()
+	switch step {
+	case AskRelay:
+		return c.viaRelay(ctx, relay, patience, req)
+	case Wait:
+		return r, false, false
+	default:
+		r, done = c.viaVoters(ctx, req)
+		return r, done, false
 	}
-	c.mu.Unlock()
-	r, done = c.viaVoters(ctx, req)
-	return r, done, false
+}
+
+// next is whom to ask.
+func (c *Client) next() (RouteStep, Relay, time.Duration) {
+	if c.route == nil {
+		return AskVoters, Relay{}, 0
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.route.Next(time.Since(c.began), rand.Float64())
 }
 
 // viaRelay asks one relay.
@@ -106,9 +116,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch now := time.Since(c.began); {
-	case err != nil:
+	case errors.Is(err, context.DeadlineExceeded):
 		c.route.Silent(relay, now, rand.Float64())
 		return r, false, true
+	case err != nil:
+		c.route.Gone(relay, now, rand.Float64())
+		return r, false, true
 	case r.elsewhere():
 		c.route.Refused(relay, now)
 		return r, false, false
--- a/internal/cluster/council/items.go
+++ b/internal/cluster/council/items.go
@@ -77,6 +77,11 @@
 // Everything selects the whole state.
 var Everything = changelog.Selector{All: true}
 
+// Only selects a member by itself, the plan and the voters.
+func Only(member string) changelog.Selector {
+	return changelog.Selector{Keys: []string{MemberKey(member), planKey, votersKey}}
+}
+
 // NewMirror has nothing yet; it is for a relay.
 func NewMirror() *changelog.Mirror[Item] {
 	return changelog.NewMirror(2*mostDeletions, changeSize)
--- a/internal/cluster/council/route.go
+++ b/internal/cluster/council/route.go
@@ -32,14 +32,28 @@
 const (
 	relayPatience  = 400 * time.Millisecond // how long a renewal's answer is waited for
 	returnPatience = 200 * time.Millisecond // the same of a relay that had no answer the last time
-	silentAside    = 10 * time.Second       // how long a relay is passed over that had no answer,
-	refusedAside   = time.Second            // and one that found no leader
+	silentAside    = 10 * time.Second       // the mean time for which a relay is passed over that had no answer,
+	goneAside      = 400 * time.Millisecond // the same of one that took no connection: it may be back at once,
+	refusedAside   = time.Second            // and how long of one that found no leader
+	directWithin   = 2 * time.Second        // in which members go to the voters that have no relay left, one behind the other
 )
 
-// Route chooses the relay that a member asks. It is pure: times are of the caller's clock. It is not safe for concurrent use.
+// RouteStep is what a member does next.
+type RouteStep int
+
+// The steps.
+const (
+	AskRelay  RouteStep = iota
+	AskVoters           // all relays are silent, or there are none
+	Wait                // all relays are silent, and the time to ask the voters has not come
+)
+
+// Route chooses whom a member asks. It is pure: times are of the caller's clock, and so is chance: a spread is from 0 to 1, drawn by the
+// caller, so that members do not all do the same at once. It is not safe for concurrent use.
 type Route struct {
 	relays []Relay // preferred first
 	aside  map[string]aside
+	direct time.Duration // from when on the voters may be asked; 0 while a relay answers
 }
 
 // aside is a relay that did not do what it was asked for.
@@ -52,38 +66,57 @@
 func NewRoute(relays []Relay) *Route { return &Route{relays: relays, aside: map[string]aside{}} }
 
 // Next gives the relay to ask, and how long to wait for its answer. The first that is not passed over is taken; else one that answers, if
-// only that it finds no leader: the voters would be no better off with everybody at their own door. False says that all are silent, or
-// that there are none: the voters have to be asked.
-func (r *Route) Next(now time.Duration) (relay Relay, patience time.Duration, some bool) {
+// only that it finds no leader: the voters would be no better off with everybody at their own door.
+func (r *Route) Next(now time.Duration, spread float64) (step RouteStep, relay Relay, patience time.Duration) {
 	var refused *Relay
 	for _, candidate := range r.relays {
 		state, known := r.aside[candidate.Address]
 		switch {
-		case !known:
-			return candidate, relayPatience, true
-		case state.until <= now && state.silent:
-			return candidate, returnPatience, true
+		case !known, state.until <= now && !state.silent:
+			return AskRelay, candidate, relayPatience
 		case state.until <= now:
-			return candidate, relayPatience, true
+			return AskRelay, candidate, returnPatience
 		case !state.silent && (refused == nil || state.until < r.aside[refused.Address].until):
 			refused = &candidate
 		}
 	}
-	if refused == nil {
-		return Relay{}, 0, false
+	switch {
+	case refused != nil:
+		return AskRelay, *refused, relayPatience
+	case len(r.relays) == 0:
+		return AskVoters, Relay{}, 0
+	case r.direct == 0:
+		r.direct = now + 1 + scatter(directWithin, spread)
+	}
+	if now < r.direct {
+		return Wait, Relay{}, 0
 	}
-	return *refused, relayPatience, true
+	return AskVoters, Relay{}, 0
 }
 
-// Silent notes that a relay had no answer. Spread is from 0 to 1, and drawn by the caller: members do not return all at once.
+// scatter is a part of a time.
+func scatter(within time.Duration, spread float64) time.Duration {
+	return time.Duration(spread * float64(within))
+}
+
+// Silent notes that a relay had no answer.
 func (r *Route) Silent(relay Relay, now time.Duration, spread float64) {
-	r.aside[relay.Address] = aside{now + silentAside/2 + time.Duration(spread*float64(silentAside)), true}
+	r.aside[relay.Address] = aside{now + silentAside/2 + scatter(silentAside, spread), true}
+}
+
+// Gone notes that a relay took no connection, or closed it.
+func (r *Route) Gone(relay Relay, now time.Duration, spread float64) {
+	r.aside[relay.Address] = aside{now + goneAside/2 + scatter(goneAside, spread), true}
 }
 
 // Refused notes that a relay answered that it finds no leader.
 func (r *Route) Refused(relay Relay, now time.Duration) {
+	r.direct = 0
 	r.aside[relay.Address] = aside{now + refusedAside, false}
 }
 
 // Answered notes that a relay did what it was asked for.
-func (r *Route) Answered(relay Relay) { delete(r.aside, relay.Address) }
+func (r *Route) Answered(relay Relay) {
+	r.direct = 0
+	delete(r.aside, relay.Address)
+}
--- a/internal/cluster/council/route_test.go
+++ b/internal/cluster/council/route_test.go
@@ -36,15 +36,16 @@
 	}
 }
 
-// A relay without an answer is passed over, tried again later for a short time only, and preferred again once it answers.
+// A relay without an answer is passed over, tried again later for a short time only, and preferred again once it answers. One that took no
+// connection is tried again soon.
 func TestARelayThatIsSilentIsPassedOver(t *testing.T) {
 	a, b := Relay{Address: "a"}, Relay{Address: "b"}
 	r := NewRoute([]Relay{a, b})
 	at := time.Duration(0)
 	next := func(want Relay, patience time.Duration) {
 		t.Helper()
-		if got, wait, some := r.Next(at); !some || got != want || wait != patience {
-			t.Errorf("at %v: %v for %v, %v", at, got, wait, some)
+		if step, got, wait := r.Next(at, 0); step != AskRelay || got != want || wait != patience {
+			t.Errorf("at %v: %v, %v for %v", at, step, got, wait)
 		}
 	}
 	next(a, relayPatience)
@@ -61,25 +62,45 @@
 	next(a, returnPatience)
 	r.Answered(a)
 	next(a, relayPatience)
+	r.Gone(a, at, 1)
+	at += goneAside
+	next(b, relayPatience)
+	at += goneAside / 2
+	next(a, returnPatience)
 }
 
-// While relays answer that there is no leader, voters are not asked: only silence of all relays leads to them.
+// While relays answer that there is no leader, voters are not asked: only silence of all relays leads to them, and members come one behind
+// the other.
 func TestVotersAreAskedOnlyWhileAllRelaysAreSilent(t *testing.T) {
 	a, b := Relay{Address: "a"}, Relay{Address: "b"}
 	r := NewRoute([]Relay{a, b})
 	r.Refused(a, 0)
-	if got, _, some := r.Next(1); !some || got != b {
-		t.Errorf("%v, %v", got, some)
+	if step, got, _ := r.Next(1, 0); step != AskRelay || got != b {
+		t.Errorf("%v, %v", step, got)
 	}
 	r.Silent(b, 1, 0)
-	if got, _, some := r.Next(2); !some || got != a {
-		t.Errorf("%v, %v: it refused, and answers", got, some)
+	if step, got, _ := r.Next(2, 0); step != AskRelay || got != a {
+		t.Errorf("%v, %v: it refused, and answers", step, got)
 	}
 	r.Silent(a, 2, 0)
-	if got, _, some := r.Next(3); some {
-		t.Errorf("%v, and both are silent", got)
+	for at, want := range map[time.Duration]RouteStep{3: Wait, 3 + directWithin/2: Wait, 4 + directWithin/2: AskVoters} {
+		if step, _, _ := r.Next(3, 0.5); step != Wait {
+			t.Errorf("%v at first", step)
+		}
+		if step, _, _ := r.Next(at, 1); step != want {
+			t.Errorf("at %v: %v", at, step)
+		}
+	}
+	r.Answered(a)
+	if step, got, _ := r.Next(directWithin, 0); step != AskRelay || got != a {
+		t.Errorf("%v, %v", step, got)
+	}
+	r.Silent(a, 2, 1)
+	r.Silent(b, 2, 1)
+	if step, _, _ := r.Next(3, 1); step != Wait {
+		t.Errorf("%v: the time to ask voters is counted anew", step)
 	}
-	if _, _, some := NewRoute(nil).Next(0); some {
+	if step, _, _ := NewRoute(nil).Next(0, 0); step != AskVoters {
 		t.Error("a relay where there is none")
 	}
 }
--- a/internal/cluster/council/view.go
+++ b/internal/cluster/council/view.go
@@ -13,9 +13,12 @@
 	state   *State
 }
 
-// NewView knows nothing yet.
-func NewView() *View {
-	return &View{replica: changelog.NewReplica[Item](Everything), state: NewState()}
+// NewView knows nothing yet, and is to know everything.
+func NewView() *View { return NewViewOf(Everything) }
+
+// NewViewOf knows nothing yet, and is to know what a selector says.
+func NewViewOf(s changelog.Selector) *View {
+	return &View{replica: changelog.NewReplica[Item](s), state: NewState()}
 }
 
 // State is what is known; it is never changed.
--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -38,6 +38,7 @@
 	Zone, Region string
 	Listen       string // where its links listen, and where others reach them
 	Founders     []council.Founder
+	Relays       []council.Relay   // that carry requests to the voters, in no order; a voter itself uses none
 	Via          map[string]string // what is dialled for an address, where that differs
 	Copies       int               // of each message, the owner's own included
 	Timing       council.Timing
@@ -205,6 +206,9 @@
 	n.server.Dial = func(address string) *links.Peer { return links.NewPeer(n.peers.Via(address)) }
 	n.server.Furthest = n.furthest
 	n.client = council.NewClient(n.cfg.Founders, n.peers.At, n.cfg.Name, n.server)
+	if !slices.ContainsFunc(n.cfg.Founders, func(f council.Founder) bool { return f.Name == n.cfg.Name }) {
+		n.client.Via(council.RankRelays(n.cfg.Relays, n.cfg.Name, n.cfg.Zone))
+	}
 	return nil
 }
 
--- a/internal/lab/cluster/relay.go
+++ b/internal/lab/cluster/faultproxy.go
@@ -1,5 +1,5 @@
 // Package cluster is the laboratory's fleet: real processes of the program on loopback addresses of their own, every pair's links
-// through relays that can be cut, stalled, slowed, reset or cut in the middle of a record, and faults of processes, folders and
+// through fault proxies that can be cut, stalled, slowed, reset or cut in the middle of a record, and faults of processes, folders and
 // clocks beside them. What all sides see goes into one log of events, and the rules are held against that.
 package cluster
 
@@ -11,7 +11,7 @@
 	"time"
 )
 
-// Way is what a relay does to the bytes that go one way through it.
+// Way is what a fault proxy does to the bytes that go one way through it.
 type Way struct {
 	Stall  bool          // they wait, without a word, until this is over
 	Delay  time.Duration // before each piece goes on,
@@ -20,8 +20,8 @@
 	Cut    int64         // the connection is reset once so many more bytes have gone; 0 is never
 }
 
-// Relay carries the connections that one process makes to another.
-type Relay struct {
+// FaultProxy carries the connections that one process makes to another.
+type FaultProxy struct {
 	listener net.Listener
 	target   string
 
@@ -36,19 +36,19 @@
 	wg      sync.WaitGroup
 }
 
-// There and Back are the two ways of a relay.
+// There and Back are the two ways of a fault proxy.
 const (
 	There = 0
 	Back  = 1
 )
 
-// NewRelay listens on an address, with port 0 for any, and carries what comes to a target.
-func NewRelay(listen, target string, seed uint64) (*Relay, error) {
+// NewFaultProxy listens on an address, with port 0 for any, and carries what comes to a target.
+func NewFaultProxy(listen, target string, seed uint64) (*FaultProxy, error) {
 	l, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{
+	r := &FaultProxy{
 		listener: l, target: target, changed: make(chan struct{}), conns: map[net.Conn]net.Conn{}, rng: rand.New(rand.NewPCG(seed, 3)),
 	}
 	r.wg.Go(r.accept)
@@ -56,9 +56,9 @@
 }
 
 // Address is where it listens.
-func (r *Relay) Address() string { return r.listener.Addr().String() }
+func (r *FaultProxy) Address() string { return r.listener.Addr().String() }
 
-func (r *Relay) accept() {
+func (r *FaultProxy) accept() {
 	for {
 		in, err := r.listener.Accept()
 		if err != nil {
@@ -68,7 +68,7 @@
 	}
 }
 
-func (r *Relay) serve(in net.Conn) {
+func (r *FaultProxy) serve(in net.Conn) {
 	defer in.Close()
 	r.mu.Lock()
 	refuse := r.refuse
@@ -109,7 +109,7 @@
 }
 
 // pump moves bytes one way, as the way is at the moment, until either side ends.
-func (r *Relay) pump(way int, to, from net.Conn) {
+func (r *FaultProxy) pump(way int, to, from net.Conn) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
@@ -132,7 +132,7 @@
 }
 
 // pass moves one piece; false says that the connection is to be reset.
-func (r *Relay) pass(way int, to net.Conn, b []byte) bool {
+func (r *FaultProxy) pass(way int, to net.Conn, b []byte) bool {
 	for len(b) > 0 {
 		if !r.wait(way, to) {
 			return false
@@ -170,7 +170,7 @@
 }
 
 // wait holds a way's bytes while it stalls; false says that the connection was given up meanwhile.
-func (r *Relay) wait(way int, to net.Conn) bool {
+func (r *FaultProxy) wait(way int, to net.Conn) bool {
 	for {
 		r.mu.Lock()
 		stall, changed := r.ways[way].Stall, r.changed
@@ -190,7 +190,7 @@
 }
 
 // Set changes what happens one way.
-func (r *Relay) Set(way int, w Way) {
+func (r *FaultProxy) Set(way int, w Way) {
 	r.mu.Lock()
 	r.ways[way] = w
 	r.note()
@@ -198,13 +198,13 @@
 }
 
 // note wakes those who wait; r.mu is held.
-func (r *Relay) note() {
+func (r *FaultProxy) note() {
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
 
 // Refuse resets new connections and, with drop, those there are.
-func (r *Relay) Refuse(on, drop bool) {
+func (r *FaultProxy) Refuse(on, drop bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.refuse = on; drop {
@@ -218,21 +218,21 @@
 }
 
 // Carried is how many bytes went each way.
-func (r *Relay) Carried() (there, back int64) {
+func (r *FaultProxy) Carried() (there, back int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.carried[There], r.carried[Back]
 }
 
 // Cuts is how many connections were reset in the middle of what they carried.
-func (r *Relay) Cuts() int {
+func (r *FaultProxy) Cuts() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.cuts
 }
 
 // Close ends it with all its connections.
-func (r *Relay) Close() {
+func (r *FaultProxy) Close() {
 	_ = r.listener.Close()
 	r.mu.Lock()
 	r.ways = [2]Way{}
--- a/internal/lab/cluster/fleet.go
+++ b/internal/lab/cluster/fleet.go
@@ -33,13 +33,15 @@
 	Env      []string
 	Dir      string
 	Seed     uint64
-	Direct   bool   // no relays between members
+	Direct   bool   // no fault proxies between members
 	Off      bool   // no [cluster] at all: what it costs is measured against this
 	Settings string // further tables
 	Amend    func(configuration map[string]any)
-	Body     int64 // bytes of a message; 0 is 200
-	Sites    int   // partners of the one destination, one in each of so many zones; 0 is one in a zone of its own
-	Paths    bool  // members reach partners through relays of their own
+	Body     int64   // bytes of a message; 0 is 200
+	Sites    int     // partners of the one destination, one in each of so many zones; 0 is one in a zone of its own
+	Cores    float64 // of a member's processor; 0 is one
+	MemoryMB int     // of a member; 0 is the laboratory's default
+	Paths    bool    // members reach partners through fault proxies of their own
 }
 
 // Member is one process with its folder.
@@ -64,15 +66,15 @@
 	Check    *lab.Checker
 	Members  []*Member
 
-	relays map[[2]int]*Relay
-	paths  map[[2]int]*Relay // of a member to a partner
-	agents []*lab.Agent      // of members that have paths
-	mu     sync.Mutex
-	events []string
-	began  time.Time
-	next   int
-	told   int                   // notices that the checker has seen,
-	saw    map[*lab.Endpoint]int // and arrivals
+	proxies map[[2]int]*FaultProxy
+	paths   map[[2]int]*FaultProxy // of a member to a partner
+	agents  []*lab.Agent           // of members that have paths
+	mu      sync.Mutex
+	events  []string
+	began   time.Time
+	next    int
+	told    int                   // notices that the checker has seen,
+	saw     map[*lab.Endpoint]int // and arrivals
 }
 
 // fleets counts those that this process has opened.
@@ -97,7 +99,7 @@
 	}
 	partner.Group = Group
 	f := &Fleet{
-		Setup: s, Partner: partner, Partners: []*lab.Endpoint{partner}, Agent: &lab.Agent{}, Check: lab.NewChecker(), relays: map[[2]int]*Relay{}, paths: map[[2]int]*Relay{}, began: time.Now(),
+		Setup: s, Partner: partner, Partners: []*lab.Endpoint{partner}, Agent: &lab.Agent{}, Check: lab.NewChecker(), proxies: map[[2]int]*FaultProxy{}, paths: map[[2]int]*FaultProxy{}, began: time.Now(),
 		saw: map[*lab.Endpoint]int{},
 	}
 	if s.Sites > 0 {
@@ -132,17 +134,18 @@
 			if i == j || s.Direct || s.Off {
 				continue
 			}
-			r, err := NewRelay("127.0.0.1:0", to.Links, s.Seed+uint64(i*1000+j))
+			r, err := NewFaultProxy("127.0.0.1:0", to.Links, s.Seed+uint64(i*1000+j))
 			if err != nil {
 				return nil, err
 			}
-			f.relays[[2]int{i, j}] = r
+			f.proxies[[2]int{i, j}] = r
 		}
 		if err := os.MkdirAll(from.Dir, 0o700); err != nil {
 			return nil, err
 		}
 		from.Forwarder = &lab.Forwarder{
 			Command: s.Program, Env: s.Env, Name: from.Name, Host: host(i), Settings: s.Settings + f.settings(i), Amend: s.Amend, DiskMB: 12, Slots: 16,
+			Cores: s.Cores, MemoryMB: s.MemoryMB,
 		}
 		agent, err := f.agentOf(i)
 		if err != nil {
@@ -155,14 +158,14 @@
 	return f, nil
 }
 
-// agentOf is a member's: with paths one that says where its relays are.
+// agentOf is a member's: with paths one that says where its fault proxies are.
 func (f *Fleet) agentOf(i int) (*lab.Agent, error) {
 	if !f.Paths {
 		return f.Agent, nil
 	}
 	at := map[string]string{}
 	for k, p := range f.Partners {
-		r, err := NewRelay("127.0.0.1:0", p.Address(), f.Seed+uint64(i*1000+k)+500)
+		r, err := NewFaultProxy("127.0.0.1:0", p.Address(), f.Seed+uint64(i*1000+k)+500)
 		if err != nil {
 			return nil, err
 		}
@@ -189,7 +192,7 @@
 	}
 	fmt.Fprintf(&b, "]\n%s\n[cluster.via]\n", f.Extra)
 	for j, to := range f.Members {
-		if r := f.relays[[2]int{i, j}]; r != nil {
+		if r := f.proxies[[2]int{i, j}]; r != nil {
 			fmt.Fprintf(&b, "%q = %q\n", to.Links, r.Address())
 		}
 	}
@@ -217,7 +220,7 @@
 	for k, i := range members {
 		wg.Go(func() {
 			m := f.Members[i]
-			m.Settings = f.Settings + f.settings(i) // relays may have changed
+			m.Settings = f.Settings + f.settings(i) // fault proxies may have changed
 			f.Event("n%d: started", i)
 			if errs[k] = m.Forwarder.Start(); errs[k] == nil {
 				m.running = true
@@ -318,15 +321,15 @@
 	return errors.Join(err, file.Close())
 }
 
-// Relay is what carries the connections that one member makes to another.
-func (f *Fleet) Relay(from, to int) *Relay { return f.relays[[2]int{from, to}] }
+// Proxy is what carries the connections that one member makes to another.
+func (f *Fleet) Proxy(from, to int) *FaultProxy { return f.proxies[[2]int{from, to}] }
 
 // Stall has nothing pass from one member to another, without a word, until it is taken back: neither what it sends on its own
 // connections nor what it answers on the other's.
 func (f *Fleet) Stall(from, to int, on bool) {
 	f.Event("link n%d to n%d: stalled %v", from, to, on)
-	f.relays[[2]int{from, to}].Set(There, Way{Stall: on})
-	f.relays[[2]int{to, from}].Set(Back, Way{Stall: on})
+	f.proxies[[2]int{from, to}].Set(There, Way{Stall: on})
+	f.proxies[[2]int{to, from}].Set(Back, Way{Stall: on})
 }
 
 // Split cuts a group of members off from all others, both ways, with resets; Heal takes all faults of links back.
@@ -336,7 +339,7 @@
 	for _, i := range group {
 		in[i] = true
 	}
-	for pair, r := range f.relays {
+	for pair, r := range f.proxies {
 		if in[pair[0]] != in[pair[1]] {
 			r.Refuse(true, true)
 		}
@@ -346,8 +349,8 @@
 // Cut resets the links between two members, both ways, and lets no new ones come up.
 func (f *Fleet) Cut(a, b int) {
 	f.Event("links n%d and n%d: cut", a, b)
-	f.relays[[2]int{a, b}].Refuse(true, true)
-	f.relays[[2]int{b, a}].Refuse(true, true)
+	f.proxies[[2]int{a, b}].Refuse(true, true)
+	f.proxies[[2]int{b, a}].Refuse(true, true)
 }
 
 // CutPaths has calls of members to partners' sites reset, or wait without a word, until Heal.
@@ -367,7 +370,7 @@
 // Heal takes all faults of links and paths back.
 func (f *Fleet) Heal() {
 	f.Event("links healed")
-	for _, all := range []map[[2]int]*Relay{f.relays, f.paths} {
+	for _, all := range []map[[2]int]*FaultProxy{f.proxies, f.paths} {
 		for _, r := range all {
 			r.Set(There, Way{})
 			r.Set(Back, Way{})
@@ -562,7 +565,7 @@
 			m.Forwarder.Kill()
 		}
 	}
-	for _, all := range []map[[2]int]*Relay{f.relays, f.paths} {
+	for _, all := range []map[[2]int]*FaultProxy{f.proxies, f.paths} {
 		for _, r := range all {
 			r.Close()
 		}
--- a/internal/lab/cluster/hollow.go
+++ b/internal/lab/cluster/hollow.go
@@ -27,6 +27,13 @@
 	lease council.Lease
 	life  council.Life
 	until time.Duration // of the lease
+	// lapses counts leases that had ended before the next came, and lives those that were begun.
+	lapses, lives int
+
+	token string       // of this process
+	had   council.Life // of the process before it in its folder,
+	past  string       // and its token
+	end   func()       // ends it and returns when it has
 
 	learned func(version uint64) // is told of each state
 	booked  uint64               // the version up to which the measurement has booked it
@@ -39,12 +46,14 @@
 
 var errNoLife = errors.New("cluster: no life was given")
 
-func newHollow(name, zone string, voters []council.Founder, timing council.Timing) *hollow {
+func newHollow(name, zone string, voters []council.Founder, relays []council.Relay, timing council.Timing) *hollow {
 	h := &hollow{
+		token: fmt.Sprint(name, time.Now().UnixNano()), end: func() {},
 		name: name, zone: zone, peers: &links.Peers{}, timing: timing, began: time.Now(), view: council.NewView(),
 		lease: council.Lease{Length: timing.Lease}, learned: func(uint64) {},
 	}
 	h.client = council.NewClient(voters, h.peers.At, "", nil)
+	h.client.Via(council.RankRelays(relays, name, zone))
 	return h
 }
 
@@ -115,7 +124,8 @@
 		}
 	}
 	join := council.Command{
-		Kind: council.Join, Life: council.Life{Name: h.name}, Token: fmt.Sprint(h.name, h.began.UnixNano()), Address: "127.0.0.1:1", Zone: h.zone, Version: 1,
+		Kind: council.Join, Life: council.Life{Name: h.name, Number: h.had.Number}, Whole: h.had.Number > 0, Token: h.token, Past: h.past,
+		Address: "127.0.0.1:1", Zone: h.zone, Version: 1,
 	}
 	r, _, err := h.ask(ctx, council.Request{Command: &join})
 	if err != nil {
@@ -124,7 +134,10 @@
 	if r.Refused != "" || r.Joined == nil {
 		return fmt.Errorf("%w: %s", errNoLife, r.Refused)
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.life = council.Life{Name: h.name, Number: r.Joined.Life}
+	h.lives++
 	return nil
 }
 
@@ -143,6 +156,9 @@
 	defer h.mu.Unlock()
 	until, granted := h.lease.Granted(r)
 	if granted {
+		if h.until > 0 && h.until < h.now() {
+			h.lapses++
+		}
 		h.until = until
 	} else if r.Sequence == 0 || !r.Granted {
 		h.life = council.Life{} // it was ended
--- a/internal/lab/cluster/measure.go
+++ b/internal/lab/cluster/measure.go
@@ -191,7 +191,7 @@
 	if err := f.Start(f.All()...); err != nil {
 		return l, err
 	}
-	for _, r := range f.relays {
+	for _, r := range f.proxies {
 		r.Set(There, Way{Delay: delay / 2})
 		r.Set(Back, Way{Delay: delay / 2})
 	}
--- a/internal/lab/cluster/random.go
+++ b/internal/lab/cluster/random.go
@@ -289,14 +289,14 @@
 		f.Stall(x.who, x.other, true)
 	case "slow":
 		f.Event("link n%d to n%d: slow", x.who, x.other)
-		f.Relay(x.who, x.other).Set(There, Way{Delay: 20 * time.Millisecond, Jitter: 60 * time.Millisecond, Rate: 200_000})
+		f.Proxy(x.who, x.other).Set(There, Way{Delay: 20 * time.Millisecond, Jitter: 60 * time.Millisecond, Rate: 200_000})
 	case "cut":
 		f.Event("link n%d to n%d: cut in a record", x.who, x.other)
-		f.Relay(x.who, x.other).Set(There, Way{Cut: 1000})
-		f.Relay(x.other, x.who).Set(Back, Way{Cut: 300})
+		f.Proxy(x.who, x.other).Set(There, Way{Cut: 1000})
+		f.Proxy(x.other, x.who).Set(Back, Way{Cut: 300})
 	case "reset":
 		f.Event("link n%d to n%d: reset", x.who, x.other)
-		f.Relay(x.who, x.other).Refuse(true, true)
+		f.Proxy(x.who, x.other).Refuse(true, true)
 	case "founders":
 		f.changeFounders(ctx, x.who, x.other)
 	default:
--- a/internal/lab/cluster/scale.go
+++ b/internal/lab/cluster/scale.go
@@ -7,296 +7,233 @@
 	"io"
 	"os"
 	"path/filepath"
-	"strconv"
-	"strings"
-	"sync"
-	"syscall"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"mulleinbeam/internal/cluster/council"
 	"mulleinbeam/internal/lab"
 )
 
-// Scale measures a control plane of real voters with hollow members over loopback sockets: what a member and the leader spend while changes
-// are decided, and how long it takes until a change is known to every member.
+// Scale measures a control plane of real voters, and of real relays if there are any, with hollow members over loopback sockets: what a
+// member, the leader and a relay spend while changes are decided, and how long it takes until a change is known to every member, also while
+// processes fail.
 type Scale struct {
-	Program []string
+	Program []string // a voter's command
 	Env     []string
+	Relay   []string // a relay's command, without its flags
+	Relays  int
+	Narrow  bool // members watch themselves, the plan and the voters alone, which the program's own do not yet
+	Faults  bool // play the faults behind the calm phase
 	Sizes   []int
-	Rate    float64 // changes a second
-	Length  time.Duration
+	Joins   float64       // members that join in a second; 0 is as fast as they can
+	Rate    float64       // changes a second
+	Length  time.Duration // of the calm phase; of each other half
 	Out     io.Writer
 }
 
-// ScaleResult is what one size has shown.
-type ScaleResult struct {
-	Members      int
-	Joined       time.Duration // until all held a lease
-	MemberBytes  float64       // a second, both ways, without the network's own heads
-	MemberCores  float64
-	MemberMemory float64 // bytes
-	LeaderCores  float64
-	LeaderMemory float64 // bytes
-	Changes      int
-	P50, P99     time.Duration // from a change's sending until a member knows it, over all members and changes
-	Longest      time.Duration
-	Lost         int // members that held no lease at the end
-}
-
 const (
 	scaleVoters   = 3
+	voterCores    = 2
+	voterMemoryMB = 2048
 	joinAtOnce    = 128
 	scalePatience = 2 * time.Minute
 	scaleZones    = 22
+	pauseFor      = 3 * time.Second // of a process that is stopped and goes on
 )
 
 var errNotJoined = errors.New("not all members hold a lease")
 
+func zoneName(i int) string { return fmt.Sprintf("zone-%02d", i%scaleZones) }
+
 // Run measures each size with a control plane of its own, each within a bounded time.
 func (s Scale) Run(ctx context.Context) error {
 	for _, n := range s.Sizes {
-		r, err := s.one(ctx, n)
-		if err != nil {
+		if err := s.one(ctx, n); err != nil {
 			return fmt.Errorf("%d members: %w", n, err)
 		}
-		fmt.Fprintf(s.Out, "%6d members: all joined after %v; a member %.0f B/s, %.5f cores, %.2f MB; the leader %.3f cores, %.1f MB; %d changes known to a member after p50 %v, p99 %v, longest %v; %d without a lease\n",
-			r.Members, r.Joined.Round(time.Millisecond), r.MemberBytes, r.MemberCores, r.MemberMemory/1e6, r.LeaderCores, r.LeaderMemory/1e6, r.Changes,
-			r.P50.Round(time.Millisecond), r.P99.Round(time.Millisecond), r.Longest.Round(time.Millisecond), r.Lost)
 	}
 	return nil
 }
 
-func (s Scale) one(ctx context.Context, n int) (r ScaleResult, err error) {
-	ctx, cancel := context.WithTimeout(ctx, scalePatience+2*s.Length)
+// scaleWorld is what one size is played with.
+type scaleWorld struct {
+	voters *Fleet
+	relays []*relayProcess
+	fleet  *hollowFleet
+}
+
+func (s Scale) one(ctx context.Context, n int) error {
+	phases := s.phases()
+	ctx, cancel := context.WithTimeout(ctx, 2*scalePatience+time.Duration(len(phases)+2)*(s.Length+pauseFor))
 	defer cancel()
 	dir, err := os.MkdirTemp("", "larklab-scale-")
 	if err != nil {
-		return r, err
+		return err
 	}
 	defer os.RemoveAll(dir)
-	f, err := Open(Setup{Members: scaleVoters, Program: s.Program, Env: s.Env, Dir: dir, Seed: 1, Direct: true}, &lab.Endpoint{Name: "p"})
+	w := &scaleWorld{}
+	defer w.close()
+	if err := s.open(ctx, w, dir, n); err != nil {
+		return err
+	}
+	joined, err := w.fleet.start(ctx, s.Joins)
 	if err != nil {
-		return r, err
+		return err
 	}
-	defer f.Close()
-	if err := f.Start(f.All()...); err != nil {
-		return r, err
+	fmt.Fprintf(s.Out, "%d members, %d relays: all hold a lease after %v\n", n, s.Relays, joined.Round(time.Millisecond))
+	for _, p := range phases {
+		if err := s.play(ctx, w, p); err != nil {
+			return fmt.Errorf("%s: %w", p.name, err)
+		}
 	}
-	if err := f.AwaitCopied(ctx, f.All()...); err != nil {
-		return r, err
+	return nil
+}
+
+// open starts voters and relays, and lays the members out.
+func (s Scale) open(ctx context.Context, w *scaleWorld, dir string, n int) (err error) {
+	setup := Setup{
+		Members: scaleVoters, Program: s.Program, Env: s.Env, Dir: dir, Seed: 1, Direct: true, Cores: voterCores, MemoryMB: voterMemoryMB,
+	}
+	if w.voters, err = Open(setup, &lab.Endpoint{Name: "p"}); err != nil {
+		return err
+	}
+	if err := w.voters.Start(w.voters.All()...); err != nil {
+		return err
+	}
+	if err := w.voters.AwaitCopied(ctx, w.voters.All()...); err != nil {
+		return err
 	}
 	var voters []council.Founder
-	for _, m := range f.Members {
+	for _, m := range w.voters.Members {
 		voters = append(voters, council.Founder{Name: m.Name, Address: m.Links})
 	}
-	fleet := newHollowFleet(n, voters)
-	defer fleet.stop()
-	r.Members = n
-	if r.Joined, err = fleet.start(ctx); err != nil {
-		return r, err
+	var relays []council.Relay
+	for i := range s.Relays {
+		r, err := newRelayProcess(s.Relay, s.Env, filepath.Join(dir, fmt.Sprint("relay", i)), i, voters)
+		if err != nil {
+			return err
+		}
+		w.relays = append(w.relays, r)
+		relays = append(relays, council.Relay{Zone: zoneName(i), Address: r.address})
+		if err := r.start(); err != nil {
+			return err
+		}
 	}
-	return r, s.measure(ctx, f, fleet, &r)
+	w.fleet = newHollowFleet(n, voters, relays, s.Narrow)
+	return nil
 }
 
-// measure has changes decided for the length, and books what all spend meanwhile.
-func (s Scale) measure(ctx context.Context, f *Fleet, fleet *hollowFleet, r *ScaleResult) error {
-	leader, err := f.leader()
+func (w *scaleWorld) close() {
+	if w.fleet != nil {
+		w.fleet.stop()
+	}
+	for _, r := range w.relays {
+		r.kill()
+	}
+	if w.voters != nil {
+		w.voters.Close()
+	}
+}
+
+// play has changes decided while a phase lasts, and prints what it took.
+func (s Scale) play(ctx context.Context, w *scaleWorld, p phase) error {
+	w.fleet.forget()
+	lapses, lives := w.fleet.lapses()
+	before, err := w.spent()
 	if err != nil {
 		return err
 	}
-	own, its := usageOf(os.Getpid()), usageOf(leader)
+	fault := make(chan error, 1)
+	if p.fault != nil {
+		go func() { fault <- p.fault(ctx, w) }()
+	} else {
+		fault <- nil
+	}
 	began := time.Now()
-	for i := 0; time.Since(began) < s.Length; i++ {
-		due := began.Add(time.Duration(float64(i) / s.Rate * float64(time.Second)))
+	changes := 0
+	for ; time.Since(began) < p.length; changes++ {
+		due := began.Add(time.Duration(float64(changes) / s.Rate * float64(time.Second)))
 		if !lab.Sleep(ctx, time.Until(due)) {
 			return ctx.Err()
 		}
-		if err := fleet.change(ctx, i); err != nil {
+		if err := w.fleet.change(ctx, changes); err != nil {
 			return err
 		}
-		r.Changes++
 	}
-	took := time.Since(began).Seconds()
-	now, itsNow := usageOf(os.Getpid()), usageOf(leader)
-	if err := fleet.await(ctx); err != nil {
+	took := time.Since(began)
+	if err := <-fault; err != nil {
 		return err
 	}
-	n := float64(r.Members)
-	r.MemberBytes, r.MemberCores, r.MemberMemory = (now.bytes-own.bytes)/took/n, (now.cpu-own.cpu)/took/n, now.memory/n
-	r.LeaderCores, r.LeaderMemory = (itsNow.cpu-its.cpu)/took, itsNow.memory
-	r.P50, r.P99, r.Longest = fleet.latency(50), fleet.latency(99), fleet.latency(100)
-	for _, h := range fleet.members {
-		if !h.holds() {
-			r.Lost++
-		}
-	}
-	return nil
-}
-
-// leader is the process that leads.
-func (f *Fleet) leader() (pid int, err error) {
-	for i := range f.Members {
-		s, err := f.Look(i)
-		if err != nil {
-			return 0, err
-		}
-		for _, m := range f.Members {
-			if m.Name == s.Leader {
-				return m.Pid(), nil
-			}
-		}
+	after, err := w.spent()
+	if err != nil {
+		return err
 	}
-	return 0, council.ErrNoLeader
-}
-
-// usage is what a process has used so far.
-type usage struct{ cpu, bytes, memory float64 }
-
-// usageOf reads it: processor time in seconds, bytes that went through its reads and writes, and its resident memory now.
-func usageOf(pid int) (u usage) {
-	dir := filepath.Join("/proc", strconv.Itoa(pid))
-	if raw, err := os.ReadFile(filepath.Join(dir, "stat")); err == nil {
-		const user, system, ticks = 11, 12, 100 // fields behind the name, and the kernel's ticks a second
-		_, rest, _ := strings.Cut(string(raw), ") ")
-		if fields := strings.Fields(rest); len(fields) > system {
-			a, _ := strconv.ParseFloat(fields[user], 64)
-			b, _ := strconv.ParseFloat(fields[system], 64)
-			u.cpu = (a + b) / ticks
-		}
+	if err := w.fleet.await(ctx); err != nil {
+		return err
 	}
-	if raw, err := os.ReadFile(filepath.Join(dir, "io")); err == nil {
-		for _, line := range strings.Split(string(raw), "\n") {
-			if key, value, _ := strings.Cut(line, ": "); key == "rchar" || key == "wchar" {
-				v, _ := strconv.ParseFloat(value, 64)
-				u.bytes += v
-			}
-		}
+	healing := time.Now()
+	if err := w.fleet.awaitLeases(ctx); err != nil {
+		return err
 	}
-	if raw, err := os.ReadFile(filepath.Join(dir, "statm")); err == nil {
-		if fields := strings.Fields(string(raw)); len(fields) > 1 {
-			pages, _ := strconv.ParseFloat(fields[1], 64)
-			u.memory = pages * float64(syscall.Getpagesize())
-		}
+	nowLapses, nowLives := w.fleet.lapses()
+	fmt.Fprintf(s.Out, "  %-28s %3d changes known after p50 %v, p99 %v, longest %v; %d leases lapsed, %d lives begun; all leases %v behind it\n",
+		p.name+":", changes, w.fleet.latency(50), w.fleet.latency(99), w.fleet.latency(100), nowLapses-lapses, nowLives-lives,
+		time.Since(healing).Round(time.Millisecond))
+	if p.fault == nil {
+		s.print(before, after, took, len(w.fleet.members))
 	}
-	return u
+	return nil
 }
 
-// hollowFleet is hollow members in this process, and an operator who changes them.
-type hollowFleet struct {
-	members []*hollow
-	voters  []council.Founder
-	timing  council.Timing
-	cancel  context.CancelFunc
-	all     sync.WaitGroup
+// spent is what all have used so far.
+type spent struct{ members, leader, relays usage }
 
-	mu     sync.Mutex
-	sent   map[uint64]time.Time // when the change of a version was sent
-	latest uint64
-	took   *hdrhistogram.Histogram // milliseconds
-}
-
-func newHollowFleet(n int, voters []council.Founder) *hollowFleet {
-	f := &hollowFleet{
-		voters: voters, timing: council.Timing{Lease: time.Second}, sent: map[uint64]time.Time{}, cancel: func() {},
-		took: hdrhistogram.New(1, time.Hour.Milliseconds(), 3),
+func (w *scaleWorld) spent() (out spent, err error) {
+	leader, err := w.voters.leader()
+	if err != nil {
+		return out, err
 	}
-	for i := range n {
-		h := newHollow(fmt.Sprintf("hollow-%05d", i), fmt.Sprintf("zone-%02d", i%scaleZones), voters, f.timing)
-		h.learned = func(version uint64) { f.known(h, version) }
-		f.members = append(f.members, h)
+	out.members, out.leader = usageOf(os.Getpid()), usageOf(leader)
+	for _, r := range w.relays {
+		u := usageOf(r.pid())
+		out.relays.cpu += u.cpu
+		out.relays.bytes += u.bytes
+		out.relays.memory = max(out.relays.memory, u.memory)
 	}
-	return f
+	return out, nil
 }
 
-// start has all join, some at a time, and waits until each holds a lease.
-func (f *hollowFleet) start(ctx context.Context) (time.Duration, error) {
-	running, cancel := context.WithCancel(ctx)
-	f.cancel = cancel
-	began := time.Now()
-	turn := make(chan struct{}, joinAtOnce)
-	for _, h := range f.members {
-		select {
-		case turn <- struct{}{}:
-		case <-ctx.Done():
-			return 0, errNotJoined
-		}
-		f.all.Go(func() { h.run(running) })
-		f.all.Go(func() {
-			defer func() { <-turn }()
-			for !h.holds() && lab.Sleep(running, hollowRetry) {
-			}
-		})
+func (s Scale) print(before, after spent, took time.Duration, members int) {
+	seconds, n := took.Seconds(), float64(members)
+	fmt.Fprintf(s.Out, "    a member: %.0f B/s, %.5f cores, %.2f MB; the leader: %.3f cores, %.0f kB/s, %.1f MB",
+		(after.members.bytes-before.members.bytes)/seconds/n, (after.members.cpu-before.members.cpu)/seconds/n, after.members.memory/n/1e6,
+		(after.leader.cpu-before.leader.cpu)/seconds, (after.leader.bytes-before.leader.bytes)/seconds/1e3, after.leader.memory/1e6)
+	if s.Relays > 0 {
+		fmt.Fprintf(s.Out, "; a relay: %.3f cores, %.1f MB", (after.relays.cpu-before.relays.cpu)/seconds/float64(s.Relays), after.relays.memory/1e6)
 	}
-	for _, h := range f.members {
-		for !h.holds() {
-			if time.Since(began) > scalePatience || !lab.Sleep(ctx, hollowRetry) {
-				return 0, errNotJoined
-			}
-		}
-	}
-	return time.Since(began), nil
-}
-
-func (f *hollowFleet) stop() {
-	f.cancel()
-	f.all.Wait()
+	fmt.Fprintln(s.Out)
 }
 
-// change has one member drained, or taken back.
-func (f *hollowFleet) change(ctx context.Context, i int) error {
-	h := f.members[i%len(f.members)]
-	cmd := council.Command{Kind: council.Leave, Life: council.Life{Name: h.name}, On: i/len(f.members)%2 == 0}
-	sent := time.Now()
-	r, err := h.client.Do(ctx, council.Request{Command: &cmd})
-	if err == nil && r.Refused != "" {
-		err = errors.New(r.Refused)
-	}
+// leader is the process that leads.
+func (f *Fleet) leader() (pid int, err error) {
+	i, err := f.leaderNumber()
 	if err != nil {
-		return err
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.sent[r.Version], f.latest = sent, r.Version
-	for _, h := range f.members { // those that knew before this goroutine did
-		if h.booked >= r.Version {
-			_ = f.took.RecordValue(max(1, time.Since(sent).Milliseconds()))
-		}
+		return 0, err
 	}
-	return nil
+	return f.Members[i].Pid(), nil
 }
 
-// known books that a member knows what was decided up to a version.
-func (f *hollowFleet) known(h *hollow, version uint64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if h.booked == 0 { // all that was decided before it came
-		h.booked = version
-	}
-	for v := h.booked + 1; v <= version; v++ {
-		if sent, some := f.sent[v]; some {
-			_ = f.took.RecordValue(max(1, time.Since(sent).Milliseconds()))
+// leaderNumber is that of the member that leads.
+func (f *Fleet) leaderNumber() (int, error) {
+	for i := range f.Members {
+		s, err := f.Look(i)
+		if err != nil {
+			continue // it may be down
 		}
-	}
-	h.booked = max(h.booked, version)
-}
-
-// await waits until all know the latest change.
-func (f *hollowFleet) await(ctx context.Context) error {
-	for _, h := range f.members {
-		for h.version() < f.latest {
-			if !lab.Sleep(ctx, time.Millisecond) {
-				return ctx.Err()
+		for k, m := range f.Members {
+			if m.Name == s.Leader {
+				return k, nil
 			}
 		}
 	}
-	return nil
-}
-
-// latency is the time within which so many of hundred members and changes were known.
-func (f *hollowFleet) latency(percent float64) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return time.Duration(f.took.ValueAtQuantile(percent)) * time.Millisecond
+	return 0, council.ErrNoLeader
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -109,12 +110,13 @@
 	Beat     Duration          `toml:"beat"`     // between two tellings of what was seen of partners; 0 is none
 	Believe  Duration          `toml:"believe"`  // how long one member's word of a partner counts by itself
 	Via      map[string]string `toml:"via"`      // what is dialled for an address, where that differs
+	Relays   []string          `toml:"relays"`   // that carry requests to the voters, zone@host:port each; none: voters are asked
 }
 
 var clusterDefaults = Cluster{
 	Copies: 2, Space: 64 << 20, Lease: Duration(time.Second), Margin: Duration(200 * time.Millisecond), Tick: Duration(100 * time.Millisecond),
 	Patience: Duration(500 * time.Millisecond), Check: Duration(10 * time.Second),
-	CatchUp: 2 << 20, Beat: Duration(100 * time.Millisecond), Believe: Duration(10 * time.Second),
+	CatchUp: 2 << 20, Beat: Duration(100 * time.Millisecond), Believe: Duration(10 * time.Second), Relays: []string{},
 }
 
 // Bounds of what a fleet can be told.
@@ -153,8 +155,35 @@
 	return out, nil
 }
 
+// Relay is a process that carries members' requests to the voters.
+type Relay struct{ Zone, Address string }
+
+// mostRelays bounds those that a member is told of.
+const mostRelays = 64
+
+// RelayList reads the relays.
+func (c Cluster) RelayList() (out []Relay, err error) {
+	if len(c.Relays) > mostRelays {
+		return nil, fmt.Errorf("%d of them; %d at the most are possible", len(c.Relays), mostRelays)
+	}
+	for _, text := range c.Relays {
+		zone, address, ok := strings.Cut(text, "@")
+		if _, port, bad := net.SplitHostPort(address); !ok || bad != nil || port == "" {
+			return nil, fmt.Errorf("%q is no relay: zone@host:port", text)
+		}
+		if slices.ContainsFunc(out, func(r Relay) bool { return r.Address == address }) {
+			return nil, fmt.Errorf("%q is named twice", text)
+		}
+		out = append(out, Relay{zone, address})
+	}
+	return out, nil
+}
+
 // check gives the key that can't be used, and why.
 func (c Cluster) check() (key, what string) {
+	if _, err := c.RelayList(); err != nil {
+		return "cluster.relays", err.Error()
+	}
 	founders, err := c.Council()
 	switch _, port, bad := net.SplitHostPort(c.Listen); {
 	case bad != nil || port == "":
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -31,6 +31,8 @@
 		"saved too often":    {"[learned]\ninterval = \"1ms\"\n", "settings: f.toml:2: learned.interval: 1ms; from 200ms to 10m0s are possible"},
 		"learned too small":  {"[learned]\nsize = \"1KiB\"\n", "settings: f.toml:2: learned.size: 1024 bytes; from 4096 to 67108864 are possible"},
 		"no ids":             {"[learned]\nids = -1\n", "settings: f.toml:2: learned.ids: -1; from 0 to 1048576 are possible"},
+		"no relay":           {"[cluster]\nlisten = \"a:1\"\nfounders = [\"n@a:1\"]\nrelays = [\"z@a\"]\n", `settings: f.toml:4: cluster.relays: "z@a" is no relay: zone@host:port`},
+		"a relay twice":      {"[cluster]\nlisten = \"a:1\"\nfounders = [\"n@a:1\"]\nrelays = [\"z@a:1\", \"y@a:1\"]\n", `settings: f.toml:4: cluster.relays: "y@a:1" is named twice`},
 		"dotted":             {"bodies.slots = 0\n", "settings: f.toml:1: bodies.slots: 0; from 1 to 4096 are possible"},
 	} {
 		t.Run(name, func(t *testing.T) {
