--- a/cmd/larklab/cluster.go
+++ b/cmd/larklab/cluster.go
@@ -172,7 +172,7 @@
 func (c scaleCmd) Run() error {
 	return c.with(func(ctx context.Context, program []string) error {
 		return cluster.Scale{
-			Program: program, Relay: []string{program[0], "relay"}, Relays: c.Relays, Narrow: c.Narrow, Faults: c.Faults, Sizes: c.Sizes, Joins: c.Joins,
+			Program: program, Relays: c.Relays, Narrow: c.Narrow, Faults: c.Faults, Sizes: c.Sizes, Joins: c.Joins,
 			Rate: c.Rate, Length: c.Length,
 			Out: os.Stdout,
 		}.Run(ctx)
--- a/internal/lab/capacity/assumptions.go
+++ b/internal/lab/capacity/assumptions.go
@@ -32,6 +32,8 @@
 	EndpointsPerTarget    float64 `toml:"endpoints-per-destination" what:"endpoints of a destination"`
 	RenewalsPerSecond     float64 `toml:"renewals-per-second" what:"lease renewals a second of one forwarder"`
 	Voters                float64 `toml:"voters" what:"voters of the control plane, each of which gives snapshots"`
+	Relays                float64 `toml:"relays" what:"relays between forwarders and voters, a control machine each"`
+	BatchesPerSecond      float64 `toml:"batches-per-second" what:"batches of renewals that a relay sends a second"`
 	ServerCores           float64 `toml:"server-cores" what:"cores of a control machine"`
 	LinkBytes             float64 `toml:"link-bytes" what:"bytes a second of a control machine's link"`
 	DiskBytes             float64 `toml:"disk-bytes" what:"bytes of a forwarder's disk for its journal"`
@@ -49,7 +51,7 @@
 		Forwarders: 19_000, EventsPerForwarder: 842, Destinations: 1e6, DownShare: 0.017, Backlog: 15.8e6, Zones: 22, ChangesPerDay: 20_000,
 		RestartsPerDay: 7_100, ControlMachines: 25, ControlCores: 0.036, ControlMemory: 128e6, ControlBytes: 6_000, ForceWithin: 4,
 		DecisionsPerRestart: 4, BusiestHourRestarts: 3_550, BusiestSecondChanges: 10, EntryBytes: 400, EndpointsPerTarget: 2,
-		RenewalsPerSecond: 4, Voters: 5, ServerCores: 8, LinkBytes: 1.25e9, DiskBytes: 64e9, ReconnectWithin: 10, StartWithin: 10, RouterStall: 0.005,
+		RenewalsPerSecond: 4, Voters: 5, Relays: 20, BatchesPerSecond: 50, ServerCores: 8, LinkBytes: 1.25e9, DiskBytes: 64e9, ReconnectWithin: 10, StartWithin: 10, RouterStall: 0.005,
 		PlanWindow: 1, PlanBytes: 4 << 20, MembersPerAggregation: 50,
 	}
 }
@@ -99,6 +101,12 @@
 	return a
 }
 
+// perRelay are the members of one relay, and livesInBatch those whose renewals share a batch of it.
+func (a Assumptions) perRelay() (members, livesInBatch float64) {
+	members = a.Forwarders / a.Relays
+	return members, members * a.RenewalsPerSecond / a.BatchesPerSecond
+}
+
 // decisions are the decided changes a second on an ordinary day, and in the busiest hour.
 func (a Assumptions) decisions() (mean, busiest float64) {
 	const day, hour = 24 * 3600, 3600
--- a/internal/lab/capacity/probe.go
+++ b/internal/lab/capacity/probe.go
@@ -25,6 +25,7 @@
 		{"control plane", []int{100, 300, 600, 1000}, []int{100, 300, 1000, 3000, 10_000}, probeControlPlane},
 		{"joins", []int{50, 100, 200, 500}, []int{100, 300, 1000, 3000, 6000}, probeJoins},
 		{"links", []int{10, 30, 60, 100}, []int{10, 30, 100, 300, 1000}, probeLinks},
+		{"relays", []int{10, 30, 60, 100}, []int{10, 30, 100, 300, 1000}, probeRelays},
 		{"endpoint list", []int{1000, 3000, 10_000, 30_000}, []int{1000, 10_000, 100_000, 1_000_000}, probeList},
 		{"backlog", []int{1000, 2000, 5000, 10_000}, []int{1000, 3000, 10_000, 30_000, 50_000}, probeBacklog},
 		{"replica", []int{1000, 2000, 5000, 10_000}, []int{1000, 10_000, 30_000, 100_000}, probeReplica},
--- a/internal/lab/capacity/probe_control.go
+++ b/internal/lab/capacity/probe_control.go
@@ -6,7 +6,6 @@
 	"encoding/gob"
 	"errors"
 	"fmt"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,7 +15,6 @@
 
 	"mulleinbeam/internal/cluster/changelog"
 	"mulleinbeam/internal/cluster/council"
-	"mulleinbeam/internal/cluster/links"
 	"mulleinbeam/internal/routing/wal/fsys"
 )
 
@@ -307,102 +305,3 @@
 	}
 	return t.series, nil
 }
-
-// countedListener counts the bytes that its connections move, both ways.
-type countedListener struct {
-	net.Listener
-	moved *atomic.Int64
-}
-
-func (l countedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return countedConn{conn, l.moved}, nil
-}
-
-type countedConn struct {
-	net.Conn
-	moved *atomic.Int64
-}
-
-func (c countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.moved.Add(int64(n))
-	return n, err
-}
-
-func (c countedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.moved.Add(int64(n))
-	return n, err
-}
-
-// probeLinks measures lease renewals over loopback sockets, by the number of connections.
-func probeLinks(ctx context.Context, sizes []int, effort time.Duration) ([]Series, error) {
-	var t table
-	t.column("link.renewal", "connections", "s", "processor time of one lease renewal over a loopback socket, both ends and the leader")
-	t.column("link.renewal.bytes", "connections", "B", "of one lease renewal and its answer, without the network's own heads")
-	for _, n := range sizes {
-		l, s, err := startFleet(ctx, n, shortTick)
-		if err != nil {
-			return nil, err
-		}
-		cpu, size, err := renewOverSockets(ctx, l, n, watchBehind(s), effort)
-		l.end()
-		if err != nil {
-			return nil, err
-		}
-		t.row(n, cpu, size)
-	}
-	return t.series, nil
-}
-
-func renewOverSockets(ctx context.Context, l leader, n int, watch *council.Watch, effort time.Duration) (cpu, size float64, err error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return 0, 0, err
-	}
-	moved := &atomic.Int64{}
-	served := make(chan struct{})
-	go func() {
-		defer close(served)
-		_ = links.Serve(countedListener{listener, moved}, map[string]any{"Council": l.server.Calls()})
-	}()
-	defer func() { _ = listener.Close(); <-served }()
-	peers := make([]*links.Peer, n)
-	ask := func(i int) error {
-		var r council.Response
-		req := council.Request{Renew: &council.Life{Name: memberName(i), Number: 1}, Watch: watch}
-		return peers[i].Call(ctx, "Council.Ask", req, &r)
-	}
-	for i := range peers {
-		peers[i] = links.NewPeer(listener.Addr().String())
-		defer peers[i].Close()
-		if err := ask(i); err != nil { // the connection comes up, and types are told once
-			return 0, 0, err
-		}
-	}
-	var calls atomic.Int64
-	var failed atomic.Pointer[error]
-	before, bytesBefore, began := processorTime(), moved.Load(), time.Now()
-	var all sync.WaitGroup
-	for i := range peers {
-		all.Go(func() {
-			for round := 0; round == 0 || time.Since(began) < 2*effort; round++ {
-				if err := ask(i); err != nil {
-					failed.Store(&err)
-					return
-				}
-				calls.Add(1)
-			}
-		})
-	}
-	all.Wait()
-	if e := failed.Load(); e != nil {
-		return 0, 0, *e
-	}
-	k := float64(calls.Load())
-	return (processorTime() - before) / k, float64(moved.Load()-bytesBefore) / k, nil
-}
--- a/internal/lab/capacity/roles.go
+++ b/internal/lab/capacity/roles.go
@@ -73,6 +73,7 @@
 	e.backlog(a)
 	e.member(a)
 	e.leader(a)
+	e.relay(a)
 	e.fleet(a)
 	return e.rows, e.err
 }
@@ -141,7 +142,7 @@
 
 // leader is the voter that leads.
 func (e *evaluation) leader(a Assumptions) {
-	const role = "leader of the control plane"
+	const role = "leader of the control plane, without relays"
 	mean, busiest := a.decisions()
 	change := e.at("change.bytes", a.Forwarders)
 	e.add(Row{Role: role, What: "decided changes sent, in the busiest hour", Unit: "B/s", Value: change.Times(busiest * a.Forwarders), Budget: a.LinkBytes,
@@ -155,10 +156,10 @@
 		Value:     reading.Times(a.Forwarders).Plus(exactly(1 / a.RenewalsPerSecond)),
 		Mechanism: "`council.Server`, with each renewal"}, "change.encode")
 	snapshots := a.Forwarders / a.Voters
-	e.add(Row{Role: "voters of the control plane", What: "a snapshot for every forwarder at once, on their links", Unit: "s",
+	e.add(Row{Role: "voters of the control plane, without relays", What: "a snapshot for every forwarder at once, on their links", Unit: "s",
 		Value: e.at("snapshot.bytes", a.Forwarders).Times(snapshots / a.LinkBytes), Budget: a.ReconnectWithin, BudgetOf: "reconnect-within",
 		Mechanism: "`changelog.Log`, in pieces"}, "snapshot.bytes")
-	e.add(Row{Role: "voters of the control plane", What: "a snapshot for every forwarder at once, read and encoded on all their cores", Unit: "s",
+	e.add(Row{Role: "voters of the control plane, without relays", What: "a snapshot for every forwarder at once, read and encoded on all their cores", Unit: "s",
 		Value: e.at("snapshot.encode", a.Forwarders).Times(snapshots / a.ServerCores), Budget: a.ReconnectWithin, BudgetOf: "reconnect-within",
 		Mechanism: "`changelog.Log`, in pieces"}, "snapshot.encode")
 	renewals := a.Forwarders * a.RenewalsPerSecond
@@ -174,6 +175,31 @@
 		Mechanism: "`council.Server`"}, "joins")
 }
 
+// relay is the tier between members and voters, and the leader behind it.
+func (e *evaluation) relay(a Assumptions) {
+	const leader, role = "leader of the control plane, behind relays", "relay"
+	members, lives := a.perRelay()
+	renewals := a.Forwarders * a.RenewalsPerSecond
+	_, busiest := a.decisions()
+	e.add(Row{Role: leader, What: "lease renewals in batches", Unit: "cores", Value: e.at("batch.renewal", lives).Times(renewals), Budget: 1,
+		BudgetOf: "one goroutine", Mechanism: "`relay.Core`, `council.Leases`"}, "batch.renewal")
+	change := e.at("change.encode", a.Forwarders)
+	e.add(Row{Role: leader, What: "decided changes of the busiest hour, read and encoded for the relays", Unit: "cores", Value: change.Times(busiest * a.Relays),
+		Budget: 1, BudgetOf: "one goroutine", Mechanism: "`council.Server`, `changelog.Log`"}, "change.encode")
+	e.add(Row{Role: role, What: "its members' renewals", Unit: "cores", Value: e.at("relay.renewal", lives).Times(members * a.RenewalsPerSecond),
+		Budget: a.ServerCores, BudgetOf: "server-cores", Mechanism: "`relay.Server`"}, "relay.renewal")
+	e.add(Row{Role: role, What: "decided changes of the busiest hour, read and encoded for its members", Unit: "cores", Value: change.Times(busiest * members),
+		Budget: a.ServerCores, BudgetOf: "server-cores", Mechanism: "`relay.Core`, `changelog.Mirror`"}, "change.encode")
+	e.add(Row{Role: role, What: "one change until every member has asked and has it", Unit: "s", Budget: a.ForceWithin, BudgetOf: "force-within",
+		Value:     change.Times(a.Relays + members).Plus(exactly(1/a.RenewalsPerSecond + 1/a.BatchesPerSecond)),
+		Mechanism: "`relay.Server`, with each renewal"}, "change.encode")
+	e.add(Row{Role: role, What: "a snapshot for each of its members at once, on its link", Unit: "s", Value: e.at("snapshot.bytes", a.Forwarders).Times(members / a.LinkBytes),
+		Budget: a.ReconnectWithin, BudgetOf: "reconnect-within", Mechanism: "`changelog.Mirror`, in pieces"}, "snapshot.bytes")
+	e.add(Row{Role: role, What: "a snapshot for each of its members at once, or the joins of all forwarders, read and encoded on all its cores", Unit: "s", Budget: a.ReconnectWithin,
+		Value: e.at("snapshot.encode", a.Forwarders).Times(members / a.ServerCores), BudgetOf: "reconnect-within",
+		Mechanism: "`changelog.Mirror`, in pieces"}, "snapshot.encode")
+}
+
 // fleet is what is seen of destinations, and planned.
 func (e *evaluation) fleet(a Assumptions) {
 	e.add(Row{Role: "planner", What: "one window for all destinations", Unit: "s", Value: e.at("plan.window", a.Destinations), Budget: a.PlanWindow,
--- a/internal/lab/cluster/fleet.go
+++ b/internal/lab/cluster/fleet.go
@@ -39,6 +39,7 @@
 	Amend    func(configuration map[string]any)
 	Body     int64   // bytes of a message; 0 is 200
 	Sites    int     // partners of the one destination, one in each of so many zones; 0 is one in a zone of its own
+	Relays   int     // of the control plane; voters use none
 	Cores    float64 // of a member's processor; 0 is one
 	MemoryMB int     // of a member; 0 is the laboratory's default
 	Paths    bool    // members reach partners through fault proxies of their own
@@ -67,6 +68,7 @@
 	Members  []*Member
 
 	proxies map[[2]int]*FaultProxy
+	relays  []*relayProcess
 	paths   map[[2]int]*FaultProxy // of a member to a partner
 	agents  []*lab.Agent           // of members that have paths
 	mu      sync.Mutex
@@ -129,6 +131,9 @@
 		defer links.Close() // held until its member has chosen where it takes messages: else that could be the very same
 		f.Members = append(f.Members, &Member{Name: fmt.Sprintf("n%d", i), Links: links.Addr().String(), Dir: filepath.Join(s.Dir, fmt.Sprintf("n%d", i))})
 	}
+	if err := f.openRelays(); err != nil {
+		return nil, err
+	}
 	for i, from := range f.Members {
 		for j, to := range f.Members {
 			if i == j || s.Direct || s.Off {
@@ -158,6 +163,41 @@
 	return f, nil
 }
 
+// openRelays starts the relays of the control plane; they serve once the voters do.
+func (f *Fleet) openRelays() error {
+	for i := range f.Relays {
+		r, err := newRelayProcess([]string{f.Program[0], "relay"}, f.Env, filepath.Join(f.Dir, fmt.Sprint("relay", i)), i, f.voters())
+		if err != nil {
+			return err
+		}
+		f.relays = append(f.relays, r)
+		if err := r.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// voters are the control plane's first.
+func (f *Fleet) voters() (out []council.Founder) {
+	for _, m := range f.Members[:f.Founders] {
+		out = append(out, council.Founder{Name: m.Name, Address: m.Links})
+	}
+	return out
+}
+
+// KillRelay ends a relay at once; StartRelay starts another in its place.
+func (f *Fleet) KillRelay(i int) {
+	f.Event("relay %d: SIGKILL", i)
+	f.relays[i].kill()
+}
+
+// StartRelay starts a relay that was killed.
+func (f *Fleet) StartRelay(i int) error {
+	f.Event("relay %d: started", i)
+	return f.relays[i].start()
+}
+
 // agentOf is a member's: with paths one that says where its fault proxies are.
 func (f *Fleet) agentOf(i int) (*lab.Agent, error) {
 	if !f.Paths {
@@ -190,6 +230,10 @@
 	for _, class := range f.Alone {
 		fmt.Fprintf(&b, "%q, ", class)
 	}
+	fmt.Fprintf(&b, "]\nrelays = [")
+	for j, r := range f.relays {
+		fmt.Fprintf(&b, "\"z%d@%s\", ", j%f.Zones, r.address)
+	}
 	fmt.Fprintf(&b, "]\n%s\n[cluster.via]\n", f.Extra)
 	for j, to := range f.Members {
 		if r := f.proxies[[2]int{i, j}]; r != nil {
@@ -570,6 +614,9 @@
 			r.Close()
 		}
 	}
+	for _, r := range f.relays {
+		r.kill()
+	}
 	for _, a := range append(f.agents, f.Agent) {
 		a.Close()
 	}
--- a/internal/lab/cluster/scale.go
+++ b/internal/lab/cluster/scale.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"os"
-	"path/filepath"
 	"time"
 
 	"mulleinbeam/internal/cluster/council"
@@ -19,7 +18,6 @@
 type Scale struct {
 	Program []string // a voter's command
 	Env     []string
-	Relay   []string // a relay's command, without its flags
 	Relays  int
 	Narrow  bool // members watch themselves, the plan and the voters alone, which the program's own do not yet
 	Faults  bool // play the faults behind the calm phase
@@ -57,7 +55,6 @@
 // scaleWorld is what one size is played with.
 type scaleWorld struct {
 	voters *Fleet
-	relays []*relayProcess
 	fleet  *hollowFleet
 }
 
@@ -91,7 +88,7 @@
 // open starts voters and relays, and lays the members out.
 func (s Scale) open(ctx context.Context, w *scaleWorld, dir string, n int) (err error) {
 	setup := Setup{
-		Members: scaleVoters, Program: s.Program, Env: s.Env, Dir: dir, Seed: 1, Direct: true, Cores: voterCores, MemoryMB: voterMemoryMB,
+		Members: scaleVoters, Program: s.Program, Env: s.Env, Dir: dir, Seed: 1, Direct: true, Relays: s.Relays, Cores: voterCores, MemoryMB: voterMemoryMB,
 	}
 	if w.voters, err = Open(setup, &lab.Endpoint{Name: "p"}); err != nil {
 		return err
@@ -102,23 +99,11 @@
 	if err := w.voters.AwaitCopied(ctx, w.voters.All()...); err != nil {
 		return err
 	}
-	var voters []council.Founder
-	for _, m := range w.voters.Members {
-		voters = append(voters, council.Founder{Name: m.Name, Address: m.Links})
-	}
 	var relays []council.Relay
-	for i := range s.Relays {
-		r, err := newRelayProcess(s.Relay, s.Env, filepath.Join(dir, fmt.Sprint("relay", i)), i, voters)
-		if err != nil {
-			return err
-		}
-		w.relays = append(w.relays, r)
+	for i, r := range w.voters.relays {
 		relays = append(relays, council.Relay{Zone: zoneName(i), Address: r.address})
-		if err := r.start(); err != nil {
-			return err
-		}
 	}
-	w.fleet = newHollowFleet(n, voters, relays, s.Narrow)
+	w.fleet = newHollowFleet(n, w.voters.voters(), relays, s.Narrow)
 	return nil
 }
 
@@ -126,9 +111,6 @@
 	if w.fleet != nil {
 		w.fleet.stop()
 	}
-	for _, r := range w.relays {
-		r.kill()
-	}
 	if w.voters != nil {
 		w.voters.Close()
 	}
@@ -193,7 +175,7 @@
 		return out, err
 	}
 	out.members, out.leader = usageOf(os.Getpid()), usageOf(leader)
-	for _, r := range w.relays {
+	for _, r := range w.voters.relays {
 		u := usageOf(r.pid())
 		out.relays.cpu += u.cpu
 		out.relays.bytes += u.bytes
