--- a/internal/cluster/council/route.go
+++ b/internal/cluster/council/route.go
@@ -35,7 +35,7 @@
 	silentAside    = 10 * time.Second       // the mean time for which a relay is passed over that had no answer,
 	goneAside      = 400 * time.Millisecond // the same of one that took no connection: it may be back at once,
 	refusedAside   = time.Second            // and how long of one that found no leader
-	directWithin   = 2 * time.Second        // in which members go to the voters that have no relay left, one behind the other
+	directWithin   = 600 * time.Millisecond // in which members go to the voters that have no relay left, one behind the other: about half of a lease
 )
 
 // RouteStep is what a member does next.
--- a/internal/lab/cluster/hollowfleet.go
+++ b/internal/lab/cluster/hollowfleet.go
@@ -91,13 +91,25 @@
 	for _, h := range f.members {
 		for !h.holds() {
 			if time.Since(began) > scalePatience || !lab.Sleep(ctx, hollowRetry) {
-				return errNotJoined
+				return f.notJoined()
 			}
 		}
 	}
 	return nil
 }
 
+// notJoined says how many hold no lease at this moment, and how often leases have lapsed.
+func (f *hollowFleet) notJoined() error {
+	without := 0
+	for _, h := range f.members {
+		if !h.holds() {
+			without++
+		}
+	}
+	lapses, lives := f.lapses()
+	return fmt.Errorf("%w: %d of %d hold none, %d leases have lapsed, %d lives were begun", errNotJoined, without, len(f.members), lapses, lives)
+}
+
 // restartZone has the members of a zone end and begin again at once, as new processes with their folders.
 func (f *hollowFleet) restartZone(zone string) {
 	var all sync.WaitGroup
