Relays: with all silent, those left alone for longest are tried again; voters' changes are followed

Need: a test of whole processes that stops one relay and then the other.

Cause: a silent relay is passed over for 5 to 15 s, also when there is no other. Besides: a command's answer through a relay named no leader, so a member forgot who leads (plans' evidence goes there); and a relay asked the voters of its flags only.

Change: Route tries the relay that was left alone for the longest in turn with the voters; answers to commands name the leader; a relay follows decided changes of the voters.

--- a/internal/cluster/changelog/replica.go
+++ b/internal/cluster/changelog/replica.go
@@ -139,6 +139,9 @@
 // Log is what it serves from; nil until it is ready.
 func (m *Mirror[V]) Log() *Log[V] { return m.log }
 
+// Get gives a key's value.
+func (m *Mirror[V]) Get(key string) (v V, known bool) { return m.replica.Get(key) }
+
 // Apply takes an answer of its source.
 func (m *Mirror[V]) Apply(b Batch[V]) (*Change[V], error) {
 	change, err := m.replica.Apply(b)
--- a/internal/cluster/council/client.go
+++ b/internal/cluster/council/client.go
@@ -127,7 +127,7 @@
 		return r, false, false
 	}
 	c.route.Answered(relay)
-	c.leader = r.Leader
+	c.leader = cmp.Or(r.Leader, c.leader)
 	return r, true, false
 }
 
--- a/internal/cluster/council/items.go
+++ b/internal/cluster/council/items.go
@@ -87,6 +87,14 @@
 	return changelog.NewMirror(2*mostDeletions, changeSize)
 }
 
+// VotersIn are those that a mirror knows of; none is those that the group began with.
+func VotersIn(m *changelog.Mirror[Item]) []Founder {
+	if item, known := m.Get(votersKey); known && item.Voters != nil {
+		return item.Voters.List
+	}
+	return nil
+}
+
 // touch notes that a key has changed at this version.
 func (s *State) touch(key string) {
 	if s.Revisions == nil {
--- a/internal/cluster/council/route.go
+++ b/internal/cluster/council/route.go
@@ -54,12 +54,13 @@
 	relays []Relay // preferred first
 	aside  map[string]aside
 	direct time.Duration // from when on the voters may be asked; 0 while a relay answers
+	probed bool          // the latest step was to try a silent relay again, since there is no other
 }
 
 // aside is a relay that did not do what it was asked for.
 type aside struct {
-	until  time.Duration
-	silent bool // it had no answer at all
+	since, until time.Duration
+	silent       bool // it had no answer at all
 }
 
 // NewRoute begins with relays in the order of preference.
@@ -88,12 +89,26 @@
 	case r.direct == 0:
 		r.direct = now + 1 + scatter(directWithin, spread)
 	}
+	if relay, some := r.longestSilent(now); some && !r.probed {
+		r.probed = true
+		return AskRelay, relay, returnPatience
+	}
+	r.probed = false
 	if now < r.direct {
 		return Wait, Relay{}, 0
 	}
 	return AskVoters, Relay{}, 0
 }
 
+// longestSilent is the relay that has been left alone for the longest, if that is long enough to try it once more: all are silent, and one of
+// them may have come back long before its time.
+func (r *Route) longestSilent(now time.Duration) (relay Relay, some bool) {
+	relay = slices.MinFunc(r.relays, func(a, b Relay) int {
+		return cmp.Compare(r.aside[a.Address].since, r.aside[b.Address].since)
+	})
+	return relay, now-r.aside[relay.Address].since >= goneAside
+}
+
 // scatter is a part of a time.
 func scatter(within time.Duration, spread float64) time.Duration {
 	return time.Duration(spread * float64(within))
@@ -101,18 +116,18 @@
 
 // Silent notes that a relay had no answer.
 func (r *Route) Silent(relay Relay, now time.Duration, spread float64) {
-	r.aside[relay.Address] = aside{now + silentAside/2 + scatter(silentAside, spread), true}
+	r.aside[relay.Address] = aside{now, now + silentAside/2 + scatter(silentAside, spread), true}
 }
 
 // Gone notes that a relay took no connection, or closed it.
 func (r *Route) Gone(relay Relay, now time.Duration, spread float64) {
-	r.aside[relay.Address] = aside{now + goneAside/2 + scatter(goneAside, spread), true}
+	r.aside[relay.Address] = aside{now, now + goneAside/2 + scatter(goneAside, spread), true}
 }
 
 // Refused notes that a relay answered that it finds no leader.
 func (r *Route) Refused(relay Relay, now time.Duration) {
 	r.direct = 0
-	r.aside[relay.Address] = aside{now + refusedAside, false}
+	r.aside[relay.Address] = aside{now, now + refusedAside, false}
 }
 
 // Answered notes that a relay did what it was asked for.
--- a/internal/cluster/council/route_test.go
+++ b/internal/cluster/council/route_test.go
@@ -104,3 +104,35 @@
 		t.Error("a relay where there is none")
 	}
 }
+
+// With all relays silent those that have been left alone for the longest are tried once more, in turn with the voters: a relay that was stopped
+// and went on again was passed over for ten seconds while the other one had stopped.
+func TestSilentRelaysAreTriedAgainWhenThereIsNoOther(t *testing.T) {
+	a, b := Relay{Address: "a"}, Relay{Address: "b"}
+	r := NewRoute([]Relay{a, b})
+	r.Silent(a, 1, 1)
+	at := goneAside
+	r.Silent(b, at, 1)
+	at++
+	for _, want := range []struct {
+		step  RouteStep
+		relay Relay
+	}{{AskRelay, a}, {AskVoters, Relay{}}, {AskRelay, b}, {AskVoters, Relay{}}, {AskRelay, a}} {
+		step, relay, patience := r.Next(at, 0)
+		if step == Wait { // for its turn at the voters
+			at += 2
+			step, relay, patience = r.Next(at, 0)
+		}
+		if step != want.step || relay != want.relay || step == AskRelay && patience != returnPatience {
+			t.Fatalf("at %v: %v of %q, wanted %v of %q", at, step, relay.Address, want.step, want.relay.Address)
+		}
+		if step == AskRelay {
+			r.Silent(relay, at, 1)
+		}
+		at += goneAside
+	}
+	r.Answered(a)
+	if step, relay, _ := r.Next(at, 0); step != AskRelay || relay != a {
+		t.Errorf("%v of %q", step, relay.Address)
+	}
+}
--- a/internal/cluster/relay/core.go
+++ b/internal/cluster/relay/core.go
@@ -75,6 +75,9 @@
 	return c.mirror.Log().Revision()
 }
 
+// Voters are those that have been decided on since the group began; none is those that it began with.
+func (c *Core) Voters() []council.Founder { return council.VotersIn(c.mirror) }
+
 // refusal sends a member elsewhere.
 func refusal() council.Response { return council.Response{Refused: council.ErrNoLeader.Error()} }
 
--- a/internal/cluster/relay/core_test.go
+++ b/internal/cluster/relay/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"mulleinbeam/internal/cluster/changelog"
@@ -169,3 +170,21 @@
 		t.Errorf("%d, %d, %+v", len(first.Batch), len(second.Batch), c.Counters())
 	}
 }
+
+// A relay learns who the voters are by now, as of the beginning there are none but its own settings'.
+func TestARelayKnowsTheVoters(t *testing.T) {
+	d := newDecisions()
+	c := readyCore(t, d)
+	if got := c.Voters(); got != nil {
+		t.Errorf("%v", got)
+	}
+	want := []council.Founder{{Name: "n3", Address: "a:1"}}
+	change := council.Change{Key: "voters", Revision: d.Revision() + 1, Value: council.Item{Voters: &council.Voters{List: want, Council: 2}}}
+	if err := d.Put(change); err != nil {
+		t.Fatal(err)
+	}
+	batch, _ := c.Batch()
+	if c.Answered(d.answer(batch)); !slices.Equal(c.Voters(), want) {
+		t.Errorf("%v", c.Voters())
+	}
+}
--- a/internal/cluster/relay/server.go
+++ b/internal/cluster/relay/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,6 +46,7 @@
 	core    *Core
 	ticket  Ticket
 	replies map[Ticket]chan council.Response
+	voters  []council.Founder // that the client was told of
 }
 
 // Open listens; nothing runs yet. An address in use is an error.
@@ -127,6 +129,10 @@
 	} else {
 		s.reply(s.core.Answered(r))
 	}
+	if voters := s.core.Voters(); !slices.Equal(voters, s.voters) {
+		s.voters = voters
+		s.client.Know(voters)
+	}
 	if !was && s.core.Ready() {
 		s.cfg.Logger.Info().Str("part", "relay").Uint64("revision", s.core.Revision()).Msg("has all that is decided, and serves")
 	}
@@ -184,6 +190,7 @@
 	if err != nil {
 		return refusal()
 	}
+	r.Leader = s.client.Leader()
 	if req.Watch != nil {
 		s.mu.Lock()
 		r.Changes = s.core.Look(req.Watch).Changes
--- a/internal/cluster/relay/server_test.go
+++ b/internal/cluster/relay/server_test.go
@@ -101,6 +101,9 @@
 	if err != nil || r.Joined == nil || r.Joined.Life != 1 {
 		t.Fatalf("%s: %+v, %v", name, r, err)
 	}
+	if client.Leader() != "n0" {
+		t.Errorf("%s: %q leads, by the answer to a command", name, client.Leader())
+	}
 	life, lease := council.Life{Name: name, Number: 1}, council.Lease{Length: time.Minute}
 	for granted := false; !granted || view.State().Members[name] == nil; {
 		req := lease.Renewal(0, life)
--- a/internal/lab/cluster/fleet.go
+++ b/internal/lab/cluster/fleet.go
@@ -192,6 +192,18 @@
 	f.relays[i].kill()
 }
 
+// PauseRelay stops a relay where it is; WakeRelay lets it go on.
+func (f *Fleet) PauseRelay(i int) error {
+	f.Event("relay %d: SIGSTOP", i)
+	return f.relays[i].cmd.Process.Signal(syscall.SIGSTOP)
+}
+
+// WakeRelay lets a paused relay go on.
+func (f *Fleet) WakeRelay(i int) error {
+	f.Event("relay %d: SIGCONT", i)
+	return f.relays[i].cmd.Process.Signal(syscall.SIGCONT)
+}
+
 // StartRelay starts a relay that was killed.
 func (f *Fleet) StartRelay(i int) error {
 	f.Event("relay %d: started", i)
