A relay that took no connection is waited for as any other once it takes one

Cause: members that found no relay came back all at once, and 200 ms, which is for relays that had gone silent, is too short for one that answers 750 at its start; it was then passed over as silent.

Change: a relay that refused connections costs nothing to try, and gets the usual 400 ms.

--- a/internal/cluster/council/route.go
+++ b/internal/cluster/council/route.go
@@ -31,7 +31,7 @@
 
 const (
 	relayPatience  = 400 * time.Millisecond // how long a renewal's answer is waited for
-	returnPatience = 200 * time.Millisecond // the same of a relay that had no answer the last time
+	returnPatience = 200 * time.Millisecond // the same of a relay that took a connection, and had no answer the last time
 	silentAside    = 10 * time.Second       // the mean time for which a relay is passed over that had no answer,
 	goneAside      = 400 * time.Millisecond // the same of one that took no connection: it may be back at once,
 	refusedAside   = time.Second            // and how long of one that found no leader
@@ -60,7 +60,8 @@
 // aside is a relay that did not do what it was asked for.
 type aside struct {
 	since, until time.Duration
-	silent       bool // it had no answer at all
+	silent       bool          // it had no answer at all
+	patience     time.Duration // how long its answer is waited for when it is tried again
 }
 
 // NewRoute begins with relays in the order of preference.
@@ -73,10 +74,10 @@
 	for _, candidate := range r.relays {
 		state, known := r.aside[candidate.Address]
 		switch {
-		case !known, state.until <= now && !state.silent:
+		case !known:
 			return AskRelay, candidate, relayPatience
 		case state.until <= now:
-			return AskRelay, candidate, returnPatience
+			return AskRelay, candidate, state.patience
 		case !state.silent && (refused == nil || state.until < r.aside[refused.Address].until):
 			refused = &candidate
 		}
@@ -91,7 +92,7 @@
 	}
 	if relay, some := r.longestSilent(now); some && !r.probed {
 		r.probed = true
-		return AskRelay, relay, returnPatience
+		return AskRelay, relay, r.aside[relay.Address].patience
 	}
 	r.probed = false
 	if now < r.direct {
@@ -116,18 +117,18 @@
 
 // Silent notes that a relay had no answer.
 func (r *Route) Silent(relay Relay, now time.Duration, spread float64) {
-	r.aside[relay.Address] = aside{now, now + silentAside/2 + scatter(silentAside, spread), true}
+	r.aside[relay.Address] = aside{now, now + silentAside/2 + scatter(silentAside, spread), true, returnPatience}
 }
 
 // Gone notes that a relay took no connection, or closed it.
 func (r *Route) Gone(relay Relay, now time.Duration, spread float64) {
-	r.aside[relay.Address] = aside{now, now + goneAside/2 + scatter(goneAside, spread), true}
+	r.aside[relay.Address] = aside{now, now + goneAside/2 + scatter(goneAside, spread), true, relayPatience}
 }
 
 // Refused notes that a relay answered that it finds no leader.
 func (r *Route) Refused(relay Relay, now time.Duration) {
 	r.direct = 0
-	r.aside[relay.Address] = aside{now, now + refusedAside, false}
+	r.aside[relay.Address] = aside{now, now + refusedAside, false, relayPatience}
 }
 
 // Answered notes that a relay did what it was asked for.
