--- a/internal/lab/cluster/relayprocess.go
+++ b/internal/lab/cluster/relayprocess.go
@@ -5,11 +5,60 @@
 	"net"
 	"os"
 	"os/exec"
+	"path/filepath"
+	"syscall"
 	"time"
 
 	"mulleinbeam/internal/cluster/council"
 )
 
+// openRelays starts the relays of the control plane; they serve once the voters do.
+func (f *Fleet) openRelays() error {
+	for i := range f.Relays {
+		r, err := newRelayProcess([]string{f.Program[0], "relay"}, f.Env, filepath.Join(f.Dir, fmt.Sprint("relay", i)), i, f.voters())
+		if err != nil {
+			return err
+		}
+		f.relays = append(f.relays, r)
+		if err := r.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// voters are the control plane's first.
+func (f *Fleet) voters() (out []council.Founder) {
+	for _, m := range f.Members[:f.Founders] {
+		out = append(out, council.Founder{Name: m.Name, Address: m.Links})
+	}
+	return out
+}
+
+// KillRelay ends a relay at once; StartRelay starts another in its place.
+func (f *Fleet) KillRelay(i int) {
+	f.Event("relay %d: SIGKILL", i)
+	f.relays[i].kill()
+}
+
+// PauseRelay stops a relay where it is; WakeRelay lets it go on.
+func (f *Fleet) PauseRelay(i int) error {
+	f.Event("relay %d: SIGSTOP", i)
+	return f.relays[i].cmd.Process.Signal(syscall.SIGSTOP)
+}
+
+// WakeRelay lets a paused relay go on.
+func (f *Fleet) WakeRelay(i int) error {
+	f.Event("relay %d: SIGCONT", i)
+	return f.relays[i].cmd.Process.Signal(syscall.SIGCONT)
+}
+
+// StartRelay starts a relay that was killed.
+func (f *Fleet) StartRelay(i int) error {
+	f.Event("relay %d: started", i)
+	return f.relays[i].start()
+}
+
 // relayProcess is a relay of the control plane as a process.
 type relayProcess struct {
 	command []string
