Links: a peer that is away is dialled again after 100 ms, however long it was away

Change: only a dial that times out counts as a stall; any other failure is tried again after 100 ms, as before.

--- a/internal/cluster/links/links.go
+++ b/internal/cluster/links/links.go
@@ -1,8 +1,8 @@
 // Package links carries calls between the forwarders of a fleet: the standard library's net/rpc with gob over TCP, one
 // connection a direction, on a network that is trusted. gob leaves out what a side does not know, so versions may differ. A
-// call that has no answer in its time takes its connection along: a link that stalls without a word is not waited on twice. A peer that
-// takes no connections, or whose calls have no answers again and again, is dialled after growing and random delays, so that many callers
-// do not keep it busy with new connections; meanwhile calls to it fail at once.
+// call that has no answer in its time takes its connection along: a link that stalls without a word is not waited on twice. A peer that is
+// too busy for connections, or whose calls have no answers again and again, is dialled after growing and random delays, so that many
+// callers do not keep it busy with new connections; meanwhile calls to it fail at once.
 package links
 
 import (
@@ -19,8 +19,8 @@
 
 const (
 	dialFor    = time.Second
-	retryAfter = 100 * time.Millisecond // the mean delay until a peer that failed once is dialled again
-	retryMost  = 2 * time.Second        // the mean delay, however often it has failed
+	retryAfter = 100 * time.Millisecond // until a peer that refused is dialled again; the mean delay of one that stalled
+	retryMost  = 2 * time.Second        // the mean delay, however often it has stalled
 )
 
 // ErrDown is given while a peer that could not be reached is left alone for a moment.
@@ -109,7 +109,7 @@
 		p.dialing = nil
 		close(done)
 		if err != nil {
-			p.delay(err)
+			p.refused(err)
 			p.mu.Unlock()
 			return nil, err
 		}
@@ -122,11 +122,22 @@
 	}
 }
 
-// delay has the peer left alone for a while; p.mu is held.
+// delay has the peer left alone for a while, longer each time; p.mu is held.
 func (p *Peer) delay(err error) {
 	p.next, p.err = time.Now().Add(p.delays.NextBackOff()), err
 }
 
+// refused notes a dial that failed; p.mu is held. A peer that is not there costs nobody anything and may be back at once: it is dialled again
+// soon. One that is too busy to take a connection is left alone as one that has no answers.
+func (p *Peer) refused(err error) {
+	var slow net.Error
+	if errors.As(err, &slow) && slow.Timeout() {
+		p.delay(err)
+		return
+	}
+	p.next, p.err = time.Now().Add(retryAfter), err
+}
+
 // answered notes that the peer answers calls.
 func (p *Peer) answered() {
 	p.mu.Lock()
--- a/internal/cluster/links/links_test.go
+++ b/internal/cluster/links/links_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net"
+	"os"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -102,3 +104,24 @@
 		}
 	})
 }
+
+// A peer that is not there is dialled again soon, however long it was away: a member that was restarted is back with all others at once. One
+// that is too busy to take a connection is left alone for longer each time.
+func TestAPeerThatIsAwayIsDialledAgainSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPeer("")
+		for range 20 {
+			p.refused(syscall.ECONNREFUSED)
+			if wait := time.Until(p.next); wait != retryAfter {
+				t.Fatalf("left alone for %v", wait)
+			}
+			time.Sleep(retryAfter)
+		}
+		for range 20 {
+			p.refused(os.ErrDeadlineExceeded)
+		}
+		if wait := time.Until(p.next); wait < retryMost/2 {
+			t.Errorf("a busy peer is left alone for %v", wait)
+		}
+	})
+}
