Fleet's tests behind relays wait until both members have each other's copies

Cause: the test waited for the replica of n3 alone; n4's was still the voter that had just been cut off from it, and a strict message is refused then. Ruled out: the relay (its decision for n4, version 15, was carried in the same second).

Change: the set-up waits for both. No check is eased.

--- a/cmd/larkreach/fleet_relay_test.go
+++ b/cmd/larkreach/fleet_relay_test.go
@@ -18,9 +18,11 @@
 	t.Helper()
 	f := newFleet(t, cluster.Setup{Members: 5, Relays: relays, Extra: longLease, Amend: slots(1)}, g)
 	f.Split(3, 4)
-	must(t, f.Await(f.ctx, 3, "copies at the other member", func(s node.Status) bool {
-		return len(s.Keepers) == 1 && s.Keepers[0].Name == "n4" && s.Keepers[0].Counts
-	}))
+	for i, other := range map[int]string{3: "n4", 4: "n3"} {
+		must(t, f.Await(f.ctx, i, "copies at the other member", func(s node.Status) bool {
+			return len(s.Keepers) == 1 && s.Keepers[0].Name == other && s.Keepers[0].Counts
+		}))
+	}
 	return f
 }
 
