Scale: a restarted member keeps its counts of lapsed leases and lives

Found on reading the change again: members of a restarted zone began their counts anew, so that phase printed up to 203 leases lapsed below zero and no lives begun. The laboratory's output alone is concerned; the counts go by name now.

--- a/internal/lab/cluster/hollowfleet.go
+++ b/internal/lab/cluster/hollowfleet.go
@@ -123,6 +123,7 @@
 		if h.zone == zone {
 			again := f.member(h.name, h.zone)
 			again.had, again.past = h.life, h.token
+			again.lapses, again.lives = h.lapses, h.lives // counted for the name, over its processes
 			f.mu.Lock()
 			f.members[i] = again
 			f.mu.Unlock()
