Failover: a zone that is to be tried gets the next call; calls' times are their endpoints'

TestFleetErrorsMoveNothing: moves of kind slow, 25 to 38 ms for 11. Cause: a call's time began with the module's send, so it contained the wait for replicas and the time in which this process had no processor.

Change: Entry.Due, set while steering grants a trial (Steering.Access in place of Allows).

--- a/cmd/larkreach/fleet_test.go
+++ b/cmd/larkreach/fleet_test.go
@@ -97,9 +97,14 @@
 	site := &fleetSite{Fleet: f, t: t, ctx: ctx}
 	t.Cleanup(func() {
 		cancel()
+		known := ""
+		if t.Failed() {
+			known = f.Describe()
+		}
 		f.Close()
 		if t.Failed() {
 			t.Log(strings.Join(f.Events(), "\n"))
+			t.Log(known)
 			for i, m := range f.Members {
 				t.Logf("n%d:\n%s", i, m.Log())
 			}
--- a/decide.go
+++ b/decide.go
@@ -910,8 +910,8 @@
 				continue
 			}
 			v -= urgencyShare*d.value(m, d.now+took+lookAhead) + l.fee*d.meanWorth
-			score := math.Max(v, 1e-6) / math.Max(0.005, took.Seconds())
-			if l.state != closed { // trials: where a loss hurts least, and not one message's attempts only
+			score := l.score(v, took)
+			if l.state != closed || l.due { // trials: where a loss hurts least, and not one message's attempts only
 				score /= float64(1 + m.attempts)
 				if m.class.Effect == Unsafe {
 					score *= unsafeTrial
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 )
@@ -127,3 +128,51 @@
 		}
 	}
 }
+
+// A lane whose state has to be found out gets the next call, however much faster another looks, and gets a message whose loss hurts least; once
+// that is known the faster one has the calls again. Without it the slower one would never be tried while the other has room.
+func TestADueLaneGoesFirst(t *testing.T) {
+	s := testSettings()
+	s.SeparatePlaces = true
+	s.Classes = slices.Clone(s.Classes)
+	unsafe := slices.IndexFunc(s.Classes, func(c Class) bool { return c.Name == "unsafe" })
+	s.Classes[unsafe].Worth = 50 // it would go first
+	entries := []Entry{
+		{Endpoint: "a", Zone: "z0", Destination: 1, Kind: "shared", CapacityHint: 50},
+		{Endpoint: "b", Zone: "z1", Destination: 1, Kind: "shared", CapacityHint: 50},
+	}
+	next := func(r *rig, class string) EndpointID {
+		r.sends = nil
+		r.submit(class, 1, 0)
+		to := r.last().Endpoint
+		r.settle(always(OK))
+		r.pass(200 * ms)
+		return to
+	}
+	for _, due := range []bool{false, true} {
+		r := newRig(t, s, entries...)
+		r.d.dests[1].lanes[0].pace = 3 // as its calls were before it went down
+		for range 5 {
+			if to := next(r, "safe"); to != "b" {
+				t.Fatalf("due %v: the slower lane is gone to as it is: %s", due, to)
+			}
+		}
+		tried := entries[0]
+		tried.Due = due
+		r.do(Members{Scope: ListChanges, Entries: []Entry{tried}})
+		if to := next(r, "safe"); (to == "a") != due {
+			t.Errorf("due %v: the next call goes to %s", due, to)
+		}
+		r.sends = nil
+		r.do(Submit{ID: 1000, Class: "unsafe", Destination: 1, Left: 20 * time.Second}, Submit{ID: 1001, Class: "safe", Destination: 1, Left: 6 * time.Second})
+		if first := r.sends[0]; due && (first.Endpoint != "a" || first.ID != 1001) {
+			t.Errorf("an unsafe message is tried where a safe one is at hand: %+v", r.sends)
+		}
+		r.settle(always(OK))
+		r.pass(200 * ms)
+		r.do(Members{Scope: ListChanges, Entries: entries[:1]})
+		if to := next(r, "safe"); to != "b" {
+			t.Errorf("due %v: no longer due, and gone to %s", due, to)
+		}
+	}
+}
--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -279,6 +279,7 @@
 	group.Go(func() error { n.expire(ctx); return nil })
 	if n.steering != nil {
 		group.Go(func() error { n.steering.run(ctx); return nil })
+		group.Go(func() error { n.steering.watchDelays(ctx); return nil })
 	}
 	if n.cfg.Beat > 0 {
 		group.Go(func() error { n.gossip(ctx); return nil })
--- a/internal/routing/calls.go
+++ b/internal/routing/calls.go
@@ -18,8 +18,9 @@
 	endpoint  string
 	sentAt    time.Time
 	cutAt     time.Time
-	begun     bool   // its first byte may have been written
-	mark      uint64 // of that, in what goes to others
+	begun     bool          // its first byte may have been written
+	cleared   time.Duration // that it took until that was allowed: the journal's time and the replicas', not the endpoint's
+	mark      uint64        // of that, in what goes to others
 	cancelled bool
 	stuck     bool // the module called it off: it had no answer for far too long
 	cancel    context.CancelFunc
@@ -62,7 +63,7 @@
 	call := Attempt{
 		ID: h.ID, Key: h.Key, Body: h.Body, Endpoint: c.endpoint, Address: r.endpoints[c.endpoint].Address, CutAt: c.cutAt,
 		Fresh: a.Fresh,
-		Begin: func() bool { return r.letGo(c) },
+		Begin: func() bool { return r.clear(c) },
 	}
 	if h.Long != nil {
 		call.Source = h.Long.Source
@@ -96,6 +97,17 @@
 	})
 }
 
+// clear lets a call's first byte go, and notes how long that took where that is told apart.
+func (r *Router) clear(c *attempt) bool {
+	if r.cfg.Steering == nil {
+		return r.letGo(c)
+	}
+	asked := time.Now()
+	allowed := r.letGo(c)
+	c.cleared += time.Since(asked)
+	return allowed
+}
+
 // letGo lets a call's first byte go, in its own goroutine. Its start outlasts what the journal's durability says by then;
 // where that took its time, all is looked at again.
 func (r *Router) letGo(c *attempt) bool {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -57,8 +57,8 @@
 	done      chan struct{}
 	classes   map[string]time.Duration // how long a message may live
 	endpoints map[string]Endpoint
-	groups    map[int64]bool  // destinations ever listed
-	barred    map[string]bool // endpoints to which calls may not go now; see Steering
+	groups    map[int64]bool    // destinations ever listed
+	access    map[string]Access // endpoints that the module was told of as other than Free; see Steering
 	messages  map[uint64]*held
 	ids       map[string]*held // by the clients' id, until the end
 	past      pastIDs
@@ -89,7 +89,7 @@
 	r := &Router{
 		cfg: cfg, decider: decider, startedAt: time.Now(), events: make(chan func(), eventRoom),
 		done: make(chan struct{}), classes: map[string]time.Duration{}, endpoints: map[string]Endpoint{},
-		groups: map[int64]bool{}, barred: map[string]bool{}, messages: map[uint64]*held{}, ids: map[string]*held{},
+		groups: map[int64]bool{}, access: map[string]Access{}, messages: map[uint64]*held{}, ids: map[string]*held{},
 		past: pastIDs{delivered: map[string]bool{}}, waiting: map[uint64]*held{}, noticed: map[uint64]*held{},
 	}
 	if cfg.Recall != nil { // the past that the module is told of lies before its clock's beginning, else
@@ -372,7 +372,7 @@
 			if !listed[name] {
 				r.cfg.Caller.CloseIdle(name)
 				delete(r.endpoints, name)
-				delete(r.barred, name)
+				delete(r.access, name)
 			}
 		}
 	}
--- a/internal/routing/steer.go
+++ b/internal/routing/steer.go
@@ -9,18 +9,29 @@
 // Where calls may go, where a fleet decides that in common. Without a Steering they may go everywhere, and nothing here is used. The
 // router's goroutine owns it all; what is exported may be called from any goroutine.
 
+// Access is how calls may go to a destination's endpoints in a zone.
+type Access uint8
+
+// The kinds of access.
+const (
+	Free   Access = iota // as the decisions want
+	Barred               // not now
+	Trial                // the next call goes there, to find out how the zone stands
+)
+
 // Steering says to which zones this forwarder's calls may go. All come from the router's
 // goroutine and must not wait.
 type Steering interface {
 	// Handed is told of each new message that is handed in, and says whether there is room for it anywhere; without, it is refused at
 	// once.
 	Handed(destination int64, class string) bool
-	// Called is told how a call ended. One that did not begin says how its connection failed.
+	// Called is told how a call ended, and how long it took but for what this forwarder's journal and replicas took of that. One that did
+	// not begin says how its connection failed.
 	Called(destination int64, zone string, out mb.Outcome, took time.Duration)
 	// Limited is told of a limit that an answer carried, calls a second from all forwarders together.
 	Limited(destination int64, zone string, rate float64)
-	// Allows says whether a call may go to a destination's endpoints in a zone now.
-	Allows(destination int64, zone string) bool
+	// Access says how calls may go to a destination's endpoints in a zone now.
+	Access(destination int64, zone string) Access
 	// Takes books a call that is to be made, before its connection is looked for: one that can't be connected is a call all the same.
 	// False says that what was allowed is used up.
 	Takes(destination int64, zone string) bool
@@ -35,7 +46,7 @@
 func (r *Router) steer() {
 	var entries []mb.Entry
 	for name, p := range r.endpoints {
-		if p.State == mb.Serving && r.barred[name] == r.cfg.Steering.Allows(p.Group, p.Zone) {
+		if p.State == mb.Serving && r.access[name] != r.cfg.Steering.Access(p.Group, p.Zone) {
 			entries = append(entries, r.entry(p))
 		}
 	}
@@ -46,16 +57,24 @@
 
 // entry is what the module is told of an endpoint.
 func (r *Router) entry(p Endpoint) mb.Entry {
-	state := p.State
-	if r.cfg.Steering != nil {
-		if delete(r.barred, p.Name); state == mb.Serving && !r.cfg.Steering.Allows(p.Group, p.Zone) {
-			r.barred[p.Name], state = true, mb.Draining
-		}
-	}
-	return mb.Entry{
-		Endpoint: mb.EndpointID(p.Name), Zone: p.Zone, Kind: p.Kind, Destination: mb.DestinationID(p.Group), Readiness: state,
+	entry := mb.Entry{
+		Endpoint: mb.EndpointID(p.Name), Zone: p.Zone, Kind: p.Kind, Destination: mb.DestinationID(p.Group), Readiness: p.State,
 		CapacityHint: p.Weight,
 	}
+	if r.cfg.Steering == nil {
+		return entry
+	}
+	delete(r.access, p.Name)
+	if p.State != mb.Serving {
+		return entry
+	}
+	switch access := r.cfg.Steering.Access(p.Group, p.Zone); access {
+	case Barred:
+		r.access[p.Name], entry.Readiness = access, mb.Draining
+	case Trial:
+		r.access[p.Name], entry.Due = access, true
+	}
+	return entry
 }
 
 // mayGo says whether a call may be made where it goes, and books it.
@@ -64,7 +83,7 @@
 		return true
 	}
 	ok := r.cfg.Steering.Takes(p.Group, p.Zone)
-	if !r.cfg.Steering.Allows(p.Group, p.Zone) { // what is allowed there is used up
+	if r.cfg.Steering.Access(p.Group, p.Zone) == Barred { // what is allowed there is used up
 		r.steer()
 	}
 	return ok
@@ -79,7 +98,7 @@
 		return
 	}
 	p := r.endpoints[c.endpoint]
-	r.cfg.Steering.Called(c.msg.Destination, p.Zone, out, time.Since(c.sentAt))
+	r.cfg.Steering.Called(c.msg.Destination, p.Zone, out, time.Since(c.sentAt)-c.cleared)
 }
 
 // Sites is what the list says of the capacity that destinations have in each zone, calls a second.
--- a/mulleinbeam.go
+++ b/mulleinbeam.go
@@ -201,6 +201,9 @@
 	Destination  DestinationID
 	Readiness    Readiness
 	CapacityHint float64 // calls a second taken from all couriers together
+	// Due says that it has to be found out how the endpoint stands: the next call of its destination goes there as soon as its lane admits one,
+	// however much faster others look. It counts for all endpoints of a lane alike; see Settings.SeparatePlaces.
+	Due bool
 }
 
 // Outcome says how an attempt ended.
--- a/state.go
+++ b/state.go
@@ -126,6 +126,7 @@
 	kind       string
 	hint       float64
 	fee        float64
+	due        bool   // the next call goes here; see Entry
 	apart      bool   // it is one route
 	place      string // whose endpoints it has, where places are separate
 	state      breakerState
@@ -340,9 +341,24 @@
 	if ep == nil && en.Readiness != Deleted {
 		ep = d.remember(en)
 	}
+	if ep != nil && en.Readiness == Serving {
+		ep.lane.due = en.Due
+	}
 	return ep
 }
 
+// dueFirst is how many times its score a call counts that has to find out how a lane stands: more than any other's.
+const dueFirst = 1e6
+
+// score ranks a call of some value that is expected to take so long: worth per slot time.
+func (l *lane) score(value float64, took time.Duration) float64 {
+	score := math.Max(value, 1e-6) / math.Max(0.005, took.Seconds())
+	if l.due {
+		score *= dueFirst
+	}
+	return score
+}
+
 // remember makes room for a listed endpoint, and for its lane where that is new: nothing is known of either.
 func (d *Decider) remember(en Entry) *endpoint {
 	dest := d.dest(en.Destination)
