Plan: near is bounded while it returns, and slowness needs two windows or many calls

Cause: near counted as unbounded as soon as the returning place had room for what is asked for, though it was cold; what members had held back while grants were smaller came at once. TestFleetErrorsMoveNothing: one window of a few calls made a place slow.

Change: Grant.Bound, what near takes from all of its members together while it returns, until it is open.

--- a/internal/cluster/plan/evidence.go
+++ b/internal/cluster/plan/evidence.go
@@ -61,12 +61,17 @@
 // refusesMuch says whether so many were refused that nothing more should come.
 func (t Tally) refusesMuch() bool { return t.Refused > refusedMuch*math.Max(1, t.Refused+t.Calls()) }
 
-// Median is the time within which half of the answered calls were answered, up to its bucket's upper end; 0 is none known.
-func (t Tally) Median() time.Duration {
-	total, sum := 0.0, 0.0
+// timed are the answered calls whose times are known.
+func (t Tally) timed() (sum float64) {
 	for _, n := range t.Took {
-		total += float64(n)
+		sum += float64(n)
 	}
+	return sum
+}
+
+// Median is the time within which half of the answered calls were answered, up to its bucket's upper end; 0 is none known.
+func (t Tally) Median() time.Duration {
+	total, sum := t.timed(), 0.0
 	for i, n := range t.Took {
 		if sum += float64(n); total > 0 && sum >= total/2 {
 			return time.Duration(math.Pow(1.5, float64(i)) * float64(time.Millisecond))
--- a/internal/cluster/plan/follower.go
+++ b/internal/cluster/plan/follower.go
@@ -76,7 +76,7 @@
 		grants := f.plan.Of(destination, f.Place)
 		for _, g := range grants {
 			rate := g.Each
-			if g.To == f.Place && !g.Trial && g.Share >= 1 {
+			if g.To == f.Place && !g.Trial && g.Share >= 1 && g.Bound == 0 {
 				rate = math.Inf(1) // near is bounded by nothing but the partner itself
 			}
 			out = append(out, Target{g.To, rate, g.Trial})
--- a/internal/cluster/plan/plan.go
+++ b/internal/cluster/plan/plan.go
@@ -24,7 +24,8 @@
 	Destination int64
 	From, To    string
 	Rate        float64 // calls a second, of all forwarders there together; near it is no bound, but what is wanted
-	Each        float64 // and of one of them: more forwarders than there are never send more
+	Bound       float64 // calls a second that near takes from all of them together while it returns; 0 is no bound
+	Each        float64 // and of one of them, of Bound if there is one: more forwarders than there are never send more
 	Share       float64 // of what is handed in there for the destination, as the planner knew it
 	Trial       bool    // only to see whether the place, or the way, is well again
 }
--- a/internal/cluster/plan/plan_test.go
+++ b/internal/cluster/plan/plan_test.go
@@ -81,6 +81,84 @@
 	}
 }
 
+// A place that comes back cold takes what it has by then from its own forwarders, however little is asked for: what they held back before must
+// not come all at once. Once it is open again nothing but the partner bounds it.
+func TestNearIsBoundedWhileItReturns(t *testing.T) {
+	down := true
+	s := situation{map[string]float64{"a": 20, "b": 20}, even(100), func(from, to string, n float64) Tally {
+		if to == "a" && down {
+			return Tally{NoConnect: n}
+		}
+		return Tally{OK: n}
+	}}
+	cfg := Defaults()
+	p := New(cfg, regions, nil)
+	s.play(p, 6)
+	down = false
+	returning := 0
+	for range 40 {
+		last, _ := s.play(p, 1)
+		site := p.site(1, "a")
+		f := NewFollower("a")
+		f.Hear(0, last)
+		rate := 0.0
+		for _, target := range f.Allow(0, 1, s.capacity, nil, Fleet{}) {
+			if target.Place == "a" && !target.Trial {
+				rate = 10 * target.Rate // of ten forwarders
+			}
+		}
+		g, _ := last.find(1, "a", "a")
+		switch most := p.usable(site, 100); {
+		case site.Phase == Return && g.Share >= 1:
+			if returning++; rate > most+1e-9 || rate < g.Rate {
+				t.Errorf("%v into its return: %v a second may go there, it takes %v and %v are asked for", site.Since, rate, most, g.Rate)
+			}
+		case site.Phase == Open && returning > 0 && !math.IsInf(rate, 1):
+			t.Errorf("open again and bounded by %v", rate)
+		}
+	}
+	if returning < 5 {
+		t.Errorf("%d windows of a return were seen", returning)
+	}
+}
+
+// One window in which half of a few calls were slow is a moment in which some process had no processor; two in a row, or one with many calls,
+// are the place.
+func TestSlownessIsConfirmed(t *testing.T) {
+	tally := func(calls int, took time.Duration) (out Tally) {
+		out.OK = float64(calls)
+		for range calls {
+			out.Book(took)
+		}
+		return out
+	}
+	usual, slow := 10*time.Millisecond, 200*time.Millisecond
+	for name, c := range map[string]struct {
+		windows []Tally
+		want    bool
+	}{
+		"one window":                  {[]Tally{tally(10, slow)}, false},
+		"two windows":                 {[]Tally{tally(10, slow), tally(10, slow)}, true},
+		"a usual one between":         {[]Tally{tally(10, slow), tally(10, usual), tally(10, slow)}, false},
+		"an empty one between":        {[]Tally{tally(10, slow), {}, tally(10, slow)}, true},
+		"two windows of two calls":    {[]Tally{tally(2, slow), tally(2, slow)}, false},
+		"three windows of two calls":  {[]Tally{tally(2, slow), tally(2, slow), tally(2, slow)}, true},
+		"one window with many calls":  {[]Tally{tally(surelyLost, slow)}, true},
+		"few, then it is well again":  {[]Tally{tally(4, slow), tally(1, usual), tally(4, slow)}, false},
+		"slowness within what is far": {[]Tally{tally(50, 22*time.Millisecond), tally(50, 22*time.Millisecond)}, false},
+	} {
+		p := New(Defaults(), regions, nil)
+		site := p.site(1, "a")
+		p.slow(site, tally(10, usual), true)
+		for _, window := range c.windows {
+			p.slow(site, window, true)
+		}
+		if got := site.Slow < 1; got != c.want {
+			t.Errorf("%s: slow %v, want %v", name, got, c.want)
+		}
+	}
+}
+
 // A limit that answers tell of lowers what a place is taken to have, by the middle of what its forwarders say, and is forgotten; a larger one
 // raises nothing.
 func TestToldLimits(t *testing.T) {
--- a/internal/cluster/plan/planner.go
+++ b/internal/cluster/plan/planner.go
@@ -110,25 +110,26 @@
 
 // Planner makes plans, one window behind the other. It is not safe for several goroutines at once.
 type Planner struct {
-	cfg     Config
-	places  Places
-	sites   map[spot]*Site
-	ways    map[way]*cutState
-	demand  map[spot]float64 // by origin
-	origins []string         // from which anything was asked for
-	runs    map[way]float64  // calls in a row that were answered, below zero those that were lost
-	force   map[way][]force
-	obeys   map[string]uint64        // all at a place go by this version or a later one, whoever is not heard of, too
-	seen    map[string]uint64        // and all that were heard of in the last window
-	grew    map[string]uint64        // the plan by which a place's crossings grew last,
-	waited  map[string]time.Duration // and for how long it has not been seen that all go by it
-	who     map[string]heard
-	most    map[string][]count              // of members, of late
-	limits  map[spot]limit                  // that answers told of
-	paths   map[[2]string]map[int64]float64 // what each destination may send over a bounded path: as may still be gone by, or is granted now
-	last    *Plan
-	aged    time.Duration // since the last proposal
-	moves   []Move
+	cfg      Config
+	places   Places
+	sites    map[spot]*Site
+	ways     map[way]*cutState
+	demand   map[spot]float64 // by origin
+	origins  []string         // from which anything was asked for
+	runs     map[way]float64  // calls in a row that were answered, below zero those that were lost
+	slowRuns map[spot]slowRun
+	force    map[way][]force
+	obeys    map[string]uint64        // all at a place go by this version or a later one, whoever is not heard of, too
+	seen     map[string]uint64        // and all that were heard of in the last window
+	grew     map[string]uint64        // the plan by which a place's crossings grew last,
+	waited   map[string]time.Duration // and for how long it has not been seen that all go by it
+	who      map[string]heard
+	most     map[string][]count              // of members, of late
+	limits   map[spot]limit                  // that answers told of
+	paths    map[[2]string]map[int64]float64 // what each destination may send over a bounded path: as may still be gone by, or is granted now
+	last     *Plan
+	aged     time.Duration // since the last proposal
+	moves    []Move
 	// forgets has it take everybody for going by the latest plan at once: a safeguard that tests take out.
 	forgets bool
 }
@@ -136,7 +137,7 @@
 // New goes on from the plan in force; nil is none. Whatever that grants may be gone by for as long as it holds.
 func New(cfg Config, places Places, from *Plan) *Planner {
 	p := &Planner{
-		cfg: cfg, places: places, sites: map[spot]*Site{}, ways: map[way]*cutState{}, limits: map[spot]limit{}, runs: map[way]float64{}, demand: map[spot]float64{}, force: map[way][]force{},
+		cfg: cfg, places: places, sites: map[spot]*Site{}, ways: map[way]*cutState{}, limits: map[spot]limit{}, runs: map[way]float64{}, slowRuns: map[spot]slowRun{}, demand: map[spot]float64{}, force: map[way][]force{},
 		obeys: map[string]uint64{}, seen: map[string]uint64{}, grew: map[string]uint64{}, waited: map[string]time.Duration{}, who: map[string]heard{}, most: map[string][]count{}, last: from,
 	}
 	if from == nil {
@@ -200,7 +201,7 @@
 	}
 	next.Moves = p.moves
 	for i, g := range next.Grants {
-		next.Grants[i].Each = g.Rate / float64(max(1, p.members(g.From)))
+		next.Grants[i].Each = max(g.Rate, g.Bound) / float64(max(1, p.members(g.From)))
 	}
 	changed = p.aged >= p.cfg.Hold/3 || len(p.moves) > 0 || next.Frozen != p.last.Frozen || !slices.Equal(next.Sick, p.last.Sick) || !sameGrants(next.Grants, p.last.Grants)
 	if !changed {
@@ -475,6 +476,7 @@
 	maps.DeleteFunc(p.sites, func(at spot, _ *Site) bool { return gone(at.destination, at.place) })
 	maps.DeleteFunc(p.ways, func(w way, _ *cutState) bool { return gone(w.destination, w.to) })
 	maps.DeleteFunc(p.runs, func(w way, _ float64) bool { return gone(w.destination, w.to) })
+	maps.DeleteFunc(p.slowRuns, func(at spot, _ slowRun) bool { return gone(at.destination, at.place) })
 	maps.DeleteFunc(p.demand, func(at spot, _ float64) bool { return len(capacity[at.destination]) == 0 })
 }
 
@@ -546,17 +548,39 @@
 	}
 }
 
+// slowRun counts windows in a row in which half of a site's calls took far longer than usual, and those calls.
+type slowRun struct {
+	windows int
+	calls   float64
+}
+
+// confirmed says whether a run tells of the site rather than of a moment in which some process had no processor.
+func (r slowRun) confirmed(windows int) bool {
+	return r.calls >= surelyLost || r.windows >= windows && r.calls >= callsLeast
+}
+
 // slow lessens a place's capacity by how much longer its calls take than usual: as many are out there as before.
 func (p *Planner) slow(s *Site, sum Tally, well bool) {
 	now := sum.Median()
 	if s.Slow == 0 {
 		s.Slow = 1
 	}
+	at := spot{s.Destination, s.Place}
+	isSlow := s.Usual > 0 && float64(now) > slowFrom*float64(s.Usual) && now > s.Usual+slowBy
+	if now > 0 && !isSlow || s.Phase != Open {
+		delete(p.slowRuns, at)
+	}
 	switch {
 	case now == 0 || s.Phase != Open:
 	case s.Usual == 0:
 		s.Usual = now
-	case float64(now) > slowFrom*float64(s.Usual) && now > s.Usual+slowBy:
+	case isSlow:
+		run := p.slowRuns[at]
+		run.windows, run.calls = run.windows+1, run.calls+sum.timed()
+		p.slowRuns[at] = run
+		if s.Slow == 1 && !run.confirmed(p.cfg.Confirm) {
+			return
+		}
 		before := s.Slow
 		s.Slow = math.Max(slowLeast, math.Min(s.Slow, 1.5*float64(s.Usual)/float64(now)))
 		if before == 1 {
@@ -665,6 +689,10 @@
 		wants[from] = n > 0
 	}
 	crossing, spare := p.cross(d, in, origins, targets, left, room, floor, cut)
+	crossed := map[string]float64{}
+	for w, rate := range crossing {
+		crossed[w.to] += rate
+	}
 	add := func(from, to string, rate float64, trial bool) {
 		if rate <= 0 {
 			return
@@ -675,6 +703,9 @@
 			spare[to] -= more
 			g.Rate, g.Share = old.Rate, math.Min(1, old.Rate/math.Max(1e-9, demand[from])) // a little less wanted is no change, where there is room
 		}
+		if from == to && !trial && p.site(d, to).Phase == Return { // what was held back meanwhile must not come all at once
+			g.Bound = usable[to] - crossed[to]
+		}
 		out = append(out, g)
 	}
 	for _, from := range origins {
