--- a/cmd/larkreach/cli.go
+++ b/cmd/larkreach/cli.go
@@ -21,7 +21,7 @@
 // cli is the command line. Without arguments the program serves, as the platform starts it.
 type cli struct {
 	Serve   serveCmd         `cmd:"" default:"withargs" help:"Forward messages until a signal ends the program (the default)."`
-	Config  configCmd        `cmd:"" help:"Look at settings."`
+	Config  configCmd        `cmd:"" help:"Look at settings, and at the configuration that a fleet decides in common."`
 	Journal journalCmd       `cmd:"" help:"Look at a journal's folder, also beside a running program."`
 	Cluster clusterCmd       `cmd:"" help:"Look at a fleet that keeps copies, and change who belongs to it."`
 	Relay   relayCmd         `cmd:"" help:"Carry the requests of a large fleet's members to the voters of its control plane, and what is decided back."`
@@ -32,6 +32,7 @@
 
 type configCmd struct {
 	Check checkCmd `cmd:"" help:"Check a settings file and say what it turns on."`
+	fleetConfigCmds
 }
 
 type serveCmd struct {
--- a/cmd/larkreach/fleet_off.go
+++ b/cmd/larkreach/fleet_off.go
@@ -60,3 +60,18 @@
 
 // Run hands over.
 func (relayCmd) Run() error { return handOver(os.Args[1:]) }
+
+// handOverCmd is a command that the other program carries out.
+type handOverCmd struct {
+	Args []string `arg:"" optional:"" passthrough:""`
+}
+
+// Run hands over.
+func (handOverCmd) Run() error { return handOver(os.Args[1:]) }
+
+type fleetConfigCmds struct {
+	Apply  handOverCmd `cmd:"" passthrough:"" help:"Commit the entries of a file for the whole fleet."`
+	Get    handOverCmd `cmd:"" passthrough:"" help:"Print the fleet's entries."`
+	Remove handOverCmd `cmd:"" passthrough:"" help:"Delete entries of the fleet."`
+	Status handOverCmd `cmd:"" passthrough:"" help:"Say how far the fleet's configuration is in force."`
+}
--- a/cmd/larkreach/fleet_test.go
+++ b/cmd/larkreach/fleet_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"os"
@@ -481,16 +482,27 @@
 	f.reached(ids...)
 }
 
+// fleetCommand runs a command of larkreach and gives what it printed, errors included, and its status.
+func fleetCommand(t *testing.T, name string, args ...string) (out string, status int) {
+	t.Helper()
+	cmd := exec.Command(os.Args[0], append([]string{name}, args...)...)
+	cmd.Env = append(os.Environ(), childMark+"=1")
+	printed, err := cmd.CombinedOutput()
+	var ended *exec.ExitError
+	if err != nil && !errors.As(err, &ended) {
+		t.Fatal(err)
+	}
+	return string(printed), cmd.ProcessState.ExitCode()
+}
+
 // operator runs a command of larkreach cluster.
 func (f *fleetSite) operator(args ...string) string {
 	f.t.Helper()
-	cmd := exec.Command(os.Args[0], append([]string{"cluster"}, args...)...)
-	cmd.Env = append(os.Environ(), childMark+"=1")
-	out, err := cmd.CombinedOutput()
-	if err != nil {
-		f.t.Fatalf("%v\n%s", err, out)
+	out, status := fleetCommand(f.t, "cluster", args...)
+	if status != 0 {
+		f.t.Fatalf("status %d\n%s", status, out)
 	}
-	return string(out)
+	return out
 }
 
 // votes waits until just these founders vote, as a member sees it.
--- a/cmd/larkreach/main.go
+++ b/cmd/larkreach/main.go
@@ -111,7 +111,7 @@
 		}
 		defer part.Close()
 		journal.Tap(part.Tap)
-		setup.Guard, setup.Steering = part, part.Steering()
+		setup.Guard, setup.Steering, setup.Limiter = part, part.Steering(), part.Limiter()
 	}
 	router, err := routing.New(setup)
 	if err != nil {
@@ -154,6 +154,7 @@
 type fleet interface {
 	routing.Guard
 	Steering() routing.Steering
+	Limiter() routing.Limiter
 	Tap(payload []byte)
 	Run(ctx context.Context, router *routing.Router) error
 	Close() error
--- /dev/null
+++ b/internal/cluster/council/configuration_test.go
@@ -0,0 +1,205 @@
+package council
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mulleinbeam/internal/cluster/changelog"
+)
+
+func set(key, content string) EntryChange { return EntryChange{Key: key, Content: []byte(content)} }
+
+// Of two operators who change the configuration as of one revision, one wins and the other is told; a change is applied whole or not at all, and
+// what is too large changes nothing.
+func TestConfiguration(t *testing.T) {
+	s := NewState()
+	s.Version = 10
+	configure := func(from uint64, changes ...EntryChange) Command {
+		return Command{Kind: Configure, From: from, Entries: changes}
+	}
+	large := strings.Repeat("x", maxEntryBytes)
+	var many []EntryChange
+	for i := range maxChangeBytes/maxEntryBytes + 1 {
+		many = append(many, set(fmt.Sprint("k", i), large))
+	}
+	decide(t, s, nil, configure(0, set("a", "1"), set("b", "2")))
+	first := s.Configured
+	decide(t, s, ErrLater, configure(0, set("a", "3")))
+	for name, c := range map[string]struct {
+		want    error
+		changes []EntryChange
+	}{
+		"nothing":         {ErrNoChange, nil},
+		"no key":          {ErrNoChange, []EntryChange{set("", "1")}},
+		"a key twice":     {ErrNoChange, []EntryChange{set("a", "4"), set("a", "5")}},
+		"an unknown key":  {ErrNoEntry, []EntryChange{set("a", "4"), {Key: "c", Deleted: true}}},
+		"a large entry":   {ErrConfigTooBig, []EntryChange{set("a", "4"), set("c", large+"x")}},
+		"a long key":      {ErrConfigTooBig, []EntryChange{set(strings.Repeat("k", maxEntryKey+1), "4")}},
+		"a large change":  {ErrConfigTooBig, many},
+		"too many in one": {ErrConfigTooBig, make([]EntryChange, maxEntryChanges+1)},
+	} {
+		for i := range c.changes {
+			if name == "too many in one" {
+				c.changes[i] = set(fmt.Sprint("k", i), "")
+			}
+		}
+		before := s.Configured
+		decide(t, s, c.want, configure(s.Configured, c.changes...))
+		if s.Configured != before || string(s.Entries["a"].Content) != "1" || len(s.Entries) != 2 {
+			t.Errorf("%s: %v at revision %d", name, s.EntryKeys(), s.Configured)
+		}
+	}
+	decide(t, s, nil, configure(first, EntryChange{Key: "a", Deleted: true}, set("b", "22")))
+	if s.EntryBytes != len("b")+len("22") || s.Configured <= first || len(s.Entries) != 1 || s.Entries["b"].Revision != s.Configured {
+		t.Errorf("%d bytes, revision %d, %v", s.EntryBytes, s.Configured, s.Entries)
+	}
+	full := s.Clone()
+	full.EntryBytes = maxConfigBytes
+	decide(t, full, ErrConfigTooBig, configure(full.Configured, set("c", "1")))
+	decide(t, full, nil, configure(full.Configured, set("b", "2"))) // it gets smaller
+}
+
+// A state that was kept before there was a configuration has none, and can get one.
+func TestAnEarlierStateHasNoConfiguration(t *testing.T) {
+	kept := NewState()
+	kept.Version, kept.Entries = 20, nil
+	data, err := encode(kept)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := decodeState(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	decide(t, s, nil, Command{Kind: Configure, Entries: []EntryChange{set("a", "1")}})
+	if got := s.EntryContents(); len(got) != 1 || string(got["a"]) != "1" {
+		t.Errorf("%v", got)
+	}
+}
+
+// Ten thousand changes at once: who watched meanwhile gets each key once, in bounded pieces, and nothing was queued for it.
+func TestTenThousandChanges(t *testing.T) {
+	const keys, changes = 100, 10_000
+	s := NewState()
+	s.Version = firstIndex
+	log, err := s.log()
+	if err != nil {
+		t.Fatal(err)
+	}
+	view := NewView()
+	for i := range changes {
+		cmd := Command{Kind: Configure, From: s.Configured, Entries: []EntryChange{set(fmt.Sprint("destination/", i%keys), strings.Repeat(fmt.Sprint(i%10), 2000))}}
+		if err := errors.Join(s.Apply(s.Version+1, cmd), s.publish(log)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	records := 0
+	for more := true; more; {
+		c := ChangesFor(log, *view.Watch())
+		if c == nil {
+			t.Fatal("nothing more is told")
+		}
+		size := 0
+		for _, r := range c.Records {
+			size += len(r.Value.encoded)
+		}
+		if records += len(c.Records); size > PieceBytes+maxEntryBytes {
+			t.Errorf("a piece of %d bytes", size)
+		}
+		var err error
+		if _, more, err = view.Learn(c); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if records != keys+1 { // and the revision
+		t.Errorf("%d records for %d keys", records, keys)
+	}
+	if got := view.State(); got.Configured != s.Configured || !cmp.Equal(got.EntryContents(), s.EntryContents()) {
+		t.Errorf("revision %d of %d, %d entries", got.Configured, s.Configured, len(got.Entries))
+	}
+}
+
+// A view's state is never changed, also where a later one shares its entries.
+func TestEntriesAreShared(t *testing.T) {
+	view := NewView()
+	learn := func(version uint64, records ...Change) *State {
+		t.Helper()
+		w := view.Watch()
+		b := Changes{From: w.Cursor, To: changelog.Cursor{Has: version, Revision: version}, Records: records}
+		if _, _, err := view.Learn(&b); err != nil {
+			t.Fatal(err)
+		}
+		return view.State()
+	}
+	entry := func(revision uint64, key, content string) Change {
+		return Change{Key: configPrefix + key, Revision: revision, Value: Item{Entry: &ConfigEntry{Content: []byte(content), Revision: revision}}}
+	}
+	one := learn(5, entry(5, "a", "1"))
+	two := learn(6, Change{Key: MemberKey("m"), Revision: 6, Value: Item{Member: &Member{Life: 1}}})
+	three := learn(7, entry(7, "a", "2"), entry(7, "b", "3"))
+	four := learn(8, Change{Key: configPrefix + "a", Revision: 8, Deleted: true})
+	for i, c := range []struct {
+		state *State
+		want  map[string][]byte
+	}{
+		{one, map[string][]byte{"a": []byte("1")}}, {two, map[string][]byte{"a": []byte("1")}},
+		{three, map[string][]byte{"a": []byte("2"), "b": []byte("3")}}, {four, map[string][]byte{"b": []byte("3")}},
+	} {
+		if got := c.state.EntryContents(); !cmp.Equal(got, c.want) {
+			t.Errorf("state %d: %q, want %q", i, got, c.want)
+		}
+	}
+}
+
+func reports(from, to int, revision uint64) map[Life]ConfigReport {
+	out := map[Life]ConfigReport{}
+	for i := from; i < to; i++ {
+		out[Life{fmt.Sprintf("m%04d", i), 1}] = ConfigReport{Revision: revision}
+	}
+	return out
+}
+
+// Members that lag and members that refuse are counted, whoever tells of them; sources that fall silent count no longer, and lists are bounded.
+func TestRollout(t *testing.T) {
+	var r rollouts
+	r.report(0, "relay 1", Summarize(reports(0, 900, 7)))
+	mixed := reports(900, 1000, 7)
+	for i := 0; i < 40; i++ {
+		mixed[Life{fmt.Sprintf("m%04d", 900+i), 1}] = ConfigReport{Revision: uint64(i % 5)}
+	}
+	for i := 60; i < 80; i++ {
+		mixed[Life{fmt.Sprintf("m%04d", 900+i), 1}] = ConfigReport{Revision: 7, Refused: []RefusedEntry{{"class/safe", "no such class"}}}
+	}
+	r.report(0, "relay 2", Summarize(mixed))
+	r.report(0, "m2000/1", Summarize(map[Life]ConfigReport{{"m2000", 1}: {Revision: 8}}))
+	sum := r.sum(time.Second)
+	if sum.Members() != 1001 || sum.Current(7) != 961 || sum.Current(8) != 1 || sum.Refusing != 20 || len(sum.Refusals) != maxReported {
+		t.Errorf("%d members, %d and %d of them current, %d refuse, %d listed", sum.Members(), sum.Current(7), sum.Current(8), sum.Refusing, len(sum.Refusals))
+	}
+	if first := sum.Refusals[0]; first != (MemberRefusal{Life{"m0960", 1}, "class/safe", "no such class"}) {
+		t.Errorf("refused: %+v", first)
+	}
+	r.report(2*time.Second, "relay 1", Summarize(reports(0, 900, 8)))
+	if sum = r.sum(rolloutKeep + time.Second); sum.Members() != 900 || sum.Current(8) != 900 {
+		t.Errorf("%+v", sum)
+	}
+	var wide ConfigSummary
+	for revision := range uint64(100) {
+		wide.add(Summarize(reports(int(revision), int(revision)+1, revision)))
+	}
+	descending := slices.IsSortedFunc(wide.Revisions, func(a, b RevisionCount) int { return int(b.Revision) - int(a.Revision) })
+	if len(wide.Revisions) != maxRevisions || wide.Members() != 100 || wide.Current(99) != 1 || !descending {
+		t.Errorf("%+v", wide.Revisions)
+	}
+	long := ConfigReport{Refused: make([]RefusedEntry, 100)}
+	long.Refused[0] = RefusedEntry{strings.Repeat("k", 1000), strings.Repeat("w", 1000)}
+	if got := long.Bounded(); len(got.Refused) != maxReported || len(got.Refused[0].Key) != maxEntryKey || len(got.Refused[0].Why) != maxWhy {
+		t.Errorf("%d entries, %d and %d bytes", len(got.Refused), len(got.Refused[0].Key), len(got.Refused[0].Why))
+	}
+}
--- a/internal/cluster/council/items.go
+++ b/internal/cluster/council/items.go
@@ -16,10 +16,12 @@
 // Item is what a key stands for; one of its exported fields is set. One that was sealed, or came over a link, is encoded once for all who get
 // it.
 type Item struct {
-	Member *Member `cbor:"1,keyasint,omitempty"`
-	Job    *Job    `cbor:"2,keyasint,omitempty"`
-	Plan   *Plan   `cbor:"3,keyasint,omitempty"`
-	Voters *Voters `cbor:"4,keyasint,omitempty"`
+	Member *Member         `cbor:"1,keyasint,omitempty"`
+	Job    *Job            `cbor:"2,keyasint,omitempty"`
+	Plan   *Plan           `cbor:"3,keyasint,omitempty"`
+	Voters *Voters         `cbor:"4,keyasint,omitempty"`
+	Entry  *ConfigEntry    `cbor:"5,keyasint,omitempty"`
+	Config *ConfigRevision `cbor:"6,keyasint,omitempty"`
 
 	encoded []byte
 }
@@ -38,10 +40,12 @@
 
 // The keys.
 const (
-	memberPrefix = "member/"
-	jobPrefix    = "takeover/"
-	planKey      = "plan"
-	votersKey    = "voters"
+	memberPrefix      = "member/"
+	jobPrefix         = "takeover/"
+	planKey           = "plan"
+	votersKey         = "voters"
+	configPrefix      = "config/"
+	configRevisionKey = "configuration"
 )
 
 // MemberKey is a member's.
@@ -70,6 +74,8 @@
 		size += 64
 	case v.Plan != nil:
 		size += len(v.Plan.Content)
+	case v.Entry != nil:
+		size += len(v.Entry.Content)
 	}
 	return size
 }
@@ -77,9 +83,9 @@
 // Everything selects the whole state.
 var Everything = changelog.Selector{All: true}
 
-// Only selects a member by itself, the plan and the voters.
+// Only selects a member by itself, the plan, the voters and the configuration.
 func Only(member string) changelog.Selector {
-	return changelog.Selector{Keys: []string{MemberKey(member), planKey, votersKey}}
+	return changelog.Selector{Keys: []string{MemberKey(member), planKey, votersKey, configRevisionKey}, Prefixes: []string{configPrefix}}
 }
 
 // NewMirror has nothing yet; it is for a relay.
@@ -168,6 +174,12 @@
 		return Item{Plan: &plan}.sealed(), true
 	case key == votersKey:
 		return Item{Voters: &Voters{s.Founders, s.Council}}.sealed(), true
+	case key == configRevisionKey:
+		return Item{Config: &ConfigRevision{s.Configured}}.sealed(), true
+	}
+	if name, isEntry := strings.CutPrefix(key, configPrefix); isEntry {
+		e := s.Entries[name]
+		return Item{Entry: e}.sealed(), e != nil
 	}
 	for _, j := range s.Jobs {
 		if jobKey(j.Life) == key {
@@ -236,7 +248,7 @@
 func (s *State) With(version uint64, change *changelog.Change[Item]) *State {
 	out := NewState()
 	if !change.Whole {
-		out = s.Clone()
+		out = s.cloneFor(change)
 	}
 	out.Version, out.Revisions, out.Deleted = version, nil, nil
 	jobs := map[Life]*Job{}
@@ -253,6 +265,19 @@
 	return out
 }
 
+// cloneFor is a copy to which a change can be applied. Entries are shared where it has none: there may be far more of them than of all else.
+func (s *State) cloneFor(change *changelog.Change[Item]) *State {
+	configures := slices.ContainsFunc(change.Records, func(r Change) bool { return strings.HasPrefix(r.Key, configPrefix) })
+	if configures {
+		return s.Clone()
+	}
+	without := *s
+	without.Entries = nil
+	out := without.Clone()
+	out.Entries = s.Entries
+	return out
+}
+
 // compareJobs orders them by their age.
 func compareJobs(a, b *Job) int {
 	return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Life.Name, b.Life.Name), cmp.Compare(a.Life.Number, b.Life.Number))
@@ -268,7 +293,17 @@
 		}
 		return false
 	}
+	if key, isEntry := strings.CutPrefix(r.Key, configPrefix); isEntry {
+		if r.Deleted || r.Value.Entry == nil {
+			delete(s.Entries, key)
+		} else {
+			s.Entries[key] = r.Value.Entry
+		}
+		return false
+	}
 	switch v := r.Value; {
+	case v.Config != nil:
+		s.Configured = v.Config.Revision
 	case v.Plan != nil:
 		s.Plan = *v.Plan
 	case v.Voters != nil:
--- a/internal/cluster/council/requests.go
+++ b/internal/cluster/council/requests.go
@@ -18,11 +18,15 @@
 // Request is one to the voters or a relay. With a Command it asks for that; with a life in Renew for its lease; with a Batch, as relays send
 // it, for the leases of many. With a Watch the answer brings what has changed, whatever else it is.
 type Request struct {
-	Command  *Command `cbor:"1,keyasint,omitempty"`
-	Renew    *Life    `cbor:"2,keyasint,omitempty"`
-	Sequence uint64   `cbor:"3,keyasint,omitempty"` // of the renewal, among those of its life; of the batch, among those of its relay
-	Watch    *Watch   `cbor:"4,keyasint,omitempty"`
-	Batch    []Life   `cbor:"5,keyasint,omitempty"`
+	Command  *Command       `cbor:"1,keyasint,omitempty"`
+	Renew    *Life          `cbor:"2,keyasint,omitempty"`
+	Sequence uint64         `cbor:"3,keyasint,omitempty"` // of the renewal, among those of its life; of the batch, among those of its relay
+	Watch    *Watch         `cbor:"4,keyasint,omitempty"`
+	Batch    []Life         `cbor:"5,keyasint,omitempty"`
+	Report   *ConfigReport  `cbor:"6,keyasint,omitempty"` // with Renew: of that member
+	Summary  *ConfigSummary `cbor:"7,keyasint,omitempty"` // with Batch: of the relay's members,
+	Relay    string         `cbor:"8,keyasint,omitempty"` // and which relay's
+	Rollout  bool           `cbor:"9,keyasint,omitempty"` // asks how far the configuration is in force
 }
 
 // Response answers it.
@@ -37,6 +41,7 @@
 	Joined   *Member   `cbor:"8,keyasint,omitempty"`  // behind a Join: the life that has begun
 	Changes  *Changes  `cbor:"9,keyasint,omitempty"`  // with a Watch; nil is none
 	Ended    []Life    `cbor:"10,keyasint,omitempty"` // of a batch: lives that get no lease any more
+	Rollout  *Rollout  `cbor:"11,keyasint,omitempty"` // where it was asked for
 }
 
 // leaseRequest is leases that were asked for in one request.
@@ -183,7 +188,7 @@
 		answer(r)
 	}
 	switch {
-	case req.Command == nil && req.Renew == nil && len(req.Batch) == 0: // what is decided, as far as this founder knows
+	case req.Command == nil && req.Renew == nil && len(req.Batch) == 0 && !req.Rollout: // what is decided, as far as this founder knows
 		r := Response{Leader: s.core.Leader(), Silent: s.core.Muted(), Version: s.core.State().Version}
 		if req.Watch != nil && (r.Leader == "" || s.behind(req.Watch.Cursor)) {
 			r.Refused = ErrNoLeader.Error() // others may know more
@@ -191,14 +196,24 @@
 		tell(r)
 	case !s.core.Leads() || !s.leases.Leads():
 		tell(Response{Refused: ErrNotLeader.Error(), Leader: s.core.Leader(), Council: s.core.Founders()})
+	case req.Rollout:
+		tell(Response{Leader: s.core.Leader(), Version: s.core.State().Version, Rollout: s.rollout()})
 	case len(req.Batch) > 0:
+		if req.Summary != nil {
+			s.rollouts.report(s.now(), req.Relay, *req.Summary)
+		}
 		s.renew(leaseRequest{req.Batch, true, tell})
 	case req.Renew != nil:
+		if req.Report != nil {
+			s.rollouts.report(s.now(), req.Renew.String(), Summarize(map[Life]ConfigReport{*req.Renew: *req.Report}))
+		}
 		s.renew(leaseRequest{[]Life{*req.Renew}, false, tell})
 	case req.Command.Kind == Join:
 		s.join(*req.Command, tell)
 	case req.Command.Kind == Found:
 		s.found(*req.Command, tell)
+	case req.Command.Kind == Configure:
+		s.proposeConfiguration(*req.Command, tell)
 	default:
 		s.propose(*req.Command, tell)
 	}
--- a/internal/cluster/council/server.go
+++ b/internal/cluster/council/server.go
@@ -45,6 +45,8 @@
 	// Furthest asks keepers how far their copies of a life go, and names the one that is furthest; "" is none. It is called in a
 	// goroutine of its own.
 	Furthest func(ctx context.Context, life Life, keepers []string, s *State) string
+	// CheckEntry says why a configuration entry can't be committed; nil is none. It must not wait.
+	CheckEntry func(key string, content []byte) error
 
 	began       time.Time
 	events      chan func()
@@ -52,6 +54,7 @@
 	token       uint64 // of this process
 	ticket      uint64
 	leases      Leases
+	rollouts    rollouts
 	ticked      time.Duration
 	waiting     map[uint64]func(Applied)  // by ticket
 	unconfirmed map[uint64][]leaseRequest // by ticket of their confirmation
@@ -362,6 +365,7 @@
 			s.elected()
 		} else {
 			s.leases.Deposed()
+			s.rollouts.forget()
 			s.refuseAll()
 		}
 	}
@@ -404,6 +408,7 @@
 	state := s.core.State()
 	if s.ticks++; s.ticks%forgetTicks == 0 {
 		s.leases.Forget(state.Alive)
+		s.rollouts.expire(now)
 	}
 	s.admit(now, state)
 	s.endDue(now, state)
--- a/internal/cluster/council/state.go
+++ b/internal/cluster/council/state.go
@@ -59,6 +59,10 @@
 	// Founders are who holds the council since that was changed, as of version Council; none where it is as it began.
 	Founders []Founder
 	Council  uint64
+	// Entries are the configuration by key, and Configured the version at which any of them last changed.
+	Entries    map[string]*ConfigEntry
+	Configured uint64
+	EntryBytes int // of keys and contents; only processes that apply commands count them
 	// Revisions are the versions at which keys last changed, and Deleted those at which keys ceased to be, as far as that is remembered:
 	// every deletion behind Floor. See Item.
 	Revisions map[string]uint64
@@ -83,7 +87,7 @@
 
 // NewState is that of a fleet without members.
 func NewState() *State {
-	return &State{Members: map[string]*Member{}, Revisions: map[string]uint64{}, Deleted: map[string]uint64{}}
+	return &State{Members: map[string]*Member{}, Entries: map[string]*ConfigEntry{}, Revisions: map[string]uint64{}, Deleted: map[string]uint64{}}
 }
 
 // Kind says what a command does.
@@ -91,40 +95,42 @@
 
 // The commands.
 const (
-	Join     Kind = iota + 1 // a process begins a life, and ends the one before
-	End                      // a life has ended: its lease is over, and it gets no other
-	Assign                   // somebody takes over an ended life
-	Done                     // who takes over has all that was owed, with copies of it
-	Keepers                  // whose copies count is changed
-	Leave                    // a member is to be drained, or not any more
-	Remove                   // a member that has ended belongs no longer
-	Propose                  // the next plan of where traffic goes
-	Evacuate                 // a place is to be empty of traffic, or not any more
-	Freeze                   // the plan stays as it is, or not any more
-	Found                    // a member belongs to the council's founders, or not any more
+	Join      Kind = iota + 1 // a process begins a life, and ends the one before
+	End                       // a life has ended: its lease is over, and it gets no other
+	Assign                    // somebody takes over an ended life
+	Done                      // who takes over has all that was owed, with copies of it
+	Keepers                   // whose copies count is changed
+	Leave                     // a member is to be drained, or not any more
+	Remove                    // a member that has ended belongs no longer
+	Propose                   // the next plan of where traffic goes
+	Evacuate                  // a place is to be empty of traffic, or not any more
+	Freeze                    // the plan stays as it is, or not any more
+	Found                     // a member belongs to the council's founders, or not any more
+	Configure                 // configuration entries are set or deleted
 )
 
 // Command is a change that is asked for. Fields that its kind does not name are ignored.
 type Command struct {
-	Kind    Kind      `cbor:"1,keyasint,omitempty"`
-	Life    Life      `cbor:"2,keyasint,omitzero"`   // Join: Number is the one in its folder, 0 for none
-	Whole   bool      `cbor:"3,keyasint,omitempty"`  // Join: its folder still has the journal of that life
-	Fenced  bool      `cbor:"4,keyasint,omitempty"`  // Join: the life before can do nothing any more; else Join is refused while that lives
-	Token   string    `cbor:"5,keyasint,omitempty"`  // Join: drawn by the process
-	Past    string    `cbor:"6,keyasint,omitempty"`  // Join: that of the process which last had its folder
-	Address string    `cbor:"7,keyasint,omitempty"`  // Join
-	Zone    string    `cbor:"8,keyasint,omitempty"`  // Join
-	Region  string    `cbor:"9,keyasint,omitempty"`  // Join
-	Version int       `cbor:"10,keyasint,omitempty"` // Join
-	Space   int64     `cbor:"11,keyasint,omitempty"` // Join
-	Taker   Life      `cbor:"12,keyasint,omitzero"`  // Assign, Done
-	From    uint64    `cbor:"13,keyasint,omitempty"` // Keepers: Changed of what it replaces. Propose: the plan's number. Evacuate, Freeze: Ordered, as the operator saw it. Found: Council
-	Set     []string  `cbor:"14,keyasint,omitempty"` // Keepers
-	On      bool      `cbor:"15,keyasint,omitempty"` // Leave, Evacuate, Freeze, Found
-	Number  uint64    `cbor:"16,keyasint,omitempty"` // Propose
-	Content []byte    `cbor:"17,keyasint,omitempty"` // Propose
-	Place   string    `cbor:"18,keyasint,omitempty"` // Evacuate
-	Council []Founder `cbor:"19,keyasint,omitempty"` // Found: all, as they are to be
+	Kind    Kind          `cbor:"1,keyasint,omitempty"`
+	Life    Life          `cbor:"2,keyasint,omitzero"`   // Join: Number is the one in its folder, 0 for none
+	Whole   bool          `cbor:"3,keyasint,omitempty"`  // Join: its folder still has the journal of that life
+	Fenced  bool          `cbor:"4,keyasint,omitempty"`  // Join: the life before can do nothing any more; else Join is refused while that lives
+	Token   string        `cbor:"5,keyasint,omitempty"`  // Join: drawn by the process
+	Past    string        `cbor:"6,keyasint,omitempty"`  // Join: that of the process which last had its folder
+	Address string        `cbor:"7,keyasint,omitempty"`  // Join
+	Zone    string        `cbor:"8,keyasint,omitempty"`  // Join
+	Region  string        `cbor:"9,keyasint,omitempty"`  // Join
+	Version int           `cbor:"10,keyasint,omitempty"` // Join
+	Space   int64         `cbor:"11,keyasint,omitempty"` // Join
+	Taker   Life          `cbor:"12,keyasint,omitzero"`  // Assign, Done
+	From    uint64        `cbor:"13,keyasint,omitempty"` // Keepers: Changed of what it replaces. Propose: the plan's number. Evacuate, Freeze: Ordered, as the operator saw it. Found: Council. Configure: Configured, as the operator saw it
+	Set     []string      `cbor:"14,keyasint,omitempty"` // Keepers
+	On      bool          `cbor:"15,keyasint,omitempty"` // Leave, Evacuate, Freeze, Found
+	Number  uint64        `cbor:"16,keyasint,omitempty"` // Propose
+	Content []byte        `cbor:"17,keyasint,omitempty"` // Propose
+	Place   string        `cbor:"18,keyasint,omitempty"` // Evacuate
+	Council []Founder     `cbor:"19,keyasint,omitempty"` // Found: all, as they are to be
+	Entries []EntryChange `cbor:"20,keyasint,omitempty"` // Configure: each key once
 }
 
 // The reasons for which a command changes nothing.
@@ -228,6 +234,8 @@
 		}
 		s.Founders, s.Council = c.Council, version // never changed in place
 		s.touch(votersKey)
+	case Configure:
+		return s.configure(c)
 	default: // of a later version: counted, not understood
 	}
 	return nil
@@ -350,6 +358,7 @@
 func (s *State) Clone() *State {
 	out := *s
 	out.Members, out.Revisions, out.Deleted = maps.Clone(s.Members), maps.Clone(s.Revisions), maps.Clone(s.Deleted)
+	out.Entries = maps.Clone(s.Entries)
 	out.Jobs, out.touched = slices.Clone(s.Jobs), nil
 	return &out
 }
--- a/internal/cluster/council/view_test.go
+++ b/internal/cluster/council/view_test.go
@@ -18,7 +18,10 @@
 // decided is what a state says, without how it is kept.
 func decided(s *State) *State {
 	out := *s
-	out.Revisions, out.Deleted, out.Floor, out.touched = nil, nil, 0, nil
+	out.Revisions, out.Deleted, out.Floor, out.touched, out.EntryBytes = nil, nil, 0, nil, 0
+	if len(out.Entries) == 0 {
+		out.Entries = nil
+	}
 	if len(out.Jobs) == 0 {
 		out.Jobs = nil
 	}
@@ -41,7 +44,9 @@
 		return Command{Kind: Join, Life: Life{name, had}, Whole: had > 0, Fenced: true, Token: fmt.Sprint(rng.Uint64()), Zone: "z"}
 	}
 	life := Life{name, m.Life}
-	switch rng.IntN(8) {
+	switch rng.IntN(10) {
+	case 8, 9:
+		return randomConfiguration(rng, s)
 	case 0:
 		return Command{Kind: End, Life: life}
 	case 1:
@@ -66,6 +71,21 @@
 	return Command{Kind: End, Life: life}
 }
 
+// randomConfiguration sets and deletes entries.
+func randomConfiguration(rng *rand.Rand, s *State) Command {
+	cmd := Command{Kind: Configure, From: s.Configured}
+	for i := range 1 + rng.IntN(3) {
+		key := fmt.Sprint("destination/", i*4+rng.IntN(4))
+		deleted := s.Entries[key] != nil && rng.IntN(3) == 0
+		change := EntryChange{Key: key, Deleted: deleted}
+		if !deleted {
+			change.Content = fmt.Append(nil, rng.Uint32())
+		}
+		cmd.Entries = append(cmd.Entries, change)
+	}
+	return cmd
+}
+
 // Views are fed by any voter, in pieces, over links that lose, double and delay answers, while voters restart, one of them without its
 // folder, and their logs are cut short: whatever a view shows is exactly what was decided as of its version, and versions only grow.
 func TestViewsShowWhatWasDecided(t *testing.T) {
--- a/internal/cluster/node/lives.go
+++ b/internal/cluster/node/lives.go
@@ -46,7 +46,7 @@
 		end = until
 	}
 	ask := n.renewal.Renewal(sent, mine)
-	ask.Watch = n.watch()
+	ask.Watch, ask.Report = n.watch(), n.configReport()
 	call, cancel := context.WithTimeout(ctx, max(every, end-sent))
 	r, err := n.client.Do(call, ask)
 	cancel()
@@ -158,6 +158,7 @@
 	if err := n.catchUp(call, r.Version); err != nil {
 		return err
 	}
+	n.putIntoForce() // before anything is taken on in this life
 	mine := council.Life{Name: n.cfg.Name, Number: m.Life}
 	n.mu.Lock()
 	n.figures.Lives++
@@ -204,12 +205,15 @@
 			delete(n.missed, name)
 		}
 	}
-	changed := s.Council != was.Council
+	changed, reconfigured := s.Council != was.Council, s.Configured != was.Configured
 	if m := s.Members[n.cfg.Name]; n.owner != nil && n.asked != nil && m != nil && m.Changed != n.asked.From {
 		n.owner.Settled() // that, or something else, was decided: what was asked for cannot be any more
 		n.asked = nil
 	}
 	n.mu.Unlock()
+	if reconfigured {
+		n.reconfigure()
+	}
 	if changed {
 		n.client.Know(s.Founders)
 		n.server.Roster(s.Founders, s.Council)
--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -78,10 +78,11 @@
 
 // Errors of a start.
 var (
-	errFounders = errors.New("node: no founders of the council are named")
-	errNoCopy   = errors.New("node: nobody has a copy that counts")
-	errNoPlaces = errors.New("node: [place] is not set")
-	errApart    = errors.New("node: this life may not act")
+	errFounders  = errors.New("node: no founders of the council are named")
+	errNoCopy    = errors.New("node: nobody has a copy that counts")
+	errNoPlaces  = errors.New("node: [place] is not set")
+	errApart     = errors.New("node: this life may not act")
+	errNoRollout = errors.New("node: who leads the control plane is of a version that knows no configuration")
 )
 
 // life is what the folder says of the latest life that had it.
@@ -107,19 +108,22 @@
 	thawed atomic.Bool  // the router has been told that it may
 	knows  atomic.Bool  // the ids that were over in the life before
 
-	mu      sync.Mutex
-	mine    council.Life
-	owner   *copies.Owner
-	view    *council.View
-	waiters []waiter
-	sending map[string]bool      // keepers to which a sender is on its way
-	missed  map[string]time.Time // keepers out of reach, and since when
-	heard   map[string]time.Time // when a keeper last answered
-	taking  map[council.Life]bool
-	wake    chan struct{}
-	asked   *council.Command // for other keepers, and not known to be decided or refused
-	asking  bool             // the council, just now
-	figures Figures
+	mu       sync.Mutex
+	mine     council.Life
+	owner    *copies.Owner
+	view     *council.View
+	waiters  []waiter
+	sending  map[string]bool      // keepers to which a sender is on its way
+	missed   map[string]time.Time // keepers out of reach, and since when
+	heard    map[string]time.Time // when a keeper last answered
+	taking   map[council.Life]bool
+	wake     chan struct{}
+	asked    *council.Command     // for other keepers, and not known to be decided or refused
+	asking   bool                 // the council, just now
+	reported council.ConfigReport // of the configuration that is in force here
+	figures  Figures
+
+	configuring configuring
 
 	talk     talk
 	steering *steering     // nil: traffic goes everywhere
@@ -160,7 +164,7 @@
 	n := &Node{
 		cfg: cfg, peers: &links.Peers{Other: cfg.Via}, token: fmt.Sprintf("%016x", rand.Uint64()), began: time.Now(),
 		view: council.NewView(), renewal: council.Lease{Length: cfg.Timing.Lease}, sending: map[string]bool{}, missed: map[string]time.Time{}, heard: map[string]time.Time{}, taking: map[council.Life]bool{},
-		wake: make(chan struct{}, 1), shelf: copies.NewShelf(rand.Uint64()), talk: newTalk(cfg),
+		wake: make(chan struct{}, 1), configuring: configuring{changed: make(chan struct{}, 1)}, shelf: copies.NewShelf(rand.Uint64()), talk: newTalk(cfg),
 	}
 	if cfg.Place != nil {
 		n.steering = newSteering(n, *cfg.Place)
@@ -204,7 +208,7 @@
 	}
 	n.server = council.NewServer(core, keeper, n.cfg.Timing, n.cfg.Logger)
 	n.server.Dial = func(address string) *links.Peer { return links.NewPeer(n.peers.Via(address)) }
-	n.server.Furthest = n.furthest
+	n.server.Furthest, n.server.CheckEntry = n.furthest, checkEntry
 	n.client = council.NewClient(n.cfg.Founders, n.peers.At, n.cfg.Name, n.server)
 	if !slices.ContainsFunc(n.cfg.Founders, func(f council.Founder) bool { return f.Name == n.cfg.Name }) {
 		n.client.Via(council.RankRelays(n.cfg.Relays, n.cfg.Name, n.cfg.Zone))
@@ -276,6 +280,7 @@
 	})
 	group.Go(func() error { n.live(ctx); return nil })
 	group.Go(func() error { n.manage(ctx); return nil })
+	group.Go(func() error { n.configure(ctx); return nil })
 	group.Go(func() error { n.expire(ctx); return nil })
 	if n.steering != nil {
 		group.Go(func() error { n.steering.run(ctx); return nil })
@@ -307,6 +312,9 @@
 	return n.steering
 }
 
+// Limiter bounds what is taken on of a class, as it is configured.
+func (n *Node) Limiter() routing.Limiter { return &n.configuring.limits }
+
 func (n *Node) nudge() {
 	select {
 	case n.wake <- struct{}{}:
--- a/internal/cluster/node/status.go
+++ b/internal/cluster/node/status.go
@@ -136,6 +136,26 @@
 	return r, p.Call(ctx, "Status.Command", c, &r)
 }
 
+// Rollout passes an operator's question on to whoever leads: how far the configuration is in force.
+func (s statusRPC) Rollout(_ bool, out *council.Rollout) error {
+	ctx, cancel := context.WithTimeout(context.Background(), askFor)
+	defer cancel()
+	r, err := s.n.client.Do(ctx, council.Request{Rollout: true})
+	if err != nil {
+		return err
+	}
+	if r.Rollout == nil {
+		return errNoRollout
+	}
+	*out = *r.Rollout
+	return nil
+}
+
+// LookRollout asks the member at an address how far the configuration is in force in the fleet.
+func LookRollout(ctx context.Context, address string) (council.Rollout, error) {
+	return look[council.Rollout](ctx, address, "Status.Rollout")
+}
+
 // LookPlan asks the member at an address where traffic goes.
 func LookPlan(ctx context.Context, address string) (PlanStatus, error) {
 	return look[PlanStatus](ctx, address, "Status.Plan")
--- a/internal/cluster/relay/server.go
+++ b/internal/cluster/relay/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
@@ -47,6 +48,10 @@
 	ticket  Ticket
 	replies map[Ticket]chan council.Response
 	voters  []council.Founder // that the client was told of
+	reports reports
+
+	token string // tells this process from other relays
+	began time.Time
 }
 
 // Open listens; nothing runs yet. An address in use is an error.
@@ -59,6 +64,7 @@
 	return &Server{
 		cfg: cfg, listener: listener, peers: peers, client: council.NewClient(cfg.Voters, peers.At, "", nil), wake: make(chan struct{}, 1),
 		commands: make(chan struct{}, mostCommands), core: NewCore(), replies: map[Ticket]chan council.Response{},
+		token: fmt.Sprintf("relay %016x", rand.Uint64()), began: time.Now(),
 	}, nil
 }
 
@@ -114,6 +120,9 @@
 func (s *Server) askOnce(ctx context.Context) (more bool) {
 	s.mu.Lock()
 	req, some := s.core.Batch()
+	if len(req.Batch) > 0 {
+		req.Relay, req.Summary = s.token, s.reports.summary(time.Since(s.began))
+	}
 	s.mu.Unlock()
 	if !some {
 		return false
@@ -157,6 +166,9 @@
 	answer := make(chan council.Response, 1)
 	s.replies[mine] = answer
 	s.reply(s.core.Renew(mine, req))
+	if req.Report != nil {
+		s.reports.take(time.Since(s.began), *req.Renew, *req.Report)
+	}
 	s.mu.Unlock()
 	select {
 	case s.wake <- struct{}{}:
@@ -176,7 +188,7 @@
 	return refusal()
 }
 
-// command carries a command to the leader. What has been decided is told from the mirror.
+// command carries a command, or an operator's question, to the leader. What has been decided is told from the mirror.
 func (s *Server) command(ctx context.Context, req council.Request) council.Response {
 	select {
 	case s.commands <- struct{}{}:
@@ -186,7 +198,7 @@
 	}
 	call, cancel := context.WithTimeout(ctx, commandFor)
 	defer cancel()
-	r, err := s.client.Do(call, council.Request{Command: req.Command})
+	r, err := s.client.Do(call, council.Request{Command: req.Command, Rollout: req.Rollout})
 	if err != nil {
 		return refusal()
 	}
@@ -226,7 +238,7 @@
 // Ask answers a request.
 func (c Calls) Ask(req council.Request, out *council.Response) error {
 	switch {
-	case req.Command != nil:
+	case req.Command != nil, req.Rollout:
 		*out = c.s.command(c.ctx, req)
 	case req.Renew != nil:
 		*out = c.s.renew(c.ctx, req)
--- a/internal/cluster/relay/server_test.go
+++ b/internal/cluster/relay/server_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -28,6 +30,9 @@
 	})
 }
 
+// refusedKey is that of an entry which voters refuse.
+const refusedKey = "class/unusable"
+
 // newVoter runs the only voter of a control plane.
 func newVoter(t *testing.T) council.Founder {
 	t.Helper()
@@ -47,6 +52,12 @@
 	t.Cleanup(func() { _ = store.Close() })
 	timing := council.Timing{Tick: 10 * time.Millisecond, Lease: time.Minute, Margin: 10 * time.Second}
 	server := council.NewServer(core, store, timing, zerolog.Nop())
+	server.CheckEntry = func(key string, _ []byte) error {
+		if key == refusedKey {
+			return errors.New("not usable")
+		}
+		return nil
+	}
 	serve(t, server.Run)
 	serve(t, func(ctx context.Context) error {
 		go func() { <-ctx.Done(); _ = listener.Close() }()
@@ -138,3 +149,80 @@
 		}
 	}
 }
+
+// An operator behind a relay commits an entry and hears how far it is in force, by the relay's own sums; what a voter refuses is not committed.
+// A member whose relay is of a version that sums nothing up counts as not heard.
+func TestConfigurationThroughARelay(t *testing.T) {
+	voter := newVoter(t)
+	peers := &links.Peers{}
+	defer peers.Close()
+	clients := map[string]*council.Client{}
+	for _, name := range []string{"a", "b", "c"} {
+		clients[name] = council.NewClient([]council.Founder{voter}, peers.At, "", nil)
+		if name != "c" {
+			clients[name].Via([]council.Relay{newRelay(t, voter)})
+		}
+		member(t, clients[name], name)
+	}
+	operator := clients["a"]
+	configure := func(from uint64, key string) council.Response {
+		t.Helper()
+		cmd := council.Command{Kind: council.Configure, From: from, Entries: []council.EntryChange{{Key: key, Content: []byte{1}}}}
+		r, err := operator.Do(t.Context(), council.Request{Command: &cmd})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	if r := configure(0, refusedKey); !strings.Contains(r.Refused, "not usable") {
+		t.Errorf("an unusable entry: %+v", r)
+	}
+	committed := configure(0, "class/safe")
+	if committed.Refused != "" {
+		t.Fatal(committed.Refused)
+	}
+	if r := configure(0, "class/safe"); r.Refused != council.ErrLater.Error() {
+		t.Errorf("a second operator: %+v", r)
+	}
+	refusal := council.RefusedEntry{Key: "class/safe", Why: "no such class"}
+	lease := council.Lease{Length: time.Minute}
+	var got council.Rollout
+	for got.Summary.Current(committed.Version) < 3 {
+		for name, client := range clients {
+			req := lease.Renewal(0, council.Life{Name: name, Number: 1})
+			if req.Report = (&council.ConfigReport{Revision: committed.Version}); name == "b" {
+				req.Report.Refused = []council.RefusedEntry{refusal}
+			}
+			if _, err := client.Do(t.Context(), req); err != nil {
+				t.Fatal(err)
+			}
+		}
+		r, err := operator.Do(t.Context(), council.Request{Rollout: true})
+		if err != nil || r.Rollout == nil {
+			t.Fatalf("%+v, %v", r, err)
+		}
+		got = *r.Rollout
+	}
+	if got.Revision != committed.Version || got.Members != 3 || got.Summary.Members() != 3 || got.Summary.Refusing != 1 {
+		t.Errorf("%+v", got)
+	}
+	if list := got.Summary.Refusals; len(list) != 1 || list[0].Life.Name != "b" || list[0].Key != refusal.Key || list[0].Why != refusal.Why {
+		t.Errorf("refusals: %+v", list)
+	}
+}
+
+// A member that has gone to another relay, or has ended, is counted no longer.
+func TestReportsAreForgotten(t *testing.T) {
+	var r reports
+	if r.summary(0) != nil {
+		t.Error("a summary of nobody")
+	}
+	r.take(0, a1, council.ConfigReport{Revision: 3})
+	r.take(reportKeep, b1, council.ConfigReport{Revision: 4})
+	if sum := r.summary(reportKeep); sum.Members() != 2 || sum.Current(4) != 1 {
+		t.Errorf("%+v", sum)
+	}
+	if sum := r.summary(reportKeep + 1); sum.Members() != 1 || sum.Current(4) != 1 {
+		t.Errorf("%+v", sum)
+	}
+}
--- /dev/null
+++ b/internal/routing/configuration_test.go
@@ -0,0 +1,148 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	mb "mulleinbeam"
+	"mulleinbeam/internal/routing/wal"
+)
+
+// Whatever discovery lists and operators configure, in any order: what the router has learned is what counts by then.
+func TestOverlay(t *testing.T) {
+	endpoint := rapid.Custom(func(t *rapid.T) Endpoint {
+		return Endpoint{
+			Name: rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "name"), Group: rapid.Int64Range(1, 3).Draw(t, "group"),
+			Address: rapid.SampledFrom([]string{"h:1", "h:2"}).Draw(t, "address"),
+			State:   rapid.SampledFrom([]mb.Readiness{mb.Serving, mb.Draining, mb.Deleted}).Draw(t, "state"),
+		}
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		o := &overlay{listed: map[string]Endpoint{}}
+		listed, destinations, learned := map[string]Endpoint{}, map[int64][]Endpoint{}, map[string]Endpoint{}
+		learn := func(d List) {
+			if d.Whole {
+				clear(learned)
+			}
+			for _, e := range d.Endpoints {
+				if e.State == mb.Deleted {
+					delete(learned, e.Name)
+				} else {
+					learned[e.Name] = e
+				}
+			}
+		}
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "list") {
+				d := List{Whole: rapid.Bool().Draw(t, "whole"), Endpoints: rapid.SliceOfNDistinct(endpoint, 0, 4, func(e Endpoint) string { return e.Name }).Draw(t, "endpoints")}
+				if d.Whole {
+					clear(listed)
+				}
+				for _, e := range d.Endpoints {
+					if listed[e.Name] = e; e.State == mb.Deleted {
+						delete(listed, e.Name)
+					}
+				}
+				learn(o.list(d))
+			} else {
+				destinations = map[int64][]Endpoint{}
+				for _, e := range rapid.SliceOfNDistinct(endpoint, 0, 3, func(e Endpoint) string { return e.Name }).Draw(t, "configured") {
+					e.State = mb.Serving
+					destinations[e.Group] = append(destinations[e.Group], e)
+				}
+				learn(List{Endpoints: o.configure(destinations)})
+			}
+			want := map[string]Endpoint{}
+			for name, e := range listed {
+				if _, configured := destinations[e.Group]; !configured {
+					want[name] = e
+				}
+			}
+			for _, endpoints := range destinations {
+				for _, e := range endpoints {
+					want[e.Name] = e
+				}
+			}
+			if diff := cmp.Diff(want, learned); diff != "" {
+				t.Fatalf("listed %v, configured %v:\n%s", listed, destinations, diff)
+			}
+		}
+	})
+}
+
+// Calls go to configured endpoints from the moment on at which they are; what discovery says of that destination meanwhile counts once they are
+// configured no more.
+func TestConfiguredEndpointsReplaceListedOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, s, _ := newRouter(t) // discovery lists a
+		deliver := func(id string) string {
+			t.Helper()
+			if v := r.Take(message(id)); v.Kind != Taken {
+				t.Fatalf("%s: %+v", id, v)
+			}
+			call := <-s.calls
+			if !call.Begin() {
+				t.Fatalf("%s: the call did not begin", id)
+			}
+			s.results <- Result{Outcome: mb.OK}
+			synctest.Wait()
+			return call.Endpoint + " at " + call.Address
+		}
+		for i, step := range []struct {
+			change func()
+			want   string
+		}{
+			{func() {}, "a at a:1"},
+			{func() {
+				r.Configure(Configuration{Destinations: map[int64][]Endpoint{7: {{Name: "b", Address: "b:1", Group: 7, Weight: 50}}}})
+			}, "b at b:1"},
+			{func() {
+				r.Learn(List{Whole: true, Endpoints: []Endpoint{{Name: "a", Address: "a:2", Group: 7, Weight: 50}}})
+			}, "b at b:1"},
+			{func() { r.Configure(Configuration{}) }, "a at a:2"},
+			{func() {
+				r.Configure(Configuration{Destinations: map[int64][]Endpoint{7: {{Name: "a", Address: "a:3", Group: 7, Weight: 50}}}})
+			}, "a at a:3"},
+		} {
+			step.change()
+			if got := deliver(fmt.Sprint("m", i)); got != step.want {
+				t.Errorf("step %d: %s, want %s", i, got, step.want)
+			}
+		}
+	})
+}
+
+// oneOf allows one message of each class.
+type oneOf map[string]bool
+
+func (o oneOf) Allows(class string) bool {
+	allowed := !o[class]
+	o[class] = true
+	return allowed
+}
+
+// A message above its class's rate is refused with a time to come again; one that is held already is known all the same.
+func TestAClassAboveItsRateIsRefused(t *testing.T) {
+	journal, err := wal.Open(t.TempDir(), wal.Options{Most: 3e6}, func(string) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, _, _ := runConfig(t, journal, func(c *Config) { c.Limiter = oneOf{} })
+	for _, step := range []struct {
+		id   string
+		want VerdictKind
+	}{{"m", Taken}, {"n", Refused}, {"m", Known}} {
+		v := r.Take(message(step.id))
+		if v.Kind != step.want || step.want == Refused && (v.RetryAfter <= 0 || v.RetryAfter > time.Minute) {
+			t.Errorf("%s: %+v", step.id, v)
+		}
+	}
+	if c := r.Counters(); c.OverRate != 1 || c.Held != 1 {
+		t.Errorf("counters %+v", c)
+	}
+}
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -21,6 +21,7 @@
 	LongCut                              int64 // of an earlier life, ended at the start
 	TakenOver, Elsewhere                 int64 // of other lives, ended; of its own that others took over
 	NoPlace                              int64 // refused, since the plan has room for it nowhere
+	OverRate                             int64 // refused, since their class has a rate that is used up
 	Alone, NoCopy                        int64 // taken on without a copy; refused for want of one
 	Held, CallsOut                       int   // now
 	LongHeld, LongOut                    int   // now
@@ -50,6 +51,9 @@
 	if c.NoPlace > 0 {
 		e.Dict("places", zerolog.Dict().Int64("refused", c.NoPlace))
 	}
+	if c.OverRate > 0 {
+		e.Dict("configuration", zerolog.Dict().Int64("over_rate", c.OverRate))
+	}
 	if c.TakenOver+c.Elsewhere+c.Alone+c.NoCopy > 0 {
 		e.Dict("copies", zerolog.Dict().Int64("taken_over", c.TakenOver).Int64("elsewhere", c.Elsewhere).
 			Int64("alone", c.Alone).Int64("refused", c.NoCopy))
--- a/internal/routing/held.go
+++ b/internal/routing/held.go
@@ -115,6 +115,9 @@
 	case len(r.groups) > 0 && !r.groups[m.Destination]:
 		r.counters.Unreadable++
 		return Verdict{Kind: UnknownDestination}
+	case r.cfg.Limiter != nil && !r.cfg.Limiter.Allows(m.Class):
+		r.counters.OverRate++
+		return Verdict{Kind: Refused, RetryAfter: pushBack}
 	case m.Long != nil && !r.admitLong():
 		r.counters.LongRefused++
 		return Verdict{Kind: Refused, RetryAfter: pushBack}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -40,6 +40,8 @@
 	Guard Guard
 	// Steering says where calls may go; nil: everywhere.
 	Steering Steering
+	// Limiter bounds what is taken on of a class; nil: nothing does.
+	Limiter Limiter
 }
 
 type timer struct {
@@ -58,6 +60,7 @@
 	classes   map[string]time.Duration // how long a message may live
 	endpoints map[string]Endpoint
 	groups    map[int64]bool    // destinations ever listed
+	overlay   *overlay          // nil: nothing is configured, the list alone counts
 	access    map[string]Access // endpoints that the module was told of as other than Free; see Steering
 	messages  map[uint64]*held
 	ids       map[string]*held // by the clients' id, until the end
@@ -355,7 +358,18 @@
 	}
 }
 
+// learn takes what discovery says.
 func (r *Router) learn(d List) {
+	if r.overlay != nil {
+		if d = r.overlay.list(d); !d.Whole && !d.Saved && len(d.Endpoints) == 0 {
+			return
+		}
+	}
+	r.learnEndpoints(d)
+}
+
+// learnEndpoints takes what counts of it, or of the configuration.
+func (r *Router) learnEndpoints(d List) {
 	scope := mb.ListChanges
 	switch {
 	case d.Saved:
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -62,16 +62,23 @@
 // runGuarded does so with a guard; nil is none.
 func runGuarded(t *testing.T, journal *wal.Log, guard Guard) (r *Router, s script, end func()) {
 	t.Helper()
-	return runSteered(t, journal, guard, nil, Endpoint{Name: "a", Address: "a:1", Group: 7, Weight: 50})
+	return runConfig(t, journal, func(c *Config) { c.Guard = guard })
 }
 
 // runSteered does so with a steering, nil for none, and endpoints.
 func runSteered(t *testing.T, journal *wal.Log, guard Guard, steering Steering, endpoints ...Endpoint) (r *Router, s script, end func()) {
+	t.Helper()
+	return runConfig(t, journal, func(c *Config) {
+		c.Guard, c.Steering = guard, steering
+		c.Known.Endpoints = endpoints
+	})
+}
+
+// runConfig does so with what change makes of the configuration.
+func runConfig(t *testing.T, journal *wal.Log, change func(*Config)) (r *Router, s script, end func()) {
 	t.Helper()
 	s = script{make(chan Attempt, 8), make(chan Result, 8), make(chan Notice, 8)}
-	r, err := New(Config{
-		Steering: steering,
-		Guard:    guard,
+	config := Config{
 		Settings: mb.Settings{
 			Couriers: 1, Slots: 4, LongSlots: 1, MostHeld: 10, MaxAttempts: 6, MaxRetryAfter: time.Second,
 			Classes: []mb.Class{
@@ -80,10 +87,12 @@
 				{Name: "safe", Target: time.Second, GiveUp: time.Minute, Worth: 1, Effect: mb.Safe},
 			},
 		},
-		Known: List{Whole: true, Saved: true, Endpoints: endpoints},
+		Known: List{Whole: true, Saved: true, Endpoints: []Endpoint{{Name: "a", Address: "a:1", Group: 7, Weight: 50}}},
 		Log:   journal, Caller: s, Notifier: s, Logger: zerolog.Nop(),
 		Long: LongLimits{Most: 2, Slots: 1, Longest: time.Hour},
-	})
+	}
+	change(&config)
+	r, err := New(config)
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/settings/entries_test.go
@@ -0,0 +1,96 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mulleinbeam/internal/cluster/entry"
+)
+
+const entriesText = `
+[destination.7]
+[[destination.7.endpoint]]
+name     = "p0"
+address  = "10.0.0.1:80"
+zone     = "z0"
+capacity = 60
+
+[[destination.7.endpoint]]
+name     = "p1"
+address  = "10.0.0.2:80"
+zone     = "z1"
+kind     = "shared"
+capacity = 12.5
+draining = true
+
+[class.safe]
+rate = 100
+`
+
+// A file of entries is read, and what is written of them is read as the same.
+func TestEntries(t *testing.T) {
+	want := []entry.Entry{
+		{Destination: &entry.Destination{Number: 7, Endpoints: []entry.Endpoint{
+			{Name: "p0", Address: "10.0.0.1:80", Zone: "z0", Capacity: 60},
+			{Name: "p1", Address: "10.0.0.2:80", Zone: "z1", Kind: "shared", Capacity: 12.5, Draining: true},
+		}}},
+		{Class: &entry.Class{Name: "safe", Rate: 100}},
+	}
+	path := filepath.Join(t.TempDir(), "e.toml")
+	if err := os.WriteFile(path, []byte(entriesText), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	got, err := LoadEntries(path)
+	if diff := cmp.Diff(want, got); err != nil || diff != "" {
+		t.Fatalf("%v\n%s", err, diff)
+	}
+	text, err := FormatEntries(got)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := ParseEntries("again", text)
+	if diff := cmp.Diff(want, again); err != nil || diff != "" {
+		t.Errorf("%v\n%s\n%s", err, text, diff)
+	}
+}
+
+// An error names file, line and key of the entry at fault.
+func TestErrorsOfEntries(t *testing.T) {
+	swap := func(from, to string) string {
+		if !strings.Contains(entriesText, from) {
+			t.Fatal(from)
+		}
+		return strings.Replace(entriesText, from, to, 1)
+	}
+	var many strings.Builder
+	for i := range 300 {
+		fmt.Fprintf(&many, "[[destination.7.endpoint]]\nname=\"p%d\"\naddress=\"h:1\"\ncapacity=1\n", i)
+	}
+	for name, c := range map[string]struct{ text, want string }{
+		"no TOML":           {"[destination", "e.toml:1: expected"},
+		"empty":             {"", "e.toml: no [destination.NUMBER]"},
+		"unknown table":     {"[weather]\n", "e.toml:1: weather: no such key"},
+		"unknown key":       {swap(`kind     = "shared"`, `color    = "red"`), "e.toml:13: destination.7.endpoint.color: no such key"},
+		"no number":         {swap("[class.safe]", "[destination.x]\nendpoint = []\n[class.safe]"), `e.toml:17: destination.x: "x" is no number`},
+		"no endpoint":       {"[destination.8]\n", "e.toml:1: destination.8.endpoint: 0 of them"},
+		"too many":          {many.String(), "e.toml:1: destination.7.endpoint: 300 of them"},
+		"second's capacity": {swap("12.5", "-1"), "e.toml:14: destination.7.endpoint.capacity: -1; above 0"},
+		"second's name":     {swap(`"p1"`, `"p0"`), `e.toml:10: destination.7.endpoint.name: "p0" is named twice`},
+		"first's address":   {swap("10.0.0.1:80", "10.0.0.1"), `e.toml:5: destination.7.endpoint.address: "10.0.0.1" is no host:port`},
+		"missing capacity":  {swap("capacity = 12.5\n", ""), "e.toml:9: destination.7.endpoint.capacity: 0; above 0"},
+		"rate":              {swap("rate = 100", "rate = 1e99"), "e.toml:18: class.safe.rate: 1e+99; above 0"},
+		"wrong type":        {swap("rate = 100", `rate = "much"`), "e.toml:18: class.safe.rate: "},
+	} {
+		if _, err := ParseEntries("e.toml", []byte(c.text)); err == nil || !strings.HasPrefix(err.Error(), "settings: "+c.want) {
+			t.Errorf("%s: %v, want %s", name, err, c.want)
+		}
+	}
+	if _, err := LoadEntries(filepath.Join(t.TempDir(), "none")); err == nil {
+		t.Error("a file that is not there")
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -465,9 +465,18 @@
 	return lines[table]
 }
 
-// keyLines finds the line of each table and key. What can't be parsed ends it; the decoder tells of that.
+// numbered is the key of a table of an array, counted from 1.
+func numbered(table string, number int) string {
+	if number == 1 {
+		return table
+	}
+	return fmt.Sprintf("%s#%d", table, number)
+}
+
+// keyLines finds the line of each table and key. The second table of an array and those behind it are numbered: a.b#2. What can't be parsed
+// ends it; the decoder tells of that.
 func keyLines(raw []byte) map[string]int {
-	lines := map[string]int{}
+	lines, tables := map[string]int{}, map[string]int{}
 	var p unstable.Parser
 	p.Reset(raw)
 	table := ""
@@ -483,7 +492,12 @@
 		}
 		key := strings.Join(parts, ".")
 		switch e.Kind {
-		case unstable.Table, unstable.ArrayTable:
+		case unstable.ArrayTable:
+			if tables[key]++; tables[key] > 1 {
+				key = numbered(key, tables[key])
+			}
+			table = key
+		case unstable.Table:
 			table = key
 		case unstable.KeyValue:
 			if table != "" {
