Configuration: members and routers work by what changed; larklab capacity measures it

Change: entry.Active and the router's overlay are told and tell changes; contents are compared only. Property tests: in whatever steps entries are committed the same is refused and in force; the overlay in any order of lists and changes.

--- a/cmd/larkreach/config_on.go
+++ b/cmd/larkreach/config_on.go
@@ -132,7 +132,7 @@
 	if err != nil {
 		return err
 	}
-	contents := status.State.EntryContents()
+	contents := maps.Collect(status.State.EntryContents())
 	keys := c.Keys
 	if len(keys) == 0 {
 		keys = slices.Sorted(maps.Keys(contents))
--- a/internal/cluster/council/configuration.go
+++ b/internal/cluster/council/configuration.go
@@ -3,8 +3,7 @@
 import (
 	"errors"
 	"fmt"
-	"maps"
-	"slices"
+	"iter"
 )
 
 // Configuration entries: values under keys that operators commit and every forwarder puts into force. What is in an entry is package entry's; here
@@ -127,18 +126,17 @@
 	return nil
 }
 
-// EntryContents are the committed entries' contents by key.
-func (s *State) EntryContents() map[string][]byte {
-	out := make(map[string][]byte, len(s.Entries))
-	for key, e := range s.Entries {
-		out[key] = e.Content
+// EntryContents goes through the committed entries' contents by key, in no order.
+func (s *State) EntryContents() iter.Seq2[string, []byte] {
+	return func(yield func(string, []byte) bool) {
+		for key, e := range s.Entries {
+			if !yield(key, e.Content) {
+				return
+			}
+		}
 	}
-	return out
 }
 
-// EntryKeys are the keys of the committed entries, in order.
-func (s *State) EntryKeys() []string { return slices.Sorted(maps.Keys(s.Entries)) }
-
 // proposeConfiguration has a change of the configuration committed if every entry in it passes the check of this program.
 func (s *Server) proposeConfiguration(cmd Command, tell func(Response)) {
 	err := checkChangeSizes(cmd.Entries)
--- a/internal/cluster/council/configuration_test.go
+++ b/internal/cluster/council/configuration_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -52,7 +53,7 @@
 		before := s.Configured
 		decide(t, s, c.want, configure(s.Configured, c.changes...))
 		if s.Configured != before || string(s.Entries["a"].Content) != "1" || len(s.Entries) != 2 {
-			t.Errorf("%s: %v at revision %d", name, s.EntryKeys(), s.Configured)
+			t.Errorf("%s: %v at revision %d", name, s.Entries, s.Configured)
 		}
 	}
 	decide(t, s, nil, configure(first, EntryChange{Key: "a", Deleted: true}, set("b", "22")))
@@ -78,7 +79,7 @@
 		t.Fatal(err)
 	}
 	decide(t, s, nil, Command{Kind: Configure, Entries: []EntryChange{set("a", "1")}})
-	if got := s.EntryContents(); len(got) != 1 || string(got["a"]) != "1" {
+	if got := maps.Collect(s.EntryContents()); len(got) != 1 || string(got["a"]) != "1" {
 		t.Errorf("%v", got)
 	}
 }
@@ -120,7 +121,7 @@
 	if records != keys+1 { // and the revision
 		t.Errorf("%d records for %d keys", records, keys)
 	}
-	if got := view.State(); got.Configured != s.Configured || !cmp.Equal(got.EntryContents(), s.EntryContents()) {
+	if got := view.State(); got.Configured != s.Configured || !cmp.Equal(maps.Collect(got.EntryContents()), maps.Collect(s.EntryContents())) {
 		t.Errorf("revision %d of %d, %d entries", got.Configured, s.Configured, len(got.Entries))
 	}
 }
@@ -151,7 +152,7 @@
 		{one, map[string][]byte{"a": []byte("1")}}, {two, map[string][]byte{"a": []byte("1")}},
 		{three, map[string][]byte{"a": []byte("2"), "b": []byte("3")}}, {four, map[string][]byte{"b": []byte("3")}},
 	} {
-		if got := c.state.EntryContents(); !cmp.Equal(got, c.want) {
+		if got := maps.Collect(c.state.EntryContents()); !cmp.Equal(got, c.want) {
 			t.Errorf("state %d: %q, want %q", i, got, c.want)
 		}
 	}
--- a/internal/cluster/entry/entry_test.go
+++ b/internal/cluster/entry/entry_test.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"strings"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
+	gocmp "github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
 )
 
 func destination(number int64, endpoints ...Endpoint) Entry {
@@ -76,7 +78,7 @@
 	for _, e := range []Entry{destination(7, usable, second), {Class: &Class{Name: "safe", Rate: 12.5}}} {
 		content := encoded(t, e)
 		got, err := Decode(e.Key(), content)
-		if err != nil || !cmp.Equal(got, e) {
+		if err != nil || !gocmp.Equal(got, e) {
 			t.Errorf("%+v: %+v, %v", e, got, err)
 		}
 		for name, bad := range map[string][]byte{"cut": content[:len(content)-1], "empty": nil, "large": make([]byte, MaxBytes+1), "twice": append(content, content...), "text": []byte("p0")} {
@@ -120,9 +122,9 @@
 		for _, e := range step.committed {
 			committed[e.Key()] = encoded(t, e)
 		}
-		changed, refused := active.Update(committed, allowed)
-		if changed != step.changed || !cmp.Equal(refused, step.refused) || !cmp.Equal(active.Entries(), step.want) {
-			t.Errorf("step %d: changed %v, refused %v, in force %v", i, changed, refused, active.Entries())
+		changes, refused := active.Update(maps.All(committed), allowed)
+		if changes.Empty() == step.changed || !gocmp.Equal(refused, step.refused) || !gocmp.Equal(active.Entries(), step.want) {
+			t.Errorf("step %d: changes %v, refused %v, in force %v", i, changes, refused, active.Entries())
 		}
 	}
 	swapped := map[string][]byte{}
@@ -130,20 +132,89 @@
 	for _, e := range []Entry{destination(7, usable), destination(8, other)} {
 		swapped[e.Key()] = encoded(t, e)
 	}
-	active.Update(swapped, allowed)
+	active.Update(maps.All(swapped), allowed)
 	for _, e := range []Entry{destination(7, other), destination(8, usable)} {
 		swapped[e.Key()] = encoded(t, e)
 	}
-	if _, refused := active.Update(swapped, allowed); len(refused) > 0 {
+	if _, refused := active.Update(maps.All(swapped), allowed); len(refused) > 0 {
 		t.Errorf("names that change their destinations in one change are refused: %v", refused)
 	}
 	third := destination(9, usable)
 	swapped[third.Key()] = encoded(t, third)
-	if _, refused := active.Update(swapped, allowed); len(refused) != 1 || refused[0].Key != third.Key() {
+	if _, refused := active.Update(maps.All(swapped), allowed); len(refused) != 1 || refused[0].Key != third.Key() {
 		t.Errorf("an endpoint of two destinations: %v", refused)
 	}
-	_, refused := active.Update(map[string][]byte{"weather/today": []byte(`{"weather":{"sun":1}}`)}, allowed) // of a later version
+	delete(swapped, DestinationKey(8)) // it had the endpoint
+	changes, refused := active.Update(maps.All(swapped), allowed)
+	if want := []Entry{destination(7, other), third}; changes.Empty() || len(refused) > 0 || !gocmp.Equal(active.Entries(), want) {
+		t.Errorf("the endpoint is free: changes %v, refused %v, in force %v", changes, refused, active.Entries())
+	}
+	_, refused = active.Update(maps.All(map[string][]byte{"weather/today": []byte(`{"weather":{"sun":1}}`)}), allowed) // of a later version
 	if len(refused) != 1 || refused[0].Key != "weather/today" {
 		t.Errorf("an entry of a kind that is not known here: %v", refused)
 	}
 }
+
+// In whatever steps entries are committed: what is refused, and why, goes by what is committed alone, and what is not refused is in force.
+func TestUpdatesInStepsGiveTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"p0", "p1", "p2", "p3"}
+		draw := rapid.Custom(func(t *rapid.T) Entry {
+			if rapid.IntRange(0, 3).Draw(t, "class") == 0 {
+				return Entry{Class: &Class{Name: rapid.SampledFrom(names).Draw(t, "name"), Rate: float64(rapid.IntRange(1, 4).Draw(t, "rate"))}}
+			}
+			d := &Destination{Number: rapid.Int64Range(1, 4).Draw(t, "number")}
+			for _, name := range rapid.SliceOfNDistinct(rapid.SampledFrom(names), 1, 2, rapid.ID[string]).Draw(t, "names") {
+				d.Endpoints = append(d.Endpoints, Endpoint{Name: name, Address: "h:1", Capacity: float64(rapid.IntRange(1, 3).Draw(t, "capacity"))})
+			}
+			return Entry{Destination: d}
+		})
+		allowed := func(e Entry) error {
+			if e.Class != nil && e.Class.Rate > 3 {
+				return ErrInvalid
+			}
+			return nil
+		}
+		var active Active
+		committed, followed := map[string][]byte{}, map[string]Entry{}
+		for range rapid.IntRange(1, 8).Draw(t, "steps") {
+			for _, e := range rapid.SliceOfN(draw, 0, 3).Draw(t, "set") {
+				content, err := e.Encode()
+				if err != nil {
+					t.Fatal(err)
+				}
+				committed[e.Key()] = content
+			}
+			for _, number := range rapid.SliceOfN(rapid.Int64Range(1, 4), 0, 1).Draw(t, "deleted") {
+				delete(committed, DestinationKey(number))
+			}
+			changes, refused := active.Update(maps.All(committed), allowed)
+			for _, e := range changes.Removed {
+				delete(followed, e.Key())
+			}
+			for _, e := range changes.Set {
+				followed[e.Key()] = e
+			}
+			var atOnce Active
+			_, want := atOnce.Update(maps.All(committed), allowed)
+			if diff := gocmp.Diff(want, refused); diff != "" {
+				t.Fatalf("refused:\n%s", diff)
+			}
+			inForce := map[string]Entry{}
+			for _, e := range active.Entries() {
+				inForce[e.Key()] = e
+			}
+			if diff := gocmp.Diff(inForce, followed); diff != "" {
+				t.Fatalf("changes followed:\n%s", diff)
+			}
+			for _, e := range atOnce.Entries() {
+				if !gocmp.Equal(inForce[e.Key()], e) {
+					t.Fatalf("%s: %v in force, want %v", e.Key(), inForce[e.Key()], e)
+				}
+			}
+			if again, _ := active.Update(maps.All(committed), allowed); !again.Empty() {
+				t.Fatal("the same again changes something")
+			}
+		}
+	})
+}
--- a/internal/cluster/node/configuration.go
+++ b/internal/cluster/node/configuration.go
@@ -46,11 +46,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	_, state := n.latest()
-	changed, refused := c.active.Update(state.EntryContents(), n.allows)
-	if changed {
-		n.router.Configure(configuration(c.active.Entries()))
-		c.limits.set(rates(c.active.Entries()))
-	}
+	changes, refused := c.active.Update(state.EntryContents(), n.allows)
+	n.router.Configure(destinations(changes))
+	c.limits.change(changes)
 	report := council.ConfigReport{Revision: state.Configured}
 	for _, r := range refused {
 		report.Refused = append(report.Refused, council.RefusedEntry{Key: r.Key, Why: r.Why})
@@ -71,23 +69,17 @@
 	return nil
 }
 
-// configuration puts entries in the router's terms.
-func configuration(entries []entry.Entry) routing.Configuration {
-	out := routing.Configuration{Destinations: map[int64][]routing.Endpoint{}}
-	for _, e := range entries {
+// destinations are the changes of destinations in the router's terms.
+func destinations(changes entry.Changes) map[int64][]routing.Endpoint {
+	out := map[int64][]routing.Endpoint{}
+	for _, e := range changes.Removed {
 		if e.Destination != nil {
-			out.Destinations[e.Destination.Number] = endpoints(*e.Destination)
+			out[e.Destination.Number] = nil
 		}
 	}
-	return out
-}
-
-// rates are the limits of classes.
-func rates(entries []entry.Entry) map[string]float64 {
-	out := map[string]float64{}
-	for _, e := range entries {
-		if e.Class != nil {
-			out[e.Class.Name] = e.Class.Rate
+	for _, e := range changes.Set {
+		if e.Destination != nil {
+			out[e.Destination.Number] = endpoints(*e.Destination)
 		}
 	}
 	return out
--- a/internal/cluster/node/configuration_test.go
+++ b/internal/cluster/node/configuration_test.go
@@ -105,15 +105,18 @@
 	if !l.Allows("safe") {
 		t.Error("a class without a rate")
 	}
-	l.set(map[string]float64{"safe": 0.001})
+	safe := func(perSecond float64) []entry.Entry {
+		return []entry.Entry{{Class: &entry.Class{Name: "safe", Rate: perSecond}}}
+	}
+	l.change(entry.Changes{Set: safe(0.001)})
 	if !l.Allows("safe") || l.Allows("safe") {
 		t.Error("one message is what a low rate gives at once")
 	}
-	l.set(map[string]float64{"safe": 0.002})
+	l.change(entry.Changes{Set: safe(0.002)})
 	if l.Allows("safe") {
 		t.Error("another rate gives the used message back")
 	}
-	l.set(nil)
+	l.change(entry.Changes{Removed: safe(0.002)})
 	if !l.Allows("safe") || !l.Allows("safe") {
 		t.Error("a rate that is gone")
 	}
--- a/internal/cluster/node/limits.go
+++ b/internal/cluster/node/limits.go
@@ -4,6 +4,8 @@
 	"sync"
 
 	"golang.org/x/time/rate"
+
+	"mulleinbeam/internal/cluster/entry"
 )
 
 // limits are the configured rates of classes at this forwarder. A class without one is not limited. It stands before the router as its
@@ -13,22 +15,36 @@
 	byClass map[string]*rate.Limiter
 }
 
-// set replaces the rates, in messages a second. A class may take on at once what its rate gives in a second, and one message at the least.
-func (l *limits) set(rates map[string]float64) {
+// change takes changes of the configuration.
+func (l *limits) change(changes entry.Changes) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	next := make(map[string]*rate.Limiter, len(rates))
-	for class, r := range rates {
-		burst := max(1, int(r))
-		limiter := l.byClass[class]
-		if limiter == nil {
-			limiter = rate.NewLimiter(rate.Limit(r), burst)
+	for _, e := range changes.Removed {
+		if e.Class != nil {
+			delete(l.byClass, e.Class.Name)
+		}
+	}
+	for _, e := range changes.Set {
+		if e.Class != nil {
+			l.set(e.Class.Name, e.Class.Rate)
 		}
-		limiter.SetLimit(rate.Limit(r))
-		limiter.SetBurst(burst)
-		next[class] = limiter
 	}
-	l.byClass = next
+}
+
+// set has a class take on so many messages a second, and at once what that gives in a second, one at the least. What was used of an earlier rate
+// stays used. l.mu is held.
+func (l *limits) set(class string, perSecond float64) {
+	if l.byClass == nil {
+		l.byClass = map[string]*rate.Limiter{}
+	}
+	burst := max(1, int(perSecond))
+	limiter := l.byClass[class]
+	if limiter == nil {
+		limiter = rate.NewLimiter(rate.Limit(perSecond), burst)
+		l.byClass[class] = limiter
+	}
+	limiter.SetLimit(rate.Limit(perSecond))
+	limiter.SetBurst(burst)
 }
 
 // Allows counts a message of a class and says whether it may be taken on.
--- a/internal/lab/capacity/probe.go
+++ b/internal/lab/capacity/probe.go
@@ -23,6 +23,7 @@
 		{"state", []int{300, 600, 1500, 3000}, []int{300, 1000, 3000, 10_000, 19_000}, probeState},
 		{"changes", []int{300, 600, 1500, 3000}, []int{300, 1000, 3000, 10_000, 19_000}, probeChanges},
 		{"control plane", []int{100, 300, 600, 1000}, []int{100, 300, 1000, 3000, 10_000}, probeControlPlane},
+		{"configuration", []int{30, 100, 300, 1000}, []int{100, 1000, 10_000, 60_000}, probeConfiguration},
 		{"joins", []int{50, 100, 200, 500}, []int{100, 300, 1000, 3000, 6000}, probeJoins},
 		{"links", []int{10, 30, 60, 100}, []int{10, 30, 100, 300, 1000}, probeLinks},
 		{"relays", []int{10, 30, 60, 100}, []int{10, 30, 100, 300, 1000}, probeRelays},
--- a/internal/lab/capacity/roles.go
+++ b/internal/lab/capacity/roles.go
@@ -1,6 +1,9 @@
 package capacity
 
-import "fmt"
+import (
+	"fmt"
+	"math"
+)
 
 // Row is one need of one role at the planned size, against its budget.
 type Row struct {
@@ -134,7 +137,17 @@
 		BudgetOf: "control-bytes", Mechanism: "`council.Client`"}, "link.renewal.bytes")
 	const configuration = "distribution of configuration"
 	e.add(Row{Role: configuration, What: "entries of an ordinary day", Unit: "B/s", Budget: a.ControlBytes, BudgetOf: "control-bytes",
-		Value: exactly(a.ChangesPerDay * a.EntryBytes / (24 * 3600))})
+		Value: exactly(a.ChangesPerDay * a.EntryBytes / (24 * 3600)), Mechanism: "`council.State`, `changelog.Log`"})
+	e.add(Row{Role: configuration, What: "a changed entry put into force, on an ordinary day, every destination being an entry", Unit: "cores",
+		Value: e.at("config.learn", a.Destinations).Times(a.ChangesPerDay / (24 * 3600)), Budget: a.ControlCores, BudgetOf: "control-cores",
+		Mechanism: "`council.State.With`, `entry.Active`"}, "config.learn")
+	inBusiest := math.Min(a.BusiestSecondChanges, a.RenewalsPerSecond) // several between two renewals come together
+	e.add(Row{Role: configuration, What: "the same in the busiest second", Unit: "cores", Value: e.at("config.learn", a.Destinations).Times(inBusiest), Budget: 1,
+		BudgetOf: "one core", Mechanism: "`council.State.With`, `entry.Active`"}, "config.learn")
+	e.add(Row{Role: configuration, What: "memory at a member, every destination being an entry", Unit: "B", Value: e.at("config.memory", a.Destinations),
+		Budget: a.ControlMemory, BudgetOf: "control-memory", Mechanism: "`council.State`, `entry.Active`"}, "config.memory")
+	e.add(Row{Role: configuration, What: "changes of the busiest second, applied by each voter", Unit: "cores",
+		Value: e.at("config.apply", a.Destinations).Times(a.BusiestSecondChanges), Budget: 1, BudgetOf: "one goroutine", Mechanism: "`council.State.Apply`"}, "config.apply")
 }
 
 // exactly is an estimate that was not measured but follows from assumptions.
--- a/internal/routing/configuration.go
+++ b/internal/routing/configuration.go
@@ -1,7 +1,7 @@
 package routing
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 
 	mb "mulleinbeam"
@@ -9,11 +9,6 @@
 
 // Destinations whose endpoints a fleet has configured, beside those that discovery lists. Without a Configure nothing here is used.
 
-// Configuration is what a fleet has configured.
-type Configuration struct {
-	Destinations map[int64][]Endpoint // replace what discovery lists for these destinations
-}
-
 // Limiter bounds what is taken on of a class. Its methods are called by the router's goroutine and must not wait.
 type Limiter interface {
 	// Allows counts a message of a class that is handed in, and says whether it may be taken on.
@@ -26,13 +21,17 @@
 	return known
 }
 
-// Configure replaces the configuration: calls go by it from here on.
-func (r *Router) Configure(c Configuration) {
+// Configure has destinations go by these endpoints, whatever discovery lists for them; one with none goes by discovery again. Others stay as they
+// are. Calls go by it from here on.
+func (r *Router) Configure(destinations map[int64][]Endpoint) {
+	if len(destinations) == 0 {
+		return
+	}
 	r.post(func() {
 		if r.overlay == nil {
-			r.overlay = &overlay{listed: maps.Clone(r.endpoints)}
+			r.overlay = newOverlay(r.endpoints)
 		}
-		if changes := r.overlay.configure(c.Destinations); len(changes) > 0 {
+		if changes := r.overlay.configure(destinations); len(changes) > 0 {
 			r.learnEndpoints(List{Endpoints: changes})
 		}
 	})
@@ -41,23 +40,48 @@
 // overlay joins what discovery lists with what is configured. An endpoint that is configured is as that says. One that is listed counts unless its
 // destination is configured, or its name is a configured endpoint's. It is pure, and not safe for concurrent use.
 type overlay struct {
-	listed       map[string]Endpoint // by name, as in the other maps
-	configured   map[string]Endpoint
-	destinations map[int64]bool // that are configured
+	listed       map[string]Endpoint   // by name
+	listedIn     map[int64]int         // listed endpoints, by destination
+	configured   map[string][]Endpoint // by name, in the order of their destinations: the first counts
+	destinations map[int64][]Endpoint  // that are configured
+}
+
+func newOverlay(listed map[string]Endpoint) *overlay {
+	o := &overlay{
+		listed: map[string]Endpoint{}, listedIn: map[int64]int{}, configured: map[string][]Endpoint{}, destinations: map[int64][]Endpoint{},
+	}
+	for _, e := range listed {
+		o.note(e)
+	}
+	return o
 }
 
 // effective is the endpoint of a name that counts; false is none.
 func (o *overlay) effective(name string) (Endpoint, bool) {
-	if e, configured := o.configured[name]; configured {
-		return e, true
+	if list := o.configured[name]; len(list) > 0 {
+		return list[0], true
 	}
 	e, listed := o.listed[name]
-	if !listed || o.destinations[e.Group] {
+	if !listed || len(o.destinations[e.Group]) > 0 {
 		return Endpoint{}, false
 	}
 	return e, true
 }
 
+// note takes one endpoint of discovery's list.
+func (o *overlay) note(e Endpoint) {
+	if before, known := o.listed[e.Name]; known {
+		delete(o.listed, e.Name)
+		if o.listedIn[before.Group]--; o.listedIn[before.Group] == 0 {
+			delete(o.listedIn, before.Group)
+		}
+	}
+	if e.State != mb.Deleted {
+		o.listed[e.Name] = e
+		o.listedIn[e.Group]++
+	}
+}
+
 // change applies a change to the overlay and gives what has become of some names.
 func (o *overlay) change(names map[string]bool, apply func()) (changes []Endpoint) {
 	before := make(map[string]Endpoint, len(names))
@@ -81,30 +105,50 @@
 	return changes
 }
 
-// configure replaces the configured destinations, and gives the endpoints that have changed by that.
+// configure changes configured destinations, and gives the endpoints that have changed by that. All but listed endpoints of these destinations,
+// which are searched for, costs by what changes.
 func (o *overlay) configure(destinations map[int64][]Endpoint) (changes []Endpoint) {
-	configured, groups := map[string]Endpoint{}, map[int64]bool{}
-	for _, group := range slices.Sorted(maps.Keys(destinations)) {
-		groups[group] = true
-		for _, e := range destinations[group] {
-			if _, taken := configured[e.Name]; !taken { // a name is the first destination's
-				configured[e.Name] = e
+	names, search := map[string]bool{}, false
+	for group, endpoints := range destinations {
+		for _, list := range [][]Endpoint{endpoints, o.destinations[group]} {
+			for _, e := range list {
+				names[e.Name] = true
 			}
 		}
+		search = search || o.listedIn[group] > 0
 	}
-	names := map[string]bool{}
-	for name := range o.configured {
-		names[name] = true
-	}
-	for name := range configured {
-		names[name] = true
+	if search {
+		for name, e := range o.listed {
+			if _, concerned := destinations[e.Group]; concerned {
+				names[name] = true
+			}
+		}
 	}
-	for name, e := range o.listed {
-		if o.destinations[e.Group] || groups[e.Group] {
-			names[name] = true
+	return o.change(names, func() {
+		for group, endpoints := range destinations {
+			o.set(group, endpoints)
+		}
+	})
+}
+
+// set replaces a destination's configured endpoints; none is that it is not configured.
+func (o *overlay) set(group int64, endpoints []Endpoint) {
+	for _, e := range o.destinations[group] {
+		rest := slices.DeleteFunc(o.configured[e.Name], func(x Endpoint) bool { return x.Group == group })
+		if o.configured[e.Name] = rest; len(rest) == 0 {
+			delete(o.configured, e.Name)
 		}
 	}
-	return o.change(names, func() { o.configured, o.destinations = configured, groups })
+	delete(o.destinations, group)
+	if len(endpoints) == 0 {
+		return
+	}
+	o.destinations[group] = endpoints
+	for _, e := range endpoints {
+		list := append(o.configured[e.Name], e)
+		slices.SortFunc(list, func(a, b Endpoint) int { return cmp.Compare(a.Group, b.Group) })
+		o.configured[e.Name] = list
+	}
 }
 
 // list takes what discovery says, and gives what the router is to learn of it.
@@ -115,14 +159,11 @@
 	}
 	apply := func() {
 		if d.Whole || d.Saved {
-			o.listed = make(map[string]Endpoint, len(d.Endpoints))
+			clear(o.listed)
+			clear(o.listedIn)
 		}
 		for _, e := range d.Endpoints {
-			if e.State == mb.Deleted {
-				delete(o.listed, e.Name)
-			} else {
-				o.listed[e.Name] = e
-			}
+			o.note(e)
 		}
 	}
 	if !d.Whole && !d.Saved {
--- a/internal/routing/configuration_test.go
+++ b/internal/routing/configuration_test.go
@@ -23,7 +23,7 @@
 		}
 	})
 	rapid.Check(t, func(t *rapid.T) {
-		o := &overlay{listed: map[string]Endpoint{}}
+		o := newOverlay(nil)
 		listed, destinations, learned := map[string]Endpoint{}, map[int64][]Endpoint{}, map[string]Endpoint{}
 		learn := func(d List) {
 			if d.Whole {
@@ -50,12 +50,18 @@
 				}
 				learn(o.list(d))
 			} else {
-				destinations = map[int64][]Endpoint{}
-				for _, e := range rapid.SliceOfNDistinct(endpoint, 0, 3, func(e Endpoint) string { return e.Name }).Draw(t, "configured") {
-					e.State = mb.Serving
-					destinations[e.Group] = append(destinations[e.Group], e)
+				change := map[int64][]Endpoint{}
+				for _, group := range rapid.SliceOfNDistinct(rapid.Int64Range(1, 3), 1, 2, rapid.ID[int64]).Draw(t, "destinations") {
+					change[group] = nil
+					for _, e := range rapid.SliceOfNDistinct(endpoint, 0, 3, func(e Endpoint) string { return e.Name }).Draw(t, "configured") {
+						e.State, e.Group = mb.Serving, group
+						change[group] = append(change[group], e)
+					}
+					if destinations[group] = change[group]; len(change[group]) == 0 {
+						delete(destinations, group)
+					}
 				}
-				learn(List{Endpoints: o.configure(destinations)})
+				learn(List{Endpoints: o.configure(change)})
 			}
 			want := map[string]Endpoint{}
 			for name, e := range listed {
@@ -63,8 +69,8 @@
 					want[name] = e
 				}
 			}
-			for _, endpoints := range destinations {
-				for _, e := range endpoints {
+			for group := int64(3); group > 0; group-- { // a name of two is the first's
+				for _, e := range destinations[group] {
 					want[e.Name] = e
 				}
 			}
@@ -99,14 +105,14 @@
 		}{
 			{func() {}, "a at a:1"},
 			{func() {
-				r.Configure(Configuration{Destinations: map[int64][]Endpoint{7: {{Name: "b", Address: "b:1", Group: 7, Weight: 50}}}})
+				r.Configure(map[int64][]Endpoint{7: {{Name: "b", Address: "b:1", Group: 7, Weight: 50}}})
 			}, "b at b:1"},
 			{func() {
 				r.Learn(List{Whole: true, Endpoints: []Endpoint{{Name: "a", Address: "a:2", Group: 7, Weight: 50}}})
 			}, "b at b:1"},
-			{func() { r.Configure(Configuration{}) }, "a at a:2"},
+			{func() { r.Configure(map[int64][]Endpoint{7: nil}) }, "a at a:2"},
 			{func() {
-				r.Configure(Configuration{Destinations: map[int64][]Endpoint{7: {{Name: "a", Address: "a:3", Group: 7, Weight: 50}}}})
+				r.Configure(map[int64][]Endpoint{7: {{Name: "a", Address: "a:3", Group: 7, Weight: 50}}})
 			}, "a at a:3"},
 		} {
 			step.change()
