--- a/cmd/larklab/cluster.go
+++ b/cmd/larklab/cluster.go
@@ -159,20 +159,21 @@
 
 type scaleCmd struct {
 	fleetFlags
-	Sizes  []int         `default:"300,1000,3000" help:"Members."`
-	Rate   float64       `default:"5" help:"Changes a second."`
-	Joins  float64       `default:"0" help:"Members that join in a second; 0 is as fast as they can."`
-	Relays int           `default:"0" help:"Relays between members and voters."`
-	Narrow bool          `help:"Members watch themselves, the plan and the voters alone, as the program's own do not yet."`
-	Faults bool          `help:"Play faults of relays, voters and members behind the calm."`
-	Length time.Duration `default:"20s" help:"Of each size's calm; of each fault half."`
+	Sizes     []int         `default:"300,1000,3000" help:"Members."`
+	Rate      float64       `default:"5" help:"Changes a second."`
+	Joins     float64       `default:"0" help:"Members that join in a second; 0 is as fast as they can."`
+	Relays    int           `default:"0" help:"Relays between members and voters."`
+	Narrow    bool          `help:"Members watch themselves, the plan and the voters alone, as the program's own do not yet."`
+	Configure bool          `help:"The changes are of configuration entries, which members put into force and report."`
+	Faults    bool          `help:"Play faults of relays, voters and members behind the calm."`
+	Length    time.Duration `default:"20s" help:"Of each size's calm; of each fault half."`
 }
 
 // Run measures.
 func (c scaleCmd) Run() error {
 	return c.with(func(ctx context.Context, program []string) error {
 		return cluster.Scale{
-			Program: program, Relays: c.Relays, Narrow: c.Narrow, Faults: c.Faults, Sizes: c.Sizes, Joins: c.Joins,
+			Program: program, Relays: c.Relays, Narrow: c.Narrow, Configure: c.Configure, Faults: c.Faults, Sizes: c.Sizes, Joins: c.Joins,
 			Rate: c.Rate, Length: c.Length,
 			Out: os.Stdout,
 		}.Run(ctx)
--- a/internal/lab/cluster/hollow.go
+++ b/internal/lab/cluster/hollow.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mulleinbeam/internal/cluster/council"
+	"mulleinbeam/internal/cluster/entry"
 	"mulleinbeam/internal/cluster/links"
 	"mulleinbeam/internal/lab"
 )
@@ -22,11 +23,12 @@
 	timing council.Timing
 	began  time.Time
 
-	mu    sync.Mutex // client calls that end beside the renewals learn as well
-	view  *council.View
-	lease council.Lease
-	life  council.Life
-	until time.Duration // of the lease
+	mu     sync.Mutex // client calls that end beside the renewals learn as well
+	view   *council.View
+	lease  council.Lease
+	active entry.Active // the configuration, as the program's own put it into force
+	life   council.Life
+	until  time.Duration // of the lease
 	// lapses counts leases that had ended before the next came, and lives those that were begun.
 	lapses, lives int
 
@@ -68,8 +70,12 @@
 		return r, false, err
 	}
 	h.mu.Lock()
+	configured := h.view.State().Configured
 	news, more, _ := h.view.Learn(r.Changes) // an answer that is late changes nothing
 	version := h.view.State().Version
+	if h.view.State().Configured != configured {
+		h.active.Update(h.view.State().EntryContents(), func(entry.Entry) error { return nil })
+	}
 	h.mu.Unlock()
 	if news {
 		h.learned(version)
@@ -145,6 +151,7 @@
 func (h *hollow) renew(ctx context.Context) (more bool, err error) {
 	h.mu.Lock()
 	req := h.lease.Renewal(h.now(), h.life)
+	req.Report = &council.ConfigReport{Revision: h.view.State().Configured}
 	h.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, h.timing.Lease)
 	defer cancel()
--- a/internal/lab/cluster/hollowfleet.go
+++ b/internal/lab/cluster/hollowfleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -15,14 +14,15 @@
 
 // hollowFleet is hollow members in this process, and an operator who changes them.
 type hollowFleet struct {
-	members []*hollow
-	voters  []council.Founder
-	relays  []council.Relay
-	timing  council.Timing
-	narrow  bool // members watch themselves, the plan and the voters alone
-	running context.Context
-	cancel  context.CancelFunc
-	all     sync.WaitGroup
+	members   []*hollow
+	voters    []council.Founder
+	relays    []council.Relay
+	timing    council.Timing
+	configure bool // changes are of the configuration
+	narrow    bool // members watch themselves, the plan and the voters alone
+	running   context.Context
+	cancel    context.CancelFunc
+	all       sync.WaitGroup
 
 	mu     sync.Mutex
 	sent   map[uint64]time.Time // when the change of a version was sent
@@ -31,9 +31,9 @@
 }
 
 // newHollowFleet is so many members, which ask relays if there are any.
-func newHollowFleet(n int, voters []council.Founder, relays []council.Relay, narrow bool) *hollowFleet {
+func newHollowFleet(n int, voters []council.Founder, relays []council.Relay, narrow, configure bool) *hollowFleet {
 	f := &hollowFleet{
-		voters: voters, relays: relays, narrow: narrow, timing: council.Timing{Lease: time.Second}, sent: map[uint64]time.Time{}, cancel: func() {},
+		voters: voters, relays: relays, narrow: narrow, configure: configure, timing: council.Timing{Lease: time.Second}, sent: map[uint64]time.Time{}, cancel: func() {},
 		took: hdrhistogram.New(1, time.Hour.Milliseconds(), 3),
 	}
 	for i := range n {
@@ -155,14 +155,16 @@
 	f.all.Wait()
 }
 
-// change has one member drained, or taken back.
+// change has one member drained, or taken back, or a configuration entry set.
 func (f *hollowFleet) change(ctx context.Context, i int) error {
 	h := f.members[i%len(f.members)]
-	cmd := council.Command{Kind: council.Leave, Life: council.Life{Name: h.name}, On: i/len(f.members)%2 == 0}
 	sent := time.Now()
-	r, err := h.client.Do(ctx, council.Request{Command: &cmd})
-	if err == nil && r.Refused != "" {
-		err = errors.New(r.Refused)
+	var r council.Response
+	var err error
+	if f.configure {
+		r, err = f.configureOne(ctx, h, i)
+	} else {
+		r, err = h.decide(ctx, council.Command{Kind: council.Leave, Life: council.Life{Name: h.name}, On: i/len(f.members)%2 == 0})
 	}
 	if err != nil {
 		return err
--- a/internal/lab/cluster/scale.go
+++ b/internal/lab/cluster/scale.go
@@ -16,16 +16,17 @@
 // member, the leader and a relay spend while changes are decided, and how long it takes until a change is known to every member, also while
 // processes fail.
 type Scale struct {
-	Program []string // a voter's command
-	Env     []string
-	Relays  int
-	Narrow  bool // members watch themselves, the plan and the voters alone, which the program's own do not yet
-	Faults  bool // play the faults behind the calm phase
-	Sizes   []int
-	Joins   float64       // members that join in a second; 0 is as fast as they can
-	Rate    float64       // changes a second
-	Length  time.Duration // of the calm phase; of each other half
-	Out     io.Writer
+	Program   []string // a voter's command
+	Env       []string
+	Relays    int
+	Narrow    bool // members watch themselves, the plan and the voters alone, which the program's own do not yet
+	Configure bool // changes are of the configuration, not of members
+	Faults    bool // play the faults behind the calm phase
+	Sizes     []int
+	Joins     float64       // members that join in a second; 0 is as fast as they can
+	Rate      float64       // changes a second
+	Length    time.Duration // of the calm phase; of each other half
+	Out       io.Writer
 }
 
 const (
@@ -103,7 +104,7 @@
 	for i, r := range w.voters.relays {
 		relays = append(relays, council.Relay{Zone: zoneName(i), Address: r.address})
 	}
-	w.fleet = newHollowFleet(n, w.voters.voters(), relays, s.Narrow)
+	w.fleet = newHollowFleet(n, w.voters.voters(), relays, s.Narrow, s.Configure)
 	return nil
 }
 
@@ -152,6 +153,13 @@
 	if err := w.fleet.await(ctx); err != nil {
 		return err
 	}
+	if s.Configure {
+		reported, err := w.fleet.awaitRollout(ctx)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(s.Out, "  %-28s all members have reported the latest change %v behind it\n", p.name+":", reported.Round(time.Millisecond))
+	}
 	healing := time.Now()
 	if err := w.fleet.awaitLeases(ctx); err != nil {
 		return err
--- /dev/null
+++ b/internal/lab/cluster/scaleconfig.go
@@ -0,0 +1,74 @@
+package cluster
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"mulleinbeam/internal/cluster/council"
+	"mulleinbeam/internal/cluster/entry"
+	"mulleinbeam/internal/lab"
+)
+
+// Changes of the configuration at scale: through any member, until every member has reported it in force.
+
+// configKeys is how many destinations the changes go round.
+const configKeys = 50
+
+// decide asks for a command through a member; a refusal is an error.
+func (h *hollow) decide(ctx context.Context, cmd council.Command) (council.Response, error) {
+	r, err := h.client.Do(ctx, council.Request{Command: &cmd})
+	if err == nil && r.Refused != "" {
+		err = errors.New(r.Refused)
+	}
+	return r, err
+}
+
+// rollout asks through a member how far the configuration is in force.
+func (h *hollow) rollout(ctx context.Context) (council.Rollout, error) {
+	r, err := h.client.Do(ctx, council.Request{Rollout: true})
+	if err != nil {
+		return council.Rollout{}, err
+	}
+	if r.Rollout == nil {
+		return council.Rollout{}, errors.New("the leader tells no rollout")
+	}
+	return *r.Rollout, nil
+}
+
+// configureOne sets one destination through a member. One whose answer was lost may have been decided: it is set again, as of what is decided by then.
+func (f *hollowFleet) configureOne(ctx context.Context, h *hollow, i int) (council.Response, error) {
+	number := i%configKeys + 1
+	endpoint := entry.Endpoint{Name: fmt.Sprint("endpoint-", number), Address: "127.0.0.1:1", Zone: zoneName(number), Capacity: float64(i + 1)}
+	e := entry.Entry{Destination: &entry.Destination{Number: int64(number), Endpoints: []entry.Endpoint{endpoint}}}
+	content, err := e.Encode()
+	if err != nil {
+		return council.Response{}, err
+	}
+	for {
+		now, err := h.rollout(ctx)
+		if err != nil {
+			return council.Response{}, err
+		}
+		cmd := council.Command{Kind: council.Configure, From: now.Revision, Entries: []council.EntryChange{{Key: e.Key(), Content: content}}}
+		r, err := h.decide(ctx, cmd)
+		if err == nil || err.Error() != council.ErrLater.Error() {
+			return r, err
+		}
+	}
+}
+
+// awaitRollout waits until every member, the voters among them, has reported the latest revision in force, and says how long that took.
+func (f *hollowFleet) awaitRollout(ctx context.Context) (took time.Duration, err error) {
+	began := time.Now()
+	for {
+		r, err := f.members[0].rollout(ctx)
+		if err == nil && r.Summary.Current(r.Revision) >= r.Members {
+			return time.Since(began), nil
+		}
+		if !lab.Sleep(ctx, hollowRetry) {
+			return 0, fmt.Errorf("%d of %d members report revision %d: %w", r.Summary.Current(r.Revision), r.Members, r.Revision, errors.Join(err, ctx.Err()))
+		}
+	}
+}
