--- a/internal/settings/entries_test.go
+++ b/internal/settings/entries_test.go
@@ -49,6 +49,9 @@
 	if diff := cmp.Diff(want, got); err != nil || diff != "" {
 		t.Fatalf("%v\n%s", err, diff)
 	}
+	if example, err := LoadEntries("../../deploy/entries.toml"); err != nil || len(example) != 2 {
+		t.Errorf("the example: %v, %v", example, err)
+	}
 	text, err := FormatEntries(got)
 	if err != nil {
 		t.Fatal(err)
