Rollout: a reason that is cut stays valid text, or its member's renewals could not be read

Reports that come without a relay are bounded as well. TestRollout fails without it (cbor: invalid UTF-8 string).

--- a/internal/cluster/council/configuration_test.go
+++ b/internal/cluster/council/configuration_test.go
@@ -198,6 +198,13 @@
 	if len(wide.Revisions) != maxRevisions || wide.Members() != 100 || wide.Current(99) != 1 || !descending {
 		t.Errorf("%+v", wide.Revisions)
 	}
+	wideText := ConfigReport{Refused: []RefusedEntry{{"class/safe", strings.Repeat("ž", maxWhy) + "\xff"}}}.Bounded()
+	for _, why := range []string{wideText.Refused[0].Why, (ConfigReport{Refused: []RefusedEntry{{Why: "x" + strings.Repeat("ž", maxWhy)}}}).Bounded().Refused[0].Why} {
+		raw, err := Request{Report: &ConfigReport{Refused: []RefusedEntry{{Why: why}}}}.GobEncode()
+		if err := errors.Join(err, new(Request).GobDecode(raw)); err != nil || len(why) > maxWhy {
+			t.Errorf("a reason that was cut: %d bytes, %v", len(why), err)
+		}
+	}
 	long := ConfigReport{Refused: make([]RefusedEntry, 100)}
 	long.Refused[0] = RefusedEntry{strings.Repeat("k", 1000), strings.Repeat("w", 1000)}
 	if got := long.Bounded(); len(got.Refused) != maxReported || len(got.Refused[0].Key) != maxEntryKey || len(got.Refused[0].Why) != maxWhy {
--- a/internal/cluster/council/requests.go
+++ b/internal/cluster/council/requests.go
@@ -205,7 +205,7 @@
 		s.renew(leaseRequest{req.Batch, true, tell})
 	case req.Renew != nil:
 		if req.Report != nil {
-			s.rollouts.report(s.now(), req.Renew.String(), Summarize(map[Life]ConfigReport{*req.Renew: *req.Report}))
+			s.rollouts.report(s.now(), req.Renew.String(), Summarize(map[Life]ConfigReport{*req.Renew: req.Report.Bounded()}))
 		}
 		s.renew(leaseRequest{[]Life{*req.Renew}, false, tell})
 	case req.Command.Kind == Join:
--- a/internal/cluster/council/rollout.go
+++ b/internal/cluster/council/rollout.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -59,12 +60,17 @@
 func (r ConfigReport) Bounded() ConfigReport {
 	r.Refused = slices.Clone(r.Refused[:min(len(r.Refused), maxReported)])
 	for i, refused := range r.Refused {
-		r.Refused[i].Key = refused.Key[:min(len(refused.Key), maxEntryKey)]
-		r.Refused[i].Why = refused.Why[:min(len(refused.Why), maxWhy)]
+		r.Refused[i].Key = cut(refused.Key, maxEntryKey)
+		r.Refused[i].Why = cut(refused.Why, maxWhy)
 	}
 	return r
 }
 
+// cut is a text of so many bytes at the most. It stays valid UTF-8: no answer with another text in it can be decoded.
+func cut(text string, most int) string {
+	return strings.ToValidUTF8(text[:min(len(text), most)], "")
+}
+
 // Summarize adds reports up.
 func Summarize(reports map[Life]ConfigReport) (out ConfigSummary) {
 	counts := map[uint64]int{}
