--- a/cmd/larkreach/config_on.go
+++ b/cmd/larkreach/config_on.go
@@ -70,7 +70,7 @@
 	began := time.Now()
 	for {
 		r, err := ask(c.at, node.LookRollout)
-		if err == nil && r.Revision > behind && r.Summary.Refusing == 0 && r.Summary.Current(r.Revision) >= r.Members {
+		if err == nil && r.Revision > behind && r.Summary.Refusing == 0 && r.InForce() {
 			fmt.Fprintf(io.out, "revision %d is in force at all %d members after %v\n", r.Revision, r.Members, time.Since(began).Round(time.Millisecond))
 			return nil
 		}
--- a/cmd/larkreach/fleet_config_test.go
+++ b/cmd/larkreach/fleet_config_test.go
@@ -66,7 +66,7 @@
 	f.t.Helper()
 	for {
 		r, err := node.LookRollout(f.ctx, f.Members[i].Links)
-		if err == nil && r.Members == len(f.Members) && r.Summary.Current(r.Revision) == r.Members {
+		if err == nil && r.Members == len(f.Members) && r.InForce() {
 			return
 		}
 		if !lab.Sleep(f.ctx, lookEvery) {
--- a/internal/cluster/council/configuration_test.go
+++ b/internal/cluster/council/configuration_test.go
@@ -190,6 +190,19 @@
 	if sum = r.sum(rolloutKeep + time.Second); sum.Members() != 900 || sum.Current(8) != 900 {
 		t.Errorf("%+v", sum)
 	}
+	for name, c := range map[string]struct {
+		reports map[Life]ConfigReport
+		want    bool
+	}{
+		"all":                   {reports(0, 3, 8), true},
+		"one was not heard":     {reports(0, 2, 8), false},
+		"one is counted twice":  {reports(0, 4, 8), true},
+		"and another is behind": {map[Life]ConfigReport{{"a", 1}: {Revision: 8}, {"b", 1}: {Revision: 8}, {"b", 2}: {Revision: 8}, {"c", 1}: {Revision: 7}}, false},
+	} {
+		if got := (Rollout{Revision: 8, Members: 3, Summary: Summarize(c.reports)}).InForce(); got != c.want {
+			t.Errorf("%s: in force %v", name, got)
+		}
+	}
 	var wide ConfigSummary
 	for revision := range uint64(100) {
 		wide.add(Summarize(reports(int(revision), int(revision)+1, revision)))
--- a/internal/cluster/council/rollout.go
+++ b/internal/cluster/council/rollout.go
@@ -50,6 +50,13 @@
 	Summary  ConfigSummary `cbor:"3,keyasint" json:"summary"`  // of those that were heard
 }
 
+// InForce says that all members that live have looked at the revision that is committed. Nobody who was heard may be behind: a member that has just
+// changed its relay is counted twice for a moment, and must not stand for another.
+func (r Rollout) InForce() bool {
+	current := r.Summary.Current(r.Revision)
+	return current >= r.Members && current == r.Summary.Members()
+}
+
 const (
 	maxReported  = 16
 	maxRevisions = 16
--- a/internal/lab/cluster/scaleconfig.go
+++ b/internal/lab/cluster/scaleconfig.go
@@ -64,7 +64,7 @@
 	began := time.Now()
 	for {
 		r, err := f.members[0].rollout(ctx)
-		if err == nil && r.Summary.Current(r.Revision) >= r.Members {
+		if err == nil && r.InForce() {
 			return time.Since(began), nil
 		}
 		if !lab.Sleep(ctx, hollowRetry) {
