Tests: each site of the program has a loopback address of its own

Cause: the test's set-up frees a port of 127.0.0.1 before the program takes it, and between two lives; any other test's listener or connection may take it meanwhile. No check is changed.

--- a/cmd/larkreach/helper_test.go
+++ b/cmd/larkreach/helper_test.go
@@ -99,11 +99,24 @@
  "name":"safe","target":800000},{"credit":5,"effect":"unsafe","give-up":20000000,"group":"all","late-worth":0.4,
  "name":"unsafe","target":3000000}]`
 
+// siteCount counts the sites that this process has made.
+var siteCount atomic.Uint64
+
+// siteHost is a loopback address of one site's own: between its lives nobody else's connection or listener takes its port.
+func siteHost() string {
+	const hosts = 250 // of one network of 256
+	n, process := siteCount.Add(1), uint64(os.Getpid())
+	return fmt.Sprintf("127.%d.%d.%d", 128+process%64, (process/64+n/hosts)%256, 1+n%hosts)
+}
+
 // newSite lists endpoints by name and group; start starts the program.
 func newSite(t *testing.T, endpoints ...*endpoint) *site {
 	t.Helper()
 	s := &site{t: t, discovery: newDiscovery(t), dir: t.TempDir(), path: filepath.Join(t.TempDir(), "config.json")}
-	l := listenOn(t)
+	l, err := net.Listen("tcp", siteHost()+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
 	s.listen = l.Addr().String()
 	l.Close()
 	var services any
