Read again: one question for the rollout, one bound of an entry, one order of lives

No behaviour changes. council.Client.Rollout in place of the same lines in node and laboratory; an entry's bound is package entry's alone; takeovers and reports share the order of lives; a sum of reports sorts only the members that refuse, as relays make one up to 50 times a second; the check before a proposal is a function of its own without a loop that breaks on an earlier error.

--- a/internal/cluster/council/client.go
+++ b/internal/cluster/council/client.go
@@ -78,6 +78,21 @@
 	return Response{}, errors.Join(ErrNoLeader, ctx.Err())
 }
 
+// ErrNoRollout is given where who leads is of a version that knows no configuration.
+var ErrNoRollout = errors.New("council: the leader tells no rollout")
+
+// Rollout asks whoever leads how far the configuration is in force.
+func (c *Client) Rollout(ctx context.Context) (Rollout, error) {
+	r, err := c.Do(ctx, Request{Rollout: true})
+	if err != nil {
+		return Rollout{}, err
+	}
+	if r.Rollout == nil {
+		return Rollout{}, ErrNoRollout
+	}
+	return *r.Rollout, nil
+}
+
 // round asks a relay, or all voters. Again says that another relay is to be asked at once.
 func (c *Client) round(ctx context.Context, req Request) (r Response, done, again bool) {
 	step, relay, patience := c.next()
--- a/internal/cluster/council/configuration.go
+++ b/internal/cluster/council/configuration.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"iter"
+
+	configentry "mulleinbeam/internal/cluster/entry"
 )
 
 // Configuration entries: values under keys that operators commit and every forwarder puts into force. What is in an entry is package entry's; here
@@ -29,7 +31,7 @@
 
 // Bounds of the configuration.
 const (
-	maxEntryBytes   = 16 << 10
+	maxEntryBytes   = configentry.MaxBytes
 	maxEntryKey     = 256
 	maxEntryChanges = 1024      // in one command
 	maxChangeBytes  = 512 << 10 // of one command
@@ -139,20 +141,25 @@
 
 // proposeConfiguration has a change of the configuration committed if every entry in it passes the check of this program.
 func (s *Server) proposeConfiguration(cmd Command, tell func(Response)) {
-	err := checkChangeSizes(cmd.Entries)
-	for _, change := range cmd.Entries {
-		if err != nil {
-			break
-		}
-		if !change.Deleted && s.CheckEntry != nil {
-			if bad := s.CheckEntry(change.Key, change.Content); bad != nil {
-				err = fmt.Errorf("%s: %w", change.Key, bad)
-			}
-		}
-	}
-	if err != nil {
+	if err := s.checkEntries(cmd.Entries); err != nil {
 		tell(Response{Refused: err.Error(), Version: s.core.State().Version})
 		return
 	}
 	s.propose(cmd, tell)
 }
+
+// checkEntries says why changes may not be proposed.
+func (s *Server) checkEntries(changes []EntryChange) error {
+	if err := checkChangeSizes(changes); err != nil {
+		return err
+	}
+	for _, change := range changes {
+		if change.Deleted || s.CheckEntry == nil {
+			continue
+		}
+		if err := s.CheckEntry(change.Key, change.Content); err != nil {
+			return fmt.Errorf("%s: %w", change.Key, err)
+		}
+	}
+	return nil
+}
--- a/internal/cluster/council/items.go
+++ b/internal/cluster/council/items.go
@@ -280,7 +280,7 @@
 
 // compareJobs orders them by their age.
 func compareJobs(a, b *Job) int {
-	return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Life.Name, b.Life.Name), cmp.Compare(a.Life.Number, b.Life.Number))
+	return cmp.Or(cmp.Compare(a.At, b.At), compareLives(a.Life, b.Life))
 }
 
 // take puts one change into a watcher's state; true says that it was one of a takeover.
--- a/internal/cluster/council/rollout.go
+++ b/internal/cluster/council/rollout.go
@@ -81,15 +81,17 @@
 // Summarize adds reports up.
 func Summarize(reports map[Life]ConfigReport) (out ConfigSummary) {
 	counts := map[uint64]int{}
-	for _, r := range reports {
+	var refusing []Life
+	for life, r := range reports {
 		counts[r.Revision]++
 		if len(r.Refused) > 0 {
-			out.Refusing++
+			refusing = append(refusing, life)
 		}
 	}
 	out.setRevisions(counts)
-	lives := slices.SortedFunc(maps.Keys(reports), compareLives)
-	for _, life := range lives {
+	out.Refusing = len(refusing)
+	slices.SortFunc(refusing, compareLives)
+	for _, life := range refusing {
 		for _, refused := range reports[life].Refused {
 			if len(out.Refusals) == maxReported {
 				return out
--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -78,11 +78,10 @@
 
 // Errors of a start.
 var (
-	errFounders  = errors.New("node: no founders of the council are named")
-	errNoCopy    = errors.New("node: nobody has a copy that counts")
-	errNoPlaces  = errors.New("node: [place] is not set")
-	errApart     = errors.New("node: this life may not act")
-	errNoRollout = errors.New("node: who leads the control plane is of a version that knows no configuration")
+	errFounders = errors.New("node: no founders of the council are named")
+	errNoCopy   = errors.New("node: nobody has a copy that counts")
+	errNoPlaces = errors.New("node: [place] is not set")
+	errApart    = errors.New("node: this life may not act")
 )
 
 // life is what the folder says of the latest life that had it.
--- a/internal/cluster/node/status.go
+++ b/internal/cluster/node/status.go
@@ -140,15 +140,9 @@
 func (s statusRPC) Rollout(_ bool, out *council.Rollout) error {
 	ctx, cancel := context.WithTimeout(context.Background(), askFor)
 	defer cancel()
-	r, err := s.n.client.Do(ctx, council.Request{Rollout: true})
-	if err != nil {
-		return err
-	}
-	if r.Rollout == nil {
-		return errNoRollout
-	}
-	*out = *r.Rollout
-	return nil
+	r, err := s.n.client.Rollout(ctx)
+	*out = r
+	return err
 }
 
 // LookRollout asks the member at an address how far the configuration is in force in the fleet.
--- a/internal/lab/cluster/scaleconfig.go
+++ b/internal/lab/cluster/scaleconfig.go
@@ -25,18 +25,6 @@
 	return r, err
 }
 
-// rollout asks through a member how far the configuration is in force.
-func (h *hollow) rollout(ctx context.Context) (council.Rollout, error) {
-	r, err := h.client.Do(ctx, council.Request{Rollout: true})
-	if err != nil {
-		return council.Rollout{}, err
-	}
-	if r.Rollout == nil {
-		return council.Rollout{}, errors.New("the leader tells no rollout")
-	}
-	return *r.Rollout, nil
-}
-
 // configureOne sets one destination through a member. One whose answer was lost may have been decided: it is set again, as of what is decided by then.
 func (f *hollowFleet) configureOne(ctx context.Context, h *hollow, i int) (council.Response, error) {
 	number := i%configKeys + 1
@@ -47,7 +35,7 @@
 		return council.Response{}, err
 	}
 	for {
-		now, err := h.rollout(ctx)
+		now, err := h.client.Rollout(ctx)
 		if err != nil {
 			return council.Response{}, err
 		}
@@ -63,7 +51,7 @@
 func (f *hollowFleet) awaitRollout(ctx context.Context) (took time.Duration, err error) {
 	began := time.Now()
 	for {
-		r, err := f.members[0].rollout(ctx)
+		r, err := f.members[0].client.Rollout(ctx)
 		if err == nil && r.InForce() {
 			return time.Since(began), nil
 		}
