--- a/cmd/larkreach/helper_test.go
+++ b/cmd/larkreach/helper_test.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"mulleinbeam/internal/lab"
+	"mulleinbeam/internal/lab/sysfault"
 )
 
 // The one helper of the network tests: it starts the real program as a process and plays its clients, endpoints and
@@ -29,6 +30,10 @@
 
 // TestMain lets the test binary stand for the program, so that the race detector watches it as well.
 func TestMain(m *testing.M) {
+	if sysfault.Marked() {
+		fmt.Fprintln(os.Stderr, sysfault.Launch())
+		os.Exit(1)
+	}
 	if os.Getenv(childMark) != "" {
 		main()
 		os.Exit(0)
--- /dev/null
+++ b/cmd/larkreach/sysfault_test.go
@@ -0,0 +1,314 @@
+//go:build linux
+
+package main
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"mulleinbeam/internal/lab"
+	"mulleinbeam/internal/lab/sysfault"
+)
+
+// Plays on the real program while its system calls fail: what was taken on ends exactly once and in its time, whatever fails for a
+// moment, also where the program is killed meanwhile. By hand: -sysfault.seeds N plays N seeds of each.
+
+var sysfaultSeeds = flag.Int("sysfault.seeds", 1, "seeds of each play of system calls that fail")
+
+// faultKind is a play: what fails in its windows.
+type faultKind struct {
+	name  string
+	kill  bool // SIGKILL between, and a start while calls fail
+	rules func(chance float64) []sysfault.Rule
+}
+
+var (
+	diskErrors    = []unix.Errno{unix.ENOSPC, unix.EIO, unix.EDQUOT}
+	networkErrors = []unix.Errno{unix.ENOBUFS, unix.ENOMEM, unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.EHOSTUNREACH, unix.ETIMEDOUT}
+	tableErrors   = []unix.Errno{unix.EMFILE, unix.ENFILE}
+	streamErrors  = []unix.Errno{unix.ETIMEDOUT, unix.EHOSTUNREACH, unix.ECONNRESET, unix.ENOBUFS}
+)
+
+func diskRules(chance float64) []sysfault.Rule {
+	calls := []sysfault.Call{sysfault.Write, sysfault.Open, sysfault.Truncate, sysfault.Rename, sysfault.Unlink}
+	places := []sysfault.Place{sysfault.StateFile}
+	return []sysfault.Rule{
+		{Calls: calls, Places: places, Errors: diskErrors, Chance: chance / 2},
+		{Calls: calls, Places: places, Errors: diskErrors, Chance: chance / 2, Part: true},
+	}
+}
+
+func acceptRules(chance float64) []sysfault.Rule {
+	listener := []sysfault.Place{sysfault.Listener}
+	return []sysfault.Rule{
+		{Calls: []sysfault.Call{sysfault.Accept}, Places: listener, Errors: tableErrors, Chance: chance / 2},
+		{Calls: []sysfault.Call{sysfault.Accept}, Places: listener, Errors: []unix.Errno{unix.ECONNABORTED, unix.ENOBUFS, unix.ENOMEM, unix.EPERM}, Chance: chance},
+		{Calls: []sysfault.Call{sysfault.Connect, sysfault.Socket}, Places: []sysfault.Place{sysfault.Outgoing}, Errors: networkErrors, Chance: chance},
+	}
+}
+
+func clientRules(chance float64) []sysfault.Rule {
+	client := []sysfault.Place{sysfault.Client}
+	return []sysfault.Rule{
+		{Calls: []sysfault.Call{sysfault.Read, sysfault.Write, sysfault.Shutdown, sysfault.SetOption}, Places: client, Errors: streamErrors, Chance: chance / 4},
+		{Calls: []sysfault.Call{sysfault.Write}, Places: client, Chance: chance / 2, Part: true},
+		{Calls: []sysfault.Call{sysfault.Write}, Places: client, Errors: streamErrors, Chance: chance / 4, Part: true},
+	}
+}
+
+func endpointRules(chance float64) []sysfault.Rule {
+	outgoing := []sysfault.Place{sysfault.Outgoing}
+	return []sysfault.Rule{
+		{Calls: []sysfault.Call{sysfault.Read, sysfault.Write, sysfault.WriteV, sysfault.SetOption, sysfault.EpollAdd}, Places: outgoing, Errors: streamErrors, Chance: chance / 4},
+	}
+}
+
+func allRules(chance float64) []sysfault.Rule {
+	return slices.Concat(diskRules(chance/2), acceptRules(chance/2), clientRules(chance/2), endpointRules(chance/2))
+}
+
+// play is one run of a kind with a seed.
+type play struct {
+	t       *testing.T
+	kind    faultKind
+	rng     *rand.Rand
+	f       *lab.Forwarder
+	faults  *sysfault.Supervisor
+	agent   *lab.Agent
+	servers []*lab.Endpoint
+	record  *record
+	number  atomic.Int64
+	stop    atomic.Bool
+}
+
+const (
+	playClients   = 12
+	playEndpoints = 4
+	playWindows   = 5
+	endsWithin    = 20 * time.Second // behind the last fault: longer than any message may live
+)
+
+func newPlay(t *testing.T, kind faultKind, seed uint64) *play {
+	p := &play{t: t, kind: kind, rng: rand.New(rand.NewPCG(seed, 7)), record: newRecord(), agent: &lab.Agent{}}
+	p.agent.Told = p.record.told
+	for i := range playEndpoints {
+		server := &lab.Endpoint{Name: fmt.Sprint("s", i), Group: i}
+		chance := rand.New(rand.NewPCG(seed, uint64(100+i)))
+		var guard sync.Mutex
+		server.Handle = func(c *lab.Call) bool {
+			guard.Lock()
+			roll := chance.Float64()
+			guard.Unlock()
+			return p.serve(c, roll)
+		}
+		must(t, server.Listen())
+		p.servers = append(p.servers, server)
+	}
+	must(t, p.agent.Listen(p.servers...))
+	p.f = &lab.Forwarder{Command: []string{os.Args[0]}, Env: []string{childMark + "=1"}, Host: siteHost(), Slots: 16, Amend: shortLives}
+	dir, err := filepath.EvalSymlinks(t.TempDir())
+	must(t, err)
+	must(t, p.f.Prepare(dir, p.agent))
+	p.faults = sysfault.NewSupervisor(seed, filepath.Join(dir, "state"), p.f.Address())
+	p.f.Attach = p.faults.Attach
+	must(t, p.f.Start())
+	return p
+}
+
+// shortLives gives messages some seconds, so that a play does not last long.
+func shortLives(configuration map[string]any) {
+	settings := configuration["settings"].(map[string]any)
+	for _, class := range settings["services"].([]any) {
+		c := class.(map[string]any)
+		c["give-up"], c["key-ttl"], c["target"] = 4e6, 3e6, 1e6
+	}
+	settings["limits"].(map[string]any)["most-held"] = 400
+}
+
+// serve answers a call of the program: mostly as delivered, some as failed, turned away, or not at all.
+func (p *play) serve(c *lab.Call, roll float64) bool {
+	if c.ReadAll(0) != nil {
+		return false
+	}
+	ran := true
+	var err error
+	switch {
+	case roll < 0.04:
+		ran = false
+		p.record.called(c.ID, ran, false)
+		err = c.Answer(503, "")
+	case roll < 0.06:
+		p.record.called(c.ID, ran, false)
+		err = c.Answer(500, "")
+	case roll < 0.07: // no answer, and the connection ends
+		p.record.called(c.ID, ran, false)
+		return false
+	default:
+		p.record.called(c.ID, ran, true)
+		err = c.Answer(200, "")
+	}
+	return err == nil
+}
+
+// client hands messages in, one behind the other, on a kept connection or on a new one for each.
+func (p *play) client(number int) {
+	keep := number%2 == 0
+	var conn *lab.Client
+	used := false // the connection has carried a request
+	classes := []string{"safe", "keyed", "unsafe"}
+	for !p.stop.Load() {
+		if conn == nil {
+			var err error
+			if conn, err = lab.Dial(p.f.Address()); err != nil {
+				conn = nil
+				time.Sleep(5 * time.Millisecond) // as a client that was refused
+				continue
+			}
+		}
+		n := p.number.Add(1)
+		h := lab.Handover{
+			ID: fmt.Sprintf("m%06d", n), Key: fmt.Sprint("k", n), Class: classes[n%3], Destination: int(n % playEndpoints),
+			Left: 1500*time.Millisecond + time.Duration(n%5)*500*time.Millisecond, Body: lab.Content{Seed: uint64(n), Size: 200},
+		}
+		p.record.handing(h)
+		a := conn.Hand(h, nil)
+		if crossed := used && a.Silent; crossed { // the program may have ended a resting connection: once more, on a new one
+			conn.Close()
+			if again, err := lab.Dial(p.f.Address()); err == nil {
+				conn = again
+				a = conn.Hand(h, nil)
+			}
+		}
+		p.record.answered(h.ID, a)
+		if used = true; !keep || a.Err != nil || a.Close || a.Status == 0 {
+			conn.Close()
+			conn, used = nil, false
+		}
+		time.Sleep(4 * time.Millisecond) // the pace of one client
+	}
+	if conn != nil {
+		conn.Close()
+	}
+}
+
+// run plays windows of faults under load, waits until everything has ended, and gives what broke a rule.
+func (p *play) run() []string {
+	var clients sync.WaitGroup
+	for i := range playClients {
+		clients.Go(func() { p.client(i) })
+	}
+	for range playWindows {
+		time.Sleep(time.Duration(200+p.rng.IntN(300)) * time.Millisecond) // calm between two faults
+		p.faults.Set(p.kind.rules(0.05 + 0.85*p.rng.Float64())...)
+		time.Sleep(time.Duration(300+p.rng.IntN(500)) * time.Millisecond) // how long calls fail
+		if p.kind.kill {
+			must(p.t, ignoreKilled(p.f.End(syscall.SIGKILL)))
+			p.record.killed()
+			restarted := make(chan error, 1)
+			go func() { restarted <- p.f.Start() }()
+			time.Sleep(time.Duration(100+p.rng.IntN(300)) * time.Millisecond) // the start falls into the fault
+			p.faults.Set()
+			must(p.t, <-restarted)
+		}
+		p.faults.Set()
+	}
+	p.stop.Store(true)
+	clients.Wait()
+	p.awaitEnds()
+	counts := p.faults.Counts()
+	must(p.t, p.f.End(syscall.SIGTERM))
+	p.t.Logf("%d messages taken on, calls that failed: %v", p.record.taken(), counts)
+	if len(counts) == 0 {
+		p.t.Error("no call has failed")
+	}
+	return p.record.broken()
+}
+
+func ignoreKilled(err error) error {
+	if err != nil && err.Error() == "signal: killed" {
+		return nil
+	}
+	return errors.Join(errors.New("the program had ended before it was killed"), err)
+}
+
+// awaitEnds waits until all that was taken on has ended, or until everything's time is long up.
+func (p *play) awaitEnds() {
+	for until := time.Now().Add(endsWithin); time.Now().Before(until); {
+		if len(p.record.open()) == 0 {
+			return
+		}
+		time.Sleep(20 * time.Millisecond) // polls the records
+	}
+}
+
+func (p *play) close() {
+	p.f.Kill()
+	for _, s := range p.servers {
+		s.Close()
+	}
+	p.agent.Close()
+}
+
+func playFaults(t *testing.T, kind faultKind) {
+	t.Parallel()
+	for seed := range uint64(*sysfaultSeeds) {
+		p := newPlay(t, kind, seed+1)
+		broken := p.run()
+		for i, line := range broken {
+			if i == 10 {
+				t.Errorf("seed %d: and %d more", seed+1, len(broken)-i)
+				break
+			}
+			t.Errorf("seed %d: %s", seed+1, line)
+		}
+		if t.Failed() {
+			t.Log(p.f.Log())
+		}
+		p.close()
+		if t.Failed() {
+			return
+		}
+	}
+}
+
+// Guards against messages that are taken on and never decided on while the disk fails for a moment (incident 10321).
+func TestDiskFaultsLoseNothing(t *testing.T) {
+	playFaults(t, faultKind{name: "disk", rules: diskRules})
+}
+
+// Guards against ends that are told and forgotten, and records out of order, when a kill comes while the disk fails (incident 10321).
+func TestDiskFaultsAndKillsLoseNothing(t *testing.T) {
+	playFaults(t, faultKind{name: "disk and kill", kill: true, rules: diskRules})
+}
+
+// Guards against answers that are cut short or missing when reads, writes and shutdowns of clients' connections fail for a moment.
+func TestClientFaultsLoseNothing(t *testing.T) {
+	playFaults(t, faultKind{name: "client", rules: clientRules})
+}
+
+// Guards against messages lost, or connections in use that are closed, while accept, socket and connect fail.
+func TestAcceptFaultsLoseNothing(t *testing.T) {
+	playFaults(t, faultKind{name: "accept", rules: acceptRules})
+}
+
+// Guards against a second effect of an unsafe message, and slots that are lost, while calls to endpoints and discovery fail.
+func TestEndpointFaultsLoseNothing(t *testing.T) {
+	playFaults(t, faultKind{name: "endpoint", rules: endpointRules})
+}
+
+// Guards against faults that meet: disk, clients, endpoints and accept at once, with kills between.
+func TestAllFaultsAndKillsLoseNothing(t *testing.T) {
+	playFaults(t, faultKind{name: "all", kill: true, rules: allRules})
+}
--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -37,6 +37,7 @@
 	Close     bool  // the connection ends
 	Sent      int64 // bytes of the message's body that were written
 	Continued bool  // 100 came first
+	Silent    bool  // the connection ended before the first byte of an answer
 	Err       error
 }
 
@@ -106,9 +107,10 @@
 		c.Close()
 		return a
 	}
+	_, silence := c.r.Peek(1)
 	res, err := http.ReadResponse(c.r, nil)
 	if err != nil {
-		a.Err = err
+		a.Err, a.Silent = err, silence != nil
 		close(answered)
 		c.Close()
 		a.Sent = <-sent
--- a/internal/lab/forwarder.go
+++ b/internal/lab/forwarder.go
@@ -37,6 +37,8 @@
 	Host     string                             // a loopback address, where it takes messages; "" is 127.0.0.1
 	Amend    func(configuration map[string]any) // the platform's configuration, before each start; nil leaves it
 	DiskMB   float64                            // 0 is 3
+	// Attach is called with each life's command before it starts, and gives what is called behind that; nil is nothing.
+	Attach func(*exec.Cmd) (started func() error, err error)
 
 	dir, listen string
 	agent       *Agent
@@ -134,9 +136,18 @@
 	if err != nil {
 		return err
 	}
+	started := func() error { return nil }
+	if f.Attach != nil {
+		if started, err = f.Attach(f.cmd); err != nil {
+			return err
+		}
+	}
 	if err := f.cmd.Start(); err != nil {
 		return err
 	}
+	if err := started(); err != nil {
+		return err
+	}
 	f.mu.Lock()
 	f.log, f.read, f.grown, f.ended = nil, 0, make(chan struct{}), false
 	f.mu.Unlock()
