Router: a message whose accept failed gives its number and its slot back

Callers saw: messages answered 202 while writes failed for a moment that never ended (held, attempts 0, past their deadline). Cause: the module decided on a message before its accept was journalled. Where that failed, its number was given to the next message, which the module passed over as known; and the send that was decided on was never answered for, so its slot stayed taken. Why it works: the module never meets a number twice, and frees a slot with every answer.

--- /dev/null
+++ b/internal/routing/accept.go
@@ -0,0 +1,158 @@
+package routing
+
+import (
+	"time"
+
+	mb "mulleinbeam"
+	"mulleinbeam/internal/routing/wal"
+)
+
+// How a message is taken on: refused without a trace, or decided on, journalled and held. The router's goroutine only.
+
+// take decides on a message that is handed in.
+func (r *Router) take(m Message) Verdict {
+	r.counters.HandedIn++
+	r.forget()
+	if v, known := r.knownAlready(m); known {
+		return v
+	}
+	if v, refused := r.refuseUnheard(m); refused {
+		return v
+	}
+	apart := r.cfg.Guard != nil && !r.cfg.Guard.MayAct()
+	if r.cfg.Guard != nil && (apart && m.Long != nil || !r.cfg.Guard.Ready(m.Class)) { // it could not be copied, or not be sent
+		r.counters.NoCopy++
+		return Verdict{Kind: Refused, RetryAfter: pushBack}
+	}
+	longest := r.classes[m.Class]
+	if m.Long != nil {
+		longest = r.cfg.Long.Longest
+	}
+	m.Left = min(m.Left, longest)
+	h := &held{Message: m, seq: r.cfg.Log.Next(), deadline: time.Now().Add(m.Left), apart: apart}
+	entry := &wal.Message{
+		Seq: h.seq, Deadline: h.deadline, Destination: m.Destination, ID: m.ID, Key: m.Key, Class: m.Class, Body: m.Body,
+		Long: m.Long != nil,
+	}
+	if !r.cfg.Log.Fits(entry) {
+		r.counters.NoRoom++
+		return Verdict{Kind: Refused, RetryAfter: pushBack}
+	}
+	actions := r.decider.Handle(r.now(), []mb.Event{r.submission(h, m.Left)})
+	if v, others, answered := r.answeredAtOnce(h, actions); answered { // nothing was taken on
+		r.perform(others)
+		return v
+	}
+	if err := r.cfg.Log.Accept(entry); err != nil {
+		r.counters.NoRoom++
+		r.journal(err)
+		r.revoke(h, actions)
+		return Verdict{Kind: Refused, RetryAfter: pushBack}
+	}
+	r.journal(nil)
+	r.hold(h, entry)
+	r.perform(actions)
+	return Verdict{Kind: Taken, record: h.record, mark: h.mark, seq: h.seq}
+}
+
+// knownAlready gives the verdict on a message whose id is held, or has ended of late.
+func (r *Router) knownAlready(m Message) (v Verdict, known bool) {
+	h := r.ids[m.ID]
+	delivered, past := r.past.delivered[m.ID]
+	if !past && r.cfg.Past != nil {
+		delivered, past = r.cfg.Past(m.ID)
+	}
+	switch {
+	case h == nil && !past:
+		return Verdict{}, false
+	case m.Long != nil: // its answer is owed to whoever handed it in first
+		v = Verdict{Kind: Ended}
+	case h != nil: // handed in twice
+		h.repeated = true
+		v = Verdict{Kind: Known, record: h.record, mark: h.mark, seq: h.seq}
+	case delivered:
+		v = Verdict{Kind: Known}
+	default:
+		v = Verdict{Kind: Ended}
+	}
+	r.counters.Repeated++
+	return v, true
+}
+
+// refuseUnheard gives the verdict on a message that is not even decided on: it names what there is not, or there is no room for it.
+func (r *Router) refuseUnheard(m Message) (v Verdict, refused bool) {
+	_, classed := r.classes[m.Class]
+	switch {
+	case !classed:
+		r.counters.Unreadable++
+		return Verdict{Kind: UnknownClass}, true
+	case len(r.groups) > 0 && !r.groups[m.Destination]:
+		r.counters.Unreadable++
+		return Verdict{Kind: UnknownDestination}, true
+	case r.cfg.Limiter != nil && !r.cfg.Limiter.Allows(m.Class):
+		r.counters.OverRate++
+	case m.Long != nil && !r.admitLong():
+		r.counters.LongRefused++
+	case m.Long == nil && len(r.ids)-r.longs >= r.cfg.Settings.MostHeld:
+		r.counters.TurnedAway++
+	case r.cfg.Steering != nil && !r.cfg.Steering.Handed(m.Destination, m.Class):
+		r.counters.NoPlace++
+	default:
+		return Verdict{}, false
+	}
+	return Verdict{Kind: Refused, RetryAfter: pushBack}, true
+}
+
+// answeredAtOnce looks for the module's answer to a message among its actions, and gives it with the other actions.
+func (r *Router) answeredAtOnce(h *held, actions []mb.Action) (v Verdict, others []mb.Action, answered bool) {
+	for i, a := range actions {
+		switch a := a.(type) {
+		case mb.Refuse:
+			if uint64(a.ID) != h.seq {
+				continue
+			}
+			r.counters.RefusedAtOnce++
+			v = Verdict{Kind: Refused, RetryAfter: a.RetryAfter}
+		case mb.Fail:
+			if uint64(a.ID) != h.seq {
+				continue
+			}
+			r.counters.FailedAtOnce++
+			v = Verdict{Kind: Failed}
+		default:
+			continue
+		}
+		return v, append(actions[:i:i], actions[i+1:]...), true
+	}
+	return Verdict{}, actions, false
+}
+
+// revoke takes a message back from the module that was decided on and could not be journalled: no call of it may leave, and the one
+// that was decided on gives its slot back.
+func (r *Router) revoke(h *held, actions []mb.Action) {
+	var others []mb.Action
+	events := []mb.Event{mb.Gone{ID: mb.MessageID(h.seq)}}
+	for _, a := range actions {
+		send, sends := a.(mb.Send)
+		if !sends || uint64(send.ID) != h.seq {
+			others = append(others, a)
+			continue
+		}
+		events = append(events, mb.Answer{ID: send.ID, Attempt: h.attempts, Endpoint: send.Endpoint, Outcome: mb.Moot, Settled: true})
+	}
+	r.perform(others)
+	r.decide(events...)
+}
+
+// hold books a message that is journalled.
+func (r *Router) hold(h *held, entry *wal.Message) {
+	r.counters.Taken++
+	if r.bookLong(h, 1); h.Long != nil {
+		r.counters.LongTaken++
+	}
+	h.Body, h.onDisk, h.record = entry.Body, entry.OnDisk, r.cfg.Log.Last()
+	r.messages[h.seq], r.ids[h.ID] = h, h
+	if r.cfg.Guard != nil {
+		h.mark = r.cfg.Guard.Mark()
+	}
+}
--- a/internal/routing/calls.go
+++ b/internal/routing/calls.go
@@ -39,7 +39,7 @@
 
 func (r *Router) send(a mb.Send) {
 	h := r.messages[uint64(a.ID)]
-	if h == nil || r.over { // its accept could not be journalled, or it is for the next life to send
+	if h == nil || r.over { // it is for the next life to send
 		return
 	}
 	if h.call != nil {
--- a/internal/routing/wal/wal.go
+++ b/internal/routing/wal/wal.go
@@ -307,8 +307,10 @@
 	return true
 }
 
-// Accept journals a message under its number, which must be Next.
+// Accept journals a message under its number, which must be Next. The number is used up, also where this fails: others may have
+// been told of it.
 func (l *Log) Accept(m *Message) error {
+	l.next = m.Seq + 1
 	l.retry()
 	l.buf = appendAccepted(l.buf[:0], m)
 	num, err := l.store.Put(m.Seq, l.buf, owedFor)
@@ -324,7 +326,6 @@
 	m.size = len(m.Body)
 	l.keep(m)
 	l.live[m.Seq] = m
-	l.next = m.Seq + 1
 	return nil
 }
 
