Store: a part that a failed write has left is taken back though nothing told of it

Callers would see: messages taken on that no later life knows, once a write had failed with a part of it on the disk. Cause: a write system call that fails tells of no byte. The store took that for none written, and appended behind what was there; records are bound to their place, so no start could read those behind it. Evidence: TestWhatAFailedWriteHidesIsTakenBack fails without this in both cases: a start finds key 1 only. Change: behind a failed write the file's size is asked and the file cut, or the segment left, whatever the write told of. Why it works: the next record always stands where the store has it in its books.

--- a/internal/routing/wal/fsys/faults.go
+++ b/internal/routing/wal/fsys/faults.go
@@ -22,6 +22,8 @@
 // Faults is a folder whose operations fail when Fail says so.
 type Faults struct {
 	FS
+	HideParts bool // a write that fails tells of no byte, as the system call does, whatever it has left
+
 	mu   sync.Mutex
 	fail func(op Op, name string, n int) (int, error)
 }
@@ -111,6 +113,9 @@
 			return m, werr
 		}
 	}
+	if f.faults.HideParts {
+		n = 0
+	}
 	return n, err
 }
 
--- a/internal/routing/wal/store/append.go
+++ b/internal/routing/wal/store/append.go
@@ -101,9 +101,8 @@
 	if err != nil {
 		return 0, 0, fmt.Errorf("store: %w", err)
 	}
-	n, err := g.f.Write(rec)
-	if err != nil {
-		g.torn = int64(n)
+	if _, err := g.f.Write(rec); err != nil {
+		g.torn = size          // at the most: a write that fails may leave a part that it does not tell of
 		repaired := s.repair() // else before the next write
 		if errors.Is(err, syscall.EFBIG) && repaired == nil && s.active == g && g.size > segment.HeadSize {
 			if s.seal() == nil { // files may not be as large as that: the next one has room again
@@ -124,6 +123,12 @@
 	if g.torn == 0 {
 		return nil
 	}
+	if there, err := g.f.Size(); err == nil {
+		g.torn = max(0, there-g.size)
+	}
+	if g.torn == 0 {
+		return nil
+	}
 	cut := g.f.Truncate(g.size)
 	if cut == nil {
 		g.torn = 0
--- /dev/null
+++ b/internal/routing/wal/store/hidden_test.go
@@ -0,0 +1,43 @@
+package store
+
+import (
+	"syscall"
+	"testing"
+
+	"mulleinbeam/internal/routing/wal/fsys"
+)
+
+// Guards against records that no start can read, since they stand behind the part of a failed write that the write did not tell of
+// (incident 10321). The write's clean-up may fail as well.
+func TestWhatAFailedWriteHidesIsTakenBack(t *testing.T) {
+	for name, truncates := range map[string]bool{"truncate works": true, "truncate fails": false} {
+		folder := fsys.NewMem()
+		faults := &fsys.Faults{FS: folder, HideParts: true}
+		s, _ := open(t, options(faults, Process))
+		if _, err := s.Put(1, []byte("before"), 64); err != nil {
+			t.Fatal(err)
+		}
+		faults.Set(func(op fsys.Op, _ string, n int) (int, error) {
+			switch {
+			case op == fsys.OpWrite:
+				return n / 2, syscall.EIO
+			case op == fsys.OpTruncate && !truncates:
+				return 0, syscall.EIO
+			}
+			return n, nil
+		})
+		if _, err := s.Put(2, []byte("fails"), 64); err == nil {
+			t.Fatal("a failed write was taken for one that worked")
+		}
+		faults.Set(nil)
+		for key := uint64(3); key < 6; key++ {
+			if _, err := s.Put(key, []byte("behind"), 64); err != nil {
+				t.Fatal(err)
+			}
+		}
+		_, got := open(t, options(folder, Process)) // as after a kill
+		if len(got) != 4 || got[2] != nil || len(got[5]) != 1 {
+			t.Errorf("%s: a start finds %v", name, got)
+		}
+	}
+}
