--- a/internal/routing/wal/legacy.go
+++ b/internal/routing/wal/legacy.go
@@ -65,16 +65,16 @@
 		if m.out {
 			done.Attempts--
 		}
-		if err := l.add(m.Seq, appendProgress(nil, &done)); err != nil {
+		if err := l.write(m.Seq, appendProgress(nil, &done)); err != nil {
 			return fmt.Errorf("wal: old journal: %w", err)
 		}
 		if m.out {
-			if err := l.add(m.Seq, appendStarted(nil, m.Seq, m.outAt, m.outZone)); err != nil {
+			if err := l.write(m.Seq, appendStarted(nil, m.Seq, m.outAt, m.outZone)); err != nil {
 				return fmt.Errorf("wal: old journal: %w", err)
 			}
 		}
 		if m.Ending != Unended {
-			if err := l.add(m.Seq, appendEnded(nil, m.Seq, m.Ending, m.RetryAfter)); err != nil {
+			if err := l.write(m.Seq, appendEnded(nil, m.Seq, m.Ending, m.RetryAfter)); err != nil {
 				return fmt.Errorf("wal: old journal: %w", err)
 			}
 		}
--- a/internal/routing/wal/wal.go
+++ b/internal/routing/wal/wal.go
@@ -107,16 +107,15 @@
 var ErrFull = errors.New("wal: no room")
 
 const (
-	slack        = 16 * 1024 // never used: the folder itself, and the files that are not the journal's
-	leastBound   = 256 << 10 // of the journal's own files
-	usualSegment = 128 << 10 // at the least, unless the disk is small: a message of the largest size fits
-	mostSegment  = 64 << 20  // unless it is told
-	segments     = 24        // that the disk is divided into, so that one set aside for compaction is little of it
-	leastShares  = 6         // and at the least
-	owedFor      = 64        // bytes set aside with a message beside its end: how it was given up
-	spareShare   = 20        // of the disk, one part: left to the attempts of messages that were taken on
-	kickEvery    = 32        // records after which the worker looks whether there is something to do
-	mostPending  = 4096
+	slack        = 16 * 1024             // never used: the folder itself, and the files that are not the journal's
+	leastBound   = 256 << 10             // of the journal's own files
+	usualSegment = 128 << 10             // at the least, unless the disk is small: a message of the largest size fits
+	mostSegment  = 64 << 20              // unless it is told
+	segments     = 24                    // that the disk is divided into, so that one set aside for compaction is little of it
+	leastShares  = 6                     // and at the least
+	owedFor      = 64                    // bytes set aside with a message beside its end: how it was given up
+	spareShare   = 20                    // of the disk, one part: left to the attempts of messages that were taken on
+	kickEvery    = 32                    // records after which the worker looks whether there is something to do
 	longestPause = 50 * time.Millisecond // of a compaction that is paced
 )
 
@@ -128,7 +127,7 @@
 	commits  *committer // nil: nothing waits for a sync
 	last     uint64     // the latest record
 	buf      []byte
-	pending  []pending // what ends attempts and messages, and could not be written yet
+	waiting  waitingRecords // could not be written yet
 	records  int
 	appended atomic.Int64 // bytes
 	kick     chan struct{}
@@ -139,12 +138,6 @@
 	tap      func(payload []byte) // told of each record as it is written
 }
 
-// pending is a record to be written, or an end where there is none.
-type pending struct {
-	seq     uint64
-	payload []byte
-}
-
 // Options are what a journal is opened with.
 type Options struct {
 	Most       int64            // bytes of all files in its folder together
@@ -222,12 +215,13 @@
 	}
 	go l.work()
 	l.close = sync.OnceValue(func() error {
+		unwritten := l.Flush()
 		close(l.stop)
 		<-l.done
 		if l.commits != nil {
 			l.commits.close()
 		}
-		return errors.Join(l.store.Close(), l.lock.Close())
+		return errors.Join(unwritten, l.store.Close(), l.lock.Close())
 	})
 	return l, nil
 }
@@ -311,7 +305,13 @@
 // been told of it.
 func (l *Log) Accept(m *Message) error {
 	l.next = m.Seq + 1
-	l.retry()
+	if err := l.Flush(); err != nil {
+		return err
+	}
+	if l.waiting.any() { // of an earlier message with its id, perhaps: its end must come first
+		l.wake()
+		return ErrFull
+	}
 	l.buf = appendAccepted(l.buf[:0], m)
 	num, err := l.store.Put(m.Seq, l.buf, owedFor)
 	l.wrote(num, len(l.buf))
@@ -351,17 +351,26 @@
 	return s.live[seq].Body, nil
 }
 
-// Started journals that an attempt goes out.
+// Started journals that an attempt goes out. With an error nothing is changed, and the attempt must not go out: a later life would
+// not know of it.
 func (l *Log) Started(seq uint64, at time.Time, zone string) error {
 	m := l.live[seq]
 	if m == nil {
 		return nil
 	}
-	m.started(at, zone)
-	l.retry()
+	if err := l.Flush(); err != nil {
+		return err
+	}
+	if l.waiting.of(seq) { // records of one message stand in the order of what they tell
+		return ErrFull
+	}
 	l.buf = appendStarted(l.buf[:0], seq, at, zone)
-	l.tell(l.buf)            // also where it can't be written: the outcome that follows says that it never ran
-	return l.add(seq, l.buf) // one that could not be written does not go out
+	if err := l.write(seq, l.buf); err != nil {
+		return err
+	}
+	l.tell(l.buf)
+	m.started(at, zone)
+	return nil
 }
 
 // Outcome journals how the attempt that was out has ended.
@@ -442,59 +451,6 @@
 	return nil
 }
 
-// ends says whether a record is one that ends a message, for which room is set aside.
-func ends(payload []byte) bool { return len(payload) > 0 && kind(payload[0]) == kindEnded }
-
-// change writes a record, or an end, which is written later if it can't be now.
-func (l *Log) change(seq uint64, payload []byte) error {
-	l.retry()
-	err := l.put(seq, payload)
-	if err != nil && len(l.pending) < mostPending {
-		l.pending = append(l.pending, pending{seq, slices.Clone(payload)})
-	}
-	return err
-}
-
-func (l *Log) put(seq uint64, payload []byte) error {
-	if len(l.pending) > 0 { // in their order
-		return errors.New("wal: earlier records are not written yet")
-	}
-	if payload != nil {
-		return l.add(seq, payload)
-	}
-	num, err := l.store.End(seq)
-	l.wrote(num, store.EndSize)
-	if err != nil && !errors.Is(err, store.ErrUnknown) {
-		return fmt.Errorf("wal: %w", err)
-	}
-	return nil
-}
-
-func (l *Log) add(seq uint64, payload []byte) error {
-	add := l.store.Add
-	if ends(payload) {
-		add = l.store.AddOwed
-	}
-	num, err := add(seq, payload)
-	l.wrote(num, len(payload))
-	if err != nil {
-		return fmt.Errorf("wal: %w", err)
-	}
-	return nil
-}
-
-// retry writes what could not be written before.
-func (l *Log) retry() {
-	todo := l.pending
-	l.pending = nil
-	for i, p := range todo {
-		if err := l.put(p.seq, p.payload); err != nil && !errors.Is(err, store.ErrUnknown) {
-			l.pending = todo[i:]
-			return
-		}
-	}
-}
-
 // wrote lets the worker look now and then, and the committer at once; num is 0 where nothing was written.
 func (l *Log) wrote(num uint64, bytes int) {
 	if num > 0 {
