--- a/internal/routing/accept.go
+++ b/internal/routing/accept.go
@@ -45,11 +45,10 @@
 	}
 	if err := r.cfg.Log.Accept(entry); err != nil {
 		r.counters.NoRoom++
-		r.journal(err)
+		r.journal(m.ID, err)
 		r.revoke(h, actions)
 		return Verdict{Kind: Refused, RetryAfter: pushBack}
 	}
-	r.journal(nil)
 	r.hold(h, entry)
 	r.perform(actions)
 	return Verdict{Kind: Taken, record: h.record, mark: h.mark, seq: h.seq}
--- a/internal/routing/calls.go
+++ b/internal/routing/calls.go
@@ -22,7 +22,9 @@
 	cleared   time.Duration // that it took until that was allowed: the journal's time and the replicas', not the endpoint's
 	mark      uint64        // of that, in what goes to others
 	cancelled bool
-	stuck     bool // the module called it off: it had no answer for far too long
+	stuck     bool          // the module called it off: it had no answer for far too long
+	delayed   time.Duration // that its first byte waited for the journal
+	ctx       context.Context
 	cancel    context.CancelFunc
 }
 
@@ -59,7 +61,7 @@
 	}
 	r.counters.Sends++
 	ctx, cancel := context.WithDeadline(r.ctx, c.cutAt)
-	c.cancel = cancel
+	c.ctx, c.cancel = ctx, cancel
 	call := Attempt{
 		ID: h.ID, Key: h.Key, Body: h.Body, Endpoint: c.endpoint, Address: r.endpoints[c.endpoint].Address, CutAt: c.cutAt,
 		Fresh: a.Fresh,
@@ -108,19 +110,22 @@
 	return allowed
 }
 
+// permission is what begin says of a call's first byte.
+type permission int
+
+const (
+	forbidden permission = iota
+	allowed
+	unrecorded // not now: the journal can't be written, and no later life would know of the call
+)
+
 // letGo lets a call's first byte go, in its own goroutine. Its start outlasts what the journal's durability says by then;
 // where that took its time, all is looked at again.
 func (r *Router) letGo(c *attempt) bool {
-	begin := func() (record uint64) {
-		if r.begin(c) {
-			record = r.cfg.Log.Last()
-		}
-		return record
-	}
-	record, _ := ask(r, begin)
+	record, may := r.awaitBegin(c)
 	strict := r.cfg.Guard != nil && r.cfg.Guard.Strict(c.msg.Class)
-	if record == 0 || !r.cfg.Log.Waits() && !strict {
-		return record > 0
+	if !may || !r.cfg.Log.Waits() && !strict {
+		return may
 	}
 	if r.cfg.Log.Commit(record) != nil {
 		return false
@@ -130,8 +135,29 @@
 			return false
 		}
 	}
-	record, _ = ask(r, begin)
-	return record > 0
+	_, may = r.awaitBegin(c)
+	return may
+}
+
+// awaitBegin asks whether a call's first byte may go, again and again while the journal can't be written. It gives the number of the
+// latest record by then.
+func (r *Router) awaitBegin(c *attempt) (record uint64, may bool) {
+	for {
+		answer, _ := ask(r, func() permission {
+			may := r.begin(c)
+			record = r.cfg.Log.Last()
+			return may
+		})
+		if answer != unrecorded {
+			return record, answer == allowed
+		}
+		select {
+		case <-time.After(journalRetry):
+			c.delayed += journalRetry
+		case <-c.ctx.Done():
+			return 0, false
+		}
+	}
 }
 
 // unreadable ends a message whose body can't be read back for a call: no later one could be made either.
@@ -149,34 +175,33 @@
 
 // begin lets a call's first byte go. Between the module's send and this moment the list may have changed, the message
 // may have ended, its time or its window may be up, or a wait may have been told.
-func (r *Router) begin(c *attempt) bool {
+func (r *Router) begin(c *attempt) permission {
 	p, listed := r.endpoints[c.endpoint]
 	switch {
 	case r.over, c.msg.ended, c.cancelled, !time.Now().Before(c.cutAt):
-		return false
+		return forbidden
 	case !r.acts(c.msg):
 		r.counters.HeldBack++
-		return false
+		return forbidden
 	case !listed, p.State != mb.Serving, p.Group != c.msg.Destination, !r.decider.MayBegin(r.now(), mb.MessageID(c.msg.seq)):
 		r.counters.HeldBack++
-		return false
+		return forbidden
 	}
 	if c.begun { // on another connection now, with nothing written yet
-		return true
+		return allowed
 	}
 	if r.cfg.Steering != nil && !r.cfg.Steering.Holds(p.Group, p.Zone) {
 		r.counters.HeldBack++
-		return false
+		return forbidden
 	}
 	if err := r.cfg.Log.Started(c.msg.seq, time.Now(), p.Zone); err != nil {
-		r.journal(err) // a call that no later life would know of
-		r.journal(r.cfg.Log.Outcome(c.msg.seq, false))
-		return false
+		r.journal(c.msg.ID, err)
+		return unrecorded
 	}
 	if c.begun = true; r.cfg.Guard != nil {
 		c.mark = r.cfg.Guard.Mark()
 	}
-	return true
+	return allowed
 }
 
 // answered books the end of a call.
@@ -203,7 +228,7 @@
 	never := out == mb.Full || out == mb.ConnectFailed || out == mb.Moot
 	if c.begun {
 		h.mayRun = h.mayRun || !never
-		r.journal(r.cfg.Log.Outcome(h.seq, !never))
+		r.journal(h.ID, r.cfg.Log.Outcome(h.seq, !never))
 	}
 	over := out == mb.OK || result.Over
 	if over {
@@ -226,7 +251,7 @@
 	}
 	r.decide(mb.Answer{
 		ID: mb.MessageID(h.seq), Attempt: c.number, Endpoint: mb.EndpointID(c.endpoint), Outcome: out,
-		Latency: time.Since(c.sentAt), Settled: over || h.ended, Wait: result.Wait, Limit: result.Limit,
+		Latency: time.Since(c.sentAt) - c.delayed, Settled: over || h.ended, Wait: result.Wait, Limit: result.Limit,
 		Kept: result.Kept, Spent: result.Spent,
 	})
 }
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -23,6 +23,9 @@
 	NoPlace                              int64 // refused, since the plan has room for it nowhere
 	OverRate                             int64 // refused, since their class has a rate that is used up
 	Alone, NoCopy                        int64 // taken on without a copy; refused for want of one
+	Unwritten                            int64 // records that could not be written at once
+	ToldUnwritten                        int64 // ends that were told at their message's time, not journalled yet
+	Waiting                              int   // records that wait to be written, now
 	Held, CallsOut                       int   // now
 	LongHeld, LongOut                    int   // now
 }
@@ -58,6 +61,10 @@
 		e.Dict("copies", zerolog.Dict().Int64("taken_over", c.TakenOver).Int64("elsewhere", c.Elsewhere).
 			Int64("alone", c.Alone).Int64("refused", c.NoCopy))
 	}
+	if c.Unwritten > 0 {
+		e.Dict("journal", zerolog.Dict().Int64("unwritten", c.Unwritten).Int64("told_unwritten", c.ToldUnwritten).
+			Int("waiting", c.Waiting))
+	}
 	e.Dict("notices", zerolog.Dict().Int64("handed_back", c.HandedBack).Int64("given_up", c.GivenUp).
 		Int64("acknowledged", c.Acknowledged))
 }
--- a/internal/routing/faults_test.go
+++ b/internal/routing/faults_test.go
@@ -67,3 +67,97 @@
 		t.Fatal("what was taken on is not sent")
 	}
 }
+
+// await polls the counters until they are as wanted.
+func await(t *testing.T, r *Router, what string, enough func(Counters) bool) {
+	t.Helper()
+	for until := time.Now().Add(10 * time.Second); !enough(r.Counters()); {
+		if time.Now().After(until) {
+			t.Fatalf("%s: %+v", what, r.Counters())
+		}
+	}
+}
+
+// fails takes a message on and has its one call fail while the disk is off.
+func fails(t *testing.T, r *Router, s script, disk *switchedDisk, m Message) {
+	t.Helper()
+	if got := r.Take(m); got.Kind != Taken {
+		t.Fatalf("verdict %+v", got)
+	}
+	c := <-s.calls
+	if !c.Begin() {
+		t.Fatal("the call may not begin")
+	}
+	disk.off.Store(true)
+	s.results <- Result{Outcome: mb.Failed}
+	await(t, r, "given up", func(c Counters) bool { return c.GivenUp == 1 })
+}
+
+// Guards against an end that is reported while its record only waits in memory: killed then, the next life would call the message.
+func TestAnEndIsReportedOnceItIsWritten(t *testing.T) {
+	r, s, disk, _ := newRouterOnSwitch(t, t.TempDir(), func(*Config) {})
+	fails(t, r, s, disk, message("m"))
+	await(t, r, "writes are tried again", func(c Counters) bool { return c.Waiting > 0 })
+	if len(s.notices) != 0 {
+		t.Fatal("reported, and not written")
+	}
+	disk.off.Store(false)
+	if n := <-s.notices; n.ID != "m" {
+		t.Errorf("reported %+v", n)
+	}
+	await(t, r, "all is written", func(c Counters) bool { return c.Waiting == 0 })
+}
+
+// Guards against a message that never ends because the disk stays away: at its deadline, behind which no life would send it again, its
+// end is reported all the same.
+func TestAnEndIsReportedAtTheDeadlineThoughTheDiskStaysAway(t *testing.T) {
+	r, s, disk, _ := newRouterOnSwitch(t, t.TempDir(), func(*Config) {})
+	m := message("m")
+	m.Left = 400 * time.Millisecond
+	deadline := time.Now().Add(m.Left)
+	fails(t, r, s, disk, m)
+	if n := <-s.notices; n.ID != "m" || time.Now().Before(deadline) {
+		t.Errorf("reported %+v, %v before the deadline", n, time.Until(deadline))
+	}
+	if got := r.Counters(); got.ToldUnwritten != 1 || got.Waiting == 0 {
+		t.Errorf("counters %+v", got)
+	}
+}
+
+// Guards against attempts used up, and messages returned, because an attempt's start could not be written for a moment.
+func TestACallWaitsForTheJournal(t *testing.T) {
+	r, s, disk, _ := newRouterOnSwitch(t, t.TempDir(), func(*Config) {})
+	if got := r.Take(message("m")); got.Kind != Taken {
+		t.Fatalf("verdict %+v", got)
+	}
+	c := <-s.calls
+	disk.off.Store(true)
+	began := make(chan bool, 1)
+	go func() { began <- c.Begin() }()
+	await(t, r, "the start was tried", func(c Counters) bool { return c.Unwritten > 1 })
+	if len(began) != 0 {
+		t.Error("a call began without its record, or was given up")
+	}
+	disk.off.Store(false)
+	if !<-began {
+		t.Error("the call did not begin once its start was written")
+	}
+	s.results <- Result{Outcome: mb.OK}
+	await(t, r, "delivered", func(c Counters) bool { return c.Delivered == 1 && c.Sends == 1 })
+}
+
+// Guards against a message that is taken on again while the end of an earlier one with its id is not written: a later life would have
+// both.
+func TestNothingIsTakenOnWhileAnEndWaits(t *testing.T) {
+	r, s, disk, _ := newRouterOnSwitch(t, t.TempDir(), func(*Config) {})
+	if got := r.Take(message("m")); got.Kind != Taken {
+		t.Fatalf("verdict %+v", got)
+	}
+	<-s.calls
+	disk.off.Store(true)
+	r.Withdraw("m")
+	await(t, r, "withdrawn", func(c Counters) bool { return c.Withdrawn == 1 })
+	if got := r.Take(message("m")); got.Kind != Refused {
+		t.Errorf("verdict %+v", got)
+	}
+}
--- a/internal/routing/held.go
+++ b/internal/routing/held.go
@@ -90,7 +90,7 @@
 // forget drops the ids of messages that ended so long ago that nobody can mean them any more.
 func (r *Router) forget() {
 	for _, seq := range r.past.expire(r.longest, max(r.longest, r.cfg.Long.Longest)) {
-		r.journal(r.cfg.Log.End(seq, wal.Over, 0))
+		r.journal("", r.cfg.Log.End(seq, wal.Over, 0))
 	}
 }
 
@@ -119,7 +119,7 @@
 	if h.call == nil {
 		delete(r.messages, h.seq)
 	}
-	r.journal(r.cfg.Log.End(h.seq, e, retry))
+	r.journal(h.ID, r.cfg.Log.End(h.seq, e, retry))
 }
 
 func (r *Router) notify(h *held, back bool, retry time.Duration) {
@@ -146,9 +146,7 @@
 			n.May = r.mayTell(h)
 		}
 	}
-	r.cfg.Log.AfterCommit(func(err error) { // else a power cut could have it live again behind its notice
-		if err == nil {
-			r.cfg.Notifier.Notify(n)
-		}
-	})
+	// Told before it is journalled, a kill could have the message live again behind its end. Behind its deadline it would not be sent
+	// again, and an end that is never told is worse.
+	r.afterRecords(h, h.deadline, false, func() { r.cfg.Notifier.Notify(n) })
 }
--- a/internal/routing/long.go
+++ b/internal/routing/long.go
@@ -83,7 +83,7 @@
 			}
 		})
 	}
-	r.cfg.Log.AfterCommit(func(error) { h.Long.Ended(end) }) // told even if nobody knows: its client waits
+	r.afterRecords(h, time.Now().Add(longEndWait), true, func() { h.Long.Ended(end) })
 }
 
 // timeUp says that a message was given up because its time, or that of an attempt, was over.
@@ -99,14 +99,14 @@
 		return c.Name == h.Class && c.Effect != mb.Safe
 	})
 	if !keep {
-		r.journal(r.cfg.Log.End(h.seq, wal.Over, 0))
+		r.journal(h.ID, r.cfg.Log.End(h.seq, wal.Over, 0))
 		return
 	}
 	if r.past.close(h.ID, h.seq) {
-		r.journal(r.cfg.Log.End(h.seq, wal.Closed, 0))
+		r.journal(h.ID, r.cfg.Log.End(h.seq, wal.Closed, 0))
 		return
 	}
-	r.journal(r.cfg.Log.End(h.seq, wal.Over, 0)) // its id's time is over by now
+	r.journal(h.ID, r.cfg.Log.End(h.seq, wal.Over, 0)) // its id's time is over by now
 }
 
 // overLong tells a long message's client that nothing more is owed: it was delivered, or nobody wants it.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -77,8 +77,9 @@
 	stopAt    time.Time // the end of this life, once it is told
 	over      bool      // no call may begin any more
 	counters  Counters
-	unwritten int            // records that could not be written, since the last that could
-	tasks     errgroup.Group // calls that are out
+	outage    outage              // of the journal
+	promises  map[uint64]*promise // ends that are not told yet, by message
+	tasks     errgroup.Group      // calls that are out
 	ctx       context.Context
 }
 
@@ -94,6 +95,7 @@
 		done: make(chan struct{}), classes: map[string]time.Duration{}, endpoints: map[string]Endpoint{},
 		groups: map[int64]bool{}, access: map[string]Access{}, messages: map[uint64]*held{}, ids: map[string]*held{},
 		past: pastIDs{delivered: map[string]bool{}}, waiting: map[uint64]*held{}, noticed: map[uint64]*held{},
+		promises: map[uint64]*promise{},
 	}
 	if cfg.Recall != nil { // the past that the module is told of lies before its clock's beginning, else
 		r.startedAt = r.startedAt.Add(-pastRoom)
@@ -128,6 +130,7 @@
 			f()
 		case <-wake.C:
 			r.fire()
+			r.retryJournal()
 		case <-stop:
 			stop = nil
 			r.close(r.cfg.Drain)
@@ -146,6 +149,7 @@
 		case f := <-r.events:
 			f()
 		case <-finished:
+			r.keepLast()
 			r.drainEvents()
 			return nil
 		}
@@ -248,7 +252,7 @@
 	r.post(func() {
 		if h := r.ids[id]; h != nil && !h.repeated {
 			r.counters.Withdrawn++
-			r.journal(r.cfg.Log.Withdraw(h.seq))
+			r.journal(h.ID, r.cfg.Log.Withdraw(h.seq))
 			r.end(h, wal.Over, 0)
 			r.past.drop(id)
 			r.decide(mb.Gone{ID: mb.MessageID(h.seq)})
@@ -263,6 +267,7 @@
 func (r *Router) Counters() Counters {
 	c, ok := ask(r, func() Counters {
 		r.counters.Held, r.counters.CallsOut = len(r.ids), r.calls
+		r.counters.Waiting = r.cfg.Log.Waiting()
 		r.counters.LongHeld, r.counters.LongOut = r.longs-r.longCalls, r.longCalls
 		return r.counters
 	})
@@ -322,9 +327,9 @@
 	}
 }
 
-// untilNext is the time to the next timer, or to the end of this life.
+// untilNext is the time to the next timer, to the journal's next try, or to the end of this life.
 func (r *Router) untilNext() time.Duration {
-	next := time.Now().Add(time.Hour)
+	next := time.Now().Add(r.journalDue())
 	for _, t := range r.timers {
 		if t.at.Before(next) {
 			next = t.at
@@ -405,20 +410,3 @@
 	}
 	r.decide(mb.Members{Scope: scope, Entries: entries})
 }
-
-// trouble begins a line of the log on the journal.
-func (r *Router) trouble() *zerolog.Event { return r.cfg.Logger.Warn().Str("part", "journal") }
-
-// journal logs that a record could not be written, once until one can be again. What ends attempts and messages is written
-// later; a message that could not be journalled was refused, and a call not made.
-func (r *Router) journal(err error) {
-	switch {
-	case err != nil:
-		if r.unwritten++; r.unwritten == 1 {
-			r.trouble().Err(err).Msg("record not written")
-		}
-	case r.unwritten > 0:
-		r.cfg.Logger.Info().Str("part", "journal").Int("records", r.unwritten).Msg("records are written again")
-		r.unwritten = 0
-	}
-}
--- a/internal/routing/shared.go
+++ b/internal/routing/shared.go
@@ -157,7 +157,7 @@
 	}
 	r.past.add(m.ID, true, false, 0)
 	r.counters.Elsewhere++
-	r.journal(r.cfg.Log.End(m.Seq, wal.Over, 0))
+	r.journal(m.ID, r.cfg.Log.End(m.Seq, wal.Over, 0))
 }
 
 // Adopt takes on what an ended life owed, without acting for it yet: its messages are journalled under that life's name, and the
@@ -227,7 +227,7 @@
 	other.Settle()
 	other.Seq = own.Seq
 	if merged := wal.Merged(own, &other); merged.Attempts > own.Attempts || merged.MayRun && (!own.MayRun || merged.RanAt.Before(own.RanAt)) {
-		r.journal(r.cfg.Log.Progress(own.Seq, merged))
+		r.journal(h.ID, r.cfg.Log.Progress(own.Seq, merged))
 		h.attempts, h.mayRun = merged.Attempts, merged.MayRun
 	}
 }
@@ -236,7 +236,7 @@
 func (r *Router) drop(h *held) {
 	delete(r.messages, h.seq)
 	delete(r.ids, h.ID)
-	r.journal(r.cfg.Log.Withdraw(h.seq))
+	r.journal(h.ID, r.cfg.Log.Withdraw(h.seq))
 }
 
 // Activate begins to act for what was adopted of a life; with on false it is taken back: somebody else does. It gives how many
@@ -324,7 +324,7 @@
 		r.post(func() { r.counters.NoCopy++ })
 		return Verdict{Kind: Unsure}
 	case alone:
-		if _, served := ask(r, func() bool { r.journal(r.cfg.Log.Mark(v.seq)); r.counters.Alone++; return true }); !served {
+		if _, served := ask(r, func() bool { r.journal(m.ID, r.cfg.Log.Mark(v.seq)); r.counters.Alone++; return true }); !served {
 			return Verdict{Kind: Stopped, RetryAfter: lateRefusal}
 		}
 	}
