Start and reload go on through system calls that fail for a moment

Callers saw: a restart ended with exit code 1 while the disk failed, and what was taken on had nobody who owed it. A reload whose file could not be read for a moment was lost, and discovery stayed where it was gone. Evidence: TestDiskFaultsAndKillsLoseNothing (exit on ENOSPC, EIO, EDQUOT); with errors taken for final, TestAStartOutlastsAFailingDisk ends with exit code 1 and TestAReloadOutlastsAFailingRead never sees the move.

--- a/cmd/larkreach/config.go
+++ b/cmd/larkreach/config.go
@@ -74,7 +74,9 @@
 		Filed: file.Discovery, State: getenv("ROUTER_STATE"), Limits: file.Limits, Known: protocol.List{Index: -1},
 	}
 	c.Told = told(getenv("ROUTER_DISCOVERY"), c.Filed)
-	c.Discovery = atStart(c.State, c.Told, c.Filed)
+	if c.Discovery, err = atStart(c.State, c.Told, c.Filed); err != nil {
+		return c, fmt.Errorf("config: %w", err)
+	}
 	for _, need := range []struct{ name, value string }{
 		{"ROUTER_LISTEN", c.Listen}, {"ROUTER_DISCOVERY", c.Discovery}, {"ROUTER_STATE", c.State},
 	} {
--- a/cmd/larkreach/disk_test.go
+++ b/cmd/larkreach/disk_test.go
@@ -27,6 +27,14 @@
 }
 
 func newJournalSite(t *testing.T, own string) *journalSite {
+	t.Helper()
+	s := prepareJournalSite(t, own)
+	must(t, s.f.Start())
+	return s
+}
+
+// prepareJournalSite makes one that is not started yet.
+func prepareJournalSite(t *testing.T, own string) *journalSite {
 	t.Helper()
 	s := &journalSite{p: &lab.Endpoint{Name: "p", Group: 7}, agent: &lab.Agent{}, check: lab.NewChecker()}
 	must(t, s.p.Listen())
@@ -35,7 +43,6 @@
 	dir := t.TempDir()
 	s.state = filepath.Join(dir, "state")
 	must(t, s.f.Prepare(dir, s.agent))
-	must(t, s.f.Start())
 	t.Cleanup(func() {
 		s.f.Kill()
 		if t.Failed() {
--- a/cmd/larkreach/main.go
+++ b/cmd/larkreach/main.go
@@ -56,7 +56,7 @@
 
 // run serves until a signal ends it.
 func run(getenv func(string) string, out io.Writer, form string, own settings.File, hup <-chan os.Signal) error {
-	cfg, err := loadConfig(getenv)
+	cfg, err := insist(newLogger(out, form, getenv("ROUTER_NAME")), "configuration", func() (config, error) { return loadConfig(getenv) })
 	if err != nil {
 		return err
 	}
@@ -76,8 +76,10 @@
 		logger.Warn().Str("part", "config").Msg("no size of the fleet is told, this forwarder takes itself for the only one")
 	}
 
-	journal, err := wal.Open(cfg.State, journalOptions(own.Journal, own.Learned, cfg.Limits), func(line string) {
-		logger.Warn().Str("part", "journal").Msg(strings.TrimPrefix(line, "journal: "))
+	journal, err := insist(logger, "journal", func() (*wal.Log, error) {
+		return wal.Open(cfg.State, journalOptions(own.Journal, own.Learned, cfg.Limits), func(line string) {
+			logger.Warn().Str("part", "journal").Msg(strings.TrimPrefix(line, "journal: "))
+		})
 	})
 	if err != nil {
 		return err
@@ -85,7 +87,9 @@
 	defer journal.Close()
 
 	remembered := openMemory(own, cfg, logger)
-	listener, err := net.Listen("tcp", cfg.Listen) // nobody is answered before what an earlier life left is resumed
+	listener, err := insist(logger, "listener", func() (net.Listener, error) { // nobody is answered before what an earlier life left is resumed
+		return net.Listen("tcp", cfg.Listen)
+	})
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
--- a/cmd/larkreach/sysfault_test.go
+++ b/cmd/larkreach/sysfault_test.go
@@ -283,6 +283,58 @@
 	}
 }
 
+// faultySite is a forwarder whose system calls a test can make fail, with one endpoint.
+func faultySite(t *testing.T) (*journalSite, *sysfault.Supervisor) {
+	t.Helper()
+	s := prepareJournalSite(t, "")
+	folder, err := filepath.EvalSymlinks(s.state)
+	must(t, err)
+	faults := sysfault.NewSupervisor(1, folder, s.f.Address())
+	s.f.Attach = faults.Attach
+	return s, faults
+}
+
+// Guards against a start that exits, and leaves what was taken on, because the disk fails for a moment (incident 10321).
+func TestAStartOutlastsAFailingDisk(t *testing.T) {
+	t.Parallel()
+	s, faults := faultySite(t)
+	must(t, s.f.Start())
+	s.p.Down()
+	if a := s.hand(t, "safe", 100); a.Status != 202 {
+		t.Fatalf("%+v", a)
+	}
+	_ = s.f.End(syscall.SIGKILL)
+	faults.Set(sysfault.Rule{
+		Calls: []sysfault.Call{sysfault.Write, sysfault.ReadAt}, Places: []sysfault.Place{sysfault.StateFile},
+		Errors: []unix.Errno{unix.EIO}, Chance: 1,
+	})
+	s.f.OnLine("start: step failed, tried again step=journal", func() { faults.Set() })
+	must(t, s.f.Start())
+	must(t, s.p.Up())
+	s.finish(t)
+}
+
+// Guards against a reload that is lost because its file cannot be read for a moment: discovery would stay where it is gone.
+func TestAReloadOutlastsAFailingRead(t *testing.T) {
+	t.Parallel()
+	s, faults := faultySite(t)
+	must(t, s.f.Start())
+	moved := &lab.Agent{}
+	must(t, moved.Listen(s.p))
+	defer moved.Close()
+	must(t, s.f.Reconfigure(moved))
+	faults.Set(sysfault.Rule{
+		Calls: []sysfault.Call{sysfault.Open}, Places: []sysfault.Place{sysfault.Elsewhere, sysfault.StateFile}, Errors: []unix.Errno{unix.EIO},
+		Chance: 1,
+	})
+	s.f.OnLine("reload: not used, the old configuration stands", func() { faults.Set() })
+	must(t, s.f.Signal(syscall.SIGHUP))
+	if _, ok := s.f.Sees("reload: discovery has moved address=" + moved.Address()); !ok {
+		t.Fatal(s.f.Log())
+	}
+	s.finish(t)
+}
+
 // Guards against messages that are taken on and never decided on while the disk fails for a moment (incident 10321).
 func TestDiskFaultsLoseNothing(t *testing.T) {
 	playFaults(t, faultKind{name: "disk", rules: diskRules})
--- a/internal/lab/forwarder.go
+++ b/internal/lab/forwarder.go
@@ -49,6 +49,8 @@
 	grown       chan struct{} // closed with each line, and at the end
 	ended       bool
 	read        int // lines that Sees has gone through
+	trigger     string
+	triggered   func()
 }
 
 // Prepare lays the program's folder out; dir has to exist.
@@ -117,17 +119,34 @@
 	return out
 }
 
-// Start starts the program, or starts it again in its folder, and waits until it is ready.
-func (f *Forwarder) Start() error {
-	config, own := filepath.Join(f.dir, "config.json"), filepath.Join(f.dir, "larkreach.toml")
+// OnLine has f called, once, with the first line of the log that holds a text; it must not wait.
+func (f *Forwarder) OnLine(text string, do func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.trigger, f.triggered = text, do
+}
+
+// Reconfigure writes the program's files with another agent as its discovery, for a reload.
+func (f *Forwarder) Reconfigure(agent *Agent) error {
+	f.agent = agent
+	return f.writeFiles()
+}
+
+// writeFiles writes the configuration, and the settings if there are any.
+func (f *Forwarder) writeFiles() error {
 	raw, err := json.Marshal(f.configuration())
-	if err == nil {
-		err = os.WriteFile(config, raw, 0o600)
+	if err != nil {
+		return err
 	}
-	if err == nil && f.Settings != "" {
-		err = os.WriteFile(own, []byte(f.Settings), 0o600)
+	if err := os.WriteFile(filepath.Join(f.dir, "config.json"), raw, 0o600); err != nil || f.Settings == "" {
+		return err
 	}
-	if err != nil {
+	return os.WriteFile(filepath.Join(f.dir, "larkreach.toml"), []byte(f.Settings), 0o600)
+}
+
+// Start starts the program, or starts it again in its folder, and waits until it is ready.
+func (f *Forwarder) Start() error {
+	if err := f.writeFiles(); err != nil {
 		return err
 	}
 	f.cmd = exec.Command(f.Command[0], f.Command[1:]...)
@@ -184,6 +203,10 @@
 	defer f.mu.Unlock()
 	if f.ended = end; !end {
 		f.log = append(f.log, line)
+		if f.triggered != nil && strings.Contains(line, f.trigger) {
+			f.triggered()
+			f.triggered = nil
+		}
 	}
 	close(f.grown)
 	f.grown = make(chan struct{})
--- a/internal/routing/wal/lock.go
+++ b/internal/routing/wal/lock.go
@@ -21,7 +21,8 @@
 	}
 	for until := time.Now().Add(lockFor); ; time.Sleep(lockFor / 20) {
 		err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
-		if !errors.Is(err, syscall.EWOULDBLOCK) || time.Now().After(until) {
+		waits := errors.Is(err, syscall.EWOULDBLOCK) || errors.Is(err, syscall.EINTR)
+		if !waits || time.Now().After(until) {
 			break
 		}
 	}
