Connections: a read, write or shutdown that fails goes on while the connection lives

Callers saw: no answer, or half of one, when a system call on their connection failed for a moment; the message was withdrawn. Cause: any error of a read or write ended the connection, and a shutdown that failed closed it over bytes that were not read, which resets it and takes the answer along. A log that nobody reads ends nothing (SIGPIPE).

--- a/cmd/larkreach/main.go
+++ b/cmd/larkreach/main.go
@@ -47,7 +47,8 @@
 	zerolog.TimestampFunc = func() time.Time { return time.Now().UTC() }
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP) // and never given back: from here to the exit it ends nothing
-	signal.Ignore(syscall.SIGXFSZ)     // a file that may not grow is an error of its write, and no reason to end
+	signal.Ignore(syscall.SIGXFSZ)     // a file that may not grow is an error of its write, and no reason to end;
+	signal.Ignore(syscall.SIGPIPE)     // nor is a log that nobody reads
 	if err := command(os.Args[1:], streams{os.Stdout, os.Stderr, hup}); err != nil {
 		fmt.Fprintln(os.Stderr, "larkreach:", err)
 		os.Exit(1)
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -76,13 +76,16 @@
 	Silent     int64 // nothing was asked in time, or others needed the room
 	Late       int64 // a request did not come whole in time
 	Unreadable int64 // a request can't be read, or asks for what there is not
-	Open       int   // now
+	// AcceptFailed counts accepts that failed, Broken the connections that ended under a request or an answer.
+	AcceptFailed, Broken int64
+	Open                 int // now
 }
 
 // MarshalZerologObject writes the counters' group of the log.
 func (c ClientCounters) MarshalZerologObject(e *zerolog.Event) {
 	e.Int64("connections", c.Accepted).Int("open", c.Open).Int64("turned_away", c.TurnedAway).Int64("closed_idle", c.ClosedIdle).
-		Int64("silent", c.Silent).Int64("late", c.Late).Int64("unreadable", c.Unreadable)
+		Int64("silent", c.Silent).Int64("late", c.Late).Int64("unreadable", c.Unreadable).
+		Int64("accept_failed", c.AcceptFailed).Int64("broken", c.Broken)
 }
 
 // standing is what a connection is at.
@@ -99,7 +102,7 @@
 
 // clientConn is one connection. Its goroutine owns it; Clients.mu guards the rest.
 type clientConn struct {
-	net.Conn
+	lastingConn
 	accepted time.Time
 	at       standing
 	since    time.Time
@@ -124,7 +127,7 @@
 	for {
 		conn, err := listener.Accept()
 		if err == nil {
-			c := &clientConn{Conn: conn, accepted: time.Now()}
+			c := &clientConn{lastingConn: lastingConn{conn}, accepted: time.Now()}
 			if room := s.admit(c); room {
 				group.Go(func() error { s.serve(c); return nil })
 			} else {
@@ -139,6 +142,7 @@
 			failed = fmt.Errorf("transport: accept: %w", err)
 			break
 		}
+		s.count(&s.counters.AcceptFailed)
 		s.mu.Lock()
 		_ = s.drop(ending, 0) || s.drop(silent, 0) || s.drop(idle, 0) // out of descriptors, perhaps; the next time it has ended
 		s.mu.Unlock()
@@ -375,6 +379,9 @@
 			timeout := (net.Error)(nil)
 			switch late := errors.As(err, &timeout) && timeout.Timeout(); {
 			case !late: // it has ended
+				if !parser.Idle() {
+					s.count(&s.counters.Broken)
+				}
 				return
 			case !parser.Idle():
 				s.count(&s.counters.Late)
@@ -485,10 +492,7 @@
 }
 
 func (s *Clients) linger(c *clientConn) {
-	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil {
-		return
-	}
+	c.closeWrite()
 	s.mu.Lock()
 	span := drainFor
 	if s.leaving {
@@ -500,7 +504,7 @@
 		if c.SetReadDeadline(time.Now().Add(drainQuiet)) != nil {
 			return
 		}
-		n, err := io.CopyN(io.Discard, c.Conn, min(left, drainStep))
+		n, err := io.CopyN(io.Discard, c, min(left, drainStep))
 		if left -= n; err != nil {
 			return
 		}
@@ -512,5 +516,8 @@
 		return false
 	}
 	_, err := c.Write(protocol.AppendAnswer(make([]byte, 0, 160), status, r, last))
+	if err != nil {
+		s.count(&s.counters.Broken)
+	}
 	return err == nil
 }
--- a/internal/transport/endpoints.go
+++ b/internal/transport/endpoints.go
@@ -99,7 +99,7 @@
 
 // endpointConn is one connection: the call's that it carries, or the pool's while it is idle.
 type endpointConn struct {
-	net.Conn
+	lastingConn
 	name    string
 	address string
 	kept    bool // it has been idle
@@ -148,7 +148,7 @@
 		return nil, err
 	}
 	p.count(&p.counters.Opened)
-	return &endpointConn{Conn: conn, name: name, address: address}, nil
+	return &endpointConn{lastingConn: lastingConn{conn}, name: name, address: address}, nil
 }
 
 // Call is one to an endpoint. Begin is asked just before the first byte, and once more if the connection then turns out
