Clients: only missing descriptors cost a connection, and none in use

Callers would see: a connection reset with its answer on its way, or closed as it was about to ask, when an accept failed. Cause: every error of accept ended a connection, whatever the error: one at its end, else one that had asked for nothing, else a resting one, however young.

--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -142,10 +143,9 @@
 			failed = fmt.Errorf("transport: accept: %w", err)
 			break
 		}
-		s.count(&s.counters.AcceptFailed)
-		s.mu.Lock()
-		_ = s.drop(ending, 0) || s.drop(silent, 0) || s.drop(idle, 0) // out of descriptors, perhaps; the next time it has ended
-		s.mu.Unlock()
+		if s.count(&s.counters.AcceptFailed); errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			s.freeDescriptor()
+		}
 		pause(ctx, overloadGap)
 	}
 	return errors.Join(failed, group.Wait())
@@ -201,6 +201,24 @@
 	return room
 }
 
+// freeDescriptor ends a connection that nobody misses: one that has its last answer and nothing more to say, or one that has rested
+// for long enough. None that is in use gives way, nor one that is just coming.
+func (s *Clients) freeDescriptor() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.at != ending || unacknowledged(c.Conn) != 0 {
+			continue
+		}
+		if n, _ := peek(c.Conn); n == 0 { // a close over bytes that were not read would reset it
+			s.forget(c)
+			_ = c.Close()
+			return
+		}
+	}
+	_ = s.drop(silent, askLeast) || s.drop(idle, idleLeast)
+}
+
 // drop ends the connection that has been at something the longest, and for so long at least; s.mu is held. One that is at its
 // end already is closed. Any other is booked as one that is, and its goroutine ends it in order: what has come on it is
 // answered, and what crosses the end does not reset it.
