--- a/internal/routing/wal/copy.go
+++ b/internal/routing/wal/copy.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/zeebo/xxh3"
+
+	"mulleinbeam/internal/bootclock"
 )
 
 // Past is the id of a message that is over. Whoever takes over from its forwarder must know it for as long as anybody may hand
@@ -91,7 +93,7 @@
 		out = append(out, appendProgress(nil, &p))
 	}
 	if m.out {
-		out = append(out, appendStarted(nil, m.Seq, m.outAt, m.outZone))
+		out = append(out, appendStarted(nil, m.Seq, m.outAt, m.outZone, m.outStamp))
 	}
 	if m.Owner != "" {
 		out = append(out, appendOrigin(nil, m.Seq, m.Owner, m.Life))
@@ -121,7 +123,7 @@
 	if m.MayRun || m.Ending != Unended {
 		return
 	}
-	m.MayRun, m.RanAt, m.RanZone = true, at, ""
+	m.MayRun, m.RanAt, m.RanZone, m.ranStamp = true, at, "", bootclock.Stamp{}
 }
 
 // Full gives a message of this log with its body, which may have to be read from the disk.
@@ -163,8 +165,10 @@
 		out.Body, out.OnDisk = b.Body, b.OnDisk
 	}
 	out.Attempts = max(a.Attempts, b.Attempts)
-	out.MayRun, out.RanAt, out.RanZone = earlier(a.MayRun, a.RanAt, a.RanZone, b.MayRun, b.RanAt, b.RanZone)
-	out.out, out.outAt, out.outZone = earlier(a.out, a.outAt, a.outZone, b.out, b.outAt, b.outZone)
+	ran := earlier(attempted{a.MayRun, a.RanAt, a.RanZone, a.ranStamp}, attempted{b.MayRun, b.RanAt, b.RanZone, b.ranStamp})
+	out.MayRun, out.RanAt, out.RanZone, out.ranStamp = ran.was, ran.at, ran.zone, ran.stamp
+	was := earlier(attempted{a.out, a.outAt, a.outZone, a.outStamp}, attempted{b.out, b.outAt, b.outZone, b.outStamp})
+	out.out, out.outAt, out.outZone, out.outStamp = was.was, was.at, was.zone, was.stamp
 	out.Alone = a.Alone && b.Alone // a copy that knows of no mark has come by the owner's own log
 	if rank(b.Ending) > rank(a.Ending) {
 		out.Ending = b.Ending
@@ -187,17 +191,25 @@
 	return map[Ending]int{Unended: 0, Refused: 1, Failed: 2, Closed: 3, Over: 4}[e]
 }
 
+// attempted is a call that may have been.
+type attempted struct {
+	was   bool
+	at    time.Time
+	zone  string
+	stamp bootclock.Stamp
+}
+
 // earlier is the first of two calls that may each have been.
-func earlier(aWas bool, aAt time.Time, aZone string, bWas bool, bAt time.Time, bZone string) (bool, time.Time, string) {
+func earlier(a, b attempted) attempted {
 	switch {
-	case !bWas:
-		return aWas, aAt, aZone
-	case !aWas:
-		return bWas, bAt, bZone
-	case bAt.Before(aAt), bAt.Equal(aAt) && bZone < aZone:
-		return true, bAt, bZone
+	case !b.was:
+		return a
+	case !a.was:
+		return b
+	case b.at.Before(a.at), b.at.Equal(a.at) && b.zone < a.zone:
+		return b
 	}
-	return true, aAt, aZone
+	return a
 }
 
 // Digest is that of all that is known of a message but its body, of which it has the size: equal for equal knowledge.
@@ -230,7 +242,7 @@
 
 // StartedRecord is that of a call that goes out.
 func StartedRecord(seq uint64, at time.Time, zone string) []byte {
-	return appendStarted(nil, seq, at, zone)
+	return appendStarted(nil, seq, at, zone, bootclock.Stamp{})
 }
 
 // IDOf is the id of the message that a record of an acceptance is of, or "".
--- a/internal/routing/wal/legacy.go
+++ b/internal/routing/wal/legacy.go
@@ -9,6 +9,8 @@
 	"math"
 	"os"
 	"path/filepath"
+
+	"mulleinbeam/internal/bootclock"
 )
 
 // This file reads the one-file journal of versions before 0.2.0, once: what lives in it is put into the store, and the
@@ -69,7 +71,7 @@
 			return fmt.Errorf("wal: old journal: %w", err)
 		}
 		if m.out {
-			if err := l.write(m.Seq, appendStarted(nil, m.Seq, m.outAt, m.outZone)); err != nil {
+			if err := l.write(m.Seq, appendStarted(nil, m.Seq, m.outAt, m.outZone, bootclock.Stamp{})); err != nil {
 				return fmt.Errorf("wal: old journal: %w", err)
 			}
 		}
--- a/internal/routing/wal/record.go
+++ b/internal/routing/wal/record.go
@@ -5,6 +5,8 @@
 	"errors"
 	"math"
 	"time"
+
+	"mulleinbeam/internal/bootclock"
 )
 
 // A record's payload is a kind, the message's number and the kind's own fields. The store frames it.
@@ -43,6 +45,14 @@
 
 func appendTime(b []byte, t time.Time) []byte { return binary.AppendVarint(b, t.UnixNano()) }
 
+// appendStamp ends a record; a reader that knows of none passes over it.
+func appendStamp(b []byte, s bootclock.Stamp) []byte {
+	if s.Boot == 0 {
+		return b
+	}
+	return binary.AppendVarint(binary.AppendUvarint(b, s.Boot), int64(s.At))
+}
+
 func appendAccepted(b []byte, m *Message) []byte {
 	k := kindAccepted
 	if m.Long {
@@ -51,16 +61,16 @@
 	b = appendTime(start(b, k, m.Seq), m.Deadline)
 	b = binary.AppendVarint(b, m.Destination)
 	b = appendText(appendText(appendText(b, m.ID), m.Key), m.Class)
-	return appendText(b, m.Body)
+	return appendStamp(appendText(b, m.Body), m.deadlineStamp)
 }
 
 func appendProgress(b []byte, m *Message) []byte {
 	b = binary.AppendUvarint(start(b, kindProgress, m.Seq), uint64(m.Attempts))
-	return appendText(appendTime(append(b, flag(m.MayRun)), m.RanAt), m.RanZone)
+	return appendStamp(appendText(appendTime(append(b, flag(m.MayRun)), m.RanAt), m.RanZone), m.ranStamp)
 }
 
-func appendStarted(b []byte, seq uint64, at time.Time, zone string) []byte {
-	return appendText(appendTime(start(b, kindStarted, seq), at), zone)
+func appendStarted(b []byte, seq uint64, at time.Time, zone string, stamp bootclock.Stamp) []byte {
+	return appendStamp(appendText(appendTime(start(b, kindStarted, seq), at), zone), stamp)
 }
 
 func appendOutcome(b []byte, seq uint64, mayRun bool) []byte {
@@ -125,6 +135,14 @@
 
 func (r *reader) time() time.Time { return time.Unix(0, r.varint()) }
 
+// stamp reads what appendStamp has written, where anything is left.
+func (r *reader) stamp() bootclock.Stamp {
+	if r.bad || len(r.b) == 0 {
+		return bootclock.Stamp{}
+	}
+	return bootclock.Stamp{Boot: r.uvarint(), At: time.Duration(r.varint())}
+}
+
 func (r *reader) text() []byte { return r.take(r.uvarint()) }
 
 // apply books one payload into the state.
@@ -138,6 +156,7 @@
 		m = &Message{Seq: seq, Deadline: r.time(), Destination: r.varint(), Long: k == kindAcceptedLong}
 		m.ID, m.Key, m.Class = string(r.text()), string(r.text()), string(r.text())
 		body := r.text()
+		m.deadlineStamp = r.stamp()
 		if m.size = len(body); s.kept+int64(len(body)) <= s.memory {
 			m.Body = append([]byte(nil), body...)
 		} else {
@@ -148,14 +167,14 @@
 			s.live[seq] = m
 		}
 	case kindProgress:
-		attempts, ran, at, zone := r.uvarint(), r.octet() == 1, r.time(), string(r.text())
+		attempts, ran, at, zone, stamp := r.uvarint(), r.octet() == 1, r.time(), string(r.text()), r.stamp()
 		if m != nil && !r.bad {
-			m.Attempts, m.MayRun, m.RanAt, m.RanZone = int(min(attempts, 1<<20)), ran, at, zone
+			m.Attempts, m.MayRun, m.RanAt, m.RanZone, m.ranStamp = int(min(attempts, 1<<20)), ran, at, zone, stamp
 		}
 	case kindStarted:
-		at, zone := r.time(), string(r.text())
+		at, zone, stamp := r.time(), string(r.text()), r.stamp()
 		if m != nil && !r.bad {
-			m.started(at, zone)
+			m.started(at, zone, stamp)
 		}
 	case kindOutcome:
 		ran := r.octet() == 1
--- a/internal/routing/wal/wal.go
+++ b/internal/routing/wal/wal.go
@@ -19,6 +19,7 @@
 	"sync/atomic"
 	"time"
 
+	"mulleinbeam/internal/bootclock"
 	"mulleinbeam/internal/routing/wal/fsys"
 	"mulleinbeam/internal/routing/wal/segment"
 	"mulleinbeam/internal/routing/wal/store"
@@ -61,17 +62,20 @@
 	out     bool     // an attempt is out
 	outAt   time.Time
 	outZone string
+
+	// The times above by the clock of the boot in which they were noted.
+	deadlineStamp, ranStamp, outStamp bootclock.Stamp
 }
 
-func (m *Message) started(at time.Time, zone string) {
+func (m *Message) started(at time.Time, zone string, stamp bootclock.Stamp) {
 	m.outcome(m.out) // an attempt before it that has none was out when its life ended
 	m.Attempts++
-	m.out, m.outAt, m.outZone = true, at, zone
+	m.out, m.outAt, m.outZone, m.outStamp = true, at, zone, stamp
 }
 
 func (m *Message) outcome(mayRun bool) {
 	if mayRun && m.out && !m.MayRun {
-		m.MayRun, m.RanAt, m.RanZone = true, m.outAt, m.outZone
+		m.MayRun, m.RanAt, m.RanZone, m.ranStamp = true, m.outAt, m.outZone, m.outStamp
 	}
 	m.out = false
 }
@@ -113,6 +117,7 @@
 	mostSegment  = 64 << 20              // unless it is told
 	segments     = 24                    // that the disk is divided into, so that one set aside for compaction is little of it
 	leastShares  = 6                     // and at the least
+	acceptedHead = 96                    // bytes of an acceptance beside its texts and its body, at the most
 	owedFor      = 64                    // bytes set aside with a message beside its end: how it was given up
 	spareShare   = 20                    // of the disk, one part: left to the attempts of messages that were taken on
 	kickEvery    = 32                    // records after which the worker looks whether there is something to do
@@ -124,6 +129,7 @@
 	state
 	store    *store.Store
 	lock     *os.File
+	clock    *bootclock.Clock
 	commits  *committer // nil: nothing waits for a sync
 	last     uint64     // the latest record
 	buf      []byte
@@ -146,6 +152,7 @@
 	Durability store.Durability // what an append outlasts
 	Memory     int64            // bytes of bodies that are kept in memory as well; 0 keeps all
 	FS         fsys.FS          // what is read and written; nil is the folder itself
+	Clock      *bootclock.Clock // by which times outlast the process; nil is the system's
 }
 
 // sizes gives the bytes of all the journal's files, and of one segment.
@@ -185,6 +192,11 @@
 	if l.lock, err = lockDir(dir); err != nil {
 		return nil, err
 	}
+	if l.clock = o.Clock; l.clock == nil {
+		if l.clock, err = bootclock.System(); err != nil {
+			report(fmt.Sprintf("journal: times go by the wall clock: %v", err))
+		}
+	}
 	if o.FS == nil {
 		o.FS = fsys.Dir(dir)
 	}
@@ -210,6 +222,7 @@
 			report(fmt.Sprintf("journal: nothing is taken on or sent until the next start: %v", err))
 		})
 	}
+	l.resumeTimes()
 	for _, m := range l.live { // a call that was out when the process ended may have run
 		m.outcome(true)
 	}
@@ -226,6 +239,33 @@
 	return l, nil
 }
 
+// steppedFrom is the least step of the wall clock that is reported.
+const steppedFrom = time.Second
+
+// resumeTimes puts the times of earlier lives in this process's. Where the boot is the same, a step of the wall clock since changes none of
+// them: a deadline is neither over at once nor an hour too late.
+func (l *Log) resumeTimes() {
+	most := time.Duration(0)
+	resume := func(at *time.Time, stamp bootclock.Stamp) {
+		stepped := time.Duration(0)
+		if *at, stepped = l.clock.Time(*at, stamp); stepped.Abs() > most.Abs() {
+			most = stepped
+		}
+	}
+	for _, m := range l.live {
+		resume(&m.Deadline, m.deadlineStamp)
+		if m.MayRun {
+			resume(&m.RanAt, m.ranStamp)
+		}
+		if m.out {
+			resume(&m.outAt, m.outStamp)
+		}
+	}
+	if most.Abs() > steppedFrom {
+		l.report(fmt.Sprintf("journal: the wall clock was set by %v since an earlier life; times go by the boot's clock", most.Round(time.Millisecond)))
+	}
+}
+
 // work compacts whenever there is something worth it.
 func (l *Log) work() {
 	defer close(l.done)
@@ -289,7 +329,7 @@
 
 // Fits says whether a message can be accepted.
 func (l *Log) Fits(m *Message) bool {
-	size := 64 + len(m.ID) + len(m.Key) + len(m.Class) + len(m.Body)
+	size := acceptedHead + len(m.ID) + len(m.Key) + len(m.Class) + len(m.Body)
 	if size > segment.MostRecord-64 {
 		return false
 	}
@@ -312,6 +352,7 @@
 		l.wake()
 		return ErrFull
 	}
+	m.deadlineStamp = l.clock.Stamp(m.Deadline)
 	l.buf = appendAccepted(l.buf[:0], m)
 	num, err := l.store.Put(m.Seq, l.buf, owedFor)
 	l.wrote(num, len(l.buf))
@@ -364,12 +405,13 @@
 	if l.waiting.of(seq) { // records of one message stand in the order of what they tell
 		return ErrFull
 	}
-	l.buf = appendStarted(l.buf[:0], seq, at, zone)
+	stamp := l.clock.Stamp(at)
+	l.buf = appendStarted(l.buf[:0], seq, at, zone, stamp)
 	if err := l.write(seq, l.buf); err != nil {
 		return err
 	}
 	l.tell(l.buf)
-	m.started(at, zone)
+	m.started(at, zone, stamp)
 	return nil
 }
 
@@ -411,6 +453,9 @@
 
 // Adopt journals a message of another life under this log's next number, with all that is known of its attempts and its end.
 func (l *Log) Adopt(m *Message) error {
+	if m.MayRun {
+		m.ranStamp = l.clock.Stamp(m.RanAt)
+	}
 	if err := l.Accept(m); err != nil {
 		return err
 	}
@@ -427,6 +472,7 @@
 		return nil
 	}
 	m.Attempts, m.MayRun, m.RanAt, m.RanZone, m.out = known.Attempts, known.MayRun, known.RanAt, known.RanZone, false
+	m.ranStamp = l.clock.Stamp(known.RanAt)
 	return l.note(seq, [][]byte{appendProgress(nil, m)})
 }
 
--- a/internal/routing/wal/wal_test.go
+++ b/internal/routing/wal/wal_test.go
@@ -16,6 +16,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 
+	"mulleinbeam/internal/bootclock"
 	"mulleinbeam/internal/routing/wal/store"
 )
 
@@ -301,9 +302,9 @@
 	for _, m := range messages {
 		file = sealOld(file, appendAccepted(nil, m))
 	}
-	file = sealOld(file, appendStarted(nil, 4, at(1), "z1"))
+	file = sealOld(file, appendStarted(nil, 4, at(1), "z1", bootclock.Stamp{}))
 	file = sealOld(file, appendOutcome(nil, 4, true))
-	file = sealOld(file, appendStarted(nil, 5, at(2), "z2"))
+	file = sealOld(file, appendStarted(nil, 5, at(2), "z2", bootclock.Stamp{}))
 	file = sealOld(file, appendEnded(nil, 6, Refused, time.Second))
 	file = sealOld(file, appendEnded(nil, 8, Over, 0))
 	want := []*Message{
