Connections: one that reads as reset twice is taken for ended at once

Cause: a look at a connection that gives its reset once more passed for one that lives, so its call waited 400 ms for its end. Change: only bytes that have come, or that there are none yet, say that a connection lives.

--- a/internal/transport/lasting.go
+++ b/internal/transport/lasting.go
@@ -67,10 +67,10 @@
 	return errors.As(err, &number)
 }
 
-// mayRead says whether something may come yet: a connection that has ended, or was reset, reads as ended.
+// mayRead says whether something may come yet, or has. A connection that has ended or was reset reads as ended, or as reset once more.
 func (c lastingConn) mayRead() bool {
 	n, err := peek(c.Conn)
-	return n > 0 || err != nil && !errors.Is(err, net.ErrClosed)
+	return n > 0 || errors.Is(err, syscall.EAGAIN)
 }
 
 // mayWrite says the same of writing, which goes on where only the other side has ended its sending.
