--- a/internal/routing/wal/fsys/few.go
+++ b/internal/routing/wal/fsys/few.go
@@ -150,7 +150,10 @@
 			errs = append(errs, d.keep(f))
 		}
 	}
-	return errors.Join(append(errs, d.FS.Remove(name))...)
+	if err := errors.Join(errs...); err != nil { // whoever has it open would read nothing any more
+		return err
+	}
+	return d.FS.Remove(name)
 }
 
 // Rename renames a file; whoever has it open goes on under the new name, and whoever had that one keeps what was there.
@@ -163,7 +166,10 @@
 			errs = append(errs, d.keep(f))
 		}
 	}
-	if err := errors.Join(append(errs, d.FS.Rename(from, to))...); err != nil {
+	if err := errors.Join(errs...); err != nil {
+		return err
+	}
+	if err := d.FS.Rename(from, to); err != nil {
 		return err
 	}
 	for f := range d.files {
--- a/internal/routing/wal/fsys/fsys.go
+++ b/internal/routing/wal/fsys/fsys.go
@@ -3,6 +3,7 @@
 package fsys
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -46,7 +47,7 @@
 // and a power cut may yet bring the old one back.
 func Replace(fsys FS, name string, content []byte, sync bool) (there bool, err error) {
 	next := name + NewSuffix
-	if err := fsys.Remove(next); err != nil && !errors.Is(err, fs.ErrNotExist) {
+	if err := remove(fsys, next); err != nil {
 		return false, err
 	}
 	f, err := fsys.Create(next)
@@ -61,7 +62,9 @@
 		return false, errors.Join(err, fsys.Remove(next)) // its room is wanted
 	}
 	if err := fsys.Rename(next, name); err != nil {
-		return false, err
+		if !holds(fsys, name, content) { // a rename that failed may have been made all the same
+			return false, errors.Join(err, remove(fsys, next))
+		}
 	}
 	if sync {
 		return true, fsys.Sync()
@@ -69,6 +72,26 @@
 	return true, nil
 }
 
+// remove removes a file that may not be there.
+func remove(fsys FS, name string) error {
+	if err := fsys.Remove(name); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	return nil
+}
+
+// holds says whether a file has exactly a content; false, too, where it can't be read.
+func holds(fsys FS, name string, content []byte) bool {
+	f, err := fsys.Open(name)
+	if err != nil {
+		return false
+	}
+	defer f.Close()
+	there := make([]byte, len(content)+1)
+	n, err := f.ReadAt(there, 0)
+	return errors.Is(err, io.EOF) && bytes.Equal(there[:n], content)
+}
+
 // NewSuffix is what the name of a file ends in while it is written to replace another.
 const NewSuffix = ".new"
 
