Router: a body is read again while the disk fails for a moment

Cause: any error of the one read ended the message. Evidence: TestABodyIsReadAgain fails without this: the message ends with the first EIO. Change: an error of the disk is tried again every 10 ms, within the call and by later ones, for 3 s from the first; what is on the disk and is no such record ends the message at once, as before. TestBodiesFromDisk stands as it was.

--- a/internal/routing/calls.go
+++ b/internal/routing/calls.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"math"
+	"syscall"
 	"time"
 
 	mb "mulleinbeam"
@@ -86,7 +88,7 @@
 	r.tasks.Go(func() error {
 		defer cancel()
 		if h.onDisk {
-			body, err := r.cfg.Log.Body(h.seq)
+			body, err := r.readBody(ctx, h.seq)
 			if err != nil {
 				r.post(func() { r.unreadable(c, err) })
 				return nil
@@ -160,11 +162,47 @@
 	}
 }
 
-// unreadable ends a message whose body can't be read back for a call: no later one could be made either.
+const (
+	bodyRetryFor = 3 * time.Second // how long a message's body is tried to be read from the disk, by one call or by several
+	bodyRetry    = 10 * time.Millisecond
+)
+
+// readBody reads a body that is only on the disk. A read that fails is tried again for a while.
+func (r *Router) readBody(ctx context.Context, seq uint64) ([]byte, error) {
+	began := time.Now()
+	for {
+		body, err := r.cfg.Log.Body(seq)
+		if err == nil || !ofDisk(err) || time.Since(began) > bodyRetryFor {
+			return body, err
+		}
+		select {
+		case <-time.After(bodyRetry):
+		case <-ctx.Done():
+			return nil, err
+		}
+	}
+}
+
+// ofDisk tells an error of the disk, which may pass, from one of what was read.
+func ofDisk(err error) bool {
+	number := syscall.Errno(0)
+	return errors.As(err, &number)
+}
+
+// unreadable ends a message whose body can't be read back: no later call could be made either. While the disk fails, and that only began,
+// the message goes on, and only its call ends.
 func (r *Router) unreadable(c *attempt, err error) {
 	h := c.msg
+	if h.unreadSince.IsZero() {
+		h.unreadSince = c.sentAt
+	}
+	if ofDisk(err) && time.Since(h.unreadSince) < bodyRetryFor {
+		r.journal(h.ID, err)
+		r.answered(c, Result{Outcome: mb.Moot})
+		return
+	}
 	r.counters.Lost++
-	r.trouble().Uint64("message", h.seq).Err(err).Msg("body not readable, message ended")
+	r.trouble().Uint64("message", h.seq).Str("request", h.ID).Err(err).Msg("body not readable, message ended")
 	e := wal.Refused
 	if h.mayRun {
 		e = wal.Failed
--- a/internal/routing/faults_test.go
+++ b/internal/routing/faults_test.go
@@ -161,3 +161,36 @@
 		t.Errorf("verdict %+v", got)
 	}
 }
+
+// Guards against a message that is ended because its body could not be read from the disk once.
+func TestABodyIsReadAgain(t *testing.T) {
+	dir := t.TempDir()
+	disk := newSwitchedDisk(dir)
+	fails := make(chan struct{}, 1000)
+	disk.Set(func(op fsys.Op, _ string, n int) (int, error) {
+		if op == fsys.OpRead && disk.off.Load() {
+			fails <- struct{}{}
+			return 0, syscall.EIO
+		}
+		return n, nil
+	})
+	journal, err := wal.Open(dir, wal.Options{Most: 3e6, FS: disk, Memory: 1}, func(string) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, s, _ := runConfig(t, journal, func(*Config) {})
+	disk.off.Store(true)
+	m := message("m")
+	m.Body = []byte("more than is kept in memory")
+	if got := r.Take(m); got.Kind != Taken {
+		t.Fatalf("verdict %+v", got)
+	}
+	<-fails
+	<-fails
+	disk.off.Store(false)
+	if c := <-s.calls; string(c.Body) != string(m.Body) {
+		t.Errorf("called with %q", c.Body)
+	}
+	s.results <- Result{Outcome: mb.OK}
+	await(t, r, "delivered", func(c Counters) bool { return c.Delivered == 1 && c.Lost == 0 })
+}
--- a/internal/routing/held.go
+++ b/internal/routing/held.go
@@ -13,23 +13,24 @@
 // held is a message that is taken on, or that still has a call out.
 type held struct {
 	Message
-	seq      uint64
-	onDisk   bool   // its Body is read from the journal for each call
-	record   uint64 // of its accept; 0 is one of an earlier life
-	mark     uint64 // and its place in what goes to others
-	deadline time.Time
-	attempts int
-	call     *attempt // the attempt that is out
-	ended    bool
-	mayRun   bool        // an attempt may have run
-	repeated bool        // somebody who handed it in again is told that it is taken on
-	last     mb.Outcome  // of its latest attempt
-	cut      bool        // a long one of an earlier life
-	apart    bool        // taken on while this life may not act for others' copies: nobody else has it
-	away     bool        // not with the module: this life may not act for it, or not yet
-	returns  bool        // it goes back to the module with the end of its call
-	adopting bool        // of another life, which is not this forwarder's to act for yet
-	dropped  atomic.Bool // its notice is somebody else's
+	seq         uint64
+	onDisk      bool      // its Body is read from the journal for each call
+	unreadSince time.Time // a call could not read it first
+	record      uint64    // of its accept; 0 is one of an earlier life
+	mark        uint64    // and its place in what goes to others
+	deadline    time.Time
+	attempts    int
+	call        *attempt // the attempt that is out
+	ended       bool
+	mayRun      bool        // an attempt may have run
+	repeated    bool        // somebody who handed it in again is told that it is taken on
+	last        mb.Outcome  // of its latest attempt
+	cut         bool        // a long one of an earlier life
+	apart       bool        // taken on while this life may not act for others' copies: nobody else has it
+	away        bool        // not with the module: this life may not act for it, or not yet
+	returns     bool        // it goes back to the module with the end of its call
+	adopting    bool        // of another life, which is not this forwarder's to act for yet
+	dropped     atomic.Bool // its notice is somebody else's
 }
 
 // resume takes up what an earlier life left: its notices, and its messages with their past. The module gets all of them at once:
