Clients: a request read in part is answered, and no answer that may be known is taken back

Callers would see: a connection closed under half a request that was read; a message withdrawn whose client had read the first line of its 202; an answer reset in a crowd. Cause: a read that kept failing ended the connection without a word; any failed write withdrew the message, though a part of the answer was out; where there were too many connections the oldest at its end was closed, over unread bytes, too. Evidence: TestARequestThatCannotBeReadIsAnswered fails without this. Change: such a request gets 503; a message is withdrawn only where nothing of its answer was written, since running it harms nobody and forgetting it would; in a crowd connections whose answer has arrived give way first.

--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -196,7 +196,7 @@
 		c.at = ending
 	}
 	if len(s.conns)-s.passings > s.Most+overflow {
-		s.drop(ending, 0) // perhaps this very one
+		_ = s.closeAnswered() || s.drop(ending, 0) // perhaps this very one
 	}
 	return room
 }
@@ -206,17 +206,23 @@
 func (s *Clients) freeDescriptor() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	_ = s.closeAnswered() || s.drop(silent, askLeast) || s.drop(idle, idleLeast)
+}
+
+// closeAnswered closes a connection at its end whose last answer has arrived and on which nothing more has come, so that the close does not
+// reset it; s.mu is held.
+func (s *Clients) closeAnswered() bool {
 	for c := range s.conns {
 		if c.at != ending || unacknowledged(c.Conn) != 0 {
 			continue
 		}
-		if n, _ := peek(c.Conn); n == 0 { // a close over bytes that were not read would reset it
+		if n, _ := peek(c.Conn); n == 0 {
 			s.forget(c)
 			_ = c.Close()
-			return
+			return true
 		}
 	}
-	_ = s.drop(silent, askLeast) || s.drop(idle, idleLeast)
+	return false
 }
 
 // drop ends the connection that has been at something the longest, and for so long at least; s.mu is held. One that is at its
@@ -342,11 +348,17 @@
 }
 
 func (s *Clients) serve(c *clientConn) {
-	defer s.end(c)
-	parser, quiet, first := protocol.NewRequestParser(protocol.MostBody), true, true
+	parser := protocol.NewRequestParser(protocol.MostBody)
 	if s.Long != nil {
 		parser.Stream(protocol.StreamLong)
 	}
+	s.serveFrom(c, parser)
+}
+
+// serveFrom answers what comes on a connection, up to its end.
+func (s *Clients) serveFrom(c *clientConn, parser *protocol.Parser) {
+	defer s.end(c)
+	quiet, first := parser.Idle(), true
 	for {
 		m, err := parser.Next()
 		if err != nil {
@@ -396,10 +408,11 @@
 		if err != nil && n == 0 {
 			timeout := (net.Error)(nil)
 			switch late := errors.As(err, &timeout) && timeout.Timeout(); {
+			case !late && ofSystemCall(err) && !parser.Idle(): // its client may still wait for an answer
+				s.count(&s.counters.Broken)
+				s.farewell(c, &protocol.Refusal{Status: 503, Reason: "request could not be read", RetryAfter: time.Second, Close: true})
+				return
 			case !late: // it has ended
-				if !parser.Idle() {
-					s.count(&s.counters.Broken)
-				}
 				return
 			case !parser.Idle():
 				s.count(&s.counters.Late)
@@ -488,8 +501,8 @@
 		return false
 	}
 	last := m.Close || s.last(c)
-	if !s.answer(c, status, refusal, last) {
-		if withdraw != nil {
+	if written, err := s.write(c, status, refusal, last); err != nil {
+		if withdraw != nil && written == 0 { // else its client may know
 			withdraw()
 		}
 		return false
@@ -529,13 +542,20 @@
 	}
 }
 
+// answer writes an answer, and says whether all of it was.
 func (s *Clients) answer(c *clientConn, status int, r *protocol.Refusal, last bool) bool {
-	if c.SetWriteDeadline(time.Now().Add(answerFor)) != nil {
-		return false
+	_, err := s.write(c, status, r, last)
+	return err == nil
+}
+
+// write writes an answer, and gives how much of it was written.
+func (s *Clients) write(c *clientConn, status int, r *protocol.Refusal, last bool) (written int, err error) {
+	if err := c.SetWriteDeadline(time.Now().Add(answerFor)); err != nil {
+		return 0, err
 	}
-	_, err := c.Write(protocol.AppendAnswer(make([]byte, 0, 160), status, r, last))
+	written, err = c.Write(protocol.AppendAnswer(make([]byte, 0, 160), status, r, last))
 	if err != nil {
 		s.count(&s.counters.Broken)
 	}
-	return err == nil
+	return written, err
 }
--- a/internal/transport/lasting_test.go
+++ b/internal/transport/lasting_test.go
@@ -1,10 +1,14 @@
 package transport
 
 import (
+	"bufio"
 	"net"
+	"net/http"
 	"os"
 	"syscall"
 	"testing"
+
+	"mulleinbeam/internal/protocol"
 )
 
 // flakyConn fails reads and writes with errors of the system call, on a connection that lives.
@@ -60,3 +64,21 @@
 		})
 	}
 }
+
+// Guards against a request that was read in part and is never answered, because the rest of it cannot be read.
+func TestARequestThatCannotBeReadIsAnswered(t *testing.T) {
+	client, conn := ends(t)
+	s := &Clients{Handler: actingHandler{}, Most: 4, conns: map[*clientConn]struct{}{}}
+	c := &clientConn{lastingConn: lastingConn{&flakyConn{conn.(*net.TCPConn), 1 << 30, 0, 0}}}
+	s.admit(c)
+	parser := protocol.NewRequestParser(protocol.MostBody)
+	parser.Commit(copy(parser.Space(), "POST /api HTTP/1.1\r\n"))
+	served := make(chan struct{})
+	go func() { defer close(served); s.serveFrom(c, parser) }()
+	res, err := http.ReadResponse(bufio.NewReader(client), nil)
+	if err != nil || res.StatusCode != 503 || !res.Close {
+		t.Errorf("answered %v, %v", res, err)
+	}
+	_ = client.Close()
+	<-served
+}
