Endpoints: a call waits for a socket that this machine has not just now

Callers would see: messages returned untried, and endpoints taken for unreachable, while sockets were short on this machine. Cause: EMFILE, ENFILE, ENOBUFS, ENOMEM and EADDRNOTAVAIL of socket and connect counted as the endpoint's failure and used up an attempt. Change: such an error is tried again every 10 ms, for as long as a connection may take to come up; the counter no_room counts them.

--- a/cmd/larkreach/sysfault_test.go
+++ b/cmd/larkreach/sysfault_test.go
@@ -334,6 +334,30 @@
 	s.finish(t)
 }
 
+// Guards against attempts used up, and an endpoint held for unreachable, because this machine has no socket for a moment.
+func TestACallWaitsForASocket(t *testing.T) {
+	t.Parallel()
+	for _, errno := range []unix.Errno{unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM} {
+		s, faults := faultySite(t)
+		must(t, s.f.Start())
+		faults.Set(sysfault.Rule{
+			Calls: []sysfault.Call{sysfault.Socket}, Places: []sysfault.Place{sysfault.Outgoing}, Errors: []unix.Errno{errno}, Chance: 1,
+		})
+		if a := s.hand(t, "unsafe", 100); a.Status != 202 {
+			t.Fatalf("%+v", a)
+		}
+		must(t, s.f.AwaitCounterOver("endpoints", "no_room", 2))
+		faults.Set()
+		must(t, s.f.AwaitCounter("sent", "ok", 1))
+		sent, err := s.f.Counters("sent")
+		must(t, err)
+		if sent["connect_failed"] != 0 || sent["calls"] != 1 {
+			t.Errorf("%v: %v", errno, sent)
+		}
+		s.finish(t)
+	}
+}
+
 // Guards against messages that are taken on and never decided on while the disk fails for a moment (incident 10321).
 func TestDiskFaultsLoseNothing(t *testing.T) {
 	playFaults(t, faultKind{name: "disk", rules: diskRules})
--- a/internal/transport/endpoints.go
+++ b/internal/transport/endpoints.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -59,13 +60,15 @@
 	Spoilt  int64 // answers that can't be read or don't come whole
 	True    int64 // of these, those whose first line says that the message is delivered
 	Surplus int64 // answers with more behind them than belongs to them
+	NoRoom  int64 // tries of a connection for which this machine had no room
 	Idle    int   // now
 }
 
 // MarshalZerologObject writes the counters' group of the log.
 func (c EndpointCounters) MarshalZerologObject(e *zerolog.Event) {
 	e.Int64("opened", c.Opened).Int("idle", c.Idle).Int64("ended_before_use", c.Ended).Int64("spoilt", c.Spoilt).
-		Int64("delivered_all_the_same", c.True).Int64("surplus", c.Surplus)
+		Int64("delivered_all_the_same", c.True).Int64("surplus", c.Surplus).
+		Int64("no_room", c.NoRoom)
 }
 
 // NewEndpoints keeps at most so many idle connections, each for less than keepAlive.
@@ -142,8 +145,7 @@
 		_ = c.Close()
 		p.count(&p.counters.Ended)
 	}
-	dialer := net.Dialer{Timeout: p.connect}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := p.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
@@ -151,6 +153,34 @@
 	return &endpointConn{lastingConn: lastingConn{conn}, name: name, address: address}, nil
 }
 
+// ownErrors are those of a connection that this machine cannot open for a while. They speak of no endpoint.
+var ownErrors = []syscall.Errno{
+	syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.EAGAIN, syscall.EINTR,
+}
+
+const dialRetry = 10 * time.Millisecond // the pause behind such an error
+
+// dial opens a connection. While this machine has no room for one it goes on, for as long as a connection may take to come up.
+func (p *Endpoints) dial(ctx context.Context, address string) (net.Conn, error) {
+	if p.connect > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, p.connect)
+		defer cancel()
+	}
+	dialer := net.Dialer{}
+	for {
+		conn, err := dialer.DialContext(ctx, "tcp", address)
+		number := syscall.Errno(0)
+		if err == nil || !errors.As(err, &number) || !slices.Contains(ownErrors, number) {
+			return conn, err
+		}
+		p.count(&p.counters.NoRoom)
+		if pause(ctx, dialRetry); ctx.Err() != nil {
+			return nil, err
+		}
+	}
+}
+
 // Call is one to an endpoint. Begin is asked just before the first byte, and once more if the connection then turns out
 // to have ended.
 type Call struct {
