Logs: one line in ten seconds for each reason of a refusal, retry, close and end

Need: from the incident's logs nobody can tell what became of a request, or which system call failed; counters came only at the exit. Change: internal/oplog logs the first of a kind and reason at once, with request id, attempt, endpoint, class and the error of the system call, then one in 10 s with the number of times since; the rest at the exit. Used for refusals, calls that end, calls held back, messages handed back, given up and withdrawn, connections that break or do not come up, and accepts that fail. At most 256 kinds are remembered. Measured: 3,000 refusals for one reason give two lines (TestSamplerLogsTheFirstAndThenNowAndThen).

--- a/cmd/larkreach/main.go
+++ b/cmd/larkreach/main.go
@@ -21,6 +21,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"mulleinbeam/internal/memory"
+	"mulleinbeam/internal/oplog"
 	"mulleinbeam/internal/protocol"
 	"mulleinbeam/internal/routing"
 	"mulleinbeam/internal/routing/wal"
@@ -96,13 +97,16 @@
 	}
 	defer listener.Close()
 
+	samples := oplog.NewSampler(logger.With().Str("part", "requests").Logger())
+	defer samples.Close()
 	endpoints := transport.NewEndpoints(cfg.Settings.KeepAlive, cfg.Settings.ConnectTimeout, room/4)
+	endpoints.Samples = samples
 	defer endpoints.Close()
 	discovery := transport.NewAddress(cfg.Discovery)
 	reporter := transport.NewReporter(discovery, logger)
 	setup := routing.Config{
 		Settings: cfg.Settings, Seed: cfg.Seed, Known: listOf(cfg.Known, true), Log: journal,
-		Caller: caller{endpoints}, Notifier: notifier{reporter}, Logger: logger, Drain: drainFor, Settle: settleFor,
+		Caller: caller{endpoints}, Notifier: notifier{reporter}, Logger: logger, Samples: samples, Drain: drainFor, Settle: settleFor,
 		Long: long,
 	}
 	if remembered != nil {
@@ -122,7 +126,7 @@
 	if err != nil {
 		return err
 	}
-	clients := &transport.Clients{Handler: handler{router}, Most: room * 3 / 4, Long: passages}
+	clients := &transport.Clients{Handler: handler{router}, Most: room * 3 / 4, Long: passages, Samples: samples}
 	counters := func(when string) {
 		now, line := router.Counters(), logger.Info()
 		if passages != nil {
--- /dev/null
+++ b/internal/oplog/sampler_test.go
@@ -0,0 +1,46 @@
+package oplog
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// Guards against a log that grows with each request while something fails, and against one that is silent about it.
+func TestSamplerLogsTheFirstAndThenNowAndThen(t *testing.T) {
+	var out bytes.Buffer
+	s := NewSampler(zerolog.New(&out))
+	at := time.Unix(1000, 0)
+	s.now = func() time.Time { return at }
+	note := func(reason, id string) {
+		s.Note("request refused", reason, func(e *zerolog.Event) { e.Str("request", id) })
+	}
+	for i := range 3000 {
+		note("journal", "a")
+		if at = at.Add(time.Millisecond); i == 1500 {
+			note("full", "b")
+		}
+	}
+	at = at.Add(lineEvery)
+	note("journal", "c")
+	note("journal", "d")
+	s.Close()
+	want := `{"level":"info","reason":"journal","times":1,"request":"a","message":"request refused"}
+{"level":"info","reason":"full","times":1,"request":"b","message":"request refused"}
+{"level":"info","reason":"journal","times":3000,"request":"c","message":"request refused"}
+{"level":"info","reason":"journal","times":1,"message":"request refused"}
+`
+	if got := out.String(); got != want {
+		t.Errorf("logged\n%s", got)
+	}
+	(*Sampler)(nil).Note("nothing", "", nil)
+	for i := range 2 * mostKinds {
+		note(strings.Repeat("x", i), "")
+	}
+	if len(s.kinds) != mostKinds {
+		t.Errorf("%d kinds are remembered", len(s.kinds))
+	}
+}
--- a/internal/routing/accept.go
+++ b/internal/routing/accept.go
@@ -22,6 +22,7 @@
 	apart := r.cfg.Guard != nil && !r.cfg.Guard.MayAct()
 	if r.cfg.Guard != nil && (apart && m.Long != nil || !r.cfg.Guard.Ready(m.Class)) { // it could not be copied, or not be sent
 		r.counters.NoCopy++
+		r.sampleRefused(m, "no replica")
 		return Verdict{Kind: Refused, RetryAfter: pushBack}
 	}
 	longest := r.classes[m.Class]
@@ -36,16 +37,19 @@
 	}
 	if !r.cfg.Log.Fits(entry) {
 		r.counters.NoRoom++
+		r.sampleRefused(m, "journal full")
 		return Verdict{Kind: Refused, RetryAfter: pushBack}
 	}
 	actions := r.decider.Handle(r.now(), []mb.Event{r.submission(h, m.Left)})
 	if v, others, answered := r.answeredAtOnce(h, actions); answered { // nothing was taken on
+		r.sampleRefused(m, "decision")
 		r.perform(others)
 		return v
 	}
 	if err := r.cfg.Log.Accept(entry); err != nil {
 		r.counters.NoRoom++
 		r.journal(m.ID, err)
+		r.sampleRefused(m, "journal not written")
 		r.revoke(h, actions)
 		return Verdict{Kind: Refused, RetryAfter: pushBack}
 	}
@@ -81,25 +85,32 @@
 // refuseUnheard gives the verdict on a message that is not even decided on: it names what there is not, or there is no room for it.
 func (r *Router) refuseUnheard(m Message) (v Verdict, refused bool) {
 	_, classed := r.classes[m.Class]
+	reason := ""
+	v = Verdict{Kind: Refused, RetryAfter: pushBack}
 	switch {
 	case !classed:
 		r.counters.Unreadable++
-		return Verdict{Kind: UnknownClass}, true
+		v, reason = Verdict{Kind: UnknownClass}, "unknown class"
 	case len(r.groups) > 0 && !r.groups[m.Destination]:
 		r.counters.Unreadable++
-		return Verdict{Kind: UnknownDestination}, true
+		v, reason = Verdict{Kind: UnknownDestination}, "unknown destination"
 	case r.cfg.Limiter != nil && !r.cfg.Limiter.Allows(m.Class):
 		r.counters.OverRate++
+		reason = "over rate"
 	case m.Long != nil && !r.admitLong():
 		r.counters.LongRefused++
+		reason = "long messages"
 	case m.Long == nil && len(r.ids)-r.longs >= r.cfg.Settings.MostHeld:
 		r.counters.TurnedAway++
+		reason = "most held"
 	case r.cfg.Steering != nil && !r.cfg.Steering.Handed(m.Destination, m.Class):
 		r.counters.NoPlace++
+		reason = "no place"
 	default:
 		return Verdict{}, false
 	}
-	return Verdict{Kind: Refused, RetryAfter: pushBack}, true
+	r.sampleRefused(m, reason)
+	return v, true
 }
 
 // answeredAtOnce looks for the module's answer to a message among its actions, and gives it with the other actions.
--- a/internal/routing/calls.go
+++ b/internal/routing/calls.go
@@ -217,20 +217,20 @@
 	p, listed := r.endpoints[c.endpoint]
 	switch {
 	case r.over, c.msg.ended, c.cancelled, !time.Now().Before(c.cutAt):
+		r.sample("call held back", "over", c.msg)
 		return forbidden
 	case !r.acts(c.msg):
-		r.counters.HeldBack++
-		return forbidden
-	case !listed, p.State != mb.Serving, p.Group != c.msg.Destination, !r.decider.MayBegin(r.now(), mb.MessageID(c.msg.seq)):
-		r.counters.HeldBack++
-		return forbidden
+		return r.holdBack(c, "lease")
+	case !listed, p.State != mb.Serving, p.Group != c.msg.Destination:
+		return r.holdBack(c, "list")
+	case !r.decider.MayBegin(r.now(), mb.MessageID(c.msg.seq)):
+		return r.holdBack(c, "wait or window")
 	}
 	if c.begun { // on another connection now, with nothing written yet
 		return allowed
 	}
 	if r.cfg.Steering != nil && !r.cfg.Steering.Holds(p.Group, p.Zone) {
-		r.counters.HeldBack++
-		return forbidden
+		return r.holdBack(c, "place")
 	}
 	if err := r.cfg.Log.Started(c.msg.seq, time.Now(), p.Zone); err != nil {
 		r.journal(c.msg.ID, err)
@@ -242,6 +242,13 @@
 	return allowed
 }
 
+// holdBack keeps a call's first byte back.
+func (r *Router) holdBack(c *attempt, reason string) permission {
+	r.counters.HeldBack++
+	r.sample("call held back", reason, c.msg)
+	return forbidden
+}
+
 // answered books the end of a call.
 func (r *Router) answered(c *attempt, result Result) {
 	h := c.msg
@@ -258,6 +265,7 @@
 		out = mb.ConnectFailed
 	}
 	r.counters.outcome(out)
+	r.sampleCall(c, out)
 	r.steered(c, out)
 	if l := result.Limit; r.cfg.Steering != nil && l != nil && l.Rate > 0 && !math.IsInf(l.Rate, 1) {
 		r.cfg.Steering.Limited(h.Destination, r.endpoints[c.endpoint].Zone, l.Rate)
--- a/internal/routing/held.go
+++ b/internal/routing/held.go
@@ -126,8 +126,10 @@
 func (r *Router) notify(h *held, back bool, retry time.Duration) {
 	if back {
 		r.counters.HandedBack++
+		r.sample("message handed back", h.lastOutcome(), h)
 	} else {
 		r.counters.GivenUp++
+		r.sample("message given up", h.lastOutcome(), h)
 	}
 	r.notices++
 	n := Notice{ID: h.ID, HandedBack: back, RetryAfter: retry, Done: func() {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	mb "mulleinbeam"
+	"mulleinbeam/internal/oplog"
 	"mulleinbeam/internal/routing/wal"
 )
 
@@ -30,8 +31,9 @@
 	Caller   Caller
 	Notifier Notifier
 	Logger   zerolog.Logger
-	Drain    time.Duration // after the stop: how long calls may be out, at the most
-	Settle   time.Duration // after the stop: how long clients may still come, and are answered
+	Samples  *oplog.Sampler // of what becomes of single requests; nil tells of none
+	Drain    time.Duration  // after the stop: how long calls may be out, at the most
+	Settle   time.Duration  // after the stop: how long clients may still come, and are answered
 	Long     LongLimits
 	Recall   *mb.Learned // what an earlier life had learned; nil is nothing
 	// Past says whether a message of that id has ended in an earlier life, and whether it was delivered; nil knows of none.
@@ -252,6 +254,7 @@
 	r.post(func() {
 		if h := r.ids[id]; h != nil && !h.repeated {
 			r.counters.Withdrawn++
+			r.sample("message withdrawn", "client not told", h)
 			r.journal(h.ID, r.cfg.Log.Withdraw(h.seq))
 			r.end(h, wal.Over, 0)
 			r.past.drop(id)
--- /dev/null
+++ b/internal/routing/sample.go
@@ -0,0 +1,47 @@
+package routing
+
+import (
+	"github.com/rs/zerolog"
+
+	mb "mulleinbeam"
+)
+
+// Lines of the log on single requests, now and then. The router's goroutine only.
+
+// sample tells what has become of a message, and why.
+func (r *Router) sample(what, reason string, h *held) {
+	r.cfg.Samples.Note(what, reason, func(e *zerolog.Event) {
+		e.Str("request", h.ID).Str("class", h.Class).Int64("destination", h.Destination).Int("attempts", h.attempts).Bool("may_have_run", h.mayRun)
+	})
+}
+
+// sampleRefused tells of a message that was not taken on.
+func (r *Router) sampleRefused(m Message, reason string) {
+	r.cfg.Samples.Note("message refused", reason, func(e *zerolog.Event) {
+		e.Str("request", m.ID).Str("class", m.Class).Int64("destination", m.Destination)
+	})
+}
+
+// sampleCall tells of a call that has ended, unless it delivered.
+func (r *Router) sampleCall(c *attempt, out mb.Outcome) {
+	if out == mb.OK {
+		return
+	}
+	r.cfg.Samples.Note("call ended", outcomeNames[out], func(e *zerolog.Event) {
+		e.Str("request", c.msg.ID).Str("endpoint", c.endpoint).Int("attempt", c.number).Bool("begun", c.begun)
+	})
+}
+
+// outcomeNames are the outcomes as the counters name them.
+var outcomeNames = map[mb.Outcome]string{
+	mb.OK: "ok", mb.Failed: "error", mb.Full: "full", mb.TimedOut: "timed_out", mb.ConnectFailed: "connect_failed", mb.Reset: "reset",
+	mb.Cancelled: "cancelled", mb.Moot: "moot",
+}
+
+// lastOutcome names how a message's latest call in this life ended.
+func (h *held) lastOutcome() string {
+	if h.attempts == 0 {
+		return "untried"
+	}
+	return outcomeNames[h.last]
+}
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"mulleinbeam/internal/oplog"
 	"mulleinbeam/internal/protocol"
 	"mulleinbeam/internal/pump"
 )
@@ -58,8 +60,9 @@
 // Clients serves the clients' side.
 type Clients struct {
 	Handler Handler
-	Most    int       // connections at once, beside those with long messages
-	Long    *Passages // nil: no body may be longer than protocol.MostBody
+	Most    int            // connections at once, beside those with long messages
+	Long    *Passages      // nil: no body may be longer than protocol.MostBody
+	Samples *oplog.Sampler // of connections that end otherwise than in order; nil tells of none
 
 	mu       sync.Mutex
 	conns    map[*clientConn]struct{}
@@ -143,6 +146,7 @@
 			failed = fmt.Errorf("transport: accept: %w", err)
 			break
 		}
+		s.Samples.Note("accept failed", err.Error(), func(*zerolog.Event) {})
 		if s.count(&s.counters.AcceptFailed); errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
 			s.freeDescriptor()
 		}
@@ -410,9 +414,13 @@
 			switch late := errors.As(err, &timeout) && timeout.Timeout(); {
 			case !late && ofSystemCall(err) && !parser.Idle(): // its client may still wait for an answer
 				s.count(&s.counters.Broken)
+				s.sample(c, "request not read", err)
 				s.farewell(c, &protocol.Refusal{Status: 503, Reason: "request could not be read", RetryAfter: time.Second, Close: true})
 				return
 			case !late: // it has ended
+				if ofSystemCall(err) {
+					s.sample(c, "connection broken", err)
+				}
 				return
 			case !parser.Idle():
 				s.count(&s.counters.Late)
@@ -513,6 +521,15 @@
 	return !last
 }
 
+// sample tells of a connection that has ended otherwise than in order, and by which system call.
+func (s *Clients) sample(c *clientConn, what string, err error) {
+	reason := "closed"
+	if call := (*os.SyscallError)(nil); errors.As(err, &call) {
+		reason = call.Error()
+	}
+	s.Samples.Note(what, reason, func(e *zerolog.Event) { e.Str("client", c.RemoteAddr().String()).Err(err) })
+}
+
 // farewell writes a connection's last answer, an error, and reads on for a while: a close while bytes come would
 // reset the connection and take the answer from a client that is still sending.
 func (s *Clients) farewell(c *clientConn, r *protocol.Refusal) {
@@ -556,6 +573,7 @@
 	written, err = c.Write(protocol.AppendAnswer(make([]byte, 0, 160), status, r, last))
 	if err != nil {
 		s.count(&s.counters.Broken)
+		s.sample(c, "answer not written", err)
 	}
 	return written, err
 }
--- a/internal/transport/endpoints.go
+++ b/internal/transport/endpoints.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"syscall"
@@ -12,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"mulleinbeam/internal/oplog"
 	"mulleinbeam/internal/protocol"
 )
 
@@ -39,6 +41,8 @@
 // Endpoints keeps the connections to endpoints. A connection carries one call at a time; the one used last is used
 // next, so that few stay warm. One that is idle holds no buffer and no goroutine.
 type Endpoints struct {
+	Samples *oplog.Sampler // of connections that do not come up or break; nil tells of none
+
 	keep    time.Duration
 	connect time.Duration
 	most    int // idle connections at once
@@ -202,6 +206,7 @@
 	for {
 		c, err := p.connection(ctx, call.Name, call.Address, call.Fresh)
 		if err != nil {
+			p.sample(call, "not connected", err)
 			return Result{End: Unconnected}
 		}
 		if !call.Begin() {
@@ -210,7 +215,10 @@
 		}
 		if c.quiet() {
 			kept := c.kept
-			reply, end := p.exchange(ctx, c, call.Call)
+			reply, end, err := p.exchange(ctx, c, call.Call)
+			if end == Broken || end == Unconnected {
+				p.sample(call, "connection broken", err)
+			}
 			return Result{reply, end, kept}
 		}
 		_ = c.Close()
@@ -223,7 +231,7 @@
 
 // exchange writes a call and reads its answer. When ctx ends first, the connection is closed before it returns. An answer that was
 // read behind ctx's deadline is not taken: the endpoint was told that nobody waits for it any more, and may not count it.
-func (p *Endpoints) exchange(ctx context.Context, c *endpointConn, call protocol.Call) (protocol.Reply, CallEnd) {
+func (p *Endpoints) exchange(ctx context.Context, c *endpointConn, call protocol.Call) (protocol.Reply, CallEnd, error) {
 	deadline, limited := ctx.Deadline()
 	if limited {
 		call.Timeout = time.Until(deadline)
@@ -240,7 +248,7 @@
 	keep := err == nil
 	if written == total {
 		var whole bool
-		reply, end, whole = p.read(ctx, c)
+		reply, end, whole, err = p.read(ctx, c)
 		if limited && !time.Now().Before(deadline) {
 			reply, end, whole = protocol.Reply{}, Abandoned, false
 		}
@@ -254,12 +262,21 @@
 	default:
 		_ = c.Close()
 	}
-	return reply, end
+	return reply, end, err
+}
+
+// sample tells of a call whose connection did not come up, or broke, and by which system call.
+func (p *Endpoints) sample(call Call, what string, err error) {
+	reason := "ended"
+	if failed := (*os.SyscallError)(nil); errors.As(err, &failed) {
+		reason = failed.Error()
+	}
+	p.Samples.Note(what, reason, func(e *zerolog.Event) { e.Str("request", call.ID).Str("endpoint", call.Name).Err(err) })
 }
 
 // read reads a call's answer; keep says that the connection can carry another call. A first line with 200 is a
 // delivery however the answer goes on. Any other answer that is not whole may stand for a call that ran.
-func (p *Endpoints) read(ctx context.Context, c *endpointConn) (reply protocol.Reply, end CallEnd, keep bool) {
+func (p *Endpoints) read(ctx context.Context, c *endpointConn) (reply protocol.Reply, end CallEnd, keep bool, broken error) {
 	parser := p.parsers.Get().(*protocol.Parser)
 	defer func() {
 		parser.Reset()
@@ -292,19 +309,19 @@
 				p.count(&p.counters.Surplus)
 			}
 			reply = protocol.ReadReply(m)
-			return reply, Answered, !m.Close && !surplus && c.SetReadDeadline(time.Time{}) == nil
+			return reply, Answered, !m.Close && !surplus && c.SetReadDeadline(time.Time{}) == nil, nil
 		case parser.Status() == 200:
 			p.count(&p.counters.Spoilt)
 			p.count(&p.counters.True)
-			return protocol.Reply{Status: 200}, Answered, false
+			return protocol.Reply{Status: 200}, Answered, false, err
 		case ctx.Err() != nil:
-			return reply, Abandoned, false
+			return reply, Abandoned, false, err
 		}
 		if parser.Idle() {
-			return reply, Broken, false
+			return reply, Broken, false, err
 		}
 		p.count(&p.counters.Spoilt)
-		return reply, Spoilt, false
+		return reply, Spoilt, false, err
 	}
 }
 
--- a/internal/transport/endpoints_test.go
+++ b/internal/transport/endpoints_test.go
@@ -57,7 +57,7 @@
 		"late":    {time.Now().Add(-time.Microsecond), Abandoned, 0},
 	} {
 		endpoints := NewEndpoints(time.Minute, time.Second, 1)
-		reply, end := endpoints.exchange(deadlineContext{context.Background(), c.deadline}, okEndpoint(t), protocol.Call{ID: "i", Host: "h"})
+		reply, end, _ := endpoints.exchange(deadlineContext{context.Background(), c.deadline}, okEndpoint(t), protocol.Call{ID: "i", Host: "h"})
 		if end != c.end || (reply.Status == 200) != (c.end == Answered) || endpoints.Counters().Idle != c.idle {
 			t.Errorf("%s: end %v, status %d, %d idle connections", name, end, reply.Status, endpoints.Counters().Idle)
 		}
