Router: what cannot be journalled is not decided on; a stop waits for what waits to be written

Need: each message refused while the disk failed was decided on and taken back, a call that never was counting against its destination's budget; a stop could end with outcomes that only waited in memory, so the next life sent what had been delivered. Change: where the records that wait cannot be written, a message is refused before the module sees it; a stop ends early only once nothing waits. The plays now also check that nothing is held, out, open or on the disk at their end, log how late the latest end came, read the state folder with EIO, and stop the program by SIGTERM and SIGKILL at 3.7 s.

--- a/cmd/larkreach/sysfault_record_test.go
+++ b/cmd/larkreach/sysfault_record_test.go
@@ -87,16 +87,38 @@
 	return slices.ContainsFunc(m.calls, func(c recordedCall) bool { return c.delivered })
 }
 
-// taken counts the messages that were taken on.
-func (r *record) taken() (n int) {
+// taken counts the messages that were taken on, and gives by how much the latest end came behind its message's time.
+func (r *record) taken() (n int, latest time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, m := range r.messages {
-		if m.accepted() {
-			n++
+		if !m.accepted() {
+			continue
 		}
+		n++
+		if end := m.end(); !end.IsZero() {
+			latest = max(latest, end.Sub(m.handedAt.Add(m.Left)))
+		}
+	}
+	return n, latest.Round(time.Millisecond)
+}
+
+// end is when a message ended first; zero is never.
+func (m *recorded) end() (first time.Time) {
+	at := func(t time.Time) {
+		if first.IsZero() || t.Before(first) {
+			first = t
+		}
+	}
+	for _, c := range m.calls {
+		if c.delivered {
+			at(c.at)
+		}
+	}
+	for _, told := range m.reports {
+		at(told.at)
 	}
-	return n
+	return first
 }
 
 // open names the messages that were taken on and have not ended.
--- a/cmd/larkreach/sysfault_test.go
+++ b/cmd/larkreach/sysfault_test.go
@@ -31,6 +31,7 @@
 type faultKind struct {
 	name  string
 	kill  bool // SIGKILL between, and a start while calls fail
+	stop  bool // SIGTERM between, SIGKILL at the earliest time that the platform allows, and a start while calls fail
 	rules func(chance float64) []sysfault.Rule
 }
 
@@ -38,11 +39,11 @@
 	diskErrors    = []unix.Errno{unix.ENOSPC, unix.EIO, unix.EDQUOT}
 	networkErrors = []unix.Errno{unix.ENOBUFS, unix.ENOMEM, unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.EHOSTUNREACH, unix.ETIMEDOUT}
 	tableErrors   = []unix.Errno{unix.EMFILE, unix.ENFILE}
-	streamErrors  = []unix.Errno{unix.ETIMEDOUT, unix.EHOSTUNREACH, unix.ECONNRESET, unix.ENOBUFS}
+	streamErrors  = []unix.Errno{unix.ETIMEDOUT, unix.EHOSTUNREACH, unix.ECONNRESET, unix.ENOBUFS, unix.EPIPE, unix.ENOMEM}
 )
 
 func diskRules(chance float64) []sysfault.Rule {
-	calls := []sysfault.Call{sysfault.Write, sysfault.Open, sysfault.Truncate, sysfault.Rename, sysfault.Unlink}
+	calls := []sysfault.Call{sysfault.Write, sysfault.Open, sysfault.Truncate, sysfault.Rename, sysfault.Unlink, sysfault.ReadAt, sysfault.Sync}
 	places := []sysfault.Place{sysfault.StateFile}
 	return []sysfault.Rule{
 		{Calls: calls, Places: places, Errors: diskErrors, Chance: chance / 2},
@@ -208,13 +209,16 @@
 	for i := range playClients {
 		clients.Go(func() { p.client(i) })
 	}
-	for range playWindows {
+	windows := playWindows
+	if p.kind.stop {
+		windows = 2
+	}
+	for range windows {
 		time.Sleep(time.Duration(200+p.rng.IntN(300)) * time.Millisecond) // calm between two faults
 		p.faults.Set(p.kind.rules(0.05 + 0.85*p.rng.Float64())...)
 		time.Sleep(time.Duration(300+p.rng.IntN(500)) * time.Millisecond) // how long calls fail
-		if p.kind.kill {
-			must(p.t, ignoreKilled(p.f.End(syscall.SIGKILL)))
-			p.record.killed()
+		if p.kind.kill || p.kind.stop {
+			p.end()
 			restarted := make(chan error, 1)
 			go func() { restarted <- p.f.Start() }()
 			time.Sleep(time.Duration(100+p.rng.IntN(300)) * time.Millisecond) // the start falls into the fault
@@ -226,15 +230,48 @@
 	p.stop.Store(true)
 	clients.Wait()
 	p.awaitEnds()
+	p.checkNothingLeft()
 	counts := p.faults.Counts()
 	must(p.t, p.f.End(syscall.SIGTERM))
-	p.t.Logf("%d messages taken on, calls that failed: %v", p.record.taken(), counts)
+	taken, latest := p.record.taken()
+	p.t.Logf("%d messages taken on, the latest end %v behind its time, calls that failed: %v", taken, latest, counts)
 	if len(counts) == 0 {
 		p.t.Error("no call has failed")
 	}
 	return p.record.broken()
 }
 
+// killNoSooner is when SIGKILL comes behind SIGTERM, at the earliest.
+const killNoSooner = 3700 * time.Millisecond
+
+// end ends the program by a signal, or by two.
+func (p *play) end() {
+	if p.kind.stop {
+		must(p.t, p.f.Signal(syscall.SIGTERM))
+		p.record.killed()
+		time.Sleep(killNoSooner) // as the platform does
+		_ = p.f.Signal(syscall.SIGKILL)
+		_ = p.f.Wait()
+		p.record.killed()
+		return
+	}
+	must(p.t, ignoreKilled(p.f.End(syscall.SIGKILL)))
+	p.record.killed()
+}
+
+// checkNothingLeft holds what the program still has, once all has ended, against what it should.
+func (p *play) checkNothingLeft() {
+	must(p.t, p.f.AwaitCounter("in", "held", 0))
+	must(p.t, p.f.AwaitCounter("sent", "out", 0))
+	const mostFiles, mostBytes = 64, 3e6 // 8 for the journal, and the connections that rest
+	if files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.f.Pid())); err != nil || len(files) > mostFiles {
+		p.t.Errorf("%d descriptors are open at the end, %v", len(files), err)
+	}
+	if bytes := folderBytes(p.t, p.faults.Folder); bytes > mostBytes {
+		p.t.Errorf("%d bytes of disk at the end", bytes)
+	}
+}
+
 func ignoreKilled(err error) error {
 	if err != nil && err.Error() == "signal: killed" {
 		return nil
@@ -383,6 +420,12 @@
 	playFaults(t, faultKind{name: "endpoint", rules: endpointRules})
 }
 
+// Guards against answers and ends that are missing where the program is told to stop while calls fail, clients go on using their open
+// connections, and the kill comes as early as it may.
+func TestStopsUnderFaultsLoseNothing(t *testing.T) {
+	playFaults(t, faultKind{name: "stop", stop: true, rules: allRules})
+}
+
 // Guards against faults that meet: disk, clients, endpoints and accept at once, with kills between.
 func TestAllFaultsAndKillsLoseNothing(t *testing.T) {
 	playFaults(t, faultKind{name: "all", kill: true, rules: allRules})
--- a/internal/routing/accept.go
+++ b/internal/routing/accept.go
@@ -21,9 +21,11 @@
 	}
 	apart := r.cfg.Guard != nil && !r.cfg.Guard.MayAct()
 	if r.cfg.Guard != nil && (apart && m.Long != nil || !r.cfg.Guard.Ready(m.Class)) { // it could not be copied, or not be sent
-		r.counters.NoCopy++
-		r.sampleRefused(m, "no replica")
-		return Verdict{Kind: Refused, RetryAfter: pushBack}
+		return r.refuse(m, &r.counters.NoCopy, "no replica")
+	}
+	if err := r.cfg.Log.Flush(); err != nil { // nothing can be taken on now, so it is not even decided on
+		r.journal(m.ID, err)
+		return r.refuse(m, &r.counters.NoRoom, "journal not written")
 	}
 	longest := r.classes[m.Class]
 	if m.Long != nil {
@@ -36,9 +38,7 @@
 		Long: m.Long != nil,
 	}
 	if !r.cfg.Log.Fits(entry) {
-		r.counters.NoRoom++
-		r.sampleRefused(m, "journal full")
-		return Verdict{Kind: Refused, RetryAfter: pushBack}
+		return r.refuse(m, &r.counters.NoRoom, "journal full")
 	}
 	actions := r.decider.Handle(r.now(), []mb.Event{r.submission(h, m.Left)})
 	if v, others, answered := r.answeredAtOnce(h, actions); answered { // nothing was taken on
@@ -47,11 +47,9 @@
 		return v
 	}
 	if err := r.cfg.Log.Accept(entry); err != nil {
-		r.counters.NoRoom++
 		r.journal(m.ID, err)
-		r.sampleRefused(m, "journal not written")
 		r.revoke(h, actions)
-		return Verdict{Kind: Refused, RetryAfter: pushBack}
+		return r.refuse(m, &r.counters.NoRoom, "journal not written")
 	}
 	r.hold(h, entry)
 	r.perform(actions)
@@ -85,34 +83,34 @@
 // refuseUnheard gives the verdict on a message that is not even decided on: it names what there is not, or there is no room for it.
 func (r *Router) refuseUnheard(m Message) (v Verdict, refused bool) {
 	_, classed := r.classes[m.Class]
-	reason := ""
-	v = Verdict{Kind: Refused, RetryAfter: pushBack}
 	switch {
 	case !classed:
-		r.counters.Unreadable++
-		v, reason = Verdict{Kind: UnknownClass}, "unknown class"
+		v = r.refuse(m, &r.counters.Unreadable, "unknown class")
+		v.Kind = UnknownClass
 	case len(r.groups) > 0 && !r.groups[m.Destination]:
-		r.counters.Unreadable++
-		v, reason = Verdict{Kind: UnknownDestination}, "unknown destination"
+		v = r.refuse(m, &r.counters.Unreadable, "unknown destination")
+		v.Kind = UnknownDestination
 	case r.cfg.Limiter != nil && !r.cfg.Limiter.Allows(m.Class):
-		r.counters.OverRate++
-		reason = "over rate"
+		v = r.refuse(m, &r.counters.OverRate, "over rate")
 	case m.Long != nil && !r.admitLong():
-		r.counters.LongRefused++
-		reason = "long messages"
+		v = r.refuse(m, &r.counters.LongRefused, "long messages")
 	case m.Long == nil && len(r.ids)-r.longs >= r.cfg.Settings.MostHeld:
-		r.counters.TurnedAway++
-		reason = "most held"
+		v = r.refuse(m, &r.counters.TurnedAway, "most held")
 	case r.cfg.Steering != nil && !r.cfg.Steering.Handed(m.Destination, m.Class):
-		r.counters.NoPlace++
-		reason = "no place"
+		v = r.refuse(m, &r.counters.NoPlace, "no place")
 	default:
 		return Verdict{}, false
 	}
-	r.sampleRefused(m, reason)
 	return v, true
 }
 
+// refuse counts a message that is not taken on, and tells of it.
+func (r *Router) refuse(m Message, counter *int64, reason string) Verdict {
+	*counter++
+	r.sampleRefused(m, reason)
+	return Verdict{Kind: Refused, RetryAfter: pushBack}
+}
+
 // answeredAtOnce looks for the module's answer to a message among its actions, and gives it with the other actions.
 func (r *Router) answeredAtOnce(h *held, actions []mb.Action) (v Verdict, others []mb.Action, answered bool) {
 	for i, a := range actions {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -194,7 +194,8 @@
 		return false
 	}
 	left := time.Until(r.stopAt)
-	return left <= 0 || left < r.cfg.Drain-r.cfg.Settle && r.calls == 0 && len(r.ids) == 0 && r.notices == 0
+	nothing := r.calls == 0 && len(r.ids) == 0 && r.notices == 0 && r.cfg.Log.Waiting() == 0
+	return left <= 0 || left < r.cfg.Drain-r.cfg.Settle && nothing
 }
 
 // post hands an event to the router's goroutine; it is dropped once that has ended.
