--- a/internal/bootclock/bootclock.go
+++ b/internal/bootclock/bootclock.go
@@ -4,7 +4,9 @@
 package bootclock
 
 import (
+	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"strings"
 	"time"
@@ -27,6 +29,8 @@
 
 const (
 	bootIDPath = "/proc/sys/kernel/random/boot_id"
+	mostTries  = 50
+	tryAgain   = 10 * time.Millisecond
 	readings   = 5 // of the boot's clock; the one that took the least time counts
 	// agreement is how far the two clocks may be apart and still tell the same: readings are not taken at one instant.
 	agreement = 10 * time.Millisecond
@@ -44,6 +48,10 @@
 // System is the clock of this boot. With an error its stamps are none, and points in time go by the wall clock.
 func System() (*Clock, error) {
 	id, err := os.ReadFile(bootIDPath)
+	for tries := 1; err != nil && !errors.Is(err, fs.ErrNotExist) && tries < mostTries; tries++ {
+		time.Sleep(tryAgain)
+		id, err = os.ReadFile(bootIDPath)
+	}
 	if err != nil {
 		return New("", 0, time.Now()), fmt.Errorf("bootclock: %w", err)
 	}
