Connections: a look at a connection that fails as well does not end it

Cause: whether a connection lives was told by a look at its bytes, which is a call that may fail too; a new connection to an endpoint was closed unused, as an attempt that could not connect, where that look failed.

--- a/cmd/larkreach/sysfault_test.go
+++ b/cmd/larkreach/sysfault_test.go
@@ -63,7 +63,7 @@
 func clientRules(chance float64) []sysfault.Rule {
 	client := []sysfault.Place{sysfault.Client}
 	return []sysfault.Rule{
-		{Calls: []sysfault.Call{sysfault.Read, sysfault.Write, sysfault.Shutdown, sysfault.SetOption}, Places: client, Errors: streamErrors, Chance: chance / 4},
+		{Calls: []sysfault.Call{sysfault.Read, sysfault.Write, sysfault.Shutdown, sysfault.SetOption, sysfault.Receive, sysfault.SocketName}, Places: client, Errors: streamErrors, Chance: chance / 4},
 		{Calls: []sysfault.Call{sysfault.Write}, Places: client, Chance: chance / 2, Part: true},
 	}
 }
@@ -71,7 +71,7 @@
 func endpointRules(chance float64) []sysfault.Rule {
 	outgoing := []sysfault.Place{sysfault.Outgoing}
 	return []sysfault.Rule{
-		{Calls: []sysfault.Call{sysfault.Read, sysfault.Write, sysfault.WriteV, sysfault.SetOption, sysfault.EpollAdd}, Places: outgoing, Errors: streamErrors, Chance: chance / 4},
+		{Calls: []sysfault.Call{sysfault.Read, sysfault.Write, sysfault.WriteV, sysfault.SetOption, sysfault.EpollAdd, sysfault.Receive, sysfault.SocketName}, Places: outgoing, Errors: streamErrors, Chance: chance / 4},
 	}
 }
 
--- a/internal/lab/sysfault/calls.go
+++ b/internal/lab/sysfault/calls.go
@@ -29,11 +29,12 @@
 	EpollAdd   Call = unix.SYS_EPOLL_CTL
 	Sync       Call = unix.SYS_FSYNC
 	SocketName Call = unix.SYS_GETSOCKNAME
+	Receive    Call = unix.SYS_RECVFROM
 )
 
 // reported are the calls of the filter.
 var reported = []Call{
-	Accept, Connect, Socket, Read, ReadAt, Write, WriteV, Open, Truncate, Rename, Unlink, Shutdown, SetOption, EpollAdd, Sync, SocketName,
+	Accept, Connect, Socket, Read, ReadAt, Write, WriteV, Open, Truncate, Rename, Unlink, Shutdown, SetOption, EpollAdd, Sync, SocketName, Receive,
 }
 
 // Place is what a call works on.
--- a/internal/transport/client_admission.go
+++ b/internal/transport/client_admission.go
@@ -55,7 +55,7 @@
 		if c.at != ending || unacknowledged(c.Conn) != 0 {
 			continue
 		}
-		if n, _ := peek(c.Conn); n == 0 {
+		if n, err := peek(c.Conn); n == 0 && !unclear(err) {
 			s.forget(c)
 			_ = c.Close()
 			return true
--- a/internal/transport/client_conversation.go
+++ b/internal/transport/client_conversation.go
@@ -19,7 +19,7 @@
 // the meantime. Then they are read after all, and what they ask for is the last that the connection is for. Whoever sends on
 // without asking for anything gets no further time.
 func (s *Clients) late(c *clientConn) (comes bool) {
-	if n, err := peek(c.Conn); n == 0 || err != nil || c.overtime {
+	if n, err := peek(c.Conn); n == 0 && !unclear(err) || c.overtime { // where it can't be told, a read tells
 		return false
 	}
 	s.mu.Lock()
--- a/internal/transport/endpoints.go
+++ b/internal/transport/endpoints.go
@@ -114,26 +114,11 @@
 	since   time.Time // idle since then
 }
 
-// quiet says that nothing has come on an idle connection, not even its end: whatever comes there belongs to no call and
-// makes it unusable.
+// quiet says that nothing has come on a connection that carries no call, not even its end: whatever comes there belongs to no call and
+// makes it unusable. A new one of which that can't be told is taken for quiet.
 func (c *endpointConn) quiet() bool {
 	_, err := peek(c.Conn)
-	return errors.Is(err, syscall.EAGAIN)
-}
-
-// peek looks for bytes that have come on a connection and takes none: how many, none for its end, EAGAIN for nothing at all. No
-// deadline of the connection holds it up.
-func peek(conn net.Conn) (n int, err error) {
-	raw, err := conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	if cut := raw.Control(func(fd uintptr) {
-		n, _, err = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	}); cut != nil {
-		return 0, cut
-	}
-	return max(0, n), err
+	return errors.Is(err, syscall.EAGAIN) || !c.kept && unclear(err)
 }
 
 // connection is the endpoint's warmest one, or a new one; with fresh a new one in any case.
--- a/internal/transport/lasting.go
+++ b/internal/transport/lasting.go
@@ -67,11 +67,26 @@
 	return errors.As(err, &number)
 }
 
-// mayRead says whether something may come yet, or has. A connection that has ended or was reset reads as ended, or as reset once more.
+// mayRead says whether something may come yet, or has. The kernel's word on the connection comes first: a look at it is a call that may fail
+// as well. A connection that has ended or was reset reads as ended, or as reset once more.
 func (c lastingConn) mayRead() bool {
-	n, err := peek(c.Conn)
-	return n > 0 || errors.Is(err, syscall.EAGAIN)
+	switch stateOf(c.Conn) {
+	case tcpEstablished, tcpFinWait1, tcpFinWait2, tcpCloseWait:
+		return true
+	case 0:
+		n, err := peek(c.Conn)
+		return n > 0 || errors.Is(err, syscall.EAGAIN) || unclear(err)
+	}
+	return false
 }
 
 // mayWrite says the same of writing, which goes on where only the other side has ended its sending.
-func (c lastingConn) mayWrite() bool { return c.mayRead() || halfClosed(c.Conn) }
+func (c lastingConn) mayWrite() bool {
+	switch stateOf(c.Conn) {
+	case tcpEstablished, tcpCloseWait:
+		return true
+	case 0:
+		return c.mayRead()
+	}
+	return false
+}
--- a/internal/transport/state_linux.go
+++ b/internal/transport/state_linux.go
@@ -7,19 +7,29 @@
 	"golang.org/x/sys/unix"
 )
 
-const tcpCloseWait = 8 // TCP_CLOSE_WAIT of the kernel's tcp_states.h
+// tcpState is where a connection stands, in the kernel's numbers; 0 is not told.
+type tcpState uint8
 
-// halfClosed says whether the other side of a connection has ended its sending and still reads.
-func halfClosed(conn net.Conn) (half bool) {
+// The states of the kernel's tcp_states.h in which a connection still carries bytes.
+const (
+	tcpEstablished tcpState = 1
+	tcpFinWait1    tcpState = 4 // this side has ended its sending,
+	tcpFinWait2    tcpState = 5 // and the other side knows
+	tcpCloseWait   tcpState = 8 // the other side has ended its sending
+)
+
+// stateOf asks the kernel where a connection stands.
+func stateOf(conn net.Conn) (state tcpState) {
 	raw, err := conn.(syscall.Conn).SyscallConn()
 	if err != nil {
-		return false
+		return 0
 	}
 	_ = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		half = err == nil && info.State == tcpCloseWait
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			state = tcpState(info.State)
+		}
 	})
-	return half
+	return state
 }
 
 // unacknowledged is how many bytes the other side of a connection has not acknowledged; below zero where that is not told.
--- a/internal/transport/state_other.go
+++ b/internal/transport/state_other.go
@@ -4,5 +4,15 @@
 
 import "net"
 
-func halfClosed(net.Conn) bool    { return false }
+// tcpState is where a connection stands; 0, all that is told here, is not told.
+type tcpState uint8
+
+const (
+	tcpEstablished tcpState = 1 + iota
+	tcpFinWait1
+	tcpFinWait2
+	tcpCloseWait
+)
+
+func stateOf(net.Conn) tcpState   { return 0 }
 func unacknowledged(net.Conn) int { return -1 }
