Logs: a message whose calls were an earlier life's is told so

Cause: the outcome of a life that made no call is its zero value. Change: the reason names the earlier life.

--- a/internal/routing/sample.go
+++ b/internal/routing/sample.go
@@ -38,10 +38,13 @@
 	mb.Cancelled: "cancelled", mb.Moot: "moot",
 }
 
-// lastOutcome names how a message's latest call in this life ended.
+// lastOutcome names how a message's latest call ended, of one that is not delivered.
 func (h *held) lastOutcome() string {
-	if h.attempts == 0 {
+	switch {
+	case h.attempts == 0:
 		return "untried"
+	case h.last == mb.OK: // none in this life
+		return "earlier life"
 	}
 	return outcomeNames[h.last]
 }
