--- a/cmd/larkreach/sysfault_test.go
+++ b/cmd/larkreach/sysfault_test.go
@@ -6,7 +6,9 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -89,6 +91,7 @@
 	agent   *lab.Agent
 	servers []*lab.Endpoint
 	record  *record
+	crowd   bool // many connections that only rest
 	number  atomic.Int64
 	stop    atomic.Bool
 }
@@ -97,11 +100,13 @@
 	playClients   = 12
 	playEndpoints = 4
 	playWindows   = 5
+	playCrowd     = 120              // more than a quarter of the room for clients
+	crowdedSeeds  = 3                // one seed in so many, the first among them
 	endsWithin    = 20 * time.Second // behind the last fault: longer than any message may live
 )
 
 func newPlay(t *testing.T, kind faultKind, seed uint64) *play {
-	p := &play{t: t, kind: kind, rng: rand.New(rand.NewPCG(seed, 7)), record: newRecord(), agent: &lab.Agent{}}
+	p := &play{t: t, kind: kind, rng: rand.New(rand.NewPCG(seed, 7)), record: newRecord(), agent: &lab.Agent{}, crowd: seed%crowdedSeeds == 1}
 	p.agent.Told = p.record.told
 	for i := range playEndpoints {
 		server := &lab.Endpoint{Name: fmt.Sprint("s", i), Group: i}
@@ -204,12 +209,39 @@
 	}
 }
 
+// rest keeps one connection open that asks for nothing, and opens another where it is ended.
+func (p *play) rest() {
+	for !p.stop.Load() {
+		conn, err := net.Dial("tcp", p.f.Address())
+		if err != nil {
+			time.Sleep(50 * time.Millisecond) // as a client that was refused
+			continue
+		}
+		ended := make(chan struct{})
+		go func() { defer close(ended); _, _ = io.Copy(io.Discard, conn) }()
+		for open := true; open && !p.stop.Load(); {
+			select {
+			case <-ended:
+				open = false
+			case <-time.After(50 * time.Millisecond): // whether the play has ended
+			}
+		}
+		conn.Close()
+		<-ended
+	}
+}
+
 // run plays windows of faults under load, waits until everything has ended, and gives what broke a rule.
 func (p *play) run() []string {
 	var clients sync.WaitGroup
 	for i := range playClients {
 		clients.Go(func() { p.client(i) })
 	}
+	if p.crowd {
+		for range playCrowd {
+			clients.Go(p.rest)
+		}
+	}
 	windows := playWindows
 	if p.kind.stop {
 		windows = 2
@@ -248,7 +280,9 @@
 // end ends the program by a signal, or by two.
 func (p *play) end() {
 	if p.kind.stop {
-		must(p.t, p.f.Signal(syscall.SIGTERM))
+		for _, sig := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGUSR1, syscall.SIGTERM, syscall.SIGHUP} {
+			must(p.t, p.f.Signal(sig))
+		}
 		p.record.killed()
 		time.Sleep(killNoSooner) // as the platform does
 		_ = p.f.Signal(syscall.SIGKILL)
