Reports: their connection is opened before one is due

Cause: the connection to the platform was opened with the first report, and connects that fail were tried again every 50 ms only then. Change: the reporter opens its connection when it starts or the address moves, and tries again every 0.5 s while it can't.

--- a/cmd/larkreach/sysfault_test.go
+++ b/cmd/larkreach/sysfault_test.go
@@ -412,6 +412,38 @@
 	s.finish(t)
 }
 
+// Guards against an end that is reported too late because no connection to the platform can be opened just then.
+func TestAReportNeedsNoNewConnection(t *testing.T) {
+	t.Parallel()
+	s, faults := faultySite(t)
+	failing := &atomic.Bool{}
+	s.p.Handle = func(c *lab.Call) bool {
+		if c.ReadAll(0) != nil {
+			return false
+		}
+		if failing.Load() {
+			return c.Answer(500, "") == nil
+		}
+		return c.Answer(200, "") == nil
+	}
+	must(t, s.f.Start())
+	if a := s.hand(t, "unsafe", 100); a.Status != 202 { // opens the connection to the endpoint
+		t.Fatalf("%+v", a)
+	}
+	must(t, s.f.AwaitCounter("sent", "ok", 1))
+	failing.Store(true)
+	faults.Set(sysfault.Rule{
+		Calls: []sysfault.Call{sysfault.Socket, sysfault.Connect}, Places: []sysfault.Place{sysfault.Outgoing},
+		Errors: []unix.Errno{unix.ENETUNREACH}, Chance: 1,
+	})
+	if a := s.hand(t, "unsafe", 100); a.Status != 202 {
+		t.Fatalf("%+v", a)
+	}
+	must(t, s.f.AwaitCounter("notices", "acknowledged", 1)) // no connection can be opened all the time
+	faults.Set()
+	s.finish(t)
+}
+
 // Guards against attempts used up, and an endpoint held for unreachable, because this machine has no socket for a moment.
 func TestACallWaitsForASocket(t *testing.T) {
 	t.Parallel()
--- a/internal/transport/agent.go
+++ b/internal/transport/agent.go
@@ -22,6 +22,7 @@
 	reportFor    = 500 * time.Millisecond // an answer to a report
 	reportMost   = 200                    // notices in one report
 	flushFor     = 300 * time.Millisecond // for the last report, after the end
+	readyAgain   = 500 * time.Millisecond // the pause between two tries of a connection that no report needs yet
 )
 
 // Address is where discovery's agent is reached. It may move while the program runs; whoever follows it then learns so
@@ -101,6 +102,13 @@
 	}
 }
 
+// moved is closed when the address moves.
+func (a *Address) moved() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.epoch.Done()
+}
+
 // follow gives the address and a context that ends with ctx or when the address moves; release frees it.
 func (a *Address) follow(ctx context.Context) (at string, here context.Context, release func()) {
 	a.mu.Lock()
@@ -318,8 +326,14 @@
 	a := &agent{}
 	defer a.close()
 	for {
+		moved := r.Address.moved()
+		again := r.prepare(ctx, a)
 		select {
 		case <-r.wake:
+		case <-moved:
+			continue
+		case <-again:
+			continue
 		case <-ctx.Done():
 			last, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushFor)
 			defer cancel()
@@ -332,6 +346,18 @@
 	}
 }
 
+// prepare opens the connection before there is a report, so that one that is due is not held up by a connect that fails for a moment. It
+// gives when to try again; nil is not.
+func (r *Reporter) prepare(ctx context.Context, a *agent) (again <-chan time.Time) {
+	at, here, release := r.Address.follow(ctx)
+	defer release()
+	a.at(at)
+	if a.connect(here) != nil {
+		return time.After(readyAgain)
+	}
+	return nil
+}
+
 // batch puts those that may be sent now in front of the queue, and gives them; held says that others have to wait.
 func (r *Reporter) batch() (batch []Pending, held bool) {
 	r.mu.Lock()
