Clients: a request's time counts from when it came, and a failed accept is made again at once

Callers would see: an end up to 0.67 s behind a message's time, where the rule has 0.3 s, when accepts fail. Cause: a message's time was counted from when its request was read. Accepts that fail hold it up in the backlog, and were made again every 50 ms; so does anything else that holds this process up. TestTheTimeThatARequestWaitedCounts fails without this. Change: the kernel's time since the last bytes came (TCP_INFO), from 10 ms on, is taken off a message's time; where it tells nothing, it is not asked again. A failed accept is made again after 5 ms.

--- a/internal/transport/accept_test.go
+++ b/internal/transport/accept_test.go
@@ -8,8 +8,11 @@
 	"os"
 	"syscall"
 	"testing"
+	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"mulleinbeam/internal/protocol"
 )
 
 // failingListener fails with the errors that it is sent, one for each accept, before it accepts again.
@@ -102,3 +105,40 @@
 		t.Fatalf("answered %v, %v", res, err)
 	}
 }
+
+// tellingHandler tells how much time messages were handed in with.
+type tellingHandler struct {
+	actingHandler
+	left chan time.Duration
+}
+
+func (h tellingHandler) Take(m protocol.Handover) (*protocol.Refusal, func()) {
+	h.left <- m.Left
+	return nil, nil
+}
+
+// Guards against an end that comes too late for its client, because the message's time was counted from when it was read and not from when
+// it had come.
+func TestTheTimeThatARequestWaitedCounts(t *testing.T) {
+	client, conn := ends(t)
+	s := &Clients{Handler: tellingHandler{left: make(chan time.Duration, 2)}, Most: 4, conns: map[*clientConn]struct{}{}}
+	if _, err := client.Write([]byte(handIn("a", ""))); err != nil {
+		t.Fatal(err)
+	}
+	const wait = 100 * time.Millisecond
+	for ago := time.Duration(0); ago < wait; { // as while accept fails
+		told := false
+		if ago, told = sinceReceived(conn); !told {
+			t.Fatal("the kernel does not tell")
+		}
+	}
+	c := &clientConn{lastingConn: lastingConn{conn}}
+	s.admit(c)
+	served := make(chan struct{})
+	go func() { defer close(served); s.serve(c) }()
+	if left := <-s.Handler.(tellingHandler).left; left > 9*time.Second-wait {
+		t.Errorf("%v left of 9 s behind %v", left, wait)
+	}
+	_ = client.Close()
+	<-served
+}
--- a/internal/transport/client_conversation.go
+++ b/internal/transport/client_conversation.go
@@ -197,6 +197,7 @@
 		s.count(&s.counters.Unreadable)
 	} else if asked == protocol.AskHandover {
 		status = 202
+		handover.Left -= s.waited(c)
 		refusal, withdraw = s.Handler.Take(handover)
 	}
 	if refusal != nil && refusal.Status == 0 { // nothing that could be said is known to be so
@@ -219,6 +220,25 @@
 	return !last
 }
 
+// leastWait is what the kernel's coarse clock may add to a request that was read at once.
+const leastWait = 10 * time.Millisecond
+
+// waited is how long a request that was just read had been here: its connection may have waited to be accepted, or this process for a
+// processor, and its message's time runs on meanwhile.
+func (s *Clients) waited(c *clientConn) time.Duration {
+	if s.untold.Load() {
+		return 0
+	}
+	ago, told := sinceReceived(c.Conn)
+	if !told {
+		s.untold.Store(true)
+	}
+	if ago < leastWait {
+		return 0
+	}
+	return min(ago, requestFor)
+}
+
 // sample tells of a connection that has ended otherwise than in order, and by which system call.
 func (s *Clients) sample(c *clientConn, what string, err error) {
 	reason := "closed"
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -30,7 +31,7 @@
 	drainStep   = 1 << 20                 // in steps of so many bytes,
 	drainMost   = 64 << 20                // and up to so many bytes; a close under them would take the error away
 	crowdShare  = 4                       // of the room, one part: with more connections than that they no longer stay
-	overloadGap = 50 * time.Millisecond   // between two accepts that failed
+	acceptAgain = 5 * time.Millisecond    // behind an accept that failed: a message\'s time runs while its connection waits
 )
 
 // Overflow is how many connections there may be beyond the most, while they are turned away or accepted.
@@ -67,6 +68,7 @@
 	passings int // and those with a long message
 	leaving  bool
 	counters ClientCounters
+	untold   atomic.Bool // the kernel does not tell when bytes came
 }
 
 // ClientCounters counts connections and what became of those that did not just ask.
@@ -147,7 +149,7 @@
 		if s.count(&s.counters.AcceptFailed); errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
 			s.freeDescriptor()
 		}
-		pause(ctx, overloadGap)
+		pause(ctx, acceptAgain)
 	}
 	return errors.Join(failed, group.Wait())
 }
--- a/internal/transport/state_linux.go
+++ b/internal/transport/state_linux.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -32,6 +33,20 @@
 	return state
 }
 
+// sinceReceived is how long ago the last bytes have come on a connection, in the kernel's coarse clock; false where that is not told.
+func sinceReceived(conn net.Conn) (ago time.Duration, told bool) {
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	_ = raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			ago, told = time.Duration(info.Last_data_recv)*time.Millisecond, true
+		}
+	})
+	return ago, told
+}
+
 // unacknowledged is how many bytes the other side of a connection has not acknowledged; below zero where that is not told.
 func unacknowledged(conn net.Conn) int {
 	raw, err := conn.(syscall.Conn).SyscallConn()
--- a/internal/transport/state_other.go
+++ b/internal/transport/state_other.go
@@ -2,7 +2,10 @@
 
 package transport
 
-import "net"
+import (
+	"net"
+	"time"
+)
 
 // tcpState is where a connection stands; 0, all that is told here, is not told.
 type tcpState uint8
@@ -16,3 +19,5 @@
 
 func stateOf(net.Conn) tcpState   { return 0 }
 func unacknowledged(net.Conn) int { return -1 }
+
+func sinceReceived(net.Conn) (ago time.Duration, told bool) { return 0, false }
