Clients: the time that a request waited counts only behind an accept that failed

Change: it is taken off only for a connection's first request, up to 1 s behind an accept that failed, which is what it was for.

--- a/internal/transport/accept_test.go
+++ b/internal/transport/accept_test.go
@@ -132,7 +132,7 @@
 			t.Fatal("the kernel does not tell")
 		}
 	}
-	c := &clientConn{lastingConn: lastingConn{conn}}
+	c := &clientConn{lastingConn: lastingConn{conn}, held: true}
 	s.admit(c)
 	served := make(chan struct{})
 	go func() { defer close(served); s.serve(c) }()
--- a/internal/transport/client_conversation.go
+++ b/internal/transport/client_conversation.go
@@ -197,7 +197,7 @@
 		s.count(&s.counters.Unreadable)
 	} else if asked == protocol.AskHandover {
 		status = 202
-		handover.Left -= s.waited(c)
+		handover.Left -= c.waited()
 		refusal, withdraw = s.Handler.Take(handover)
 	}
 	if refusal != nil && refusal.Status == 0 { // nothing that could be said is known to be so
@@ -220,20 +220,20 @@
 	return !last
 }
 
-// leastWait is what the kernel's coarse clock may add to a request that was read at once.
-const leastWait = 10 * time.Millisecond
+const (
+	heldFor   = time.Second           // how long accepts that have failed may still hold others up
+	leastWait = 10 * time.Millisecond // what the kernel's coarse clock may add to a request that was read at once
+)
 
-// waited is how long a request that was just read had been here: its connection may have waited to be accepted, or this process for a
-// processor, and its message's time runs on meanwhile.
-func (s *Clients) waited(c *clientConn) time.Duration {
-	if s.untold.Load() {
+// waited is how long a connection's first request had been here when it was read, where accepts had failed before: its message's time runs on
+// meanwhile.
+func (c *clientConn) waited() time.Duration {
+	if !c.held {
 		return 0
 	}
+	c.held = false
 	ago, told := sinceReceived(c.Conn)
-	if !told {
-		s.untold.Store(true)
-	}
-	if ago < leastWait {
+	if !told || ago < leastWait {
 		return 0
 	}
 	return min(ago, requestFor)
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"net"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -68,7 +67,6 @@
 	passings int // and those with a long message
 	leaving  bool
 	counters ClientCounters
-	untold   atomic.Bool // the kernel does not tell when bytes came
 }
 
 // ClientCounters counts connections and what became of those that did not just ask.
@@ -110,6 +108,7 @@
 	at       standing
 	since    time.Time
 	parting  bool // it ends with its next answer, or without one where none is due
+	held     bool // it may have waited to be accepted, and its first request with it
 	overtime bool // its time was up, and what had come by then was let in
 }
 
@@ -127,10 +126,12 @@
 		s.leave()
 	})()
 	var failed error
+	heldUntil := time.Time{} // until then accepted connections may have waited behind one that failed
 	for {
 		conn, err := listener.Accept()
 		if err == nil {
 			c := &clientConn{lastingConn: lastingConn{conn}, accepted: time.Now()}
+			c.held = c.accepted.Before(heldUntil)
 			if room := s.admit(c); room {
 				group.Go(func() error { s.serve(c); return nil })
 			} else {
@@ -145,6 +146,7 @@
 			failed = fmt.Errorf("transport: accept: %w", err)
 			break
 		}
+		heldUntil = time.Now().Add(heldFor)
 		s.Samples.Note("accept failed", err.Error(), func(*zerolog.Event) {})
 		if s.count(&s.counters.AcceptFailed); errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
 			s.freeDescriptor()
