--- a/internal/routing/journal.go
+++ b/internal/routing/journal.go
@@ -61,6 +61,7 @@
 
 // retryJournal writes what waits, and ends an outage that is over.
 func (r *Router) retryJournal() {
+	defer func() { r.journalTried = time.Now() }()
 	if r.cfg.Log.Waiting() > 0 {
 		if err := r.cfg.Log.Flush(); err != nil {
 			r.outage.failed(time.Now())
@@ -88,7 +89,7 @@
 func (r *Router) journalDue() time.Duration {
 	switch {
 	case r.cfg.Log.Waiting() > 0 || len(r.promises) > 0:
-		return journalRetry
+		return max(0, time.Until(r.journalTried.Add(journalRetry)))
 	case r.outage.failures > 0:
 		return max(0, outageQuiet-time.Since(r.outage.latest))
 	}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -54,35 +54,36 @@
 // Router owns everything about the messages that this forwarder holds. Its methods may be called from any goroutine;
 // what they do happens in Run's.
 type Router struct {
-	cfg       Config
-	decider   *mb.Decider
-	startedAt time.Time
-	events    chan func()
-	done      chan struct{}
-	classes   map[string]time.Duration // how long a message may live
-	endpoints map[string]Endpoint
-	groups    map[int64]bool    // destinations ever listed
-	overlay   *overlay          // nil: nothing is configured, the list alone counts
-	access    map[string]Access // endpoints that the module was told of as other than Free; see Steering
-	messages  map[uint64]*held
-	ids       map[string]*held // by the clients' id, until the end
-	past      pastIDs
-	waiting   map[uint64]*held // ended in an earlier life; whether this one tells of it is not known yet
-	noticed   map[uint64]*held // ended, and not acknowledged; kept only where others hold copies
-	longest   time.Duration    // of any class
-	longs     int              // long messages held or out
-	longCalls int              // of these, those out
-	untold    int              // ends of long messages of which the client has not been told
-	calls     int
-	notices   int // not acknowledged yet
-	timers    []timer
-	stopAt    time.Time // the end of this life, once it is told
-	over      bool      // no call may begin any more
-	counters  Counters
-	outage    outage              // of the journal
-	promises  map[uint64]*promise // ends that are not told yet, by message
-	tasks     errgroup.Group      // calls that are out
-	ctx       context.Context
+	cfg          Config
+	decider      *mb.Decider
+	startedAt    time.Time
+	events       chan func()
+	done         chan struct{}
+	classes      map[string]time.Duration // how long a message may live
+	endpoints    map[string]Endpoint
+	groups       map[int64]bool    // destinations ever listed
+	overlay      *overlay          // nil: nothing is configured, the list alone counts
+	access       map[string]Access // endpoints that the module was told of as other than Free; see Steering
+	messages     map[uint64]*held
+	ids          map[string]*held // by the clients' id, until the end
+	past         pastIDs
+	waiting      map[uint64]*held // ended in an earlier life; whether this one tells of it is not known yet
+	noticed      map[uint64]*held // ended, and not acknowledged; kept only where others hold copies
+	longest      time.Duration    // of any class
+	longs        int              // long messages held or out
+	longCalls    int              // of these, those out
+	untold       int              // ends of long messages of which the client has not been told
+	calls        int
+	notices      int // not acknowledged yet
+	timers       []timer
+	stopAt       time.Time // the end of this life, once it is told
+	over         bool      // no call may begin any more
+	counters     Counters
+	outage       outage              // of the journal
+	journalTried time.Time           // when what waits was last tried, also while events keep coming
+	promises     map[uint64]*promise // ends that are not told yet, by message
+	tasks        errgroup.Group      // calls that are out
+	ctx          context.Context
 }
 
 // New prepares a router: it learns the known list and resumes what an earlier life had taken on. Sends begin with Run.
