--- a/internal/routing/wal/plan/plan.go
+++ b/internal/routing/wal/plan/plan.go
@@ -38,6 +38,9 @@
 	Owed    int64     // bytes that the records which end all live messages may take, at the most
 	Rate    float64   // bytes a second that are appended, of late
 	Other   int64     // bytes of all other files, in whole blocks
+	// Removing is bytes, in whole blocks, of files that a compaction has replaced or given up and whose removal is under way. No
+	// compaction begins before it is over, so that these files stand in room that is set aside for the next output.
+	Removing int64
 	// Totals are those of Sealed and Victim, for who asks often; nil has them worked out, and a state that carries them
 	// needs the segments themselves only for Pick and Pace.
 	Totals *Totals
@@ -83,7 +86,7 @@
 
 // Used is what all files take now.
 func (c Config) Used(s State) int64 {
-	return c.blocks(s.Active) + s.Other + c.blocks(s.Written) + c.totals(s).Blocks
+	return c.blocks(s.Active) + s.Other + c.blocks(s.Written) + s.Removing + c.totals(s).Blocks
 }
 
 // largest is the largest output that a compaction may need: of the victim, or of any segment that may become one.
@@ -92,11 +95,26 @@
 	return c.blocks(max(c.Segment, s.Active, c.totals(s).Largest) + c.Head)
 }
 
+// setAside is the room kept for a compaction's files: its output while it is written, then, beside an output that counts as a
+// segment, the replaced file until it is removed.
+func (c Config) setAside(s State) int64 { return max(c.largest(s), s.Removing) }
+
 // Free is what may still be appended for new messages: the bound less what is used, what ends messages, and what a
-// compaction needs. It may be negative.
+// compaction needs. It may be negative. No step of a compaction lowers it, but for a removal that fails.
 func (c Config) Free(s State) int64 {
-	free := c.Bound - c.Used(s) - s.Owed - c.largest(s) + c.blocks(s.Written)
-	return free - c.Block - c.Head // the active segment's last block, and the head of the next
+	kept := c.Used(s) - c.blocks(s.Written) - s.Removing // all that does not stand in what is set aside
+	return c.room() - kept - s.Owed - c.setAside(s)
+}
+
+// room is the bound less the active segment's last block and the head of the next.
+func (c Config) room() int64 { return c.Bound - c.Block - c.Head }
+
+// outputFits says whether a compaction of a segment stays within the bound, whatever ends messages meanwhile. What is set aside
+// is not there where a replaced file could not be removed. Files beyond the bound, of a store whose bound was lowered, are
+// compacted all the same: nothing else makes them fewer.
+func (c Config) outputFits(s State, g Segment) bool {
+	used := c.Used(s)
+	return used > c.Bound || used+s.Owed+c.blocks(g.Live+c.Head) <= c.room()
 }
 
 // Admit says whether a message may be taken on: need bytes now, and owed bytes for what ends it.
@@ -122,7 +140,7 @@
 // longer it waits, the more has died by itself. Then what counts is the room freed for the bytes moved, and how long the
 // rest has stayed, since what is old will stay; when room is very short only the former.
 func (c Config) Pick(s State, refused bool) (Segment, bool) {
-	if s.Victim != nil {
+	if s.Victim != nil || s.Removing > 0 {
 		return Segment{}, false
 	}
 	free := float64(c.Free(s))
@@ -138,7 +156,7 @@
 		if g.Live == 0 {
 			return g, true
 		}
-		if gain < max(1, least) || free > begin && !refused {
+		if gain < max(1, least) || free > begin && !refused || !c.outputFits(s, g) {
 			continue
 		}
 		value := float64(gain) / float64(g.Size+g.Live)
--- a/internal/routing/wal/store/append.go
+++ b/internal/routing/wal/store/append.go
@@ -22,7 +22,7 @@
 	}
 	head := segment.AppendHead(nil, segment.Head{Store: s.head, Number: g.number})
 	if _, err = f.Write(head); err != nil {
-		s.trash[g.name] = int64(len(head))
+		s.leftover[g.name] = leftover{size: int64(len(head)), stranded: true}
 		return errors.Join(fmt.Errorf("store: segment: %w", err), f.Close())
 	}
 	g.f, g.size = f, int64(len(head))
@@ -35,16 +35,24 @@
 	if s.totals == nil { // the set of sealed segments has changed
 		s.totals = &plan.Totals{}
 		for _, g := range s.files {
-			if g != s.active {
+			if g != s.active && !g.replaced {
 				s.totals.Add(s.plan, g.size, g.size)
 			}
 		}
 	}
-	st := plan.State{
-		Active: s.active.size + s.active.torn, Written: s.written, Owed: s.owed, Other: 2 * paper(len(s.files)), Totals: s.totals,
-	}
-	for _, size := range s.trash {
-		st.Other += blocks(size)
+	st := plan.State{Active: s.active.size + s.active.torn, Written: s.written, Owed: s.owed, Totals: s.totals}
+	listed := len(s.files)
+	if s.victim != nil && s.victim.replaced { // it is in the books beside its output, and in no manifest
+		listed--
+		st.Removing = blocks(s.victim.size)
+	}
+	st.Other = 2 * paper(listed)
+	for _, l := range s.leftover {
+		if l.stranded {
+			st.Other += blocks(l.size)
+		} else {
+			st.Removing += blocks(l.size)
+		}
 	}
 	return st
 }
@@ -53,9 +61,9 @@
 func (s *Store) state() plan.State {
 	st := s.space()
 	for _, g := range s.files {
-		switch g {
-		case s.active:
-		case s.victim:
+		switch {
+		case g == s.active, g.replaced:
+		case g == s.victim:
 			v := s.planned(g)
 			st.Victim = &v
 		default:
@@ -273,7 +281,7 @@
 	}
 	st := s.space()
 	st.Rate = rate
-	if s.victim != nil {
+	if s.victim != nil && !s.victim.replaced {
 		v := s.planned(s.victim)
 		st.Victim = &v
 	}
@@ -421,7 +429,7 @@
 		state := s.state()
 		st.Used, st.Free = s.plan.Used(state), s.plan.Free(state)
 		_, worth := s.plan.Pick(state, s.refused)
-		st.Due = s.victim != nil || worth && s.failed == nil && !s.stuck
+		st.Due = s.victim != nil || state.Removing > 0 || worth && s.failed == nil && !s.stuck
 	}
 	return st
 }
--- a/internal/routing/wal/store/compact.go
+++ b/internal/routing/wal/store/compact.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		if out.f != nil {
 			s.forsake(out)
-			s.trash[out.name] = out.size
+			s.leftover[out.name] = leftover{size: out.size}
 		}
 		s.stuck = errors.Is(err, errUncertain)
 		return s.stuck
@@ -79,7 +79,7 @@
 	s.compacts++
 	s.refused = false
 	s.forsake(victim)
-	s.trash[victim.name] = victim.size
+	s.leftover[victim.name] = leftover{size: victim.size}
 	return false
 }
 
@@ -87,14 +87,17 @@
 // appends go on meanwhile.
 func (s *Store) empty() {
 	s.mu.Lock()
-	names := slices.Sorted(maps.Keys(s.trash))
+	names := slices.Sorted(maps.Keys(s.leftover))
 	s.mu.Unlock()
 	for _, name := range names {
-		if err := s.o.FS.Remove(name); err == nil || errors.Is(err, fs.ErrNotExist) {
-			s.mu.Lock()
-			delete(s.trash, name)
-			s.mu.Unlock()
+		err := s.o.FS.Remove(name)
+		s.mu.Lock()
+		if err == nil || errors.Is(err, fs.ErrNotExist) {
+			delete(s.leftover, name)
+		} else {
+			s.leftover[name] = leftover{size: s.leftover[name].size, stranded: true}
 		}
+		s.mu.Unlock()
 	}
 }
 
@@ -257,6 +260,7 @@
 	if out.f != nil {
 		s.files[out.number] = out
 	}
+	victim.replaced = true
 	s.written, s.totals = 0, nil
 	s.mu.Unlock()
 	for chunk := range slices.Chunk(list, atOnce) {
--- a/internal/routing/wal/store/store.go
+++ b/internal/routing/wal/store/store.go
@@ -110,16 +110,23 @@
 
 // file is a segment that counts.
 type file struct {
-	number uint64
-	name   string
-	size   int64
-	live   int64  // bytes of its records that are still needed
-	torn   int64  // bytes behind size that a failed write has left
-	sealed uint64 // the record number at which it was sealed: its age, counted in records
-	synced int64  // bytes that are durable, with a durability beyond the process's end
-	users  int    // of f, beside the store's books
-	gone   bool   // from those; the last user closes f
-	f      fsys.File
+	number   uint64
+	name     string
+	size     int64
+	live     int64  // bytes of its records that are still needed
+	torn     int64  // bytes behind size that a failed write has left
+	sealed   uint64 // the record number at which it was sealed: its age, counted in records
+	synced   int64  // bytes that are durable, with a durability beyond the process's end
+	replaced bool   // its output counts in its place; it is about to be removed
+	users    int    // of f, beside the store's books
+	gone     bool   // from those; the last user closes f
+	f        fsys.File
+}
+
+// leftover is a file that counts no more and is still there.
+type leftover struct {
+	size     int64
+	stranded bool // not the file of a compaction that has just ended, or its removal has failed
 }
 
 // Store is an open one. Its methods may be called from any goroutine; an append never waits for a compaction's input or
@@ -147,8 +154,8 @@
 	totals   *plan.Totals // of the sealed segments; nil is not worked out
 	compacts int
 	syncs    int
-	stuck    bool             // no compaction until the next start
-	trash    map[string]int64 // files that count no more and are still there, with their size
+	stuck    bool                // no compaction until the next start
+	leftover map[string]leftover // files that count no more and are still there, by name
 	lastKey  uint64
 
 	syncing sync.Mutex // held round a commit; taken before mu
@@ -160,7 +167,7 @@
 		o.Report = func(string) {}
 	}
 	s := &Store{
-		o: o, files: map[uint64]*file{}, keys: map[uint64]*entry{}, trash: map[string]int64{}, next: 1, record: 1,
+		o: o, files: map[uint64]*file{}, keys: map[uint64]*entry{}, leftover: map[string]leftover{}, next: 1, record: 1,
 		plan: plan.Config{Bound: o.Bound - o.Other, Segment: o.Segment, Block: block, Head: segment.HeadSize},
 	}
 	if o.Bound-o.Other < 4*(o.Segment+block) || o.Segment < segment.HeadSize+EndSize {
