--- a/internal/routing/wal/fsys/fsys.go
+++ b/internal/routing/wal/fsys/fsys.go
@@ -43,8 +43,8 @@
 }
 
 // Replace replaces a file whole: the content is written under another name first, the file's with ".new" behind it. With
-// sync it outlasts the machine. there says that the file has the new content, also where only the folder's sync has failed,
-// and a power cut may yet bring the old one back.
+// sync it outlasts the machine. there says that the file has the new content. Beside an error it may: the folder's sync has
+// failed, and a power cut may yet bring the old one back, or a rename has failed and what is there could not be read.
 func Replace(fsys FS, name string, content []byte, sync bool) (there bool, err error) {
 	next := name + NewSuffix
 	if err := remove(fsys, next); err != nil {
@@ -61,8 +61,12 @@
 	if err = errors.Join(err, f.Close()); err != nil {
 		return false, errors.Join(err, fsys.Remove(next)) // its room is wanted
 	}
-	if err := fsys.Rename(next, name); err != nil {
-		if !holds(fsys, name, content) { // a rename that failed may have been made all the same
+	if err := fsys.Rename(next, name); err != nil { // it may have been made all the same
+		made, unread := holds(fsys, name, content)
+		switch {
+		case unread != nil:
+			return true, errors.Join(err, unread)
+		case !made:
 			return false, errors.Join(err, remove(fsys, next))
 		}
 	}
@@ -80,16 +84,21 @@
 	return nil
 }
 
-// holds says whether a file has exactly a content; false, too, where it can't be read.
-func holds(fsys FS, name string, content []byte) bool {
+// holds says whether a file is there with exactly a content.
+func holds(fsys FS, name string, content []byte) (bool, error) {
 	f, err := fsys.Open(name)
-	if err != nil {
-		return false
+	if errors.Is(err, fs.ErrNotExist) {
+		return false, nil
+	} else if err != nil {
+		return false, err
 	}
 	defer f.Close()
 	there := make([]byte, len(content)+1)
 	n, err := f.ReadAt(there, 0)
-	return errors.Is(err, io.EOF) && bytes.Equal(there[:n], content)
+	if err != nil && !errors.Is(err, io.EOF) {
+		return false, err
+	}
+	return bytes.Equal(there[:n], content), nil
 }
 
 // NewSuffix is what the name of a file ends in while it is written to replace another.
--- a/internal/routing/wal/plan/plan.go
+++ b/internal/routing/wal/plan/plan.go
@@ -38,8 +38,8 @@
 	Owed    int64     // bytes that the records which end all live messages may take, at the most
 	Rate    float64   // bytes a second that are appended, of late
 	Other   int64     // bytes of all other files, in whole blocks
-	// Removing is bytes, in whole blocks, of files that a compaction has replaced or given up and whose removal is under way. No
-	// compaction begins before it is over, so that these files stand in room that is set aside for the next output.
+	// Removing is bytes, in whole blocks, of files that a compaction has replaced or given up and that are to be removed. No
+	// compaction begins before they are, so that these files stand in room that is set aside for the next output.
 	Removing int64
 	// Totals are those of Sealed and Victim, for who asks often; nil has them worked out, and a state that carries them
 	// needs the segments themselves only for Pick and Pace.
--- a/internal/routing/wal/store/append.go
+++ b/internal/routing/wal/store/append.go
@@ -22,7 +22,7 @@
 	}
 	head := segment.AppendHead(nil, segment.Head{Store: s.head, Number: g.number})
 	if _, err = f.Write(head); err != nil {
-		s.leftover[g.name] = leftover{size: int64(len(head)), stranded: true}
+		s.leftover[g.name] = leftover{size: int64(len(head)), state: stranded}
 		return errors.Join(fmt.Errorf("store: segment: %w", err), f.Close())
 	}
 	g.f, g.size = f, int64(len(head))
@@ -48,7 +48,7 @@
 	}
 	st.Other = 2 * paper(listed)
 	for _, l := range s.leftover {
-		if l.stranded {
+		if l.state == stranded {
 			st.Other += blocks(l.size)
 		} else {
 			st.Removing += blocks(l.size)
@@ -429,7 +429,7 @@
 		state := s.state()
 		st.Used, st.Free = s.plan.Used(state), s.plan.Free(state)
 		_, worth := s.plan.Pick(state, s.refused)
-		st.Due = s.victim != nil || state.Removing > 0 || worth && s.failed == nil && !s.stuck
+		st.Due = s.victim != nil || (worth || state.Removing > 0) && s.failed == nil && !s.stuck
 	}
 	return st
 }
--- a/internal/routing/wal/store/compact.go
+++ b/internal/routing/wal/store/compact.go
@@ -26,6 +26,9 @@
 // goes. pace is asked before each further step of so many bytes and may wait; nil does not. One compaction at a time; the
 // store goes on beside it.
 func (s *Store) Compact(pace func(bytes int)) (did bool, err error) {
+	if err := s.settleManifest(); err != nil {
+		return false, err
+	}
 	s.empty()
 	s.mu.Lock()
 	if s.closed || s.failed != nil || s.victim != nil || s.stuck {
@@ -49,7 +52,7 @@
 	}
 	stuck := s.conclude(victim, out, list, keys, err)
 	if stuck {
-		s.o.Report(fmt.Sprintf("journal: no compaction until the next start: %v", err))
+		s.o.Report(fmt.Sprintf("journal: no compaction until it is known which segments the next start counts: %v", err))
 	} else {
 		s.empty()
 	}
@@ -59,6 +62,30 @@
 	return true, nil
 }
 
+// settleManifest writes the manifest again where it is not known which of two the next start would find. Where it has to outlast the
+// machine that stays so until the next start: a sync that works tells nothing of what one that failed has lost.
+func (s *Store) settleManifest() error {
+	s.mu.Lock()
+	if !s.stuck || s.closed || s.o.Durability != Process {
+		s.mu.Unlock()
+		return nil
+	}
+	text := s.manifestBytes()
+	s.mu.Unlock()
+	if err := s.replaceManifest(text); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stuck = false
+	for name, l := range s.leftover {
+		if l.state == kept {
+			s.leftover[name] = leftover{size: l.size, state: removing}
+		}
+	}
+	return nil
+}
+
 // conclude books a compaction's end.
 func (s *Store) conclude(victim, out *file, list []moved, keys map[uint64]bool, err error) (stuck bool) {
 	if err == nil {
@@ -68,11 +95,14 @@
 	defer s.mu.Unlock()
 	s.victim, s.written, s.totals = nil, 0, nil
 	if err != nil {
+		s.stuck = errors.Is(err, errUncertain)
 		if out.f != nil {
 			s.forsake(out)
 			s.leftover[out.name] = leftover{size: out.size}
+			if s.stuck {
+				s.leftover[out.name] = leftover{size: out.size, state: kept}
+			}
 		}
-		s.stuck = errors.Is(err, errUncertain)
 		return s.stuck
 	}
 	delete(s.files, victim.number)
@@ -88,6 +118,7 @@
 func (s *Store) empty() {
 	s.mu.Lock()
 	names := slices.Sorted(maps.Keys(s.leftover))
+	names = slices.DeleteFunc(names, func(name string) bool { return s.leftover[name].state == kept })
 	s.mu.Unlock()
 	for _, name := range names {
 		err := s.o.FS.Remove(name)
@@ -95,7 +126,7 @@
 		if err == nil || errors.Is(err, fs.ErrNotExist) {
 			delete(s.leftover, name)
 		} else {
-			s.leftover[name] = leftover{size: s.leftover[name].size, stranded: true}
+			s.leftover[name] = leftover{size: s.leftover[name].size, state: stranded}
 		}
 		s.mu.Unlock()
 	}
--- a/internal/routing/wal/store/store.go
+++ b/internal/routing/wal/store/store.go
@@ -123,12 +123,21 @@
 	f        fsys.File
 }
 
-// leftover is a file that counts no more and is still there.
+// leftover is a file that does not count and is still there.
 type leftover struct {
-	size     int64
-	stranded bool // not the file of a compaction that has just ended, or its removal has failed
+	size  int64
+	state leftoverState
 }
 
+// leftoverState says what becomes of a leftover.
+type leftoverState int
+
+const (
+	removing leftoverState = iota // it is of a compaction that has just ended, and is about to be removed
+	stranded                      // it is not, or its removal has failed: it is tried again
+	kept                          // the next start may count it, so it stays
+)
+
 // Store is an open one. Its methods may be called from any goroutine; an append never waits for a compaction's input or
 // output, nor for a sync but its own.
 type Store struct {
