Logs: whoever logs no longer waits for a log that nobody reads

Callers saw: with the pipe of standard error full, no request was answered, nothing accepted, and SIGTERM did not end the process.

Cause: each line was written by whoever logged it with a write that blocks, the router's goroutine and the signals' among them. A crash's report and the last line of a start that cannot be go to the same descriptor, so these did not end either.

Fix: internal/asynclog queues lines, 256 KiB at the most, and writes them one by one from its own goroutine. What finds the queue full is dropped whole, counted and told of in its place; the end waits 0.2 s. A pipe is opened anew for the runtime's own output so that it never blocks there. The logging library's ring was looked at: it drops the oldest lines by whole rings, its end waits for the write that is out, and on a collision it writes to standard error from the caller. The relay logs the same way; the demonstration's partners no longer wait for its output.

--- a/cmd/larkreach/cli.go
+++ b/cmd/larkreach/cli.go
@@ -8,9 +8,11 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 
+	"mulleinbeam/internal/asynclog"
 	"mulleinbeam/internal/lab/demo"
 	"mulleinbeam/internal/settings"
 )
@@ -52,7 +54,9 @@
 	if own.Cluster != nil && !clustered {
 		return handOver(os.Args[1:])
 	}
-	return run(os.Getenv, io.err, c.Log, own, io.hup)
+	log := openLog(io.err, c.Log)
+	defer log.close()
+	return run(os.Getenv, log, own, io.hup)
 }
 
 type checkCmd struct {
@@ -87,6 +91,9 @@
 	return fmt.Sprint(int64(b), " bytes")
 }
 
+// printsFor is how long the end of a demonstration waits for who reads it.
+const printsFor = 10 * time.Second
+
 type demoCmd struct {
 	Fleet bool `help:"Three processes in two zones that keep copies for each other; one is killed for good under load."`
 }
@@ -102,10 +109,12 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	out := asynclog.New(io.out, func(lines int64) []byte { return fmt.Appendf(nil, "(%d lines left out)\n", lines) })
+	defer out.Close(printsFor) // partners must not wait for who reads this
 	if d.Fleet {
-		return demoFleet(ctx, []string{program, "serve"}, io.out)
+		return demoFleet(ctx, []string{program, "serve"}, out)
 	}
-	return demo.Run(ctx, []string{program, "serve"}, io.out)
+	return demo.Run(ctx, []string{program, "serve"}, out)
 }
 
 // streams are what a command writes to, and the signals that it must not lose.
--- a/cmd/larkreach/helper_test.go
+++ b/cmd/larkreach/helper_test.go
@@ -50,7 +50,8 @@
 	path       string // of the configuration
 	config     map[string]any
 	env        []string
-	files      int // descriptors that it is given; 0 leaves it as it is
+	files      int      // descriptors that it is given; 0 leaves it as it is
+	stderr     *os.File // where its log goes instead of to log
 	cmd        *exec.Cmd
 	log        *logBuffer
 	exited     chan error
@@ -233,9 +234,14 @@
 	}
 	cmd.Env = append(os.Environ(), childMark+"=1", "ROUTER_CONFIG="+s.path, "ROUTER_STATE="+s.dir)
 	cmd.Env = append(cmd.Env, s.env...)
-	pipe, err := cmd.StderrPipe()
-	if err != nil {
-		s.t.Fatal(err)
+	var pipe io.Reader = strings.NewReader("")
+	if s.stderr != nil {
+		cmd.Stderr = s.stderr
+	} else {
+		var err error
+		if pipe, err = cmd.StderrPipe(); err != nil {
+			s.t.Fatal(err)
+		}
 	}
 	if err := cmd.Start(); err != nil {
 		s.t.Fatal(err)
--- a/cmd/larkreach/main.go
+++ b/cmd/larkreach/main.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math"
 	"net"
 	"os"
@@ -16,7 +15,6 @@
 	"syscall"
 	"time"
 
-	"github.com/mattn/go-isatty"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
@@ -40,25 +38,23 @@
 	leastRoom   = 16                      // those beside what is set aside, at the least
 	// filesPerLong are the descriptors of a long call: its connection, and a pipe for each direction.
 	filesPerLong = 5
-	logTime      = "2006-01-02T15:04:05.000000Z07:00"
 )
 
 func main() {
-	zerolog.TimeFieldFormat = logTime
-	zerolog.TimestampFunc = func() time.Time { return time.Now().UTC() }
+	setUpLogging()
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP) // and never given back: from here to the exit it ends nothing
 	signal.Ignore(syscall.SIGXFSZ)     // a file that may not grow is an error of its write, and no reason to end;
 	signal.Ignore(syscall.SIGPIPE)     // nor is a log that nobody reads
 	if err := command(os.Args[1:], streams{os.Stdout, os.Stderr, hup}); err != nil {
-		fmt.Fprintln(os.Stderr, "larkreach:", err)
+		logLastLine(os.Stderr, fmt.Sprintln("larkreach:", err))
 		os.Exit(1)
 	}
 }
 
 // run serves until a signal ends it.
-func run(getenv func(string) string, out io.Writer, form string, own settings.File, hup <-chan os.Signal) error {
-	cfg, err := insist(newLogger(out, form, getenv("ROUTER_NAME")), "configuration", func() (config, error) { return loadConfig(getenv) })
+func run(getenv func(string) string, log *logOutput, own settings.File, hup <-chan os.Signal) error {
+	cfg, err := insist(log.logger(getenv("ROUTER_NAME")), "configuration", func() (config, error) { return loadConfig(getenv) })
 	if err != nil {
 		return err
 	}
@@ -73,7 +69,7 @@
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
 	debug.SetMemoryLimit(int64(heapShare * float64(cfg.Limits.MemoryMB<<20)))
-	logger := newLogger(out, form, cfg.Name)
+	logger := log.logger(cfg.Name)
 	if cfg.Alone {
 		logger.Warn().Str("part", "config").Msg("no size of the fleet is told, this forwarder takes itself for the only one")
 	}
@@ -137,6 +133,9 @@
 		if remembered != nil {
 			line.Object("learned", saves(remembered.Saves()))
 		}
+		if dropped := log.lines.Dropped(); dropped > 0 {
+			line.Object("log", droppedLines(dropped))
+		}
 		line.Msg(when)
 	}
 	reload := reloader{
@@ -182,14 +181,6 @@
 	return left - cfg.Settings.Slots, nil
 }
 
-// newLogger writes one JSON object a line, or, on a terminal or where it is asked for, lines for people.
-func newLogger(out io.Writer, form, name string) zerolog.Logger {
-	if f, ok := out.(*os.File); form == "text" || form == "auto" && ok && isatty.IsTerminal(f.Fd()) {
-		out = zerolog.ConsoleWriter{Out: out, TimeFormat: logTime, NoColor: form == "text"}
-	}
-	return zerolog.New(out).With().Str("name", name).Timestamp().Logger()
-}
-
 // journalOptions puts the settings of the journal in its terms. Without settings it is as the platform tells.
 func journalOptions(j *settings.Journal, learned *settings.Learned, l limits) wal.Options {
 	o := wal.Options{Most: int64(l.DiskMB * 1e6)}
--- a/cmd/larkreach/relay_on.go
+++ b/cmd/larkreach/relay_on.go
@@ -25,7 +25,9 @@
 	if err != nil {
 		return err
 	}
-	cfg := relay.Config{Listen: c.Listen, Logger: newLogger(io.err, c.Log, c.Listen)}
+	log := openLog(io.err, c.Log)
+	defer log.close()
+	cfg := relay.Config{Listen: c.Listen, Logger: log.logger(c.Listen)}
 	for _, v := range voters {
 		cfg.Voters = append(cfg.Voters, council.Founder{Name: v.Name, Address: v.Address})
 	}
