Tests: the plays of a log that nobody reads run beside others

They wait for signals and drains most of the time; the package's tests took 150 s with them one behind the other, near the limit of a busy machine.

--- a/cmd/larkreach/log_test.go
+++ b/cmd/larkreach/log_test.go
@@ -111,6 +111,7 @@
 
 // Guards against a start, message, signal, reload, report, stop or restart that waits for a full log.
 func TestAFullLogHoldsUpNothing(t *testing.T) {
+	t.Parallel()
 	p := newEndpoint(t, "a", 7)
 	s, log := unreadSite(t, p)
 	log.fill(t)
@@ -145,6 +146,7 @@
 
 // Guards against load that a log holds up when it fills meanwhile, and against a stop that does not end then.
 func TestALogThatFillsUnderLoadHoldsUpNothing(t *testing.T) {
+	t.Parallel()
 	p := newEndpoint(t, "a", 7)
 	go func() {
 		for c := range p.calls {
@@ -168,6 +170,7 @@
 
 // Guards against a reader that is slow or goes away, and does more harm than one that has stopped.
 func TestSlowReadersOfTheLogHoldUpNothing(t *testing.T) {
+	t.Parallel()
 	for name, read := range map[string]func(*logPipe){
 		"a byte a second": func(l *logPipe) {
 			for one := make([]byte, 1); ; time.Sleep(time.Second) {
@@ -193,6 +196,7 @@
 
 // Guards against lines that are torn, out of order, or missing without a word once a reader comes back.
 func TestAReaderOfTheLogThatComesBack(t *testing.T) {
+	t.Parallel()
 	p := newEndpoint(t, "a", 7)
 	s, log := unreadSite(t, p)
 	s.startUnread()
@@ -255,6 +259,7 @@
 
 // Guards against a crash, or the one line of a start that cannot be, that waits for a full log instead of ending.
 func TestAFullLogKeepsNoEndFromComing(t *testing.T) {
+	t.Parallel()
 	t.Run("crash", func(t *testing.T) {
 		s, log := unreadSite(t, newEndpoint(t, "a", 7))
 		log.fill(t)
