--- a/internal/lab/experiment/journal.go
+++ b/internal/lab/experiment/journal.go
@@ -62,13 +62,16 @@
 	m := &wal.Message{
 		Seq: seq, Deadline: deadline, Destination: 7, ID: fmt.Sprintf("%016x", seq), Class: "fee", Body: body,
 	}
-	if !s.l.Fits(m) {
+	room, fits := s.l.Reserve(m)
+	if !fits {
 		return ErrNoRoom
 	}
-	if err := s.l.Accept(m); !errors.Is(err, wal.ErrFull) {
-		return err
+	defer room.Release()
+	err := s.l.AcceptReserved(room, m)
+	if errors.Is(err, wal.ErrFull) { // records of earlier messages wait for room
+		return ErrNoRoom
 	}
-	return ErrNoRoom
+	return err
 }
 
 func (s segments) Attempt(seq uint64) error {
--- a/internal/routing/accept.go
+++ b/internal/routing/accept.go
@@ -37,16 +37,18 @@
 		Seq: h.seq, Deadline: h.deadline, Destination: m.Destination, ID: m.ID, Key: m.Key, Class: m.Class, Body: m.Body,
 		Long: m.Long != nil,
 	}
-	if !r.cfg.Log.Fits(entry) {
+	room, fits := r.cfg.Log.Reserve(entry)
+	if !fits {
 		return r.refuse(m, &r.counters.NoRoom, "journal full")
 	}
+	defer room.Release()
 	actions := r.decider.Handle(r.now(), []mb.Event{r.submission(h, m.Left)})
 	if v, others, answered := r.answeredAtOnce(h, actions); answered { // nothing was taken on
 		r.sampleRefused(m, "decision")
 		r.perform(others)
 		return v
 	}
-	if err := r.cfg.Log.Accept(entry); err != nil {
+	if err := r.cfg.Log.AcceptReserved(room, entry); err != nil {
 		r.journal(m.ID, err)
 		r.revoke(h, actions)
 		return r.refuse(m, &r.counters.NoRoom, "journal not written")
--- a/internal/routing/wal/store/append.go
+++ b/internal/routing/wal/store/append.go
@@ -40,7 +40,7 @@
 			}
 		}
 	}
-	st := plan.State{Active: s.active.size + s.active.torn, Written: s.written, Owed: s.owed, Totals: s.totals}
+	st := plan.State{Active: s.active.size + s.active.torn, Written: s.written, Owed: s.owed + s.reserved, Totals: s.totals}
 	listed := len(s.files)
 	if s.victim != nil && s.victim.replaced { // it is in the books beside its output, and in no manifest
 		listed--
@@ -265,6 +265,49 @@
 	return s.plan.Admit(st, segment.Size(payload+mostFixed), owed+EndSize)
 }
 
+// Reservation is room for a key that is to be put; nobody else gets it meanwhile. The zero value and nil are none.
+type Reservation struct {
+	store *Store
+	bytes int64
+}
+
+// room is what a key takes, with a first payload of so many bytes and owed bytes for all that will follow.
+func room(payload int, owed int64) int64 { return segment.Size(payload+mostFixed) + owed + EndSize }
+
+// Reserve sets room aside for a key, as Put would take it; false says that there is none now. It is given back by Release, unless a Put
+// has used it.
+func (s *Store) Reserve(payload int, owed int64) (*Reservation, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.fits(payload, owed) {
+		return nil, false
+	}
+	r := &Reservation{store: s, bytes: room(payload, owed)}
+	s.reserved += r.bytes
+	return r, true
+}
+
+// Release gives the room back, if it was not used.
+func (r *Reservation) Release() {
+	if r == nil || r.store == nil {
+		return
+	}
+	r.store.mu.Lock()
+	defer r.store.mu.Unlock()
+	r.release()
+}
+
+// release gives the room back; the store's mu is held.
+func (r *Reservation) release() {
+	r.store.reserved -= r.bytes
+	r.bytes = 0
+}
+
+// covers says whether a key can be put into the room; the store's mu is held.
+func (r *Reservation) covers(s *Store, payload int, owed int64) bool {
+	return r != nil && r.store == s && r.bytes >= room(payload, owed)
+}
+
 // Refused tells that work was turned away for want of room: what can be gained is compacted now, and as fast as it goes.
 func (s *Store) Refused() {
 	s.mu.Lock()
@@ -292,20 +335,27 @@
 // bytes for further records, each with segment.RecordHead and some 20 bytes of its own. ErrFull says that there is no room
 // for all of that now. It gives the record's number, for Commit.
 func (s *Store) Put(key uint64, payload []byte, owed int64) (uint64, error) {
-	num, err := s.put(key, payload, owed)
+	return s.PutReserved(nil, key, payload, owed)
+}
+
+// PutReserved is Put with a reservation for as much at the least: there is room, whatever has come between. Where the disk fails the
+// reservation stands.
+func (s *Store) PutReserved(reserved *Reservation, key uint64, payload []byte, owed int64) (uint64, error) {
+	num, err := s.put(key, payload, owed, reserved)
 	if err != nil {
 		return 0, err
 	}
 	return num, s.settle(num)
 }
 
-func (s *Store) put(key uint64, payload []byte, owed int64) (uint64, error) {
+func (s *Store) put(key uint64, payload []byte, owed int64, reserved *Reservation) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e := s.keys[key]; e != nil {
 		return 0, fmt.Errorf("store: key %d is there", key)
 	}
-	if !s.fits(len(payload), owed) {
+	covered := reserved.covers(s, len(payload), owed)
+	if !covered && !s.fits(len(payload), owed) {
 		s.refused = true
 		return 0, ErrFull
 	}
@@ -313,6 +363,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if covered {
+		reserved.release()
+	}
 	e := &entry{owed: owed + EndSize, first: place{s.active.number, s.active.size - size, size}}
 	s.owed += e.owed
 	s.addPart(e, s.active, size, true)
--- a/internal/routing/wal/store/room_test.go
+++ b/internal/routing/wal/store/room_test.go
@@ -99,3 +99,47 @@
 		}
 	}
 }
+
+// Guards against reserved room that others get, that is not given back, or that is gone with a failing disk.
+func TestReservedRoomIsThere(t *testing.T) {
+	for seed := range uint64(30) {
+		rng := rand.New(rand.NewPCG(seed, 15))
+		mem := fsys.NewMem()
+		faults := &fsys.Faults{FS: mem}
+		s, _ := open(t, options(faults, Process))
+		next := fill(t, s, rng)
+		faults.Set(func(op fsys.Op, name string, n int) (int, error) {
+			if op == fsys.OpRemove && name != manifestIn && seed%2 == 0 {
+				return 0, syscall.EIO
+			}
+			return n, nil
+		})
+		before := s.Stats().Free
+		given, fits := s.Reserve(100, 64)
+		kept, both := s.Reserve(1000, 64)
+		if !fits || !both {
+			t.Fatalf("seed %d: no room in a store with %d bytes free", seed, before)
+		}
+		given.Release()
+		given.Release()
+		for refused := 0; refused < 20; { // others take all there is
+			if next++; rng.IntN(3) == 0 {
+				_, _ = s.Compact(nil)
+			}
+			if _, err := s.Put(next, make([]byte, rng.IntN(1000)), 64); err != nil {
+				refused++
+			}
+		}
+		next++
+		if _, err := s.PutReserved(kept, next, make([]byte, 1000), 64); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		kept.Release()
+		if s.reserved != 0 {
+			t.Errorf("seed %d: %d bytes stay reserved", seed, s.reserved)
+		}
+		if taken := used(t, mem); taken > options(nil, Process).Bound {
+			t.Errorf("seed %d: %d bytes on the disk", seed, taken)
+		}
+	}
+}
--- a/internal/routing/wal/store/store.go
+++ b/internal/routing/wal/store/store.go
@@ -152,6 +152,7 @@
 	record   uint64 // and of the next record
 	keys     map[uint64]*entry
 	owed     int64
+	reserved int64 // for keys that are to be put
 	victim   *file
 	written  int64 // by the compaction under way
 	refused  bool
--- a/internal/routing/wal/wal.go
+++ b/internal/routing/wal/wal.go
@@ -327,23 +327,54 @@
 // Close ends the worker and closes the files.
 func (l *Log) Close() error { return l.close() }
 
-// Fits says whether a message can be accepted.
-func (l *Log) Fits(m *Message) bool {
-	size := acceptedHead + len(m.ID) + len(m.Key) + len(m.Class) + len(m.Body)
+// Reservation is room set aside for one message's acceptance. It is given back by Release, unless the acceptance has used it; nil is none.
+type Reservation struct{ room *store.Reservation }
+
+// Release gives back what was not used.
+func (r *Reservation) Release() {
+	if r != nil {
+		r.room.Release()
+	}
+}
+
+// Reserve sets room aside for a message to be accepted; false says that there is none now.
+func (l *Log) Reserve(m *Message) (*Reservation, bool) {
+	return l.reserve(acceptedHead + len(m.ID) + len(m.Key) + len(m.Class) + len(m.Body))
+}
+
+func (l *Log) reserve(size int) (*Reservation, bool) {
 	if size > segment.MostRecord-64 {
-		return false
+		return nil, false
 	}
-	if fits := l.store.Fits(size, owedFor); !fits {
+	room, fits := l.store.Reserve(size, owedFor)
+	if !fits {
 		l.store.Refused()
 		l.wake()
-		return false
+		return nil, false
 	}
-	return true
+	return &Reservation{room}, true
+}
+
+// Fits says whether a message can be accepted now. Nothing is reserved for it.
+func (l *Log) Fits(m *Message) bool {
+	room, fits := l.Reserve(m)
+	room.Release()
+	return fits
 }
 
 // Accept journals a message under its number, which must be Next. The number is used up, also where this fails: others may have
 // been told of it.
-func (l *Log) Accept(m *Message) error {
+func (l *Log) Accept(m *Message) error { return l.AcceptReserved(nil, m) }
+
+// AcceptReserved is Accept with room that was reserved for the message: it does not fail for want of room.
+func (l *Log) AcceptReserved(room *Reservation, m *Message) error {
+	m.deadlineStamp = l.clock.Stamp(m.Deadline)
+	l.buf = appendAccepted(l.buf[:0], m)
+	return l.accept(room, m, l.buf)
+}
+
+// accept writes a message's first payload.
+func (l *Log) accept(room *Reservation, m *Message, payload []byte) error {
 	l.next = m.Seq + 1
 	if err := l.Flush(); err != nil {
 		return err
@@ -352,10 +383,12 @@
 		l.wake()
 		return ErrFull
 	}
-	m.deadlineStamp = l.clock.Stamp(m.Deadline)
-	l.buf = appendAccepted(l.buf[:0], m)
-	num, err := l.store.Put(m.Seq, l.buf, owedFor)
-	l.wrote(num, len(l.buf))
+	var reserved *store.Reservation
+	if room != nil {
+		reserved = room.room
+	}
+	num, err := l.store.PutReserved(reserved, m.Seq, payload, owedFor)
+	l.wrote(num, len(payload))
 	switch {
 	case errors.Is(err, store.ErrFull):
 		l.wake()
@@ -363,7 +396,7 @@
 	case err != nil:
 		return fmt.Errorf("wal: %w", err)
 	}
-	l.tell(l.buf)
+	l.tell(payload)
 	m.size = len(m.Body)
 	l.keep(m)
 	l.live[m.Seq] = m
