Takeovers: a message is journalled with its past as one record

Callers would have seen: an unsafe message that its lost owner had called is called again by whoever takes it over, if that process is killed in the middle of taking over, or its disk fails and it is killed then.

Cause: a takeover journalled an acceptance, then the attempts, then whose the message was, each as a record. Cut short, what is left looks like a message of this forwarder's own that was never called; a failed write kept the rest waiting in memory. Ruled out: that the fate asked at a start notices it, since the owner is what is missing.

Change: one record (`kindAdopted`) holds all of them; replicas are told of the same records as before. Room for all messages of a takeover is reserved before the first is written, so that one without room writes nothing (TestATakeoverWithoutRoomLeavesNothing).

--- a/internal/routing/shared.go
+++ b/internal/routing/shared.go
@@ -165,7 +165,6 @@
 // others must hold the log before Activate. An error says that there is no room, and that nothing was taken on.
 func (r *Router) Adopt(owner string, life uint64, messages []*wal.Message, past []wal.Past) (mark uint64, err error) {
 	got, served := ask(r, func() error {
-		var made []*held
 		for _, p := range past {
 			if _, known := r.past.delivered[p.ID]; !known {
 				r.past.add(p.ID, p.Delivered, false, 0)
@@ -178,6 +177,8 @@
 				ended[h.ID] = true
 			}
 		}
+		var wanted []*wal.Message
+		listed := map[string]int{} // by id: its place among these
 		for _, m := range messages {
 			if h := r.ids[m.ID]; h != nil {
 				r.enrich(h, m)
@@ -186,27 +187,16 @@
 			if _, over := r.past.delivered[m.ID]; over || ended[m.ID] {
 				continue
 			}
-			own := *m
-			own.Seq, own.Owner, own.Life = r.cfg.Log.Next(), owner, life
-			own.Settle() // a call of it that was out has ended by now, and may have run
-			if !r.cfg.Guard.Strict(own.Class) {
-				own.AssumeRun(time.Now().Add(-pastRoom)) // its calls began without a copy that says so, nobody knows when
-			}
-			if !r.cfg.Log.Fits(&own) {
-				err = wal.ErrFull
-			} else {
-				err = r.cfg.Log.Adopt(&own)
-			}
-			if err != nil {
-				for _, h := range made {
-					r.drop(h)
-				}
-				return err
+			own := r.adoptable(m, owner, life)
+			if i, twice := listed[m.ID]; twice {
+				wanted[i] = wal.Merged(wanted[i], own)
+				continue
 			}
-			h := r.heldFrom(&own)
-			h.away, h.adopting, h.ended = true, true, own.Ending != wal.Unended
-			r.messages[h.seq], r.ids[h.ID] = h, h
-			made = append(made, h)
+			listed[m.ID] = len(wanted)
+			wanted = append(wanted, own)
+		}
+		if err := r.adoptAll(wanted); err != nil {
+			return err
 		}
 		mark = r.cfg.Guard.Mark()
 		return nil
@@ -217,6 +207,49 @@
 	return mark, got
 }
 
+// adoptable is a message as it is taken over from a life.
+func (r *Router) adoptable(m *wal.Message, owner string, life uint64) *wal.Message {
+	own := *m
+	own.Owner, own.Life = owner, life
+	own.Settle() // a call of it that was out has ended by now, and may have run
+	if !r.cfg.Guard.Strict(own.Class) {
+		own.AssumeRun(time.Now().Add(-pastRoom)) // its calls began without a copy that says so, nobody knows when
+	}
+	return &own
+}
+
+// adoptAll journals messages that are taken over, or none of them. Room for all is reserved before the first is written.
+func (r *Router) adoptAll(messages []*wal.Message) error {
+	rooms := make([]*wal.Reservation, 0, len(messages))
+	defer func() {
+		for _, room := range rooms {
+			room.Release()
+		}
+	}()
+	for _, m := range messages {
+		room, fits := r.cfg.Log.ReserveAdoption(m)
+		if !fits {
+			return wal.ErrFull
+		}
+		rooms = append(rooms, room)
+	}
+	var made []*held
+	for i, m := range messages {
+		m.Seq = r.cfg.Log.Next()
+		if err := r.cfg.Log.Adopt(rooms[i], m); err != nil {
+			for _, h := range made {
+				r.drop(h)
+			}
+			return err
+		}
+		h := r.heldFrom(m)
+		h.away, h.adopting, h.ended = true, true, m.Ending != wal.Unended
+		r.messages[h.seq], r.ids[h.ID] = h, h
+		made = append(made, h)
+	}
+	return nil
+}
+
 // enrich adds to a message held here what another copy of the same log knows of it.
 func (r *Router) enrich(h *held, m *wal.Message) {
 	own := r.cfg.Log.Message(h.seq)
--- a/internal/routing/shared_test.go
+++ b/internal/routing/shared_test.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -62,3 +64,34 @@
 		})
 	}
 }
+
+// Guards against a takeover without room that leaves a part of it in the journal.
+func TestATakeoverWithoutRoomLeavesNothing(t *testing.T) {
+	journal, err := wal.Open(t.TempDir(), wal.Options{Most: 400_000}, func(string) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, _, _ := runGuarded(t, journal, strictGuard(true))
+	var messages []*wal.Message
+	for i := range 100 {
+		messages = append(messages, &wal.Message{
+			Seq: uint64(i + 1), ID: fmt.Sprint("m", i), Class: "unsafe", Destination: 7, Deadline: time.Now().Add(time.Minute), Body: make([]byte, 8000),
+		})
+	}
+	for range 3 {
+		if _, err := r.Adopt("other", 1, messages, nil); !errors.Is(err, wal.ErrFull) {
+			t.Fatalf("taken over without room: %v", err)
+		}
+	}
+	r.Inspect(func(log *wal.Log) {
+		if live, last := len(log.Live()), log.Last(); live > 0 || last > 0 {
+			t.Errorf("%d messages, %d records", live, last)
+		}
+	})
+	if _, err := r.Adopt("other", 1, messages[:10], nil); err != nil {
+		t.Errorf("taken over with room: %v", err)
+	}
+	if n := r.Activate("other", 1, false); n != 10 {
+		t.Errorf("%d messages taken over", n)
+	}
+}
--- a/internal/routing/wal/record.go
+++ b/internal/routing/wal/record.go
@@ -24,6 +24,7 @@
 	kindOrigin       // taken over from another life
 	kindAlone        // taken on while no copy of it could be made
 	kindPast         // in copies only: the id of a message that is over
+	kindAdopted      // taken over from another life: all records of it in one, so that none is there without the others
 )
 
 var (
@@ -91,6 +92,14 @@
 
 func appendAlone(b []byte, seq uint64) []byte { return start(b, kindAlone, seq) }
 
+func appendAdopted(b []byte, seq uint64, records [][]byte) []byte {
+	b = start(b, kindAdopted, seq)
+	for _, record := range records {
+		b = appendText(b, record)
+	}
+	return b
+}
+
 func appendPast(b []byte, p Past) []byte {
 	return appendTime(append(appendText(start(b, kindPast, 0), p.ID), flag(p.Delivered)), p.At)
 }
@@ -207,6 +216,8 @@
 		if m != nil {
 			m.Alone = true
 		}
+	case kindAdopted:
+		return s.applyAdopted(r)
 	default:
 		if m != nil { // a later version's: kept with its message, and handed on
 			m.extra = append(m.extra, append([]byte(nil), payload...))
@@ -218,3 +229,18 @@
 	}
 	return nil
 }
+
+// applyAdopted books the records of a message that was taken over, each as if it stood alone.
+func (s *state) applyAdopted(r *reader) error {
+	var unknown error
+	for len(r.b) > 0 {
+		record := r.text()
+		if r.bad || len(record) == 0 || kind(record[0]) == kindAdopted {
+			return errRecord
+		}
+		if err := s.apply(record); err != nil { // one of a later version's kind stays with its message, and the others count
+			unknown = err
+		}
+	}
+	return unknown
+}
--- a/internal/routing/wal/wal.go
+++ b/internal/routing/wal/wal.go
@@ -118,6 +118,7 @@
 	segments     = 24                    // that the disk is divided into, so that one set aside for compaction is little of it
 	leastShares  = 6                     // and at the least
 	acceptedHead = 96                    // bytes of an acceptance beside its texts and its body, at the most
+	adoptedHead  = 48                    // bytes of each record in an adoption beside its own, at the most
 	owedFor      = 64                    // bytes set aside with a message beside its end: how it was given up
 	spareShare   = 20                    // of the disk, one part: left to the attempts of messages that were taken on
 	kickEvery    = 32                    // records after which the worker looks whether there is something to do
@@ -342,6 +343,15 @@
 	return l.reserve(acceptedHead + len(m.ID) + len(m.Key) + len(m.Class) + len(m.Body))
 }
 
+// ReserveAdoption does so for one to be adopted.
+func (l *Log) ReserveAdoption(m *Message) (*Reservation, bool) {
+	size := 0
+	for _, record := range Condense(m) {
+		size += len(record) + adoptedHead
+	}
+	return l.reserve(size)
+}
+
 func (l *Log) reserve(size int) (*Reservation, bool) {
 	if size > segment.MostRecord-64 {
 		return nil, false
@@ -370,11 +380,23 @@
 func (l *Log) AcceptReserved(room *Reservation, m *Message) error {
 	m.deadlineStamp = l.clock.Stamp(m.Deadline)
 	l.buf = appendAccepted(l.buf[:0], m)
-	return l.accept(room, m, l.buf)
+	return l.accept(room, m, l.buf, [][]byte{l.buf})
+}
+
+// Adopt journals a message of another life under this log's next number, with all that is known of its attempts and its end, in room
+// that was reserved for that. It is one record: a message whose calls are forgotten would be called again.
+func (l *Log) Adopt(room *Reservation, m *Message) error {
+	m.deadlineStamp = l.clock.Stamp(m.Deadline)
+	if m.MayRun {
+		m.ranStamp = l.clock.Stamp(m.RanAt)
+	}
+	records := Condense(m)
+	l.buf = appendAdopted(l.buf[:0], m.Seq, records)
+	return l.accept(room, m, l.buf, records)
 }
 
-// accept writes a message's first payload.
-func (l *Log) accept(room *Reservation, m *Message, payload []byte) error {
+// accept writes a message's first payload and tells of the records in it.
+func (l *Log) accept(room *Reservation, m *Message, payload []byte, records [][]byte) error {
 	l.next = m.Seq + 1
 	if err := l.Flush(); err != nil {
 		return err
@@ -396,7 +418,9 @@
 	case err != nil:
 		return fmt.Errorf("wal: %w", err)
 	}
-	l.tell(payload)
+	for _, record := range records {
+		l.tell(record)
+	}
 	m.size = len(m.Body)
 	l.keep(m)
 	l.live[m.Seq] = m
@@ -484,17 +508,6 @@
 	return l.change(seq, l.buf)
 }
 
-// Adopt journals a message of another life under this log's next number, with all that is known of its attempts and its end.
-func (l *Log) Adopt(m *Message) error {
-	if m.MayRun {
-		m.ranStamp = l.clock.Stamp(m.RanAt)
-	}
-	if err := l.Accept(m); err != nil {
-		return err
-	}
-	return l.note(m.Seq, Condense(m)[1:])
-}
-
 // Message is one that is not over, or nil. It is the log's own.
 func (l *Log) Message(seq uint64) *Message { return l.live[seq] }
 
