--- a/internal/transport/passage.go
+++ b/internal/transport/passage.go
@@ -264,13 +264,19 @@
 	vec    net.Buffers
 }
 
-func (g *gather) write(c net.Conn, out [][]byte) (int, error) {
+// write writes pieces; an error of the system call on a connection that lives does not end it.
+func (g *gather) write(c net.Conn, out [][]byte) (written int, err error) {
+	lasting := lastingConn{c}
 	if len(out) == 1 {
-		return c.Write(out[0])
+		return lasting.Write(out[0])
 	}
 	g.vec = g.pieces[:copy(g.pieces[:], out)]
-	n, err := g.vec.WriteTo(c)
-	return int(n), err
+	err = lasting.retry(lasting.mayWrite, func() error {
+		n, err := g.vec.WriteTo(c) // keeps what is not written
+		written += int(n)
+		return err
+	})
+	return written, err
 }
 
 // step does one step of a direction; false says that there is none any more.
@@ -295,7 +301,7 @@
 	case st.Op == pump.Stop:
 		return false
 	case st.Op == pump.Read:
-		n, err = source.Read(st.Space)
+		n, err = lastingConn{source}.Read(st.Space)
 	case st.Op == pump.Write:
 		n, err = g.write(sink, st.Out)
 		d.passages.bytes[s].Add(int64(n))
