Learned state: its times outlast a step of the wall clock

Callers would have seen, with [learned]: a message that has ended is taken for a new one and called again when it is repeated behind a restart in which the wall clock was set forward by an hour; told waits end early. Set back, both last too long.

Cause: the file's age and the ids' times were read by the wall clock alone.

Files without the stamp are read as before.

--- a/cmd/larkreach/main.go
+++ b/cmd/larkreach/main.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"mulleinbeam/internal/bootclock"
 	"mulleinbeam/internal/memory"
 	"mulleinbeam/internal/oplog"
 	"mulleinbeam/internal/protocol"
@@ -202,10 +203,15 @@
 	if own.Learned == nil {
 		return nil
 	}
+	report := func(line string) { logger.Warn().Str("part", "learned").Msg(line) }
+	clock, err := bootclock.System()
+	if err != nil {
+		report(fmt.Sprintf("times go by the wall clock: %v", err))
+	}
 	o := memory.Options{
 		FS: fsys.Dir(cfg.State), Name: cfg.Name, Most: int64(own.Learned.Size), Ids: own.Learned.Ids,
 		Sync: own.Journal != nil && own.Journal.Durability != settings.DurabilityNone, Figures: memory.DefaultFigures,
-		Report: func(line string) { logger.Warn().Str("part", "learned").Msg(line) },
+		Clock: clock, Report: report,
 	}
 	for _, c := range cfg.Settings.Classes {
 		o.IdFor = max(o.IdFor, c.GiveUp)
--- a/internal/memory/codec.go
+++ b/internal/memory/codec.go
@@ -10,6 +10,7 @@
 	"github.com/zeebo/xxh3"
 
 	mb "mulleinbeam"
+	"mulleinbeam/internal/bootclock"
 )
 
 // The file: a magic, a version, fields, and a checksum over all before it. A field is a tag, a length and that many bytes;
@@ -33,6 +34,8 @@
 	tagClass
 	tagLost
 	tagEnded
+	tagSavedBoot
+	tagSavedSinceBoot
 )
 
 // The tags of a lane's fields.
@@ -81,6 +84,7 @@
 type content struct {
 	name    string
 	saved   time.Time
+	stamp   bootclock.Stamp // of saved
 	learned mb.Learned
 	ended   []ended
 }
@@ -127,6 +131,10 @@
 	f.b = binary.LittleEndian.AppendUint32(f.b, version)
 	f.text(tagName, c.name)
 	f.number(tagSaved, c.saved.UnixNano())
+	if c.stamp.Boot != 0 {
+		f.number(tagSavedBoot, int64(c.stamp.Boot))
+		f.number(tagSavedSinceBoot, int64(c.stamp.At))
+	}
 	for _, l := range c.learned.Lanes {
 		f.put(tagLane, encodeLane(l))
 	}
@@ -292,6 +300,12 @@
 			var n int64
 			f.number(&n)
 			c.saved = time.Unix(0, n)
+		case tagSavedBoot:
+			var n int64
+			f.number(&n)
+			c.stamp.Boot = uint64(n)
+		case tagSavedSinceBoot:
+			f.duration(&c.stamp.At)
 		case tagLane:
 			var l mb.LearnedLane
 			l, err = decodeLane(f.v)
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -19,12 +19,15 @@
 	"github.com/zeebo/xxh3"
 
 	mb "mulleinbeam"
+	"mulleinbeam/internal/bootclock"
 	"mulleinbeam/internal/routing/wal/fsys"
 )
 
 const (
 	fileName = "learned"
-	fileNew  = fileName + fsys.NewSuffix
+	// steppedFrom is the least step of the wall clock that is reported.
+	steppedFrom = time.Second
+	fileNew     = fileName + fsys.NewSuffix
 )
 
 // Options are what a memory is opened with.
@@ -37,6 +40,7 @@
 	Sync    bool          // it is to outlast the machine as well
 	Figures Figures
 	Now     func() time.Time
+	Clock   *bootclock.Clock // by which times outlast the process; nil has them go by the wall clock
 	Report  func(string)
 }
 
@@ -75,6 +79,9 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.Clock == nil {
+		o.Clock = &bootclock.Clock{}
+	}
 	m := &Memory{o: o, ids: map[xxh3.Uint128]ended{}}
 	if err := o.FS.Remove(fileNew); err != nil && !errors.Is(err, fs.ErrNotExist) {
 		o.Report(fmt.Sprintf("leftover: %v", err))
@@ -91,17 +98,23 @@
 		return m
 	}
 	now := o.Now()
-	age := now.Sub(c.saved)
+	saved, stepped := o.Clock.Time(c.saved, c.stamp)
+	if stepped.Abs() > steppedFrom {
+		o.Report(fmt.Sprintf("the wall clock was set by %v since the file was saved; times go by the boot's clock", stepped.Round(time.Millisecond)))
+	}
+	age := now.Sub(saved)
 	jumped := age < -o.Figures.Behind
 	if jumped {
 		o.Report(fmt.Sprintf("the clock is %v behind the file's: what says go is not believed", -age))
 	}
 	m.learned = o.Figures.Weigh(c.learned, max(0, age), jumped)
 	for _, e := range c.ended {
+		left := e.until.Sub(c.saved) - age
 		if jumped { // its time counts anew: rather too long than not at all
-			e.until = now.Add(o.IdFor)
+			left = o.IdFor
 		}
-		if left := e.until.Sub(now); left > 0 && left <= o.IdFor {
+		if left > 0 && left <= o.IdFor {
+			e.until = now.Add(left) // by the clock of this process, which nobody sets
 			m.ids[e.id] = e
 		}
 	}
@@ -182,7 +195,7 @@
 // encode writes what fits: lanes first, those seen last before the others, then ids, the youngest before the others.
 func (m *Memory) encode(s Snapshot) []byte {
 	now := m.o.Now()
-	c := content{name: m.o.Name, saved: now, learned: s.Learned}
+	c := content{name: m.o.Name, saved: now, stamp: m.o.Clock.Stamp(now), learned: s.Learned}
 	c.ended = m.endedNow(s.Ended, now)
 	for {
 		b := encode(c)
@@ -212,6 +225,7 @@
 			delete(m.ids, id)
 			continue
 		}
+		e.until = now.Add(e.until.Sub(now)) // the wall clock may have been set since it was read
 		out = append(out, e)
 	}
 	for _, e := range list {
