--- a/cmd/larkreach/main.go
+++ b/cmd/larkreach/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"net"
@@ -154,7 +155,7 @@
 			remembered.Run(ctx, time.Duration(own.Learned.Interval), func() memory.Snapshot { return snapshot(router) })
 		}
 	}
-	err = serve(cfg, logger, router, reporter, reload, hup, clients, listener, counters, save, keep)
+	err = serve(cfg, logger, router, reporter, reload, hup, clients, listener, counters, save, keep, journal.Broken())
 	counters("counters at exit")
 	return err
 }
@@ -266,10 +267,13 @@
 	return limits, &transport.Passages{Most: int64(b.Most), Idle: time.Duration(b.Idle), Window: int(b.Window)}, files, nil
 }
 
+// errBroken ends the process where its supervisor's next start is the way out.
+var errBroken = errors.New("journal: a sync has failed")
+
 // serve runs the parts and ends them in order: the clients, the router, then what it still needs.
 func serve(cfg config, logger zerolog.Logger, router *routing.Router, reporter *transport.Reporter,
 	reload reloader, hup <-chan os.Signal, clients *transport.Clients, listener net.Listener, counters func(string),
-	save func(context.Context), keep func(context.Context) error) error {
+	save func(context.Context), keep func(context.Context) error, broken <-chan struct{}) error {
 	stop, cancelStop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancelStop()
 	usr := make(chan os.Signal, 1)
@@ -296,6 +300,15 @@
 		}
 		return watch.Watch(after)
 	})
+	group.Go(func() error {
+		select {
+		case <-broken:
+			logger.Error().Str("part", "journal").Msg("a sync has failed: this process ends, and the next goes on with what lasts")
+			return errBroken
+		case <-after.Done():
+			return nil
+		}
+	})
 	group.Go(func() error {
 		for {
 			select {
--- a/cmd/larkreach/sysfault_test.go
+++ b/cmd/larkreach/sysfault_test.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -526,3 +527,39 @@
 func TestLongBodiesOfFailingClientsLoseNothing(t *testing.T) {
 	playFaults(t, faultKind{name: "long bodies, client", rules: clientRules, long: true, own: "[bodies]\nslots = 4\n"})
 }
+
+// Guards against a process that takes nothing on until somebody restarts it, because one sync has failed, and against what it had promised being lost.
+func TestAFailedSyncEndsTheProcessForTheNext(t *testing.T) {
+	for _, durability := range []string{"batch", "each"} {
+		t.Run(durability, func(t *testing.T) {
+			t.Parallel()
+			s := prepareJournalSite(t, fmt.Sprintf("[journal]\ndurability = %q\n", durability))
+			folder, err := filepath.EvalSymlinks(s.state)
+			must(t, err)
+			faults := sysfault.NewSupervisor(1, folder, s.f.Address())
+			s.f.Attach = faults.Attach
+			must(t, s.f.Start())
+			s.p.Down()
+			if a := s.hand(t, "safe", 100); a.Status != 202 {
+				t.Fatalf("%+v", a)
+			}
+			faults.Set(sysfault.Rule{
+				Calls: []sysfault.Call{sysfault.Sync}, Places: []sysfault.Place{sysfault.StateFile}, Errors: []unix.Errno{unix.EIO}, Chance: 1,
+			})
+			s.f.OnLine("a sync has failed", func() { faults.Set() })
+			if a := s.hand(t, "safe", 100); a.Status == 202 {
+				t.Errorf("taken on without a sync: %+v", a)
+			}
+			var exit *exec.ExitError
+			if err := s.f.Wait(); !errors.As(err, &exit) || exit.ExitCode() != 1 {
+				t.Errorf("the exit: %v", err)
+			}
+			must(t, s.f.Start())
+			must(t, s.p.Up())
+			if a := s.hand(t, "safe", 100); a.Status != 202 {
+				t.Errorf("the next life: %+v", a)
+			}
+			s.finish(t)
+		})
+	}
+}
--- a/internal/routing/wal/commit.go
+++ b/internal/routing/wal/commit.go
@@ -142,6 +142,9 @@
 // Waits says whether a record that was appended is not durable by that alone: Commit or AfterCommit tells when it is.
 func (l *Log) Waits() bool { return l.commits != nil }
 
+// Broken is closed once this life's journal can promise nothing any more, and the next life's can.
+func (l *Log) Broken() <-chan struct{} { return l.store.Broken() }
+
 // Last is the number of the latest record, for Commit.
 func (l *Log) Last() uint64 { return l.last }
 
--- a/internal/routing/wal/store/append.go
+++ b/internal/routing/wal/store/append.go
@@ -226,6 +226,7 @@
 	s.mu.Lock()
 	if err != nil {
 		s.failed = err
+		s.breakDown()
 		for _, g := range s.files {
 			if g.synced < g.size {
 				_ = g.f.Truncate(g.synced) // if not, the next start finds what it finds
--- a/internal/routing/wal/store/compact.go
+++ b/internal/routing/wal/store/compact.go
@@ -95,7 +95,9 @@
 	defer s.mu.Unlock()
 	s.victim, s.written, s.totals = nil, 0, nil
 	if err != nil {
-		s.stuck = errors.Is(err, errUncertain)
+		if s.stuck = errors.Is(err, errUncertain); s.stuck && s.o.Durability != Process {
+			s.breakDown()
+		}
 		if out.f != nil {
 			s.forsake(out)
 			s.leftover[out.name] = leftover{size: out.size}
--- a/internal/routing/wal/store/store.go
+++ b/internal/routing/wal/store/store.go
@@ -157,6 +157,7 @@
 	written  int64 // by the compaction under way
 	refused  bool
 	failed   error
+	broken   chan struct{} // closed once only the next start can go on
 	closed   bool
 	buf      []byte
 	synced   uint64       // records up to this number are durable
@@ -177,7 +178,7 @@
 		o.Report = func(string) {}
 	}
 	s := &Store{
-		o: o, files: map[uint64]*file{}, keys: map[uint64]*entry{}, leftover: map[string]leftover{}, next: 1, record: 1,
+		o: o, broken: make(chan struct{}), files: map[uint64]*file{}, keys: map[uint64]*entry{}, leftover: map[string]leftover{}, next: 1, record: 1,
 		plan: plan.Config{Bound: o.Bound - o.Other, Segment: o.Segment, Block: block, Head: segment.HeadSize},
 	}
 	if o.Bound-o.Other < 4*(o.Segment+block) || o.Segment < segment.HeadSize+EndSize {
@@ -585,6 +586,19 @@
 	return s.o.FS.Sync()
 }
 
+// Broken is closed once only the next start can go on: a sync has failed, and nobody can tell what of the segments, or which manifest, is on
+// the disk. A start reads and syncs what lasts.
+func (s *Store) Broken() <-chan struct{} { return s.broken }
+
+// breakDown closes broken; s.mu is held.
+func (s *Store) breakDown() {
+	select {
+	case <-s.broken:
+	default:
+		close(s.broken)
+	}
+}
+
 func (s *Store) closeFiles() {
 	for _, g := range s.files {
 		s.forsake(g)
