Control plane: a voter whose disk fails for a moment speaks again

Callers would have seen, with [cluster]: where the disks of a majority of the voters fail for a second, the control plane never answers again, leases run out and strict classes are refused until processes are restarted; a member started while its disk fails exits with code 1 and leaves what it owes.

Cause: one failed write of a voter's log ended its server for the life of the process; a start did not try the fleet's folder again; a failed sync was final there with nothing that ended the process.

Fix: a step's part is kept again until the disk takes it, and nothing is said before; a failed sync of either folder ends the process for the next start; the start insists. The trial starts again what ended by itself, as a supervisor does.

--- a/cmd/larkreach/main.go
+++ b/cmd/larkreach/main.go
@@ -113,7 +113,8 @@
 	}
 	var part fleet
 	if own.Cluster != nil {
-		if part, err = openFleet(own, cfg, logger); err != nil {
+		part, err = insist(logger, "cluster", func() (fleet, error) { return openFleet(own, cfg, logger) })
+		if err != nil {
 			return err
 		}
 		defer part.Close()
--- a/internal/cluster/copies/disk.go
+++ b/internal/cluster/copies/disk.go
@@ -134,6 +134,9 @@
 // Commit returns once all up to a number outlasts what the store's durability says. It may be called from any goroutine.
 func (k *Disk) Commit(num uint64) error { return k.store.Commit(num) }
 
+// Broken is closed once only the next start can keep anything.
+func (k *Disk) Broken() <-chan struct{} { return k.store.Broken() }
+
 // Compact gains room where that is worth it. It may be called from any goroutine.
 func (k *Disk) Compact() error {
 	for {
--- a/internal/cluster/council/disk.go
+++ b/internal/cluster/council/disk.go
@@ -85,7 +85,7 @@
 	return k, d, nil
 }
 
-// Save keeps one step's part; it has been kept when it returns.
+// Save keeps one step's part; it has been kept when it returns. Behind an error it may be called with the same part again.
 func (k *Keeper) Save(d Disk) error {
 	if d.Empty() {
 		return nil
@@ -107,16 +107,21 @@
 		}
 		return err
 	}
+	replace := func(kept *uint64, kind byte, data []byte) error { // the old one goes once the new one is there
+		key, err := put(kind, data)
+		if err != nil {
+			return err
+		}
+		old := *kept
+		*kept = key
+		return end(old)
+	}
 	if !raft.IsEmptySnap(d.Snapshot) {
 		data, err := d.Snapshot.Marshal()
 		if err != nil {
 			return fmt.Errorf("council: %w", err)
 		}
-		old := k.snap
-		if k.snap, err = put(keptSnapshot, data); err != nil {
-			return fmt.Errorf("council: %w", err)
-		}
-		if err := end(old); err != nil {
+		if err := replace(&k.snap, keptSnapshot, data); err != nil {
 			return fmt.Errorf("council: %w", err)
 		}
 		for index, key := range k.log {
@@ -155,28 +160,27 @@
 		if err != nil {
 			return fmt.Errorf("council: %w", err)
 		}
-		old := k.hard
-		if k.hard, err = put(keptHard, data); err != nil {
-			return fmt.Errorf("council: %w", err)
-		}
-		if err := end(old); err != nil {
+		if err := replace(&k.hard, keptHard, data); err != nil {
 			return fmt.Errorf("council: %w", err)
 		}
 	}
 	if err := k.store.Commit(last); err != nil {
 		return fmt.Errorf("council: %w", err)
 	}
-	for {
-		did, err := k.store.Compact(nil)
-		if err != nil {
-			return fmt.Errorf("council: %w", err)
-		}
-		if !did {
-			return nil
-		}
+	k.compact()
+	return nil
+}
+
+// compact gains room where that is worth it. What fails is tried again behind the next Save: what was to be kept is.
+func (k *Keeper) compact() {
+	for did, err := true, error(nil); did && err == nil; {
+		did, err = k.store.Compact(nil)
 	}
 }
 
+// Broken is closed once only the next start can keep anything.
+func (k *Keeper) Broken() <-chan struct{} { return k.store.Broken() }
+
 // Replace makes a folder hold just this; see Rebuild.
 func (k *Keeper) Replace(d Disk) error {
 	d.Reset = true
--- a/internal/cluster/council/server.go
+++ b/internal/cluster/council/server.go
@@ -13,6 +13,7 @@
 	"go.etcd.io/raft/v3/raftpb"
 
 	"mulleinbeam/internal/cluster/links"
+	"mulleinbeam/internal/routing/wal/store"
 )
 
 // Timing is the group's.
@@ -97,7 +98,7 @@
 
 func (s *Server) now() time.Duration { return time.Since(s.began) }
 
-// Run serves until ctx ends; an error is one of the disk, after which this founder must not speak.
+// Run serves until ctx ends; an error is one of the disk that does not pass, after which this founder must not speak.
 func (s *Server) Run(ctx context.Context) (err error) {
 	defer s.carried.Wait()
 	defer close(s.done)
@@ -130,7 +131,9 @@
 		}
 		s.confirm()
 		for s.core.HasReady() {
-			if err := s.step(); err != nil {
+			if err := s.step(ctx); ctx.Err() != nil {
+				return nil
+			} else if err != nil {
 				return err
 			}
 		}
@@ -264,12 +267,12 @@
 }
 
 // step does what the core wants done.
-func (s *Server) step() error {
+func (s *Server) step(ctx context.Context) error {
 	step, done, err := s.core.Ready()
 	if err != nil {
 		return err
 	}
-	if err := s.keeper.Save(step.Keep); err != nil {
+	if err := s.keep(ctx, step.Keep); err != nil {
 		return err
 	}
 	batches := map[uint64][]raftpb.Message{}
@@ -301,6 +304,30 @@
 	return nil
 }
 
+// keepAgain is the pause between two tries to keep a step's part.
+const keepAgain = 20 * time.Millisecond
+
+// keep keeps a step's part, and tries for as long as the disk does not take it: nothing may be said before. A sync that has failed is
+// final for this process.
+func (s *Server) keep(ctx context.Context, d Disk) error {
+	for tries := 1; ; tries++ {
+		err := s.keeper.Save(d)
+		switch {
+		case err == nil && tries > 1:
+			s.logger.Info().Str("part", "council").Int("tries", tries).Msg("this founder speaks again")
+			return nil
+		case err == nil || errors.Is(err, store.ErrFailed) || ctx.Err() != nil:
+			return err
+		case tries == 1:
+			s.logger.Warn().Str("part", "council").Err(err).Msg("not kept, tried again: this founder is silent meanwhile")
+		}
+		select {
+		case <-time.After(keepAgain):
+		case <-ctx.Done():
+		}
+	}
+}
+
 // decided tells of a command that was carried out.
 func (s *Server) decided(a Applied) {
 	if c := a.Command; a.Err == nil && c.Kind > 0 && c.Kind != Propose {
--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -271,6 +271,7 @@
 		n.peers.Close()
 		return nil
 	})
+	group.Go(func() error { return n.outlast(ctx) })
 	group.Go(func() error {
 		if err := n.server.Run(ctx); err != nil { // messages go on without it; the other founders decide
 			n.cfg.Logger.Error().Str("part", "council").Err(err).Msg("this founder is silent from here on")
@@ -294,6 +295,22 @@
 	return group.Wait()
 }
 
+var errBroken = errors.New("node: a sync has failed, which the next start gets over")
+
+// outlast ends the node's process where a sync of its folders has failed.
+func (n *Node) outlast(ctx context.Context) error {
+	part := "council"
+	select {
+	case <-n.keeper.Broken():
+	case <-n.disk.Broken():
+		part = "copies"
+	case <-ctx.Done():
+		return nil
+	}
+	n.cfg.Logger.Error().Str("part", part).Msg("a sync has failed: this process ends, and the next goes on with what lasts")
+	return errBroken
+}
+
 func (n *Node) now() time.Duration { return time.Since(n.began) }
 
 // latest is this life and what the council has decided, as far as is known here; n.mu is not held. What is decided is never changed.
--- a/internal/lab/cluster/random.go
+++ b/internal/lab/cluster/random.go
@@ -30,6 +30,16 @@
 	Places  bool  // four zones with a site each, faults of these beside the others, and traffic planned in common
 	Only    []int // of the drawn faults, by their place: to find the few that matter; nil is all
 	Log     func(format string, args ...any)
+	// Disk makes members' system calls on their folders fail; nil leaves them alone.
+	Disk DiskFaults
+}
+
+// DiskFaults makes system calls on the state folders of members' processes fail.
+type DiskFaults interface {
+	// Attach prepares a member whose process has not started yet.
+	Attach(m *Member)
+	// Fail sets whether the calls of a member fail from now on.
+	Fail(m *Member, on bool)
 }
 
 // Outcome is what a trial has shown.
@@ -60,6 +70,9 @@
 
 var kinds = []string{"kill", "kill", "lose", "pause", "split", "one-way", "slow", "cut", "reset", "founders"}
 
+// diskKinds are the faults of a trial with Disk.
+var diskKinds = []string{"disk", "disk", "disk", "disk everywhere", "disk and kill", "disk and kill", "disk and kill"}
+
 // draw gives a trial's faults. Equal seeds give equal ones.
 func (t Trial) draw() (out []fault) {
 	rng := rand.New(rand.NewPCG(t.Seed, 4))
@@ -67,6 +80,9 @@
 	if t.Places { // half and half
 		kinds = append(slices.Clone(kinds), append(append(slices.Clone(placeKinds), placeKinds...), placeKinds[:2]...)...)
 	}
+	if t.Disk != nil {
+		kinds = append(slices.Clone(kinds), diskKinds...)
+	}
 	for at := time.Duration(0); at < t.Length; {
 		f := fault{
 			kind: kinds[rng.IntN(len(kinds))], who: rng.IntN(t.Members), after: time.Duration(200+rng.IntN(1300)) * time.Millisecond,
@@ -123,6 +139,11 @@
 		return out, err
 	}
 	defer f.Close()
+	if t.Disk != nil {
+		for _, m := range f.Members {
+			t.Disk.Attach(m)
+		}
+	}
 	if err := f.Start(f.All()...); err != nil {
 		return out, err
 	}
@@ -299,6 +320,8 @@
 		f.Proxy(x.who, x.other).Refuse(true, true)
 	case "founders":
 		f.changeFounders(ctx, x.who, x.other)
+	case "disk", "disk everywhere", "disk and kill":
+		return t.diskFault(ctx, f, x)
 	default:
 		back := f.placeFault(x.kind, x.who, rand.New(rand.NewPCG(t.Seed, uint64(x.after))))
 		lab.Sleep(ctx, x.lasts)
@@ -309,6 +332,57 @@
 	return nil
 }
 
+// diskLasts bounds how long the disk fails: a start gives up behind 20 s.
+const diskLasts = time.Second
+
+// diskFault has the calls on a member's folder fail for a while, or on all members' folders; with a kill the member is started again
+// while they still fail.
+func (t Trial) diskFault(ctx context.Context, f *Fleet, x fault) error {
+	members := []*Member{f.Members[x.who]}
+	if x.kind == "disk everywhere" {
+		members = f.Members
+	}
+	fail := func(on bool) {
+		f.Event("disk of n%d, %s: failing %v", x.who, x.kind, on)
+		for _, m := range members {
+			t.Disk.Fail(m, on)
+		}
+	}
+	lasts := min(x.lasts, diskLasts)
+	fail(true)
+	lab.Sleep(ctx, lasts)
+	if x.kind == "disk and kill" {
+		if err := f.Kill(x.who); err != nil {
+			return err
+		}
+		over := time.AfterFunc(lasts/2, func() { fail(false) })
+		defer over.Stop()
+		if err := f.Start(x.who); err != nil {
+			return err
+		}
+	}
+	fail(false)
+	lab.Sleep(ctx, endsWithin)
+	return f.startEnded()
+}
+
+// endsWithin is how soon a process whose sync has failed says so.
+const endsWithin = 200 * time.Millisecond
+
+// startEnded does what a supervisor does: members that have ended because a sync failed are started again.
+func (f *Fleet) startEnded() error {
+	for i, m := range f.Members {
+		if !m.running || m.stopped || !strings.Contains(m.Log(), "this process ends, and the next goes on") {
+			continue
+		}
+		f.Event("n%d: ended by itself, %v", i, m.Wait())
+		if err := f.Start(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // changeFounders has a member belong to the council's founders, or not any more; three of them stay. The council may refuse, and its
 // answer may get lost.
 func (f *Fleet) changeFounders(ctx context.Context, who, asking int) {
