--- a/cmd/larklab/main.go
+++ b/cmd/larklab/main.go
@@ -336,7 +336,7 @@
 	if err != nil {
 		return err
 	}
-	real := make([][]world.Result, len(variants))
+	inRealTime := make([][]world.Result, len(variants))
 	broken := false
 	for i := range c.Seeds {
 		results, errs := make([]world.Result, len(variants)), make([]error, len(variants))
@@ -349,7 +349,7 @@
 			return err
 		}
 		for v, r := range results {
-			real[v] = append(real[v], r)
+			inRealTime[v] = append(inRealTime[v], r)
 			for _, b := range r.Broken {
 				broken = true
 				fmt.Printf("%s, seed %d: rule broken: %s\n", variants[v].Name, r.Seed, b)
@@ -359,7 +359,7 @@
 	fmt.Printf("%-45s %14s %14s %14s %14s\n", fmt.Sprintf("%s, %d seeds, means", s.Name, c.Seeds), "real, without", "real, with", "virtual, w/o", "virtual, with")
 	for _, f := range world.Figures {
 		fmt.Printf("%-45s", f.Name)
-		for _, results := range [][]world.Result{real[0], real[1], virtual[0], virtual[1]} {
+		for _, results := range [][]world.Result{inRealTime[0], inRealTime[1], virtual[0], virtual[1]} {
 			fmt.Printf(" %14.3f", f.Mean(results))
 		}
 		fmt.Println()
--- a/cmd/larklab/plan.go
+++ b/cmd/larklab/plan.go
@@ -39,7 +39,7 @@
 		set(&cfg.Confirm, c.Confirm)
 	}
 	return plan.Replay(f, edit, func(window int, then, now *plan.Plan) {
-		print := func(when string, p *plan.Plan) {
+		show := func(when string, p *plan.Plan) {
 			if p == nil {
 				return
 			}
@@ -47,7 +47,7 @@
 				fmt.Printf("window %4d  %-5s plan %4d  destination %d  %-12s %s from %q: %s\n", window, when, p.Version, m.Destination, m.Kind, m.Place, m.From, m.Why)
 			}
 		}
-		print("then", then)
-		print("now", now)
+		show("then", then)
+		show("now", now)
 	})
 }
--- a/cmd/larkreach/long_test.go
+++ b/cmd/larkreach/long_test.go
@@ -27,15 +27,14 @@
 
 // long is a forwarder with long bodies on, one endpoint, "p" of destination 7, and all that checks them.
 type long struct {
-	t        *testing.T
-	f        *lab.Forwarder
-	p        *lab.Endpoint
-	agent    *lab.Agent
-	calls    chan *pending // each call, until the test lets it go
-	over     chan struct{} // the test is
-	notices  chan lab.Notice
-	check    *lab.Checker
-	settings string
+	t       *testing.T
+	f       *lab.Forwarder
+	p       *lab.Endpoint
+	agent   *lab.Agent
+	calls   chan *pending // each call, until the test lets it go
+	over    chan struct{} // the test is
+	notices chan lab.Notice
+	check   *lab.Checker
 }
 
 // pending is a call that the endpoint has until the test ends it.
--- a/cmd/larkreach/main.go
+++ b/cmd/larkreach/main.go
@@ -211,19 +211,19 @@
 		report(fmt.Sprintf("times go by the wall clock: %v", err))
 	}
 	o := memory.Options{
-		FS: fsys.Dir(cfg.State), Name: cfg.Name, Most: int64(own.Learned.Size), Ids: own.Learned.Ids,
+		FS: fsys.Dir(cfg.State), Name: cfg.Name, Most: int64(own.Learned.Size), IDs: own.Learned.IDs,
 		Sync: own.Journal != nil && own.Journal.Durability != settings.DurabilityNone, Figures: memory.DefaultFigures,
 		Clock: clock, Report: report,
 	}
 	for _, c := range cfg.Settings.Classes {
-		o.IdFor = max(o.IdFor, c.GiveUp)
+		o.IDFor = max(o.IDFor, c.GiveUp)
 	}
 	if own.Bodies != nil {
-		o.IdFor = max(o.IdFor, time.Duration(own.Bodies.Longest))
+		o.IDFor = max(o.IDFor, time.Duration(own.Bodies.Longest))
 	}
 	m := memory.Open(o)
-	if l := m.Learned(); len(l.Lanes) > 0 || m.Ids() > 0 {
-		logger.Info().Str("part", "learned").Int("partners", len(l.Lanes)).Int("ids", m.Ids()).Msg("recalled from an earlier life")
+	if l := m.Learned(); len(l.Lanes) > 0 || m.IDs() > 0 {
+		logger.Info().Str("part", "learned").Int("partners", len(l.Lanes)).Int("ids", m.IDs()).Msg("recalled from an earlier life")
 	}
 	return m
 }
--- a/internal/cluster/council/disk_test.go
+++ b/internal/cluster/council/disk_test.go
@@ -12,7 +12,9 @@
 
 // Guards against a founder that keeps less, or other, than it says once its disk takes writes again in the middle of a step.
 func TestAStepIsKeptWholeBehindAFailingDisk(t *testing.T) {
-	entry := func(index, term uint64) raftpb.Entry { return raftpb.Entry{Index: index, Term: term, Data: []byte{byte(index)}} }
+	entry := func(index, term uint64) raftpb.Entry {
+		return raftpb.Entry{Index: index, Term: term, Data: []byte{byte(index)}}
+	}
 	first := Disk{
 		Hard: raftpb.HardState{Term: 1, Commit: firstIndex + 2}, Entries: []raftpb.Entry{entry(firstIndex+1, 1), entry(firstIndex+2, 1), entry(firstIndex+3, 1)},
 	}
--- a/internal/cluster/council/rpc.go
+++ b/internal/cluster/council/rpc.go
@@ -52,16 +52,16 @@
 	case <-r.s.done:
 		return ErrNoLeader
 	}
-	real := false
+	known := false
 	if to != nil { // whoever is at that founder's address: another process of its name changes nothing
 		var token uint64
 		call, cancel := context.WithTimeout(context.Background(), stepFor/2)
-		real = to.peer.Call(call, "Council.Who", true, &token) == nil && token == m.Token
+		known = to.peer.Call(call, "Council.Who", true, &token) == nil && token == m.Token
 		cancel()
 	}
 	answer := make(chan Standing, 1)
 	if !r.s.post(func() {
-		if real {
+		if known {
 			r.s.core.Yield(m.ID, m.Last)
 		}
 		answer <- r.s.core.Standing()
--- a/internal/cluster/node/configuration_test.go
+++ b/internal/cluster/node/configuration_test.go
@@ -117,7 +117,9 @@
 		t.Error("another rate gives the used message back")
 	}
 	l.change(entry.Changes{Removed: safe(0.002)})
-	if !l.Allows("safe") || !l.Allows("safe") {
-		t.Error("a rate that is gone")
+	for range 2 {
+		if !l.Allows("safe") {
+			t.Error("a rate that is gone")
+		}
 	}
 }
--- a/internal/lab/capacity/probe_control.go
+++ b/internal/lab/capacity/probe_control.go
@@ -128,7 +128,6 @@
 		}
 		return r, link.Encode(r)
 	}
-	var pieces []council.Response
 	encode, learn := 0.0, 0.0
 	for more := true; more; {
 		began := time.Now()
@@ -137,7 +136,6 @@
 			return nil, err
 		}
 		encode += time.Since(began).Seconds()
-		pieces = append(pieces, r)
 		began = time.Now()
 		if _, more, err = view.Learn(r.Changes); err != nil {
 			return nil, err
--- a/internal/lab/cluster/measure.go
+++ b/internal/lab/cluster/measure.go
@@ -135,7 +135,6 @@
 
 // load is what one run has shown.
 type load struct {
-	name      string
 	perSecond float64
 	cpu       float64 // microseconds a message, of the process that takes them
 	others    float64 // and of all others together
--- a/internal/lab/experiment/journal.go
+++ b/internal/lab/experiment/journal.go
@@ -101,11 +101,11 @@
 	Out      io.Writer
 }
 
-const journalHead = "engine      disk MB  body   live%%   accepts/s   us cpu  p50 us   p99 us  longest ms  waits  written/accepted  disk used%%  open s   heap B/message\n"
+const journalHead = "engine      disk MB  body   live%   accepts/s   us cpu  p50 us   p99 us  longest ms  waits  written/accepted  disk used%  open s   heap B/message\n"
 
 // Run measures each combination. What would need more than the longest time to fill is cut there, and says so.
 func (j Journal) Run() error {
-	fmt.Fprintf(j.Out, journalHead)
+	fmt.Fprint(j.Out, journalHead)
 	for _, disk := range j.Disks {
 		for _, body := range j.Bodies {
 			for _, live := range j.Lives {
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -57,7 +57,6 @@
 	mu        sync.Mutex
 	partner   world.Partner
 	endpoints []*lab.Endpoint
-	down      bool
 }
 
 // host is one forwarder.
@@ -459,9 +458,7 @@
 		}
 	}
 	s.check.Saw(s.agent.Notices(), arrivals...)
-	for _, b := range s.check.Broken() {
-		s.result.Broken = append(s.result.Broken, b)
-	}
+	s.result.Broken = append(s.result.Broken, s.check.Broken()...)
 	return errors.Join(errs...)
 }
 
--- a/internal/lab/world/partner.go
+++ b/internal/lab/world/partner.go
@@ -25,7 +25,6 @@
 	down      time.Duration   // until then it is
 	silent    bool            // and takes calls without an answer
 	backAt    time.Duration   // when it was back from its latest outage; negative is never
-	scripted  bool            // it is down by the scenario, not because it fell over
 	taken     []time.Duration // calls of the limit's last second
 	arrived   []arrival       // calls of the last TipAfter, while it is cold
 	tips      int
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -35,8 +35,8 @@
 	FS      fsys.FS
 	Name    string        // the forwarder's: what another has learned is not taken over
 	Most    int64         // bytes of the file; while it is replaced two of them are there
-	Ids     int           // ended ids that are kept at the most
-	IdFor   time.Duration // how long an ended id may still be meant
+	IDs     int           // ended ids that are kept at the most
+	IDFor   time.Duration // how long an ended id may still be meant
 	Sync    bool          // it is to outlast the machine as well
 	Figures Figures
 	Now     func() time.Time
@@ -111,9 +111,9 @@
 	for _, e := range c.ended {
 		left := e.until.Sub(c.saved) - age
 		if jumped { // its time counts anew: rather too long than not at all
-			left = o.IdFor
+			left = o.IDFor
 		}
-		if left > 0 && left <= o.IdFor {
+		if left > 0 && left <= o.IDFor {
 			e.until = now.Add(left) // by the clock of this process, which nobody sets
 			m.ids[e.id] = e
 		}
@@ -148,8 +148,8 @@
 // hash names an id in the file. It is bound to the forwarder's name, and 128 bits wide: ids that differ don't meet.
 func (m *Memory) hash(id string) xxh3.Uint128 { return xxh3.HashString128(m.o.Name + "\x00" + id) }
 
-// Ids is how many ids of ended messages are known of earlier lives.
-func (m *Memory) Ids() int {
+// IDs is how many ids of ended messages are known of earlier lives.
+func (m *Memory) IDs() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return len(m.ids)
@@ -229,12 +229,12 @@
 		out = append(out, e)
 	}
 	for _, e := range list {
-		if until := now.Add(m.o.IdFor - e.Ago); now.Before(until) {
+		if until := now.Add(m.o.IDFor - e.Ago); now.Before(until) {
 			out = append(out, ended{m.hash(e.ID), e.Delivered, until})
 		}
 	}
 	slices.SortFunc(out, func(a, b ended) int { return a.until.Compare(b.until) })
-	return out[max(0, len(out)-m.o.Ids):]
+	return out[max(0, len(out)-m.o.IDs):]
 }
 
 // Run saves what take gives, at intervals and once more when ctx ends. A failure is reported once until a save succeeds.
--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -27,7 +27,7 @@
 // options are those of a memory whose reports the test reads.
 func options(fs fsys.FS, c *clock, told *[]string) Options {
 	return Options{
-		FS: fs, Name: "n1", Most: 64 << 10, Ids: 100, IdFor: 20 * time.Second, Figures: DefaultFigures, Now: c.now,
+		FS: fs, Name: "n1", Most: 64 << 10, IDs: 100, IDFor: 20 * time.Second, Figures: DefaultFigures, Now: c.now,
 		Report: func(line string) { *told = append(*told, line) },
 	}
 }
@@ -376,8 +376,8 @@
 	}
 	whole := m.Saves().Last
 	t.Logf("1,000 partners with two endpoints each and 100 ids: %d bytes", whole)
-	if l := Open(o); len(l.Learned().Lanes) != 1000 || l.Ids() != 100 {
-		t.Errorf("%d partners, %d ids", len(l.Learned().Lanes), l.Ids())
+	if l := Open(o); len(l.Learned().Lanes) != 1000 || l.IDs() != 100 {
+		t.Errorf("%d partners, %d ids", len(l.Learned().Lanes), l.IDs())
 	}
 	for _, most := range []int64{whole - 1, whole - 50*endedSize, whole / 2, 2000} {
 		o.Most = most
--- a/internal/memory/trust.go
+++ b/internal/memory/trust.go
@@ -28,8 +28,8 @@
 	Behind time.Duration // a clock that far behind the file's was set back; less is drift
 }
 
-// DefaultFigures: partners' rates change within minutes, the work of a class over hours; a partner is cold after a quarter of
-// an hour without calls.
+// DefaultFigures are for partners whose rates change within minutes and classes whose work changes over hours; a partner is cold after a
+// quarter of an hour without calls.
 var DefaultFigures = Figures{
 	Rate: Trust{Half: 2 * time.Minute}, Class: Trust{Half: time.Hour, Floor: 0.1}, Lost: Trust{Half: 5 * time.Minute},
 	Cold: 15 * time.Minute, Wait: 10 * time.Minute, Behind: 2 * time.Second,
--- a/internal/routing/wal/copy.go
+++ b/internal/routing/wal/copy.go
@@ -235,7 +235,7 @@
 	}
 }
 
-// OverRecord, StartedRecord are records as the log writes them, for who plays a journal without a disk.
+// OverRecord is a record as the log writes it, as StartedRecord is, for who plays a journal without a disk.
 func OverRecord(seq uint64, known, delivered bool, at time.Time) []byte {
 	return appendOver(nil, seq, known, delivered, at)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -220,10 +220,10 @@
 type Learned struct {
 	Interval Duration `toml:"interval"` // between two saves
 	Size     Bytes    `toml:"size"`     // of the file; for a moment two of them are there
-	Ids      int      `toml:"ids"`      // of ended messages, at the most
+	IDs      int      `toml:"ids"`      // of ended messages, at the most
 }
 
-var learnedDefaults = Learned{Interval: Duration(2 * time.Second), Size: 256 << 10, Ids: 4096}
+var learnedDefaults = Learned{Interval: Duration(2 * time.Second), Size: 256 << 10, IDs: 4096}
 
 // Journal says how what was taken on is kept.
 type Journal struct {
@@ -273,7 +273,7 @@
 	leastShares  = 8 // segments that a disk must have room for
 	leastLearned = 4 << 10
 	mostLearned  = 64 << 20
-	mostIds      = 1 << 20
+	mostIDs      = 1 << 20
 	leastSave    = 200 * time.Millisecond
 	mostSave     = 10 * time.Minute
 	leastIdle    = 100 * time.Millisecond
@@ -409,8 +409,8 @@
 			return bad("learned.interval", "%v; from %v to %v are possible", time.Duration(l.Interval), leastSave, mostSave)
 		case l.Size < leastLearned || l.Size > mostLearned:
 			return bad("learned.size", "%d bytes; from %d to %d are possible", l.Size, leastLearned, mostLearned)
-		case l.Ids < 0 || l.Ids > mostIds:
-			return bad("learned.ids", "%d; from 0 to %d are possible", l.Ids, mostIds)
+		case l.IDs < 0 || l.IDs > mostIDs:
+			return bad("learned.ids", "%d; from 0 to %d are possible", l.IDs, mostIDs)
 		}
 	}
 	if c := f.Cluster; c != nil {
