Transport: what ends a client's connection bears the field's names

farewell is rejectConnection, part is closeGracefully, last is closesNext, parting is closing. Names alone; the package's tests pass with the race detector.

--- a/internal/transport/client_admission.go
+++ b/internal/transport/client_admission.go
@@ -90,7 +90,7 @@
 		s.counters.Late++
 	}
 	s.tally(ending, 1)
-	oldest.at, oldest.parting = ending, true
+	oldest.at, oldest.closing = ending, true
 	_ = oldest.SetReadDeadline(time.Now())
 	return true
 }
@@ -117,13 +117,13 @@
 func (s *Clients) mark(c *clientConn, at standing) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, known := s.conns[c]; !known || at == idle && (s.leaving || c.parting) {
+	if _, known := s.conns[c]; !known || at == idle && (s.leaving || c.closing) {
 		return false
 	}
 	now := time.Now()
 	until := now.Add(requestFor)
 	switch {
-	case s.leaving || c.parting:
+	case s.leaving || c.closing:
 		until = now.Add(graceFor)
 	case at == idle && s.crowded():
 		until = now.Add(idleLeast)
@@ -145,9 +145,9 @@
 // on what they hold, so those that stay keep others from asking long before room is short here.
 func (s *Clients) crowded() bool { return len(s.conns)-s.passings > s.Most/crowdShare }
 
-// last says whether a connection ends with its next answer.
-func (s *Clients) last(c *clientConn) bool {
+// closesNext says whether a connection ends with its next answer.
+func (s *Clients) closesNext(c *clientConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.leaving || c.parting || s.crowded()
+	return s.leaving || c.closing || s.crowded()
 }
--- a/internal/transport/client_conversation.go
+++ b/internal/transport/client_conversation.go
@@ -23,14 +23,14 @@
 		return false
 	}
 	s.mu.Lock()
-	c.parting, c.overtime = true, true
+	c.closing, c.overtime = true, true
 	s.mu.Unlock()
 	return s.mark(c, asking)
 }
 
-// part ends a connection on which nothing is due. A close over bytes that have come, or still come, would reset it, and take the
+// closeGracefully ends a connection on which nothing is due. A close over bytes that have come, or still come, would reset it, and take the
 // last answer from a client that has not read it.
-func (s *Clients) part(c *clientConn) {
+func (s *Clients) closeGracefully(c *clientConn) {
 	if s.mark(c, ending) {
 		s.linger(c)
 	}
@@ -46,7 +46,7 @@
 
 func (s *Clients) turnAway(c *clientConn) {
 	defer s.end(c)
-	s.farewell(c, &protocol.Refusal{Status: 503, Reason: "too many connections", RetryAfter: time.Second, Close: true})
+	s.rejectConnection(c, &protocol.Refusal{Status: 503, Reason: "too many connections", RetryAfter: time.Second, Close: true})
 }
 
 func (s *Clients) serve(c *clientConn) {
@@ -65,7 +65,7 @@
 		m, err := parser.Next()
 		if err != nil {
 			s.count(&s.counters.Unreadable)
-			s.farewell(c, protocol.Unreadable(err))
+			s.rejectConnection(c, protocol.Unreadable(err))
 			return
 		}
 		if m != nil && m.Long {
@@ -73,7 +73,7 @@
 				return
 			}
 			if !s.mark(c, idle) {
-				s.part(c)
+				s.closeGracefully(c)
 				return
 			}
 			parser.Reset()
@@ -87,7 +87,7 @@
 			if first = false; parser.Idle() {
 				parser.Shrink()
 				if quiet = true; !s.mark(c, idle) {
-					s.part(c)
+					s.closeGracefully(c)
 					return
 				}
 			} else if quiet = false; !s.mark(c, asking) {
@@ -113,7 +113,7 @@
 			case !late && ofSystemCall(err) && !parser.Idle(): // its client may still wait for an answer
 				s.count(&s.counters.Broken)
 				s.sample(c, "request not read", err)
-				s.farewell(c, &protocol.Refusal{Status: 503, Reason: "request could not be read", RetryAfter: time.Second, Close: true})
+				s.rejectConnection(c, &protocol.Refusal{Status: 503, Reason: "request could not be read", RetryAfter: time.Second, Close: true})
 				return
 			case !late: // it has ended
 				if ofSystemCall(err) {
@@ -122,7 +122,7 @@
 				return
 			case !parser.Idle():
 				s.count(&s.counters.Late)
-				s.farewell(c, &protocol.Refusal{Status: 408, Reason: "request not complete in time", Close: true})
+				s.rejectConnection(c, &protocol.Refusal{Status: 408, Reason: "request not complete in time", Close: true})
 				return
 			case s.late(c):
 				quiet = false
@@ -130,7 +130,7 @@
 			case first:
 				s.count(&s.counters.Silent)
 			}
-			s.part(c)
+			s.closeGracefully(c)
 			return
 		}
 	}
@@ -148,20 +148,20 @@
 	}
 	if refusal != nil {
 		s.count(&s.counters.Unreadable)
-		s.farewell(c, refusal)
+		s.rejectConnection(c, refusal)
 		return false
 	}
 	framing, length := parser.Framing()
 	old := string(m.Start[2]) == "HTTP/1.0"
 	up := &Upload{
 		passages: s.Long, conn: c, body: body, content: m.Body, raw: raw, framing: framing, length: length,
-		expects: parser.Continue(), old: old, last: func() bool { return m.Close || s.last(c) },
+		expects: parser.Continue(), old: old, last: func() bool { return m.Close || s.closesNext(c) },
 	}
 	defer up.release()
 	refusal, done := s.Handler.Pass(handover, up)
 	if refusal != nil { // the body that follows is nobody's
 		refusal.Close = true
-		s.farewell(c, refusal)
+		s.rejectConnection(c, refusal)
 		return false
 	}
 	end := <-done
@@ -179,7 +179,7 @@
 		}
 		return false
 	case !up.heard: // delivered, and its answer was cut short
-		s.farewell(c, protocol.Delivered())
+		s.rejectConnection(c, protocol.Delivered())
 		return false
 	case !up.reusable:
 		s.mark(c, ending)
@@ -204,10 +204,10 @@
 		return false
 	}
 	if refusal != nil && refusal.Close {
-		s.farewell(c, refusal)
+		s.rejectConnection(c, refusal)
 		return false
 	}
-	last := m.Close || s.last(c)
+	last := m.Close || s.closesNext(c)
 	if written, err := s.write(c, status, refusal, last); err != nil {
 		if withdraw != nil && written == 0 { // else its client may know
 			withdraw()
@@ -215,7 +215,7 @@
 		return false
 	}
 	if last {
-		s.part(c)
+		s.closeGracefully(c)
 	}
 	return !last
 }
@@ -248,9 +248,9 @@
 	s.Samples.Note(what, reason, func(e *zerolog.Event) { e.Str("client", c.RemoteAddr().String()).Err(err) })
 }
 
-// farewell writes a connection's last answer, an error, and reads on for a while: a close while bytes come would
+// rejectConnection writes a connection's last answer, an error, and reads on for a while: a close while bytes come would
 // reset the connection and take the answer from a client that is still sending.
-func (s *Clients) farewell(c *clientConn, r *protocol.Refusal) {
+func (s *Clients) rejectConnection(c *clientConn, r *protocol.Refusal) {
 	s.mark(c, ending)
 	if s.answer(c, 0, r, true) {
 		s.linger(c)
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -107,7 +107,7 @@
 	accepted time.Time
 	at       standing
 	since    time.Time
-	parting  bool // it ends with its next answer, or without one where none is due
+	closing  bool // it ends with its next answer, or without one where none is due
 	held     bool // it may have waited to be accepted, and its first request with it
 	overtime bool // its time was up, and what had come by then was let in
 }
