--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -295,22 +295,6 @@
 	return group.Wait()
 }
 
-var errBroken = errors.New("node: a sync has failed, which the next start gets over")
-
-// outlast ends the node's process where a sync of its folders has failed.
-func (n *Node) outlast(ctx context.Context) error {
-	part := "council"
-	select {
-	case <-n.keeper.Broken():
-	case <-n.disk.Broken():
-		part = "copies"
-	case <-ctx.Done():
-		return nil
-	}
-	n.cfg.Logger.Error().Str("part", part).Msg("a sync has failed: this process ends, and the next goes on with what lasts")
-	return errBroken
-}
-
 func (n *Node) now() time.Duration { return time.Since(n.began) }
 
 // latest is this life and what the council has decided, as far as is known here; n.mu is not held. What is decided is never changed.
