--- a/cmd/larkreach/sysfault_test.go
+++ b/cmd/larkreach/sysfault_test.go
@@ -28,7 +28,10 @@
 // Plays on the real program while its system calls fail: what was taken on ends exactly once and in its time, whatever fails for a
 // moment, also where the program is killed meanwhile. By hand: -sysfault.seeds N plays N seeds of each.
 
-var sysfaultSeeds = flag.Int("sysfault.seeds", 1, "seeds of each play of system calls that fail")
+var (
+	sysfaultSeeds = flag.Int("sysfault.seeds", 1, "seeds of each play of system calls that fail")
+	sysfaultFirst = flag.Uint64("sysfault.first", 1, "the first of them")
+)
 
 // faultKind is a play: what fails in its windows.
 type faultKind struct {
@@ -348,15 +351,16 @@
 
 func playFaults(t *testing.T, kind faultKind) {
 	t.Parallel()
-	for seed := range uint64(*sysfaultSeeds) {
-		p := newPlay(t, kind, seed+1)
+	for i := range uint64(*sysfaultSeeds) {
+		seed := *sysfaultFirst + i
+		p := newPlay(t, kind, seed)
 		broken := p.run()
 		for i, line := range broken {
 			if i == 10 {
-				t.Errorf("seed %d: and %d more", seed+1, len(broken)-i)
+				t.Errorf("seed %d: and %d more", seed, len(broken)-i)
 				break
 			}
-			t.Errorf("seed %d: %s", seed+1, line)
+			t.Errorf("seed %d: %s", seed, line)
 		}
 		if t.Failed() {
 			t.Log(p.f.Log())
