Tests: failing calls are played with a log that nobody reads, too

Two plays, with kills and with signals in series before the kill, fill the log's pipe and queue before each fault.

--- a/cmd/larkreach/sysfault_test.go
+++ b/cmd/larkreach/sysfault_test.go
@@ -41,6 +41,7 @@
 	rules func(chance float64) []sysfault.Rule
 	own   string // the program's own settings
 	long  bool   // some messages are long ones, whose answer is their end
+	mute  bool   // nobody reads the log but at starts and ends, and it is full
 }
 
 var (
@@ -258,6 +259,7 @@
 		windows = 2
 	}
 	for range windows {
+		p.fillLog()
 		time.Sleep(time.Duration(200+p.rng.IntN(300)) * time.Millisecond) // calm between two faults
 		p.faults.Set(p.kind.rules(0.05 + 0.85*p.rng.Float64())...)
 		time.Sleep(time.Duration(300+p.rng.IntN(500)) * time.Millisecond) // how long calls fail
@@ -274,6 +276,7 @@
 	p.stop.Store(true)
 	clients.Wait()
 	p.awaitEnds()
+	p.f.ResumeLog()
 	p.checkNothingLeft()
 	counts := p.faults.Counts()
 	must(p.t, p.f.End(syscall.SIGTERM))
@@ -285,6 +288,19 @@
 	return p.record.broken()
 }
 
+// fillLog has nobody read the log any more, and the program log more than its pipe and its queue hold.
+func (p *play) fillLog() {
+	if !p.kind.mute {
+		return
+	}
+	p.f.PauseLog()
+	const times = 600
+	for range times {
+		must(p.t, p.f.Signal(syscall.SIGUSR1))
+		time.Sleep(500 * time.Microsecond) // signals that come at once are one
+	}
+}
+
 // killNoSooner is when SIGKILL comes behind SIGTERM, at the earliest.
 const killNoSooner = 3700 * time.Millisecond
 
@@ -567,3 +583,13 @@
 		})
 	}
 }
+
+// Guards against messages that are lost, or not answered, where nobody reads the log, calls fail and the program is killed and started again.
+func TestAFullLogUnderFaultsLosesNothing(t *testing.T) {
+	playFaults(t, faultKind{name: "unread log", kill: true, rules: allRules, mute: true})
+}
+
+// Guards against a stop that a full log holds up, among failing calls and signals in series.
+func TestStopsWithAFullLogLoseNothing(t *testing.T) {
+	playFaults(t, faultKind{name: "unread log, stop", stop: true, rules: allRules, mute: true})
+}
--- a/internal/lab/forwarder.go
+++ b/internal/lab/forwarder.go
@@ -51,6 +51,24 @@
 	read        int // lines that Sees has gone through
 	trigger     string
 	triggered   func()
+	reading     sync.Mutex // held while nobody reads the log
+	unread      bool
+}
+
+// PauseLog stops reading the program's log until ResumeLog, Wait or the next start. It is called by whoever starts the program.
+func (f *Forwarder) PauseLog() {
+	if !f.unread {
+		f.unread = true
+		f.reading.Lock()
+	}
+}
+
+// ResumeLog goes on reading it.
+func (f *Forwarder) ResumeLog() {
+	if f.unread {
+		f.unread = false
+		f.reading.Unlock()
+	}
 }
 
 // Prepare lays the program's folder out; dir has to exist.
@@ -146,6 +164,7 @@
 
 // Start starts the program, or starts it again in its folder, and waits until it is ready.
 func (f *Forwarder) Start() error {
+	f.ResumeLog()
 	if err := f.writeFiles(); err != nil {
 		return err
 	}
@@ -174,6 +193,8 @@
 	f.exited = exited
 	go func() {
 		_ = Lines(pipe, func(text string) {
+			f.reading.Lock()
+			defer f.reading.Unlock()
 			for _, line := range Human(text) {
 				f.grow(line, false)
 			}
@@ -297,7 +318,10 @@
 func (f *Forwarder) Signal(sig syscall.Signal) error { return f.cmd.Process.Signal(sig) }
 
 // Wait waits for the program's end.
-func (f *Forwarder) Wait() error { return <-f.exited }
+func (f *Forwarder) Wait() error {
+	f.ResumeLog()
+	return <-f.exited
+}
 
 // End sends a signal and waits for the program's end.
 func (f *Forwarder) End(sig syscall.Signal) error {
