Laboratory: counters are read from their own line, not from one that holds its name

Cause: the trial waits for the counters' group "in:" by any line that holds it, and the control plane's new line "not kept, tried again: ..." does. A fault of the laboratory, not of the program; the line has to begin with the group's name now, which is stricter.

--- a/internal/lab/forwarder.go
+++ b/internal/lab/forwarder.go
@@ -242,12 +242,17 @@
 
 // Sees waits for a line that holds a text, behind those seen before; false if the program ends first.
 func (f *Forwarder) Sees(text string) (string, bool) {
+	return f.awaitLine(func(line string) bool { return strings.Contains(line, text) })
+}
+
+// awaitLine waits for a line that is wanted, as Sees does.
+func (f *Forwarder) awaitLine(wanted func(line string) bool) (string, bool) {
 	for {
 		f.mu.Lock()
 		for f.read < len(f.log) {
 			line := f.log[f.read]
 			f.read++
-			if strings.Contains(line, text) {
+			if wanted(line) {
 				f.mu.Unlock()
 				return line, true
 			}
@@ -266,7 +271,7 @@
 	if err := f.cmd.Process.Signal(syscall.SIGUSR1); err != nil {
 		return nil, err
 	}
-	text, ok := f.Sees(line + ":")
+	text, ok := f.awaitLine(func(text string) bool { return strings.HasPrefix(text, line+":") }) // others may hold it, as "again:"
 	if !ok {
 		return nil, fmt.Errorf("lab: the program ended before it told %s", line)
 	}
