--- a/cmd/larkreach/stray_answers_test.go
+++ b/cmd/larkreach/stray_answers_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -36,6 +35,7 @@
 	kill           bool // SIGKILL about once a second
 	long           bool // one of seven messages is long, and streamed
 	reset          bool // some calls end by a reset or without an answer
+	endings             // further answers, faults and signals
 }
 
 const (
@@ -68,12 +68,13 @@
 	rng         *rand.Rand
 	outstanding map[string]*lab.Call // the latest call of each message that has no answer yet
 	concurrent  []string             // calls that came while an earlier one of the same message was out
+	*endingRun
 }
 
 func newStrayRun(t *testing.T, scenario strayScenario, seed uint64) *strayRun {
 	p := &strayRun{
 		record: newRecord(), t: t, scenario: scenario, agent: &lab.Agent{}, outstanding: map[string]*lab.Call{}, rng: rand.New(rand.NewPCG(seed, 51)),
-		strays: lab.NewStrays(seed, scenario.share, scenario.minLag, scenario.maxLag, scenario.kinds...),
+		strays: lab.NewStrays(seed, scenario.share, scenario.minLag, scenario.maxLag, scenario.kinds...), endingRun: newEndingRun(seed),
 	}
 	p.agent.Told = p.reported
 	if scenario.agent {
@@ -90,7 +91,7 @@
 		settings = "[bodies]\nmost = \"8MiB\"\n"
 	}
 	p.f = &lab.Forwarder{
-		Settings: settings, Command: []string{os.Args[0]}, Env: []string{childProcessEnv + "=1"}, Host: uniqueHost(), Slots: 64, Amend: shortenTimeouts, Cores: 2,
+		Settings: settings, Command: []string{*strayProgram}, Env: []string{childProcessEnv + "=1"}, Host: uniqueHost(), Slots: 64, Amend: shortenTimeouts, Cores: 2,
 	}
 	must(t, p.f.Prepare(t.TempDir(), p.agent))
 	must(t, p.f.Start())
@@ -104,11 +105,13 @@
 	}
 	p.callsMu.Lock()
 	refused, lost, duration := p.rng.Float64() < refusedShare, p.scenario.reset && p.rng.Float64() < resetShare, p.rng.Float64()
+	refused = refused && !p.scenario.neverRefuse
 	if earlier := p.outstanding[c.ID]; earlier != nil && isOpen(earlier.Conn) {
 		p.concurrent = append(p.concurrent, c.ID)
 	}
 	p.outstanding[c.ID] = c
 	p.callsMu.Unlock()
+	p.calledAgain(c.ID)
 	defer func() {
 		p.callsMu.Lock()
 		defer p.callsMu.Unlock()
@@ -116,16 +119,28 @@
 			delete(p.outstanding, c.ID)
 		}
 	}()
+	if p.scenario.withdrawn || p.scenario.exhausted {
+		if status := p.states.Status(c.ID, time.Now()); status != 0 {
+			return p.endMessage(c, status)
+		}
+	}
 	longest, status := longestService, 200
 	if refused {
 		longest, status = longestRefusal, 503
 	}
-	time.Sleep(time.Duration(duration * float64(longest))) // the endpoint's work
+	work := time.Duration(duration * float64(longest))
+	if p.scenario.slow {
+		work = slowWork(refused, work)
+	}
+	time.Sleep(work)
 	p.called(c.ID, !refused, !refused && !lost)
 	if lost {
 		return false
 	}
-	return c.Answer(status, "") == nil
+	if refused {
+		p.refused(c.ID)
+	}
+	return p.answer(c, status)
 }
 
 // isOpen reports whether the other side has not closed a connection.
@@ -167,6 +182,7 @@
 		if p.scenario.long && n%longMessageInterval == 0 {
 			h.Body.Size = longBodySize
 		}
+		p.decideState(h)
 		p.submitting(h)
 		a := conn.Hand(h, nil)
 		p.answered(h.ID, a)
@@ -194,6 +210,7 @@
 			p.killed()
 			must(p.t, p.f.Start())
 		}
+		p.signal()
 	}
 	p.stop.Store(true)
 	clients.Wait()
@@ -204,13 +221,17 @@
 		time.Sleep(awaitEndInterval)
 	}
 	must(p.t, p.f.AwaitCounter("in", "held", 0))
+	callRatio := p.logCost()
 	must(p.t, p.f.End(syscall.SIGTERM))
 	accepted, _ := p.acceptedCount()
 	p.t.Logf("%d messages accepted, %d strays, at most %v late, %d missed", accepted, p.strays.Written(), p.strays.LongestLag().Round(time.Millisecond), p.strays.Missed())
-	if p.strays.Written() == 0 {
+	if p.scenario.share > 0 && p.strays.Written() == 0 {
 		p.t.Error("no stray was written")
 	}
 	broken := p.broken()
+	if p.scenario.limitCalls && callRatio > maxCallRatio {
+		broken = append(broken, fmt.Sprintf("%.2f calls for each message, %.2f at the most", callRatio, maxCallRatio))
+	}
 	for _, id := range p.concurrent {
 		broken = append(broken, id+": two attempts out at once")
 	}
--- a/cmd/larkreach/sysfault_record_test.go
+++ b/cmd/larkreach/sysfault_record_test.go
@@ -17,6 +17,7 @@
 	mu       sync.Mutex
 	messages map[string]*messageRecord
 	kills    []time.Time
+	stops    []time.Time // ends of the program, by SIGKILL or in order
 }
 
 // messageRecord contains the observations of one message.
@@ -27,6 +28,8 @@
 	answer     lab.Answer
 	calls      []recordedCall
 	reports    []recordedReport
+	overAt     time.Time // when an endpoint answered that the message is over or has had all its attempts; zero if none did
+	overStatus int       // the status of that answer
 }
 
 type recordedCall struct {
@@ -81,7 +84,22 @@
 func (r *record) killed() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.kills = append(r.kills, time.Now())
+	r.kills, r.stops = append(r.kills, time.Now()), append(r.stops, time.Now())
+}
+
+func (r *record) stoppedInOrder() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stops = append(r.stops, time.Now())
+}
+
+// answeredOver records that an endpoint answers now that it serves a message no more.
+func (r *record) answeredOver(id string, status int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m := r.message(id); m.overAt.IsZero() {
+		m.overAt, m.overStatus = time.Now(), status
+	}
 }
 
 func (m *messageRecord) accepted() bool { return m.answer.Status == 202 || m.answer.Status == 200 }
@@ -130,7 +148,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id, m := range r.messages {
-		if m.accepted() && !m.delivered() && len(m.reports) == 0 {
+		if m.accepted() && !m.delivered() && m.overStatus != lab.StatusOver && len(m.reports) == 0 {
 			ids = append(ids, id)
 		}
 	}
@@ -164,6 +182,9 @@
 				}
 			}
 		}
+		if n, first := r.callsAfterOver(m); n > 0 {
+			violation("called %d times after its answer %d, first %v later", n, m.overStatus, first)
+		}
 		if m.Class == "unsafe" && effects > 1 {
 			violation("may have run %d times", effects)
 		}
@@ -187,6 +208,28 @@
 	return out
 }
 
+// protocolSlack is the time by which the protocol page extends each limit: an answer that was written so shortly before
+// the program ended need not have been read.
+const protocolSlack = 50 * time.Millisecond
+
+// callsAfterOver returns the number of calls of a message after the answer that it is over, and when the first came.
+func (r *record) callsAfterOver(m *messageRecord) (n int, first time.Duration) {
+	if m.overAt.IsZero() || slices.ContainsFunc(r.stops, func(at time.Time) bool {
+		return at.After(m.overAt) && at.Before(m.overAt.Add(protocolSlack))
+	}) {
+		return 0, 0
+	}
+	for _, c := range m.calls {
+		if !c.at.After(m.overAt) {
+			continue
+		}
+		if n++; n == 1 {
+			first = c.at.Sub(m.overAt).Round(time.Millisecond)
+		}
+	}
+	return n, first
+}
+
 // answerExcused reports whether a request may have no answer: the program was killed while it waited, or just before.
 func (r *record) answerExcused(m *messageRecord) bool {
 	const tolerance = 2 * time.Second
