An answer 410 ends its message, however sure it is that it is the call's own

Cause: an answer that may be another call's was treated as if it were. A 410 needs no work, so a true one comes sooner than half of the endpoint's shortest latency; readAnswer called that a stray, and a flag beside the result made callEnded drop outcome and end alike. A 410 cut short, or with bytes behind it, lost its end the same way, and a stray within 2 s reopened a 410 as if it had been a delivery. Change: the doubt goes up with the answer as a typed verdict and is judged in one place, routing/conclusion.go. An end ends the message whatever the doubt; unless the answer can only be the call's own it is reported too, which does no harm if the message is over and loses nothing if the answer was another call's. Only a delivery can be reopened (mayReopen). Calls made on doubt alone have a budget of a tenth of the deliveries. Before the first byte a call is refused if the end of its message, or of its id, is known. The module is told Doubtful in place of Cancelled, which counted as a lost connection. Log and counters: status and doubt of an answer, ended_not_called, doubt.answers.

--- a/cmd/larkreach/wiring.go
+++ b/cmd/larkreach/wiring.go
@@ -107,7 +107,7 @@
 	r := i.endpoints.Call(ctx, transportCall(c))
 	res := routing.Result{Outcome: callOutcomes[r.Outcome]}
 	if r.Outcome == transport.Answered {
-		res = result(r.Reply)
+		res = result(r.Reply, r.Doubt)
 	}
 	res.ReusedConnection, res.Connection = r.Reused, routing.ConnectionUse(r.Connection)
 	return res
@@ -139,7 +139,7 @@
 	res := routing.Result{Outcome: streamOutcomes[r.Outcome]}
 	switch {
 	case r.Outcome == pump.Answered:
-		res = result(r.Reply)
+		res = result(r.Reply, r.Doubt)
 	case r.Outcome == pump.TimeUp && r.Sent: // the body was sent, only the answer was outstanding
 		res.Outcome = mb.TimedOut
 	case !r.Begun && r.Outcome == pump.Broken:
@@ -165,15 +165,21 @@
 	transport.Malformed: mb.Failed, transport.Abandoned: mb.TimedOut,
 }
 
+// certainties maps the doubts about answers.
+var certainties = map[connpool.Doubt]routing.Certainty{
+	connpool.NoDoubt: routing.Certain, connpool.Unconfirmed: routing.Plausible, connpool.EarlyAnswer: routing.InDoubt,
+	connpool.SecondAnswer: routing.InDoubt, connpool.CutShort: routing.InDoubt,
+}
+
 // result converts an endpoint's answer to a call result.
-func result(r protocol.Reply) routing.Result {
-	var res routing.Result
+func result(r protocol.Reply, doubt connpool.Doubt) routing.Result {
+	res := routing.Result{Status: r.Status, Certainty: certainties[doubt], DoubtReason: doubt.String()}
 	var stats map[string]float64
 	if len(r.Load) > 0 && json.Unmarshal(r.Load, &stats) == nil {
 		res.Limit = wire.LimitReport(stats)
 	}
 	switch r.Status {
-	case 200:
+	case protocol.StatusDelivered:
 		res.Outcome = mb.OK
 	case 429:
 		res.Outcome, res.RetryAfter = mb.Refused, r.RetryAfter
@@ -181,9 +187,9 @@
 		if res.Outcome = mb.Refused; r.OverSlots {
 			res.Outcome = mb.NotSent
 		}
-	case 504:
+	case protocol.StatusNoAttemptsLeft:
 		res.Outcome = mb.NotSent
-	case 410:
+	case protocol.StatusOver:
 		res.Outcome, res.Final = mb.NotSent, true
 	default:
 		res.Outcome = mb.Failed
--- a/decide.go
+++ b/decide.go
@@ -408,13 +408,16 @@
 	ep, c := k.endpoint, k.endpoint.circuit
 	d.endAttempt(m)
 	switch e.Outcome {
-	case Failed, TimedOut, Reset, Cancelled:
+	case Failed, TimedOut, Reset, Cancelled, Doubtful:
 		if !m.mayHaveRun {
 			m.mayHaveRun, m.ranAt, m.ranZone = true, k.sentAt, ep.zone
 		}
 		if q := d.keyQueues[m.key]; q != nil && m.class.InOrder && e.Outcome != Failed {
 			q.gapUntil, q.gapFor = d.now+d.cfg.TurnGap, m
 		}
+		if e.Outcome == Doubtful {
+			break
+		}
 		if m.avoidEndpoint = ep; m.class.Name != "" && !(m.long && e.Outcome == Cancelled) {
 			ep.classFailures[m.class] = classFailures{ep.classFailures[m.class].consecutive + 1, d.now}
 		}
@@ -440,7 +443,7 @@
 	if !k.counted || e.Outcome == OK && !k.succeeded { // a call counts once; a success corrects a timeout
 		k.counted, k.succeeded = e.Outcome != NotSent, e.Outcome == OK
 		switch dead := d.lostToIdleConn(k, e.Outcome, e.Latency) || d.lostToReusedConn(e); {
-		case dead || e.Outcome == NotSent || e.Outcome == Cancelled: // no evidence about the endpoint
+		case dead || !e.Outcome.isEvidence():
 		case e.Outcome == OK:
 			d.onSuccess(k, e.Latency)
 		case e.Outcome == Refused:
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -72,6 +72,7 @@
 // Answer is an answer that was assigned to a call on a reused connection.
 type Answer struct {
 	Call    string // the call's id
+	Status  int    // the answer's status
 	Refused bool   // the answer says that the call did not run
 	// OnDoubt is called at most once if the answer may have been another call's.
 	OnDoubt func()
@@ -355,22 +356,6 @@
 	return p.doubt(now, c)
 }
 
-// OutOfStep records that the connection's call got more than one answer. It returns the answers that may have been those
-// of other calls, the present one included unless the connection had been confirmed before its call. The connection has
-// to be closed.
-func (p *Pool[H]) OutOfStep(now time.Time, c *Conn[H], answer Answer) (inDoubt []Answer) {
-	return append(p.doubt(now, c), p.Doubtful(c, answer)...)
-}
-
-// Doubtful returns the present call's answer, which may be part of another call's, unless the connection is new or had
-// been confirmed before its call. The connection has to be closed.
-func (p *Pool[H]) Doubtful(c *Conn[H], answer Answer) (inDoubt []Answer) {
-	if c.Uses <= 1 || c.confirmed {
-		return nil
-	}
-	return []Answer{answer}
-}
-
 // doubt removes and returns the unconfirmed answers of a connection.
 func (p *Pool[H]) doubt(now time.Time, c *Conn[H]) (inDoubt []Answer) {
 	for _, answer := range c.unconfirmed {
--- a/internal/protocol/message.go
+++ b/internal/protocol/message.go
@@ -113,6 +113,9 @@
 // Idle reports whether no byte of the next message was received yet.
 func (p *Parser) Idle() bool { return p.phase == inHead && p.start == p.end && p.err == nil }
 
+// Buffered returns the bytes behind the latest message. They are valid until Space, Next or Reset.
+func (p *Parser) Buffered() []byte { return p.buf[p.start:p.end] }
+
 // Space returns the buffer for the next bytes; it is never empty.
 func (p *Parser) Space() []byte {
 	if p.start > 0 && p.phase == inHead { // a message was consumed: move the unparsed bytes to the front
--- a/internal/protocol/requests.go
+++ b/internal/protocol/requests.go
@@ -206,6 +206,20 @@
 // invalid.
 const loadReportHeader = "X-Server-Load"
 
+// The statuses that settle a message: it gets no further call.
+const (
+	StatusDelivered      = 200 // the message was delivered
+	StatusOver           = 410 // the message is withdrawn or out of time
+	StatusNoAttemptsLeft = 504 // the message has had all its attempts
+)
+
+// EndsMessage reports whether a status says that the message did not run and gets no further call.
+func EndsMessage(status int) bool { return status == StatusOver }
+
+// SettlesMessage reports whether the first line of an answer with the status decides on the message, however the answer
+// goes on.
+func SettlesMessage(status int) bool { return status == StatusDelivered || EndsMessage(status) }
+
 // ReadReply decodes an endpoint's answer.
 func ReadReply(m *Message) Reply {
 	reply := Reply{Status: m.Status(), Load: bytes.Clone(m.Get(loadReportHeader))}
--- a/internal/pump/exchange.go
+++ b/internal/pump/exchange.go
@@ -344,7 +344,7 @@
 	if message == nil && parseErr == nil {
 		message = parser.Finish(eof)
 	}
-	delivered := parser.Status() == 200
+	delivered := parser.Status() == protocol.StatusDelivered
 	switch {
 	case message != nil && message.Long:
 		x.startAnswer(message)
@@ -355,6 +355,8 @@
 		x.finish(Answered)
 	case delivered && (parseErr != nil || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)):
 		x.startAnswer(nil)
+	case protocol.EndsMessage(parser.Status()) && (parseErr != nil || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)):
+		x.finishEnded(parser.Status())
 	case parseErr != nil:
 		x.finish(Malformed)
 	case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
@@ -366,6 +368,12 @@
 	}
 }
 
+// finishEnded ends the exchange with the status line of an answer that is not whole but ends the message.
+func (x *Exchange) finishEnded(status int) {
+	x.reply, x.closeEndpoint = protocol.Reply{Status: status}, true
+	x.finish(Answered)
+}
+
 // startAnswer starts forwarding an answer with 200; message is nil if the remainder of the answer can't be parsed.
 func (x *Exchange) startAnswer(message *protocol.Message) {
 	x.downPhase, x.upStopped = recordingDelivery, true
@@ -407,9 +415,12 @@
 // client's bytes, the client has stalled; otherwise the endpoint has.
 func (x *Exchange) handleTimeout(direction Direction, now time.Duration) {
 	if x.downPhase == awaitingAnswer && x.answerDeadline > 0 && now >= x.answerDeadline {
-		if x.cfg.Answers.Status() == 200 {
+		switch status := x.cfg.Answers.Status(); {
+		case status == protocol.StatusDelivered:
 			x.startAnswer(nil)
-		} else {
+		case protocol.EndsMessage(status):
+			x.finishEnded(status)
+		default:
 			x.finish(Malformed)
 		}
 		return
--- a/internal/routing/calls.go
+++ b/internal/routing/calls.go
@@ -20,9 +20,11 @@
 	endpoint         string
 	sentAt           time.Time
 	cutAt            time.Time
-	begun            bool          // its first byte may have been written
-	outcome          mb.Outcome    // valid once the call has ended
-	inDoubt          bool          // its answer may have been another call's
+	begun            bool       // its first byte may have been written
+	outcome          mb.Outcome // valid once the call has ended
+	status           int        // of its answer; 0 if there was none
+	doubted          bool       // its answer may have been another call's
+	doubtReason      string
 	permissionTime   time.Duration // waiting for the journal and the replicas, not for the endpoint
 	startPosition    uint64        // position of the start record in the replicated log
 	cancelled        bool
@@ -225,8 +227,12 @@
 func (r *Router) begin(call *outgoingCall) permission {
 	endpoint, listed := r.endpoints[call.endpoint]
 	switch {
-	case r.stopped, call.message.ended, call.cancelled, !time.Now().Before(call.cutAt):
-		r.sample("call not started", "ended or cancelled", call.message)
+	case r.hasEnded(call.message):
+		r.counters.EndedNotCalled++
+		r.sample("call not started", "message ended", call.message)
+		return forbidden
+	case r.stopped, call.cancelled, !time.Now().Before(call.cutAt):
+		r.sample("call not started", "stopped, cancelled or out of time", call.message)
 		return forbidden
 	case !r.mayActFor(call.message):
 		return r.suppressCall(call, "lease")
@@ -251,6 +257,12 @@
 	return allowed
 }
 
+// hasEnded reports whether the end of a message is known, of this message or of another one with its id.
+func (r *Router) hasEnded(held *heldMessage) bool {
+	_, known := r.ended.delivered[held.ID]
+	return held.ended || known
+}
+
 // suppressCall counts and samples a call that must not start.
 func (r *Router) suppressCall(call *outgoingCall, reason string) permission {
 	r.counters.CallsSuppressed++
@@ -273,39 +285,24 @@
 	if !call.begun && (outcome == mb.TimedOut || outcome == mb.Cancelled || outcome == mb.Reset) {
 		outcome = mb.ConnectFailed
 	}
-	// The client of a long message has its answer by now: that delivery stands.
-	if call.inDoubt && (outcome == mb.OK && held.Long == nil || neverRan(outcome)) { // nothing is known but that the call was written
-		r.sampleDoubt(call, "discarded")
-		outcome = mb.Cancelled
-		r.decider.ApplyRetryAfter(r.now(), mb.DestinationID(held.Destination), result.RetryAfter)
-		result = Result{Outcome: outcome, BodyConsumed: result.BodyConsumed, ReusedConnection: true, Connection: result.Connection}
-	}
+	result.Outcome = outcome
+	concluded := r.concludeCall(call, result)
+	outcome = concluded.outcome
 	call.outcome = outcome
 	r.counters.outcome(outcome)
 	r.sampleCall(call, outcome, result.Connection)
 	r.reportToSteering(call, outcome)
-	if limit := result.Limit; r.cfg.Steering != nil && limit != nil && limit.Rate > 0 && !math.IsInf(limit.Rate, 1) {
+	if limit := result.Limit; r.cfg.Steering != nil && !concluded.doubted && limit != nil && limit.Rate > 0 && !math.IsInf(limit.Rate, 1) {
 		r.cfg.Steering.LimitReported(held.Destination, r.endpoints[call.endpoint].Zone, limit.Rate)
 	}
 	held.latestOutcome = outcome
 	if call.begun {
-		if !neverRan(outcome) {
+		if concluded.mayHaveRun() {
 			held.noteMayHaveRun(call.sentAt, r.endpoints[call.endpoint].Zone)
 		}
-		r.noteJournalError(held.ID, r.cfg.Log.Outcome(held.seq, !neverRan(outcome)))
-	}
-	final := outcome == mb.OK || result.Final
-	if final && !held.ended {
-		held.completedBy = call
-	}
-	if final {
-		r.end(held, wal.Completed, 0)
-		if held.Long != nil {
-			r.completeLong(held, outcome == mb.OK)
-		} else if result.ReusedConnection {
-			r.revocable.add(held, time.Now())
-		}
+		r.noteJournalError(held.ID, r.cfg.Log.Outcome(held.seq, concluded.mayHaveRun()))
 	}
+	r.endByCall(call, concluded, result.ReusedConnection)
 	if held.ended {
 		delete(r.messages, held.seq)
 	} else if record := r.cfg.Log.Message(held.seq); held.resubmitAfterCall && record != nil {
@@ -315,13 +312,71 @@
 	if r.endpoints[call.endpoint].State != mb.Serving || r.endpoints[call.endpoint].Address == "" {
 		r.cfg.Caller.CloseIdle(call.endpoint) // the list took the endpoint out of service while this call was out
 	}
-	// Zones are judged separately, but a retry-after applies to the whole destination.
-	if r.cfg.Steering != nil && result.RetryAfter > 0 {
+	// Zones are judged separately, and an answer in doubt is no evidence on its endpoint, but a retry-after applies to the
+	// whole destination.
+	if (r.cfg.Steering != nil || concluded.doubted) && result.RetryAfter > 0 {
 		r.decider.ApplyRetryAfter(r.now(), mb.DestinationID(held.Destination), result.RetryAfter)
 	}
+	if concluded.doubted {
+		result.RetryAfter, result.Limit = 0, nil
+	}
 	r.decide(mb.Answer{
 		ID: mb.MessageID(held.seq), Attempt: call.number, Endpoint: mb.EndpointID(call.endpoint), Outcome: outcome,
-		Latency: time.Since(call.sentAt) - call.journalDelay, Settled: final || held.ended, RetryAfter: result.RetryAfter, Limit: result.Limit,
+		Latency: time.Since(call.sentAt) - call.journalDelay, Settled: concluded.end != notEnded || held.ended, RetryAfter: result.RetryAfter, Limit: result.Limit,
 		ReusedConnection: result.ReusedConnection, BodyConsumed: result.BodyConsumed,
 	})
 }
+
+// concludeCall decides what follows from the result of a call.
+func (r *Router) concludeCall(call *outgoingCall, result Result) conclusion {
+	call.status = result.Status
+	if result.Certainty == InDoubt {
+		call.doubtReason = result.DoubtReason
+	}
+	// The client of a long message has its answer by now: that delivery stands.
+	if deliveredLong := call.message.Long != nil && result.Outcome == mb.OK; call.doubted && !deliveredLong {
+		result.Certainty = InDoubt
+	}
+	concluded := conclude(result, !r.mustNotRepeat(call.message.Class))
+	if result.Outcome == mb.OK && concluded.doubted && concluded.end == notEnded && !r.repeats.take() {
+		concluded.end = endReported
+	}
+	if concluded.doubted {
+		r.sampleDoubt(call, consequences[concluded.end])
+	}
+	return concluded
+}
+
+// endByCall ends the message of a call as its answer says.
+func (r *Router) endByCall(call *outgoingCall, concluded conclusion, reusedConnection bool) {
+	held := call.message
+	switch concluded.end {
+	case notEnded:
+		return
+	case endReported:
+		r.finishWithReport(held, r.unrepeatedEnd(held), 0)
+		return
+	}
+	if !held.ended {
+		held.completedBy = call
+	}
+	r.end(held, wal.Completed, 0)
+	delivered := concluded.outcome == mb.OK
+	if delivered {
+		r.repeats.earn()
+	}
+	if held.Long != nil {
+		r.completeLong(held, delivered)
+	} else if delivered && reusedConnection {
+		r.revocable.add(held, time.Now())
+	}
+}
+
+// unrepeatedEnd returns how a message ends that is not called again: its client may submit it again if it has surely not
+// run, or if that does no harm.
+func (r *Router) unrepeatedEnd(held *heldMessage) wal.Status {
+	if !held.mayHaveRun || r.effects[held.Class] == mb.Safe {
+		return wal.Refused
+	}
+	return wal.Failed
+}
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -14,6 +14,8 @@
 	MessagesCancelled, Resumed                     int64 // client gone before its 202; restored from an earlier process
 	BodiesLost                                     int64 // body not readable from the journal any more
 	Calls, CallsSuppressed                         int64 // calls; calls stopped before their first byte
+	EndedNotCalled                                 int64 // calls that did not start since the end of their message was known
+	Doubtful                                       int64 // calls whose answer may have been another call's
 	Delivered, Errors, RefusedByEndpoint, TimedOut int64 // call outcomes
 	ConnectFailed, Reset, Cancelled, NotSent       int64
 	Returned, Abandoned, Acknowledged              int64 // delivery reports
@@ -36,6 +38,7 @@
 	counts := map[mb.Outcome]*int64{
 		mb.OK: &c.Delivered, mb.Failed: &c.Errors, mb.Refused: &c.RefusedByEndpoint, mb.TimedOut: &c.TimedOut,
 		mb.ConnectFailed: &c.ConnectFailed, mb.Reset: &c.Reset, mb.Cancelled: &c.Cancelled, mb.NotSent: &c.NotSent,
+		mb.Doubtful: &c.Doubtful,
 	}
 	*counts[o]++
 }
@@ -52,7 +55,7 @@
 		Int64("resumed", c.Resumed).Int64("lost", c.BodiesLost).Int("held", c.Held))
 	e.Dict("sent", zerolog.Dict().Int64("calls", c.Calls).Int64("held_back", c.CallsSuppressed).Int("out", c.CallsOut).
 		Int64("ok", c.Delivered).Int64("error", c.Errors).Int64("full", c.RefusedByEndpoint).Int64("timed_out", c.TimedOut).
-		Int64("connect_failed", c.ConnectFailed).Int64("reset", c.Reset).Int64("cancelled", c.Cancelled).Int64("moot", c.NotSent))
+		Int64("connect_failed", c.ConnectFailed).Int64("reset", c.Reset).Int64("cancelled", c.Cancelled).Int64("moot", c.NotSent).Int64("ended_not_called", c.EndedNotCalled))
 	if c.NoZone > 0 {
 		e.Dict("places", zerolog.Dict().Int64("refused", c.NoZone))
 	}
@@ -67,9 +70,9 @@
 		e.Dict("journal", zerolog.Dict().Int64("unwritten", c.WriteFailures).Int64("told_unwritten", c.ReportedUnwritten).
 			Int("waiting", c.PendingRecords))
 	}
-	if c.SentAgainInDoubt+c.ReportedInDoubt+c.RunInDoubt > 0 {
+	if c.SentAgainInDoubt+c.ReportedInDoubt+c.RunInDoubt+c.Doubtful > 0 {
 		e.Dict("doubt", zerolog.Dict().Int64("sent_again", c.SentAgainInDoubt).Int64("reported", c.ReportedInDoubt).
-			Int64("may_have_run", c.RunInDoubt))
+			Int64("may_have_run", c.RunInDoubt).Int64("answers", c.Doubtful))
 	}
 	e.Dict("notices", zerolog.Dict().Int64("handed_back", c.Returned).Int64("given_up", c.Abandoned).
 		Int64("acknowledged", c.Acknowledged))
--- a/internal/routing/doubt.go
+++ b/internal/routing/doubt.go
@@ -51,14 +51,39 @@
 	return outcome == mb.Refused || outcome == mb.ConnectFailed || outcome == mb.NotSent
 }
 
+// repeatBudget limits the calls that are made only because a delivery is in doubt to a share of the deliveries, so that
+// endpoints which write strays are not loaded without bound.
+type repeatBudget struct{ tokens float64 }
+
+const (
+	repeatShare    = 0.1  // calls for each delivery
+	maxRepeatBurst = 20.0 // calls at once
+)
+
+// earn counts a delivery.
+func (b *repeatBudget) earn() { b.tokens = min(maxRepeatBurst, b.tokens+repeatShare) }
+
+// take reports whether a further call may be made, and counts it.
+func (b *repeatBudget) take() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// consequences are what follows from an answer that was in doubt when it was read, for the log.
+var consequences = map[messageEnd]string{notEnded: "discarded", endReported: "ended and reported"}
+
 // outcomeInDoubt takes back what was concluded from a call's answer.
 func (r *Router) outcomeInDoubt(call *outgoingCall) {
 	held := call.message
+	call.doubtReason = "stray on the connection"
 	switch {
 	case held.call == call:
-		call.inDoubt = true // callEnded follows
+		call.doubted = true // callEnded follows
 	case held.completedBy == call && held.Long == nil:
-		r.revokeDelivery(call)
+		r.revokeEnd(call)
 	case neverRan(call.outcome) && !held.ended:
 		r.assumeRun(call)
 	default: // the message was reported, or held as one that may have run
@@ -77,21 +102,29 @@
 	r.decide(mb.AttemptMayHaveRun{ID: mb.MessageID(held.seq), PriorAttempt: mb.PriorAttempt{SentAgo: time.Since(call.sentAt), Zone: zone}})
 }
 
-// revokeDelivery continues with a message that counted as delivered: one that may be repeated is sent again, the end of
-// any other is reported. If the message was delivered after all, neither does harm.
-func (r *Router) revokeDelivery(call *outgoingCall) {
+// mayReopen reports whether a message that counted as ended is called again. An end other than a delivery is never
+// reopened: the endpoints have said that they serve the message no more.
+func (r *Router) mayReopen(call *outgoingCall) bool {
+	held := call.message
+	return call.outcome == mb.OK && !r.mustNotRepeat(held.Class) && !held.bodyDropped && !held.bodyOnDisk && r.cfg.Replication == nil &&
+		time.Now().Before(held.deadline) && r.repeats.take()
+}
+
+// revokeEnd continues with a message that had ended without a report: a delivery that may be repeated is sent again, any
+// other end is reported. If the answer was the call's own after all, neither does harm.
+func (r *Router) revokeEnd(call *outgoingCall) {
 	held := call.message
 	held.completedBy = nil
 	held.noteMayHaveRun(call.sentAt, r.endpoints[call.endpoint].Zone)
-	sendAgain := !r.mustNotRepeat(held.Class) && !held.bodyDropped && !held.bodyOnDisk && r.cfg.Replication == nil && time.Now().Before(held.deadline)
+	sendAgain := r.mayReopen(call)
 	entry := &wal.Message{
 		Seq: r.cfg.Log.NextSeq(), Deadline: held.deadline, Destination: held.Destination, ID: held.ID, Key: held.Key, Class: held.Class,
 		Attempts: held.attempts, MayHaveRun: true, RanAt: held.ranAt, RanZone: held.ranZone,
 	}
 	if sendAgain {
 		entry.Body = held.Body
-	} else if entry.Status = wal.Failed; r.effects[held.Class] == mb.Safe {
-		entry.Status = wal.Refused // the client may submit it again
+	} else {
+		entry.Status = r.unrepeatedEnd(held)
 	}
 	if err := r.journalRevoked(entry); err != nil {
 		r.noteJournalError(held.ID, err)
@@ -112,7 +145,7 @@
 	r.resubmit(entry, again)
 }
 
-// journalRevoked journals a message whose delivery is revoked.
+// journalRevoked journals a message whose end is revoked.
 func (r *Router) journalRevoked(entry *wal.Message) error {
 	reservation, fits := r.cfg.Log.ReserveTakenOver(entry)
 	if !fits {
@@ -122,11 +155,11 @@
 	return r.cfg.Log.AcceptTakenOver(reservation, entry)
 }
 
-// reportRevoked reports the end of a message whose delivery is revoked.
+// reportRevoked reports the end of a message whose end is revoked.
 func (r *Router) reportRevoked(call *outgoingCall, held *heldMessage, returned bool) {
 	r.counters.ReportedInDoubt++
 	r.sampleDoubt(call, "reported")
 	r.ended.revoke(held.ID)
-	held.latestOutcome = mb.Cancelled
+	held.latestOutcome = mb.Doubtful
 	r.report(held, returned, 0)
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -85,6 +85,7 @@
 	lastJournalTry    time.Time                  // last time that pending records were tried; events do not reset it
 	deferredReports   map[uint64]*deferredReport // reports that wait for their records, by message
 	revocable         revocableDeliveries
+	repeats           repeatBudget
 	callTasks         errgroup.Group // goroutines of the calls that are out
 	callContext       context.Context
 }
@@ -101,7 +102,7 @@
 		cfg: cfg, decider: decider, startedAt: time.Now(), events: make(chan func(), eventQueueSize),
 		done: make(chan struct{}), deliveryTimeouts: map[string]time.Duration{}, effects: map[string]mb.Effect{}, endpoints: map[string]Endpoint{},
 		knownDestinations: map[int64]bool{}, restrictedAccess: map[string]Access{}, messages: map[uint64]*heldMessage{}, messagesByID: map[string]*heldMessage{},
-		ended: endedIDs{delivered: map[string]bool{}}, undecidedReports: map[uint64]*heldMessage{}, unacknowledged: map[uint64]*heldMessage{},
+		ended: endedIDs{delivered: map[string]bool{}}, repeats: repeatBudget{maxRepeatBurst}, undecidedReports: map[uint64]*heldMessage{}, unacknowledged: map[uint64]*heldMessage{},
 		deferredReports: map[uint64]*deferredReport{},
 	}
 	if cfg.Learned != nil { // otherwise the restored state would lie before the start of the module's clock
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -90,12 +90,26 @@
 	Outcome          mb.Outcome
 	RetryAfter       time.Duration   // with Refused: the delay that the endpoint asked for, zero if none
 	Limit            *mb.LimitReport // limit reported by the endpoint, if any
-	Final            bool            // no further attempt is needed
+	Status           int             // of the endpoint's answer; 0 if there was none
+	Certainty        Certainty       // of that answer
+	DoubtReason      string          // why it may be another attempt's, for the log
+	Final            bool            // the message is over for the endpoint: no further attempt, and no report is needed
+	NoAttemptsLeft   bool            // the message has had all its attempts: no further attempt, but its end has to be reported
 	ReusedConnection bool            // the connection had carried a call before
 	BodyConsumed     bool            // the body of a long message is lost, so no further attempt is possible
 	Connection       ConnectionUse
 }
 
+// Certainty says how sure it is that an answer is its attempt's own.
+type Certainty int
+
+// The values of Certainty.
+const (
+	Certain   Certainty = iota // it cannot be another attempt's
+	Plausible                  // nothing speaks against it, but the connection carried another attempt shortly before
+	InDoubt                    // something speaks against it
+)
+
 // ConnectionUse describes the connection of an attempt in the log.
 type ConnectionUse struct {
 	ID    uint64        // unique within the process; 0 if there was none
--- a/internal/routing/sample.go
+++ b/internal/routing/sample.go
@@ -28,7 +28,7 @@
 		return
 	}
 	r.cfg.Sampler.Note("call ended", outcomeNames[outcome], func(e *zerolog.Event) {
-		e.Str("request", call.message.ID).Str("endpoint", call.endpoint).Int("attempt", call.number).Bool("begun", call.begun)
+		e.Str("request", call.message.ID).Str("endpoint", call.endpoint).Int("attempt", call.number).Bool("begun", call.begun).Int("status", call.status)
 		if connection.ID > 0 {
 			e.Uint64("connection", connection.ID).Int("uses", connection.Uses).Dur("quiet_ms", connection.Quiet)
 		}
@@ -38,7 +38,7 @@
 // outcomeNames are the outcomes under the names that the counters have in the log.
 var outcomeNames = map[mb.Outcome]string{
 	mb.OK: "ok", mb.Failed: "error", mb.Refused: "full", mb.TimedOut: "timed_out", mb.ConnectFailed: "connect_failed", mb.Reset: "reset",
-	mb.Cancelled: "cancelled", mb.NotSent: "moot",
+	mb.Cancelled: "cancelled", mb.NotSent: "moot", mb.Doubtful: "in_doubt",
 }
 
 // lastOutcomeName names the outcome of the latest call of an undelivered message.
@@ -56,6 +56,6 @@
 func (r *Router) sampleDoubt(call *outgoingCall, consequence string) {
 	r.cfg.Sampler.Note("outcome in doubt", consequence, func(e *zerolog.Event) {
 		e.Str("request", call.message.ID).Str("class", call.message.Class).Str("endpoint", call.endpoint).Int("attempt", call.number).
-			Str("outcome", outcomeNames[call.outcome])
+			Str("outcome", outcomeNames[call.outcome]).Int("status", call.status).Str("doubt", call.doubtReason)
 	})
 }
--- a/internal/routing/steering.go
+++ b/internal/routing/steering.go
@@ -94,7 +94,7 @@
 	if outcome == mb.Cancelled && call.timedOutByModule {
 		outcome = mb.TimedOut
 	}
-	if r.cfg.Steering == nil || outcome == mb.NotSent || outcome == mb.Cancelled {
+	if r.cfg.Steering == nil || outcome == mb.NotSent || outcome == mb.Cancelled || outcome == mb.Doubtful {
 		return
 	}
 	endpoint := r.endpoints[call.endpoint]
--- a/internal/transport/endpoint_conns.go
+++ b/internal/transport/endpoint_conns.go
@@ -79,16 +79,6 @@
 	return errors.Is(err, syscall.EAGAIN) || !c.pooled.Reused() && inconclusive(err)
 }
 
-// fitness says what becomes of a connection after a call.
-type fitness int
-
-const (
-	unusable  fitness = iota // it is closed
-	reusable                 // it can carry another call
-	doubtful                 // it is closed, and the call's answer may be part of another call's
-	outOfStep                // it is closed, and all its answers may have been those of other calls
-)
-
 // getConn returns a connection for a call: an idle one that may carry it, or a new one.
 func (p *Endpoints) getConn(ctx context.Context, call Call) (*endpointConn, error) {
 	for {
@@ -162,26 +152,15 @@
 }
 
 // release ends a connection's use for a call that was written.
-func (p *Endpoints) release(c *endpointConn, fit fitness, answer connpool.Answer) {
+func (p *Endpoints) release(c *endpointConn, reusable bool, answer connpool.Answer) {
 	p.mu.Lock()
-	now := time.Now()
-	var inDoubt []connpool.Answer
-	switch fit {
-	case reusable:
-		p.pool.Answered(now, c.pooled, answer)
-		p.keep(c, p.pool.Keep)
-	case outOfStep:
-		inDoubt = p.pool.OutOfStep(now, c.pooled, answer)
-		_ = c.Close()
-	case doubtful:
-		inDoubt = p.pool.Doubtful(c.pooled, answer)
-		_ = c.Close()
-	default:
+	defer p.mu.Unlock()
+	if !reusable {
 		_ = c.Close()
+		return
 	}
-	p.counters.InDoubt += int64(len(inDoubt))
-	p.mu.Unlock()
-	reportDoubt(inDoubt)
+	p.pool.Answered(time.Now(), c.pooled, answer)
+	p.keep(c, p.pool.Keep)
 }
 
 // holdOf returns how an early answer to a request that was sent now is treated.
@@ -192,11 +171,22 @@
 }
 
 // observe records the time that the answer to a request has taken.
-func (p *Endpoints) observe(c *endpointConn, sentAt time.Time) {
-	now := time.Now()
+func (p *Endpoints) observe(c *endpointConn, latency time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.pool.Observe(now, c.pooled, now.Sub(sentAt))
+	p.pool.Observe(time.Now(), c.pooled, latency)
+}
+
+// surplusAnswer records that the answer to the present call was followed at once by another one.
+func (p *Endpoints) surplusAnswer(c *endpointConn, status, following int) {
+	now := time.Now()
+	p.mu.Lock()
+	p.counters.Strays++
+	inDoubt := p.pool.Surplus(now, c.pooled, status, following)
+	p.counters.InDoubt += int64(len(inDoubt))
+	p.logStray(c, "surplus answer", nil, len(inDoubt), now)
+	p.mu.Unlock()
+	reportDoubt(inDoubt)
 }
 
 // strayInCall records that the first of two answers to the present call was a stray.
@@ -300,6 +290,12 @@
 // answer, and says nothing about the answers before it.
 var requestTimeoutLine = []byte("HTTP/1.1 408 ")
 
+// beginsAnswer reports whether bytes can be the beginning of an answer.
+func beginsAnswer(b []byte) bool {
+	begin := []byte("HTTP/1.")
+	return bytes.HasPrefix(b, begin) || bytes.HasPrefix(begin, b)
+}
+
 // strayLogBytes is how much of a stray is logged.
 const strayLogBytes = 32
 
@@ -316,7 +312,7 @@
 	switch {
 	case bytes.HasPrefix(received, requestTimeoutLine):
 		kind = "request timeout"
-	case !bytes.HasPrefix(received, []byte("HTTP/1.")):
+	case !beginsAnswer(received):
 		kind = "other bytes"
 	}
 	if kind != "request timeout" {
--- a/internal/transport/endpoints.go
+++ b/internal/transport/endpoints.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"os"
 	"slices"
@@ -119,9 +118,10 @@
 
 // Result is the result of a call.
 type Result struct {
-	Reply   protocol.Reply // valid if Outcome is Answered
+	Reply   protocol.Reply // valid if Outcome is Answered; of an answer that is not whole only its status
 	Outcome CallOutcome
-	Reused  bool // the connection had carried a call before
+	Doubt   connpool.Doubt // with Answered: whether the answer may be another call's
+	Reused  bool           // the connection had carried a call before
 	Connection
 }
 
@@ -149,11 +149,11 @@
 		}
 		if c.nothingReceived() {
 			reused, connection := c.pooled.Reused(), c.describe()
-			reply, outcome, err := p.exchange(ctx, c, call)
-			if outcome == Broken || outcome == Unconnected {
+			v, err := p.exchange(ctx, c, call)
+			if v.outcome == Broken || v.outcome == Unconnected {
 				p.logSample(call, "connection broken", err, connection)
 			}
-			return Result{reply, outcome, reused, connection}
+			return Result{v.reply, v.outcome, v.doubt, reused, connection}
 		}
 		p.discard(c)
 		p.count(&p.counters.ClosedBeforeUse)
@@ -165,8 +165,8 @@
 
 // exchange writes a call and reads its answer. If ctx is done first, the connection is closed before exchange
 // returns. An answer read after ctx's deadline is discarded: the endpoint was told that the forwarder stops waiting
-// then, and may not count the call as delivered.
-func (p *Endpoints) exchange(ctx context.Context, conn *endpointConn, call Call) (protocol.Reply, CallOutcome, error) {
+// then, and may not count the call as delivered. That the message is over holds whenever it is read.
+func (p *Endpoints) exchange(ctx context.Context, conn *endpointConn, call Call) (verdict, error) {
 	deadline, limited := ctx.Deadline()
 	if limited {
 		call.Timeout = time.Until(deadline)
@@ -179,26 +179,36 @@
 		total += int64(len(piece))
 	}
 	written, err := pieces.WriteTo(conn)
-	reply, outcome := protocol.Reply{}, Unconnected
-	fit := unusable
+	v := verdict{outcome: Unconnected}
 	if written == total {
-		reply, outcome, fit, err = p.readAnswer(ctx, conn, call.OnRetryAfter)
-		if limited && !time.Now().Before(deadline) {
-			reply, outcome, fit = protocol.Reply{}, Abandoned, unusable
+		v, err = p.readAnswer(ctx, conn, call.OnRetryAfter)
+		if limited && !time.Now().Before(deadline) && !v.endsMessage() {
+			v = verdict{outcome: Abandoned}
 		}
 	}
 	if !stop() {
 		<-closed
-		fit = unusable
+		v.reusable = false
 	}
-	p.release(conn, fit, connpool.Answer{Call: call.ID, Refused: reply.Status != deliveredStatus, OnDoubt: call.OnDoubt})
-	return reply, outcome, err
+	if v.doubt = doubtOn(conn, v.doubt); v.doubt.Suspicious() {
+		p.count(&p.counters.InDoubt)
+	}
+	p.release(conn, v.reusable, call.answer(v.reply))
+	return v, err
 }
 
-const (
-	deliveredStatus = 200 // the message was delivered
-	goneStatus      = 410 // the message is over for the endpoint
-)
+// doubtOn returns the doubt about an answer that came on a connection.
+func doubtOn(conn *endpointConn, doubt connpool.Doubt) connpool.Doubt {
+	if conn.pooled.Certain() {
+		return connpool.NoDoubt
+	}
+	return max(doubt, connpool.Unconfirmed)
+}
+
+// answer returns what the pool remembers of an answer to the call.
+func (c Call) answer(reply protocol.Reply) connpool.Answer {
+	return connpool.Answer{Call: c.ID, Status: reply.Status, Refused: reply.Status != protocol.StatusDelivered, OnDoubt: c.OnDoubt}
+}
 
 // logSample logs a call whose connection could not be established or broke, and the system call that failed.
 func (p *Endpoints) logSample(call Call, what string, err error, connection Connection) {
@@ -210,133 +220,3 @@
 		e.Str("request", call.ID).Str("endpoint", call.Name).EmbedObject(connection).Err(err)
 	})
 }
-
-// answerReader reads the answer of one call. A status line with 200 counts as a delivery even if the rest of the answer
-// is faulty. Any other incomplete answer may belong to a call that ran.
-type answerReader struct {
-	endpoints    *Endpoints
-	conn         *endpointConn
-	parser       *protocol.Parser
-	sentAt       time.Time
-	hold         connpool.Hold
-	held         *protocol.Reply     // an answer that came implausibly early
-	until        time.Time           // deadline for the answer's last byte
-	onRetryAfter func(time.Duration) // may be nil
-}
-
-// readAnswer reads a call's answer and says what becomes of the connection.
-func (p *Endpoints) readAnswer(ctx context.Context, conn *endpointConn, onRetryAfter func(time.Duration)) (protocol.Reply, CallOutcome, fitness, error) {
-	parser := p.parsers.Get().(*protocol.Parser)
-	defer func() {
-		parser.Reset()
-		p.parsers.Put(parser)
-	}()
-	r := &answerReader{endpoints: p, conn: conn, parser: parser, sentAt: time.Now(), onRetryAfter: onRetryAfter}
-	r.hold = p.holdOf(conn, r.sentAt)
-	for {
-		m, err := parser.Next()
-		if m == nil && err == nil {
-			if err = r.read(); err == nil {
-				continue
-			}
-			m = parser.Finish(errors.Is(err, io.EOF))
-		}
-		switch {
-		case m != nil && r.holdBack(m):
-			continue
-		case m != nil:
-			reply, fit := r.accept(m)
-			return reply, Answered, fit, nil
-		case r.held != nil && errors.Is(err, os.ErrDeadlineExceeded) && parser.Idle(): // no other answer has followed
-			return *r.held, Answered, r.fitnessAfter(reusable), nil
-		case r.held != nil && errors.Is(err, io.EOF) && parser.Idle(): // none will follow
-			return *r.held, Answered, doubtful, nil
-		}
-		outcome, fit := r.fail(ctx)
-		if outcome == Answered {
-			return protocol.Reply{Status: deliveredStatus}, outcome, fit, err
-		}
-		return protocol.Reply{}, outcome, fit, err
-	}
-}
-
-// read reads what has arrived, and limits the time for the rest of the answer.
-func (r *answerReader) read() error {
-	n, err := r.conn.Read(r.parser.Space())
-	if n <= 0 {
-		return err
-	}
-	r.parser.Commit(n)
-	now := time.Now()
-	if r.until.IsZero() {
-		r.until = now.Add(answerReadTimeout)
-	}
-	if soon := now.Add(deliveredRestTimeout); soon.Before(r.until) && r.parser.Status() == deliveredStatus {
-		r.until = soon
-	}
-	_ = r.conn.SetReadDeadline(r.until) // if the connection is closed by now, the next read reports it
-	return nil
-}
-
-// early reports whether an answer that arrives now comes implausibly soon.
-func (r *answerReader) early() bool { return time.Since(r.sentAt) < r.hold.PlausibleAfter }
-
-// holdBack keeps an answer that came implausibly early, and sets the time until which another one may follow. An answer
-// that says that the message is over is not worth the wait.
-func (r *answerReader) holdBack(m *protocol.Message) bool {
-	if r.held != nil || m.Close || !r.parser.Idle() || !r.early() || m.Status() == goneStatus {
-		return false
-	}
-	reply := protocol.ReadReply(m)
-	if r.held, r.until = &reply, (time.Time{}); reply.RetryAfter > 0 && r.onRetryAfter != nil {
-		r.onRetryAfter(reply.RetryAfter)
-	}
-	r.endpoints.count(&r.endpoints.counters.Held)
-	return r.conn.SetReadDeadline(r.sentAt.Add(r.hold.Until)) == nil
-}
-
-// accept takes an answer for the call's own.
-func (r *answerReader) accept(m *protocol.Message) (protocol.Reply, fitness) {
-	reply := protocol.ReadReply(m)
-	switch {
-	case r.held != nil: // one of the two was a stray
-		r.endpoints.strayInCall(r.conn)
-		if reply.Status != r.held.Status {
-			return reply, doubtful
-		}
-		return reply, unusable
-	case !r.parser.Idle():
-		r.endpoints.count(&r.endpoints.counters.Surplus)
-		return reply, outOfStep
-	case reply.Status == goneStatus && r.early():
-		return reply, doubtful
-	case m.Close:
-		return reply, r.fitnessAfter(unusable)
-	}
-	return reply, r.fitnessAfter(reusable)
-}
-
-// fitnessAfter records the latency of a whole answer and returns the fitness of its connection, if that can be used on.
-func (r *answerReader) fitnessAfter(fit fitness) fitness {
-	if r.endpoints.observe(r.conn, r.sentAt); r.conn.SetReadDeadline(time.Time{}) != nil {
-		return unusable
-	}
-	return fit
-}
-
-// fail returns the outcome of a call without a whole answer.
-func (r *answerReader) fail(ctx context.Context) (CallOutcome, fitness) {
-	p := r.endpoints
-	switch {
-	case r.parser.Status() == deliveredStatus:
-		p.count(&p.counters.Malformed)
-		p.count(&p.counters.MalformedDelivered)
-		return Answered, doubtful
-	case ctx.Err() != nil:
-		return Abandoned, unusable
-	case r.parser.Idle():
-		return Broken, unusable
-	}
-	p.count(&p.counters.Malformed)
-	return Malformed, doubtful
-}
--- a/internal/transport/endpoints_test.go
+++ b/internal/transport/endpoints_test.go
@@ -58,9 +58,9 @@
 		"late":    {time.Now().Add(-time.Microsecond), Abandoned, 0},
 	} {
 		endpoints := NewEndpoints(time.Minute, time.Second, 1)
-		reply, outcome, _ := endpoints.exchange(deadlineContext{context.Background(), c.deadline}, dialOKEndpoint(t, endpoints), Call{Call: protocol.Call{ID: "i", Host: "h"}})
-		if outcome != c.end || (reply.Status == 200) != (c.end == Answered) || endpoints.Counters().Idle != c.idle {
-			t.Errorf("%s: outcome %v, status %d, %d idle connections", name, outcome, reply.Status, endpoints.Counters().Idle)
+		v, _ := endpoints.exchange(deadlineContext{context.Background(), c.deadline}, dialOKEndpoint(t, endpoints), Call{Call: protocol.Call{ID: "i", Host: "h"}})
+		if v.outcome != c.end || (v.reply.Status == 200) != (c.end == Answered) || endpoints.Counters().Idle != c.idle {
+			t.Errorf("%s: outcome %v, status %d, %d idle connections", name, v.outcome, v.reply.Status, endpoints.Counters().Idle)
 		}
 		endpoints.Close()
 	}
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -114,6 +114,7 @@
 	Begun     bool           // a byte may have gone to the endpoint
 	Sent      bool           // the whole body has gone to the endpoint
 	Retryable bool           // the body is still buffered: another attempt can be made
+	Doubt     connpool.Doubt // with pump.Answered: whether the answer may be another call's
 	Reused    bool           // the connection had carried a call before
 	Connection
 }
@@ -202,7 +203,7 @@
 	keep, reusableClient := exchange.Reusable()
 	result := StreamResult{
 		Outcome: exchange.Outcome(), Reply: exchange.Reply(), Begun: exchange.Begun(), Sent: upload.pipe.Written(), Retryable: exchange.Retryable(),
-		Reused: conn.pooled.Reused(), Connection: conn.describe(),
+		Doubt: doubtOn(conn, connpool.NoDoubt), Reused: conn.pooled.Reused(), Connection: conn.describe(),
 	}
 	upload.outcome, upload.answerStarted, upload.reusable = exchange.Outcome(), exchange.AnswerStarted(), reusableClient
 	upload.streams.counters[upload.outcome].Add(1)
@@ -210,9 +211,13 @@
 	case !exchange.Begun() && conn.nothingReceived() && conn.SetDeadline(time.Time{}) == nil:
 		p.returnUnused(conn)
 	case keep && conn.SetDeadline(time.Time{}) == nil:
-		p.release(conn, reusable, connpool.Answer{Call: call.ID, Refused: exchange.Outcome() == pump.Answered, OnDoubt: call.OnDoubt})
+		reply := result.Reply
+		if exchange.Outcome() == pump.Delivered {
+			reply.Status = protocol.StatusDelivered
+		}
+		p.release(conn, true, call.answer(reply))
 	default:
-		p.release(conn, unusable, connpool.Answer{})
+		p.release(conn, false, connpool.Answer{})
 	}
 	return result
 }
--- a/mulleinbeam.go
+++ b/mulleinbeam.go
@@ -219,8 +219,12 @@
 	Reset                 // the connection broke
 	Cancelled             // by a Cancel action, or for a long message by its client; no evidence about the endpoint
 	NotSent               // never sent (never ran)
+	Doubtful              // an answer that may have been another attempt's; no evidence about the endpoint
 )
 
+// isEvidence reports whether an outcome says something about the endpoint.
+func (o Outcome) isEvidence() bool { return o != Cancelled && o != NotSent && o != Doubtful }
+
 // Event is something that a forwarder observed: one of the types below.
 type Event interface{ isEvent() }
 
