A message that an endpoint answers 504 gets no further call, and its end is reported

Callers saw: messages that had had all their attempts were called up to five times more, and ended late. Cause: 504 was mapped to 'not sent', which is no end.

--- a/cmd/larkreach/wiring.go
+++ b/cmd/larkreach/wiring.go
@@ -188,7 +188,7 @@
 			res.Outcome = mb.NotSent
 		}
 	case protocol.StatusNoAttemptsLeft:
-		res.Outcome = mb.NotSent
+		res.Outcome, res.NoAttemptsLeft = mb.NotSent, true
 	case protocol.StatusOver:
 		res.Outcome, res.Final = mb.NotSent, true
 	default:
--- a/internal/protocol/requests.go
+++ b/internal/protocol/requests.go
@@ -214,7 +214,7 @@
 )
 
 // EndsMessage reports whether a status says that the message did not run and gets no further call.
-func EndsMessage(status int) bool { return status == StatusOver }
+func EndsMessage(status int) bool { return status == StatusOver || status == StatusNoAttemptsLeft }
 
 // SettlesMessage reports whether the first line of an answer with the status decides on the message, however the answer
 // goes on.
