Answers written twice cause no doubt where both say the same, and raise suspicion

Cause: surplus bytes put the present answer and all before it in doubt, raised no suspicion, and so never stopped. The wait for a held answer counted as the endpoint's latency, so that the next was held longer. Change: an answer is in doubt only if one that follows it says something else; bytes that begin no answer have moved none. A held answer's latency is that of its arrival.

--- a/internal/transport/answer_reader.go
+++ b/internal/transport/answer_reader.go
@@ -131,7 +131,7 @@
 // acceptHeld takes the answer that was held back for the call's own, since no other has followed.
 func (r *answerReader) acceptHeld(doubt connpool.Doubt) verdict {
 	v := verdict{outcome: Answered, reply: *r.held, doubt: doubt, reusable: !doubt.Suspicious()}
-	r.observe(&v, time.Since(r.sentAt))
+	r.observe(&v, r.heldLatency)
 	return v
 }
 
@@ -148,7 +148,7 @@
 	p := r.endpoints
 	p.count(&p.counters.Surplus)
 	surplus := r.parser.Buffered()
-	if bytes.HasPrefix(surplus, requestTimeoutLine) {
+	if !beginsAnswer(surplus) || bytes.HasPrefix(surplus, requestTimeoutLine) {
 		return connpool.NoDoubt
 	}
 	following := 0
@@ -156,6 +156,9 @@
 		following = second.Status()
 	}
 	p.surplusAnswer(r.conn, status, following)
+	if following == status {
+		return connpool.NoDoubt
+	}
 	return connpool.SecondAnswer
 }
 
