Waits for a connection to rest, and of held answers, are no latency of the endpoint

Cause: a call's latency for the module and for steering held the time in which it waited for a connection to rest, or its answer for another one, so that slow endpoints and zones were seen where the forwarder waited for itself. Ended calls kept their contexts for as long as their answers could be doubted, and idle connections their confirmed answers. Change: Result.Waited is taken off the latency; contexts go with the end of the call, confirmed answers with the next inspection; bodies of delivered messages are kept for 2.5 s (a doubt comes within 2 s).

--- a/cmd/larkreach/wiring.go
+++ b/cmd/larkreach/wiring.go
@@ -109,7 +109,7 @@
 	if r.Outcome == transport.Answered {
 		res = result(r.Reply, r.Doubt)
 	}
-	res.ReusedConnection, res.Connection = r.Reused, routing.ConnectionUse(r.Connection)
+	res.ReusedConnection, res.Waited, res.Connection = r.Reused, r.Waited, routing.ConnectionUse(r.Connection)
 	return res
 }
 
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -381,6 +381,8 @@
 				expired = append(expired, c)
 			case quiet < p.policy.ConfirmAfter+p.policy.InspectInterval:
 				inspect = append(inspect, c)
+			default:
+				c.unconfirmed = nil // confirmed by the silence
 			}
 		}
 	}
--- a/internal/routing/calls.go
+++ b/internal/routing/calls.go
@@ -274,6 +274,7 @@
 func (r *Router) callEnded(call *outgoingCall, result Result) {
 	held := call.message
 	held.call = nil
+	call.ctx, call.cancel = nil, nil // the call is remembered as long as its answer may be put in doubt
 	r.callsOut--
 	if held.Long != nil {
 		r.longCalls--
@@ -291,7 +292,7 @@
 	call.outcome = outcome
 	r.counters.outcome(outcome)
 	r.sampleCall(call, outcome, result.Connection)
-	r.reportToSteering(call, outcome)
+	r.reportToSteering(call, outcome, result.Waited)
 	if limit := result.Limit; r.cfg.Steering != nil && !concluded.doubted && limit != nil && limit.Rate > 0 && !math.IsInf(limit.Rate, 1) {
 		r.cfg.Steering.LimitReported(held.Destination, r.endpoints[call.endpoint].Zone, limit.Rate)
 	}
@@ -322,7 +323,7 @@
 	}
 	r.decide(mb.Answer{
 		ID: mb.MessageID(held.seq), Attempt: call.number, Endpoint: mb.EndpointID(call.endpoint), Outcome: outcome,
-		Latency: time.Since(call.sentAt) - call.journalDelay, Settled: concluded.end != notEnded || held.ended, RetryAfter: result.RetryAfter, Limit: result.Limit,
+		Latency: time.Since(call.sentAt) - call.journalDelay - result.Waited, Settled: concluded.end != notEnded || held.ended, RetryAfter: result.RetryAfter, Limit: result.Limit,
 		ReusedConnection: result.ReusedConnection, BodyConsumed: result.BodyConsumed,
 	})
 }
--- a/internal/routing/doubt.go
+++ b/internal/routing/doubt.go
@@ -14,7 +14,7 @@
 	// maxRevocableBytes bounds the bodies of delivered messages that are kept to send them again.
 	maxRevocableBytes = 1 << 20
 	// revocableTime is how long they are kept; a Caller's doubt comes sooner.
-	revocableTime = 3 * time.Second
+	revocableTime = 2500 * time.Millisecond
 )
 
 // revocableDeliveries holds the delivered messages that still have their bodies, oldest first.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -97,6 +97,7 @@
 	NoAttemptsLeft   bool            // the message has had all its attempts: no further attempt, but its end has to be reported
 	ReusedConnection bool            // the connection had carried a call before
 	BodyConsumed     bool            // the body of a long message is lost, so no further attempt is possible
+	Waited           time.Duration   // part of the attempt's time in which it did not wait for the endpoint
 	Connection       ConnectionUse
 }
 
--- a/internal/routing/steering.go
+++ b/internal/routing/steering.go
@@ -90,7 +90,7 @@
 
 // reportToSteering reports the outcome of a call. A call that the module cancelled after too long without an answer
 // counts as timed out.
-func (r *Router) reportToSteering(call *outgoingCall, outcome mb.Outcome) {
+func (r *Router) reportToSteering(call *outgoingCall, outcome mb.Outcome, waited time.Duration) {
 	if outcome == mb.Cancelled && call.timedOutByModule {
 		outcome = mb.TimedOut
 	}
@@ -98,7 +98,7 @@
 		return
 	}
 	endpoint := r.endpoints[call.endpoint]
-	r.cfg.Steering.CallEnded(call.message.Destination, endpoint.Zone, outcome, time.Since(call.sentAt)-call.permissionTime)
+	r.cfg.Steering.CallEnded(call.message.Destination, endpoint.Zone, outcome, time.Since(call.sentAt)-call.permissionTime-waited)
 }
 
 // ZoneCapacities returns the listed capacity of each destination by zone, in calls per second.
--- a/internal/transport/answer_reader.go
+++ b/internal/transport/answer_reader.go
@@ -18,6 +18,7 @@
 	reply    protocol.Reply // valid if outcome is Answered
 	doubt    connpool.Doubt // whether the answer may be another call's
 	reusable bool           // the connection can carry another call; otherwise it is closed
+	waited   time.Duration  // how long the answer was held back
 }
 
 // endsMessage reports whether the answer says that the message gets no further call.
@@ -130,7 +131,9 @@
 
 // acceptHeld takes the answer that was held back for the call's own, since no other has followed.
 func (r *answerReader) acceptHeld(doubt connpool.Doubt) verdict {
-	v := verdict{outcome: Answered, reply: *r.held, doubt: doubt, reusable: !doubt.Suspicious()}
+	v := verdict{
+		outcome: Answered, reply: *r.held, doubt: doubt, reusable: !doubt.Suspicious(), waited: time.Since(r.sentAt) - r.heldLatency,
+	}
 	r.observe(&v, r.heldLatency)
 	return v
 }
--- a/internal/transport/endpoint_conns.go
+++ b/internal/transport/endpoint_conns.go
@@ -59,6 +59,7 @@
 	retryConn
 	pooled *connpool.Conn[*endpointConn]
 	quiet  time.Duration // silence before the present call
+	waited time.Duration // how long the present call waited for this connection to rest
 }
 
 // describe returns what the log says of the connection.
@@ -115,6 +116,7 @@
 // takeIdle takes an idle connection for a call out of the pool, or returns nil. It waits for one that will have rested
 // soon.
 func (p *Endpoints) takeIdle(ctx context.Context, call Call) (*endpointConn, error) {
+	started := time.Now()
 	for {
 		now := time.Now()
 		p.mu.Lock()
@@ -135,8 +137,9 @@
 			p.mu.Unlock()
 		}
 		if claimed {
-			choice.Conn.Handle.quiet = choice.Conn.Quiet(now)
-			return choice.Conn.Handle, nil
+			conn := choice.Conn.Handle
+			conn.quiet, conn.waited = choice.Conn.Quiet(now), now.Sub(started)
+			return conn, nil
 		}
 		if ctx.Err() != nil {
 			return nil, fmt.Errorf("transport: waiting for a connection: %w", ctx.Err())
--- a/internal/transport/endpoints.go
+++ b/internal/transport/endpoints.go
@@ -122,6 +122,7 @@
 	Outcome CallOutcome
 	Doubt   connpool.Doubt // with Answered: whether the answer may be another call's
 	Reused  bool           // the connection had carried a call before
+	Waited  time.Duration  // time in which the call waited for a connection to rest, or its answer for another one
 	Connection
 }
 
@@ -153,7 +154,7 @@
 			if v.outcome == Broken || v.outcome == Unconnected {
 				p.logSample(call, "connection broken", err, connection)
 			}
-			return Result{v.reply, v.outcome, v.doubt, reused, connection}
+			return Result{v.reply, v.outcome, v.doubt, reused, c.waited + v.waited, connection}
 		}
 		p.discard(c)
 		p.count(&p.counters.ClosedBeforeUse)
