--- a/cmd/larkreach/ended_messages_test.go
+++ b/cmd/larkreach/ended_messages_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -26,6 +27,8 @@
 type endings struct {
 	withdrawn   bool // some messages are over, and endpoints answer 410 at once; messages out of time too
 	exhausted   bool // some messages have had all their attempts, and endpoints answer 504 at once
+	everyStatus bool // refusals of all kinds, errors, and calls that are never answered
+	crowd       bool // crowdFactor times the clients
 	neverRefuse bool // endpoints refuse no call
 	slow        bool // endpoints work for half of longestService or more, and refuse at once
 	faultShare  float64
@@ -46,7 +49,8 @@
 
 // endingRun is the state of a run that concerns the end of messages.
 type endingRun struct {
-	states *lab.MessageStates
+	states      *lab.MessageStates
+	terminateAt atomic.Int64 // when SIGTERM was sent, in nanoseconds since 1970; 0 while the program is not ending
 
 	faultMu   sync.Mutex
 	faultRNG  *rand.Rand
@@ -101,10 +105,54 @@
 	return p.answer(c, status)
 }
 
+// refusals are the answers that say that a call did not run, with their header lines.
+var refusals = []struct {
+	status int
+	fields string
+}{{503, ""}, {503, "X-Over-Slots: 1\r\n"}, {429, "X-RateLimit-Wait-Ms: 20\r\n"}}
+
+const (
+	crowdFactor = 5
+	errorShare  = 0.02 // of the calls that run
+	hungShare   = 0.01
+	hangTime    = time.Second
+)
+
+// drawStatus draws the answer of a call in a scenario with every status; status is 0 for a call that is not answered.
+func (p *endingRun) drawStatus(refused bool) (status int, fields string) {
+	p.faultMu.Lock()
+	defer p.faultMu.Unlock()
+	if refused {
+		refusal := refusals[p.faultRNG.IntN(len(refusals))]
+		return refusal.status, refusal.fields
+	}
+	switch roll := p.faultRNG.Float64(); {
+	case roll < errorShare:
+		return 500, ""
+	case roll < errorShare+hungShare:
+		return 0, ""
+	}
+	return 200, ""
+}
+
+// serveAnyStatus answers a call in a scenario with every status.
+func (p *strayRun) serveAnyStatus(c *lab.Call, refused bool) bool {
+	status, fields := p.drawStatus(refused)
+	p.called(c.ID, !refused, status == 200)
+	if status == 0 {
+		time.Sleep(hangTime)
+		return false
+	}
+	return p.answerWith(c, status, fields)
+}
+
 // answer writes an answer, some with a fault.
-func (p *strayRun) answer(c *lab.Call, status int) bool {
+func (p *strayRun) answer(c *lab.Call, status int) bool { return p.answerWith(c, status, "") }
+
+// answerWith is answer with additional header lines.
+func (p *strayRun) answerWith(c *lab.Call, status int, fields string) bool {
 	if len(p.scenario.faults) == 0 {
-		return c.Answer(status, "") == nil
+		return c.Answer(status, fields) == nil
 	}
 	p.faultMu.Lock()
 	fault := lab.AnswerWhole
@@ -112,7 +160,7 @@
 		fault = p.scenario.faults[p.faultRNG.IntN(len(p.scenario.faults))]
 	}
 	p.faultMu.Unlock()
-	return c.AnswerWithFault(status, "", fault)
+	return c.AnswerWithFault(status, fields, fault)
 }
 
 // refused records a refusal that is written now.
@@ -138,12 +186,23 @@
 		must(p.t, p.f.Signal(syscall.SIGHUP))
 	}
 	if p.scenario.terminate {
+		p.terminateAt.Store(time.Now().UnixNano())
 		must(p.t, p.f.End(syscall.SIGTERM))
 		p.stoppedInOrder()
 		must(p.t, p.f.Start())
+		p.terminateAt.Store(0)
 	}
 }
 
+// connectAfterTerm is how long clients go on opening connections after SIGTERM, as the protocol page has it.
+const connectAfterTerm = 400 * time.Millisecond
+
+// clientsConnect reports whether clients open connections now.
+func (p *endingRun) clientsConnect() bool {
+	at := p.terminateAt.Load()
+	return at == 0 || time.Since(time.Unix(0, at)) < connectAfterTerm
+}
+
 // maxCallRatio bounds the calls for each message that is called, with one of eight calls refused.
 const maxCallRatio = 1.3
 
@@ -214,6 +273,28 @@
 	})
 }
 
+// everyStray is one stray of each kind.
+var everyStray = []lab.StrayKind{
+	lab.StrayCopy, lab.StrayHalf, lab.StrayDelivered, lab.StrayRefusal, lab.StrayTimeout, lab.StrayOver, lab.StrayNoAttemptsLeft, lab.StrayWait,
+	lab.StrayError,
+}
+
+// Guards against lost messages and calls for ended ones where every status comes, as the call's own answer and as a stray.
+func TestEveryStatusTrueAndStray(t *testing.T) {
+	runStrays(t, strayScenario{
+		share: 0.05, maxLag: 20 * time.Millisecond, reset: true, kinds: everyStray,
+		endings: endings{withdrawn: true, exhausted: true, slow: true, everyStatus: true},
+	})
+}
+
+// Guards against the same where endpoints are fast, clients are many and the process is ended in order about once a second.
+func TestEveryStatusAndStopsInOrder(t *testing.T) {
+	runStrays(t, strayScenario{
+		share: 0.05, maxLag: 20 * time.Millisecond, reset: true, kinds: everyStray,
+		endings: endings{withdrawn: true, exhausted: true, everyStatus: true, crowd: true, terminate: true},
+	})
+}
+
 // Guards against doubt that multiplies calls: answers that are written twice in one write are no reason to call again.
 func TestAnswersWrittenTwiceCauseFewCalls(t *testing.T) {
 	runStrays(t, strayScenario{endings: endings{slow: true, limitCalls: true, faultShare: 0.2, faults: []lab.AnswerFault{lab.AnswerTwice}}})
--- a/cmd/larkreach/stray_answers_test.go
+++ b/cmd/larkreach/stray_answers_test.go
@@ -133,6 +133,9 @@
 		work = slowWork(refused, work)
 	}
 	time.Sleep(work)
+	if p.scenario.everyStatus && !lost {
+		return p.serveAnyStatus(c, refused)
+	}
 	p.called(c.ID, !refused, !refused && !lost)
 	if lost {
 		return false
@@ -165,13 +168,11 @@
 func (p *strayRun) client() {
 	classes := []string{"safe", "keyed", "unsafe"}
 	var conn *lab.Client
+	used := false
 	for !p.stop.Load() {
 		if conn == nil {
-			var err error
-			if conn, err = lab.Dial(p.f.Address()); err != nil {
-				conn = nil
-				time.Sleep(strayRetryPause)
-				continue
+			if conn = p.dial(); conn == nil {
+				break
 			}
 		}
 		n := p.number.Add(1)
@@ -185,10 +186,17 @@
 		p.decideState(h)
 		p.submitting(h)
 		a := conn.Hand(h, nil)
+		if crossed := used && a.Silent && p.scenario.terminate; crossed { // the program may have closed the idle connection: retry once on a new one
+			conn.Close()
+			if conn = p.dial(); conn == nil {
+				break
+			}
+			a = conn.Hand(h, nil)
+		}
 		p.answered(h.ID, a)
-		if a.Err != nil || a.Close || a.Status == 0 {
+		if used = true; a.Err != nil || a.Close || a.Status == 0 {
 			conn.Close()
-			conn = nil
+			conn, used = nil, false
 		}
 		time.Sleep(clientPause)
 	}
@@ -197,10 +205,28 @@
 	}
 }
 
+// dial connects a client, and retries while the connection is refused or clients stay away. It returns nil at the end of
+// the run.
+func (p *strayRun) dial() *lab.Client {
+	for !p.stop.Load() {
+		if p.clientsConnect() {
+			if conn, err := lab.Dial(p.f.Address()); err == nil {
+				return conn
+			}
+		}
+		time.Sleep(strayRetryPause)
+	}
+	return nil
+}
+
 // run runs the load and returns the violations of delivery rules.
 func (p *strayRun) run() []string {
 	var clients sync.WaitGroup
-	for range strayClients {
+	count := strayClients
+	if p.scenario.crowd {
+		count *= crowdFactor
+	}
+	for range count {
 		clients.Go(p.client)
 	}
 	for until := time.Now().Add(strayRunTime); time.Now().Before(until); {
--- a/internal/lab/strays.go
+++ b/internal/lab/strays.go
@@ -13,18 +13,26 @@
 
 // The kinds of strays.
 const (
-	StrayCopy      StrayKind = iota // the latest answer once more
-	StrayHalf                       // the first half of the latest answer
-	StrayDelivered                  // an answer with 200 that belongs to no request
-	StrayRefusal                    // an answer with 503 that belongs to no request
-	StrayTimeout                    // an answer with 408, as servers write it before they close an idle connection
+	StrayCopy           StrayKind = iota // the latest answer once more
+	StrayHalf                            // the first half of the latest answer
+	StrayDelivered                       // an answer with 200 that belongs to no request
+	StrayRefusal                         // an answer with 503 that belongs to no request
+	StrayTimeout                         // an answer with 408, as servers write it before they close an idle connection
+	StrayOver                            // an answer with 410 that belongs to no request
+	StrayNoAttemptsLeft                  // an answer with 504 that belongs to no request
+	StrayWait                            // an answer with 429 that belongs to no request
+	StrayError                           // an answer with 500 that belongs to no request
 )
 
 // strayTexts are the kinds whose text does not depend on the latest answer.
 var strayTexts = map[StrayKind]string{
-	StrayDelivered: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
-	StrayRefusal:   "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
-	StrayTimeout:   "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n",
+	StrayDelivered:      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+	StrayRefusal:        "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+	StrayTimeout:        "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n",
+	StrayOver:           "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n",
+	StrayNoAttemptsLeft: "HTTP/1.1 504 Gateway Timeout\r\nContent-Length: 0\r\n\r\n",
+	StrayWait:           "HTTP/1.1 429 Too Many Requests\r\nX-RateLimit-Wait-Ms: 20\r\nContent-Length: 0\r\n\r\n",
+	StrayError:          "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n",
 }
 
 // Strays makes a peer write bytes that belong to no request, some time after some of its answers. Its methods are safe
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -34,13 +34,28 @@
 	LongHeld, LongCallsOut                         int   // now
 }
 
+// outcome counts the outcome of a call.
 func (c *Counters) outcome(o mb.Outcome) {
-	counts := map[mb.Outcome]*int64{
-		mb.OK: &c.Delivered, mb.Failed: &c.Errors, mb.Refused: &c.RefusedByEndpoint, mb.TimedOut: &c.TimedOut,
-		mb.ConnectFailed: &c.ConnectFailed, mb.Reset: &c.Reset, mb.Cancelled: &c.Cancelled, mb.NotSent: &c.NotSent,
-		mb.Doubtful: &c.Doubtful,
+	switch o {
+	case mb.OK:
+		c.Delivered++
+	case mb.Failed:
+		c.Errors++
+	case mb.Refused:
+		c.RefusedByEndpoint++
+	case mb.TimedOut:
+		c.TimedOut++
+	case mb.ConnectFailed:
+		c.ConnectFailed++
+	case mb.Reset:
+		c.Reset++
+	case mb.Cancelled:
+		c.Cancelled++
+	case mb.NotSent:
+		c.NotSent++
+	case mb.Doubtful:
+		c.Doubtful++
 	}
-	*counts[o]++
 }
 
 // Log adds the counters to a log line, one object per group. Long messages are included only if long is true.
