Model of a message's life: doubts before the result, and of certain answers; 200 seeds

Two removed safeguards were not found: that only a delivery can be reopened, and the doubt that comes before its call's result. Both are found now.

--- a/internal/routing/conclusion_test.go
+++ b/internal/routing/conclusion_test.go
@@ -97,22 +97,26 @@
 	if stray {
 		status, certainty = []int{200, 410, 504, 503, 500}[m.rng.IntN(5)], []Certainty{Plausible, InDoubt}[m.rng.IntN(2)]
 	}
-	doubtLater, doubtAfter := stray || m.rng.IntN(5) == 0 && certainty == Plausible, time.Duration(m.rng.IntN(300))*time.Millisecond
+	doubtLater, doubtAfter := stray || m.rng.IntN(5) == 0, time.Duration(m.rng.IntN(300))*time.Millisecond
+	doubtAtOnce := m.rng.IntN(4) == 0 // before the result comes
 	m.mu.Unlock()
 	select {
 	case <-time.After(during):
 	case <-ctx.Done():
 		return Result{Outcome: mb.TimedOut}
 	}
+	if doubtLater && doubtAtOnce {
+		attempt.OnDoubt()
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if stray {
+	if stray && !doubtAtOnce {
 		m.doubtful[attempt.ID] = true
-	} else if truth == 410 || truth == 504 {
+	} else if !stray && (truth == 410 || truth == 504) {
 		m.ended[attempt.ID] = truth
 	}
 	m.delivered[attempt.ID] = m.delivered[attempt.ID] || truth == 200
-	if life := m.life; doubtLater {
+	if life := m.life; doubtLater && !doubtAtOnce {
 		time.AfterFunc(doubtAfter, func() {
 			m.mu.Lock()
 			alive := life == m.life
@@ -160,7 +164,7 @@
 const (
 	modelLives    = 3
 	modelMessages = 30 // of a life
-	modelSeeds    = 40
+	modelSeeds    = 200
 )
 
 // runLives runs a router through several processes on one journal and returns the broken rules.
