--- a/cmd/larkreach/ended_messages_test.go
+++ b/cmd/larkreach/ended_messages_test.go
@@ -105,6 +105,19 @@
 	return p.answer(c, status)
 }
 
+// endStreamed answers a call with a long body before its body has come, if its message is over.
+func (p *strayRun) endStreamed(c *lab.Call) (ended, keep bool) {
+	if !p.scenario.withdrawn || c.Length >= 0 && c.Length < longBodySize {
+		return false, false
+	}
+	status := p.states.Status(c.ID, time.Now())
+	if status == 0 {
+		return false, false
+	}
+	keep = p.endMessage(c, status)
+	return true, keep && c.ReadAll(0) == nil
+}
+
 // refusals are the answers that say that a call did not run, with their header lines.
 var refusals = []struct {
 	status int
@@ -295,6 +308,13 @@
 	})
 }
 
+// Guards against calls for ended messages whose bodies are long: the end comes while the body is still going up.
+func TestEndedMessagesBesideLongBodies(t *testing.T) {
+	runStrays(t, strayScenario{long: true, endings: endings{
+		withdrawn: true, exhausted: true, neverRefuse: true, slow: true, faultShare: 0.15, faults: []lab.AnswerFault{lab.AnswerCut, lab.AnswerThenClose},
+	}})
+}
+
 // Guards against doubt that multiplies calls: answers that are written twice in one write are no reason to call again.
 func TestAnswersWrittenTwiceCauseFewCalls(t *testing.T) {
 	runStrays(t, strayScenario{endings: endings{slow: true, limitCalls: true, faultShare: 0.2, faults: []lab.AnswerFault{lab.AnswerTwice}}})
--- a/cmd/larkreach/stray_answers_test.go
+++ b/cmd/larkreach/stray_answers_test.go
@@ -100,6 +100,9 @@
 
 // serve answers a call: one of eight is refused, the others take effect.
 func (p *strayRun) serve(c *lab.Call) bool {
+	if ended, keep := p.endStreamed(c); ended {
+		return keep
+	}
 	if c.ReadAll(0) != nil {
 		return false
 	}
