A connection with an early end rests until another answer could have come

Change: the connection stays and is watched, and carries no other call until the answer of its call would have come.

--- a/internal/connpool/doubt.go
+++ b/internal/connpool/doubt.go
@@ -9,7 +9,7 @@
 const (
 	NoDoubt      Doubt = iota // the answer can only be its call's own
 	Unconfirmed               // the connection carried another call shortly before
-	EarlyAnswer               // it came sooner than the endpoint answers, and its connection ended or was not watched longer
+	EarlyAnswer               // it came sooner than the endpoint answers, and was not held back
 	SecondAnswer              // another answer that says something else came with it
 	CutShort                  // it is incomplete, and may be a part of another call's
 )
@@ -26,6 +26,10 @@
 // before the call.
 func (c *Conn[H]) Certain() bool { return c.Uses <= 1 || c.confirmed }
 
+// RestUntil keeps the connection from carrying another call before a time: another answer to its present call may come
+// until then.
+func (c *Conn[H]) RestUntil(at time.Time) { c.restUntil = at }
+
 // Surplus records that the answer to the present call, with a status, was followed at once by another answer; its status
 // is 0 if it is not known. It returns the earlier answers that may have been those of other calls: an answer is its call's
 // own, or says the same as that, if all that follow it say the same. The connection has to be closed.
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -92,6 +92,7 @@
 	reserved    bool      // a call waits until it has rested
 	kept        bool      // it has been idle
 	answeredAt  time.Time // when its latest answer was read
+	restUntil   time.Time // until then it carries no other call
 	confirmed   bool      // all answers before the present call are known to be their calls' own
 	unconfirmed []Answer  // oldest first
 }
@@ -210,7 +211,7 @@
 // stay open; nil if there is none.
 func (p *Pool[H]) rested(now time.Time, endpoint string, rest time.Duration) *Conn[H] {
 	for _, c := range slices.Backward(p.idle[endpoint]) {
-		if quiet := c.Quiet(now); !c.reserved && quiet >= rest && quiet < p.policy.IdleTimeout {
+		if quiet := c.Quiet(now); !c.reserved && quiet >= rest && quiet < p.policy.IdleTimeout && !now.Before(c.restUntil) {
 			return c
 		}
 	}
@@ -220,7 +221,7 @@
 // resting returns the idle connection to an endpoint that will have rested first, or nil.
 func (p *Pool[H]) resting(now time.Time, endpoint string) *Conn[H] {
 	for _, c := range p.idle[endpoint] {
-		if !c.reserved && c.Quiet(now) < p.policy.IdleTimeout {
+		if !c.reserved && c.Quiet(now) < p.policy.IdleTimeout && !now.Before(c.restUntil) {
 			return c
 		}
 	}
--- a/internal/transport/answer_reader.go
+++ b/internal/transport/answer_reader.go
@@ -123,7 +123,8 @@
 	}
 	v.reusable = !m.Close
 	if r.early() && protocol.EndsMessage(v.reply.Status) {
-		v.doubt, v.reusable = connpool.EarlyAnswer, false
+		v.doubt = connpool.EarlyAnswer
+		r.conn.pooled.RestUntil(r.sentAt.Add(r.hold.Until))
 	}
 	r.observe(&v, time.Since(r.sentAt))
 	return v
