--- a/internal/lab/endpoint.go
+++ b/internal/lab/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -169,7 +170,7 @@
 			return
 		}
 		c := &Call{
-			ID: req.Header.Get("X-Request-ID"), Key: req.Header.Get("Idempotency-Key"), Timeout: req.Header.Get("X-Timeout-Ms"),
+			ID: requestID(req), Key: req.Header.Get("Idempotency-Key"), Timeout: req.Header.Get("X-Timeout-Ms"),
 			Length: req.ContentLength, Connection: number, Request: req, Conn: conn, endpoint: p,
 			arrival: unrecorded,
 		}
@@ -185,6 +186,12 @@
 	}
 }
 
+// requestID returns the id of a call's message. A request without one is no call of a message; its first line tells what
+// it is.
+func requestID(req *http.Request) string {
+	return cmp.Or(req.Header.Get("X-Request-ID"), req.Method+" "+req.URL.String())
+}
+
 // recordArrival records what is known of the call. An answer is recorded before it is written: whoever has seen the
 // answer finds the call in the records.
 func (c *Call) recordArrival() {
