--- a/cmd/larkreach/ended_messages_test.go
+++ b/cmd/larkreach/ended_messages_test.go
@@ -201,7 +201,7 @@
 	if p.scenario.terminate {
 		p.terminateAt.Store(time.Now().UnixNano())
 		must(p.t, p.f.End(syscall.SIGTERM))
-		p.stoppedInOrder()
+		p.stopped(time.Now())
 		must(p.t, p.f.Start())
 		p.terminateAt.Store(0)
 	}
--- a/cmd/larkreach/stray_answers_test.go
+++ b/cmd/larkreach/stray_answers_test.go
@@ -235,8 +235,10 @@
 	for until := time.Now().Add(strayRunTime); time.Now().Before(until); {
 		time.Sleep(strayKillEvery) // load between two kills
 		if p.scenario.kill {
+			killAt := time.Now()
 			must(p.t, ignoreKilled(p.f.End(syscall.SIGKILL)))
 			p.killed()
+			p.stopped(killAt)
 			must(p.t, p.f.Start())
 		}
 		p.signal()
--- a/cmd/larkreach/sysfault_record_test.go
+++ b/cmd/larkreach/sysfault_record_test.go
@@ -17,9 +17,12 @@
 	mu       sync.Mutex
 	messages map[string]*messageRecord
 	kills    []time.Time
-	stops    []time.Time // ends of the program, by SIGKILL or in order
+	stops    []processStop
 }
 
+// processStop is an end of the program: from SIGKILL until it was gone, or the moment in which it ended in order.
+type processStop struct{ from, to time.Time }
+
 // messageRecord contains the observations of one message.
 type messageRecord struct {
 	lab.Handover
@@ -84,13 +87,14 @@
 func (r *record) killed() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.kills, r.stops = append(r.kills, time.Now()), append(r.stops, time.Now())
+	r.kills = append(r.kills, time.Now())
 }
 
-func (r *record) stoppedInOrder() {
+// stopped records an end of the program that began at a time and is complete now.
+func (r *record) stopped(from time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.stops = append(r.stops, time.Now())
+	r.stops = append(r.stops, processStop{from, time.Now()})
 }
 
 // answeredOver records that an endpoint answers now that it serves a message no more.
@@ -214,8 +218,8 @@
 
 // callsAfterOver returns the number of calls of a message after the answer that it is over, and when the first came.
 func (r *record) callsAfterOver(m *messageRecord) (n int, first time.Duration) {
-	if m.overAt.IsZero() || slices.ContainsFunc(r.stops, func(at time.Time) bool {
-		return at.After(m.overAt) && at.Before(m.overAt.Add(protocolSlack))
+	if m.overAt.IsZero() || slices.ContainsFunc(r.stops, func(stop processStop) bool {
+		return m.overAt.After(stop.from.Add(-protocolSlack)) && m.overAt.Before(stop.to)
 	}) {
 		return 0, 0
 	}
