A surplus answer raises no suspicion

Cause: had connections carry one call each after a surplus answer. Change: it raises none. It always comes with an answer, so it is always noticed; which answers it puts in doubt is exact, and the calls made on doubt have a budget.

--- a/internal/connpool/doubt.go
+++ b/internal/connpool/doubt.go
@@ -32,9 +32,9 @@
 
 // Surplus records that the answer to the present call, with a status, was followed at once by another answer; its status
 // is 0 if it is not known. It returns the earlier answers that may have been those of other calls: an answer is its call's
-// own, or says the same as that, if all that follow it say the same. The connection has to be closed.
+// own, or says the same as that, if all that follow it say the same. It raises no suspicion: a surplus answer that comes with
+// an answer is always noticed. The connection has to be closed.
 func (p *Pool[H]) Surplus(now time.Time, c *Conn[H], answered, following int) (inDoubt []Answer) {
-	p.suspicion.stray(now, c.Endpoint)
 	differs := answered != following
 	for i := len(c.unconfirmed) - 1; i >= 0; i-- {
 		answer := c.unconfirmed[i]
