--- a/internal/transport/endpoints_test.go
+++ b/internal/transport/endpoints_test.go
@@ -21,6 +21,13 @@
 
 // dialOKEndpoint starts an endpoint that answers each call with 200, and returns a connection to it.
 func dialOKEndpoint(t *testing.T, endpoints *Endpoints) *endpointConn {
+	t.Helper()
+	return dialEndpoint(t, endpoints, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+}
+
+// dialEndpoint starts an endpoint that writes an answer to each call and closes the connection, and returns a connection
+// to it.
+func dialEndpoint(t *testing.T, endpoints *Endpoints, answer string) *endpointConn {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -34,7 +41,7 @@
 		}
 		defer conn.Close()
 		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+			_, _ = conn.Write([]byte(answer))
 		}
 	}()
 	conn, err := net.Dial("tcp", listener.Addr().String())
@@ -65,3 +72,28 @@
 		endpoints.Close()
 	}
 }
+
+// Guards against a message that is called again since its end was read late, or with a part of it missing.
+func TestEndOfMessageCountsHoweverItIsRead(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer   string
+		deadline time.Time
+		status   int
+	}{
+		"over, late":              {"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n", time.Now().Add(-time.Microsecond), 410},
+		"over, cut short":         {"HTTP/1.1 410 Gone\r\nContent-Length: 9\r\n\r\nhalf", time.Now().Add(time.Hour), 410},
+		"over, first line alone":  {"HTTP/1.1 410 Gone\r\n", time.Now().Add(time.Hour), 410},
+		"no attempts, late":       {"HTTP/1.1 504 Gateway Timeout\r\nContent-Length: 0\r\n\r\n", time.Now().Add(-time.Microsecond), 504},
+		"no attempts, cut, late":  {"HTTP/1.1 504 Gateway Timeout\r\nContent-Length: 9\r\n\r\nhalf", time.Now().Add(-time.Microsecond), 504},
+		"no attempts, surplus":    {"HTTP/1.1 504 No\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", time.Now().Add(time.Hour), 504},
+		"over, bytes of no reply": {"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\nrest", time.Now().Add(time.Hour), 410},
+	} {
+		endpoints := NewEndpoints(time.Minute, time.Second, 1)
+		call := Call{Call: protocol.Call{ID: "i", Host: "h"}}
+		v, _ := endpoints.exchange(deadlineContext{context.Background(), c.deadline}, dialEndpoint(t, endpoints, c.answer), call)
+		if v.outcome != Answered || v.reply.Status != c.status {
+			t.Errorf("%s: outcome %v, status %d", name, v.outcome, v.reply.Status)
+		}
+		endpoints.Close()
+	}
+}
