--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -382,8 +382,8 @@
 				expired = append(expired, c)
 			case quiet < p.policy.ConfirmAfter+p.policy.InspectInterval:
 				inspect = append(inspect, c)
-			default:
-				c.unconfirmed = nil // confirmed by the silence
+			case quiet > p.policy.DoubtTimeout:
+				c.unconfirmed = nil // no longer put in doubt
 			}
 		}
 	}
--- a/internal/routing/doubt.go
+++ b/internal/routing/doubt.go
@@ -155,7 +155,7 @@
 	return r.cfg.Log.AcceptTakenOver(reservation, entry)
 }
 
-// reportRevoked reports the end of a message whose end is revoked.
+// reportRevoked reports a message whose end is revoked.
 func (r *Router) reportRevoked(call *outgoingCall, held *heldMessage, returned bool) {
 	r.counters.ReportedInDoubt++
 	r.sampleDoubt(call, "reported")
