Transport: how long a call waited is read before its connection is given away

Cause: read the wait from the connection behind exchange, which returns it to the pool, where the next call may write it: a data race, and at times another call's wait.

--- a/internal/transport/endpoints.go
+++ b/internal/transport/endpoints.go
@@ -149,12 +149,12 @@
 			return Result{Outcome: NotBegun}
 		}
 		if c.nothingReceived() {
-			reused, connection := c.pooled.Reused(), c.describe()
+			reused, waited, connection := c.pooled.Reused(), c.waited, c.describe() // exchange gives the connection away
 			v, err := p.exchange(ctx, c, call)
 			if v.outcome == Broken || v.outcome == Unconnected {
 				p.logSample(call, "connection broken", err, connection)
 			}
-			return Result{v.reply, v.outcome, v.doubt, reused, c.waited + v.waited, connection}
+			return Result{v.reply, v.outcome, v.doubt, reused, waited + v.waited, connection}
 		}
 		p.discard(c)
 		p.count(&p.counters.ClosedBeforeUse)
