Tests: forwarders of the disk and kill tests have hosts of their own

TestCallWaitsForSocket failed once in a run of the package: 'bind: address already in use' on 127.0.0.1. The port is chosen, closed and bound again by the program, and another test's connection took it in between; with an address of its own (uniqueHost) none can.

--- a/cmd/larkreach/disk_test.go
+++ b/cmd/larkreach/disk_test.go
@@ -39,7 +39,7 @@
 	s := &labForwarder{p: &lab.Endpoint{Name: "p", Group: 7}, agent: &lab.Agent{}, check: lab.NewChecker()}
 	must(t, s.p.Listen())
 	must(t, s.agent.Listen(s.p))
-	s.f = &lab.Forwarder{Command: []string{os.Args[0]}, Env: []string{childProcessEnv + "=1"}, Settings: own}
+	s.f = &lab.Forwarder{Command: []string{os.Args[0]}, Env: []string{childProcessEnv + "=1"}, Settings: own, Host: uniqueHost()}
 	dir := t.TempDir()
 	s.state = filepath.Join(dir, "state")
 	must(t, s.f.Prepare(dir, s.agent))
--- a/cmd/larkreach/kill_test.go
+++ b/cmd/larkreach/kill_test.go
@@ -42,7 +42,7 @@
 	must(t, p.Listen())
 	must(t, q.Listen())
 	must(t, agent.Listen(p, q))
-	f := &lab.Forwarder{Command: []string{os.Args[0]}, Env: []string{childProcessEnv + "=1"}, Settings: own}
+	f := &lab.Forwarder{Command: []string{os.Args[0]}, Env: []string{childProcessEnv + "=1"}, Settings: own, Host: uniqueHost()}
 	dir := t.TempDir()
 	must(t, f.Prepare(dir, agent))
 	must(t, f.Start())
