Review: messages are lost when a forwarder takes back what was taken over from it

Three forwarders that replicate die and come back one after another, each time the one that owes the messages.

--- /dev/null
+++ b/review/standins-2/fleet.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"time"
+
+	"mulleinbeam/internal/lab"
+	"mulleinbeam/internal/lab/cluster"
+)
+
+// giveUp is how long a message of record-extract and fee-charge may be delivered.
+const giveUp = 28 * time.Second
+
+// slack is how long after its time a message may at the latest end: 300 ms, and 50 ms for every limit on sockets.
+const slack = 350 * time.Millisecond
+
+// listed returns the platform's entry of an endpoint.
+func listed(p *lab.Endpoint, status string) entry {
+	return entry{Name: p.Name, Address: p.Address(), Zone: cmp.Or(p.Zone, "z"), Type: "k", Group: cluster.Group, Status: status, Weight: 50}
+}
+
+// startFleet starts three forwarders that replicate, with the given partner as the only endpoint, and waits until each has
+// its replica. Unless it is nil, change changes the setup.
+func startFleet(ctx context.Context, r *run, partner *lab.Endpoint, change func(*cluster.Setup)) (*cluster.Fleet, *agent, error) {
+	lab.Classes = vltaviceClasses
+	platform, err := startAgent(r)
+	if err != nil {
+		return nil, nil, err
+	}
+	setup := cluster.Setup{Members: 3, Alone: alone, Program: deployCommand, Dir: r.dir, Seed: 1, Direct: true}
+	setup.Amend = func(configuration map[string]any) {
+		configuration["settings"].(map[string]any)["balancers"] = setup.Members
+		configuration["discovery"], configuration["known"] = platform.address, platform.known()
+	}
+	if change != nil {
+		change(&setup)
+	}
+	fleet, err := cluster.Open(setup, partner)
+	if err != nil {
+		return nil, nil, err
+	}
+	r.onEnd(fleet.Close)
+	platform.set(listed(partner, "SERVING"))
+	if err := fleet.Start(fleet.All()...); err != nil {
+		return nil, nil, err
+	}
+	if err := fleet.AwaitCopied(ctx, fleet.All()...); err != nil {
+		return nil, nil, err
+	}
+	r.note("%d forwarders are ready and replicate", setup.Members)
+	return fleet, platform, nil
+}
+
+// logs writes the logs of the members to the record.
+func logs(r *run, fleet *cluster.Fleet) {
+	for i, m := range fleet.Members {
+		r.note("log of n%d since its last start:\n%s", i, m.Log())
+	}
+}
