--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -3,17 +3,21 @@
 import (
 	"cmp"
 	"context"
+	"os/exec"
+	"strings"
 	"time"
 
 	"mulleinbeam/internal/lab"
 	"mulleinbeam/internal/lab/cluster"
 )
 
-// giveUp is how long a message of record-extract and fee-charge may be delivered.
-const giveUp = 28 * time.Second
-
-// slack is how long after its time a message may at the latest end: 300 ms, and 50 ms for every limit on sockets.
-const slack = 350 * time.Millisecond
+const (
+	giveUp       = 28 * time.Second        // how long a message of record-extract and fee-charge may be delivered
+	slack        = 350 * time.Millisecond  // after its time a message is lost so much later: 300 ms, and 50 ms for every limit on sockets
+	lateEnd      = 3 * time.Second         // how long after its time a message's end is waited for, far more than the rules allow
+	away         = 3500 * time.Millisecond // how long a forwarder that died stays away; the pages say 2 to 7.8 s
+	restartAfter = 600 * time.Millisecond  // between SIGKILL and the next start of a restart
+)
 
 // listed returns the platform's entry of an endpoint.
 func listed(p *lab.Endpoint, status string) entry {
@@ -58,3 +62,19 @@
 		r.note("log of n%d since its last start:\n%s", i, m.Log())
 	}
 }
+
+// operate runs one of the operators' commands at a member.
+func operate(r *run, at string, args ...string) error {
+	args = append(append([]string{"cluster"}, args...), "--at", at)
+	out, err := exec.Command("bin/larkreach", args...).CombinedOutput()
+	r.note("larkreach %s: %v\n%s", strings.Join(args, " "), err, strings.TrimSpace(string(out)))
+	return err
+}
+
+// show records what each member says of the voters and the members.
+func show(r *run, fleet *cluster.Fleet) {
+	for _, m := range fleet.Members {
+		_ = operate(r, m.Links, "founders")
+		_ = operate(r, m.Links, "members")
+	}
+}
