--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -26,6 +26,7 @@
 	"pipeline-memory": pipelineMemory,
 	"pipeline-crowd":  pipelineCrowd,
 	"two-holders":     twoHolders,
+	"drained-keeper":  drainedKeeper,
 }
 
 // run is one play of a case.
