--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,3 +6,4 @@
 mkdir -p bin
 CGO_ENABLED=1 go build -tags cluster -ldflags=-linkmode=external -o bin/larkreach-cluster ./cmd/larkreach
 go build -o bin/review-standins-2 ./review/standins-2
+go build -o bin/review-standins-3 ./review/standins-3
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -1,4 +1,4 @@
-// Command standins-2 drives the cases 6 to 10 of the review: it starts the project's programs with the command of the
+// Command standins-2 drives the cases 6 to 8 of the review: it starts the project's programs with the command of the
 // deploy file, plays clients, endpoints and the platform on loopback addresses, writes a record and judges one rule.
 package main
 
--- a/review/standins-3/delayed.go
+++ b/review/standins-3/delayed.go
@@ -24,14 +24,13 @@
 
 // delayedFleet is a fleet of forwarders with a delay on each link between two of them.
 type delayedFleet struct {
-	run       *run
 	members   []*member
 	listeners []net.Listener
 }
 
 // openDelayedFleet prepares members, of which the first three are the voters. Each stands in a building of its own.
 func (r *run) openDelayedFleet(count int, agent *lab.Agent, delay time.Duration) (*delayedFleet, error) {
-	f := &delayedFleet{run: r}
+	f := &delayedFleet{}
 	var founders []string
 	for i := range count {
 		address, err := freeAddress()
@@ -68,6 +67,7 @@
 		if err := m.Prepare(dir, agent); err != nil {
 			return nil, err
 		}
+		r.onEnd(m.Kill)
 	}
 	return f, nil
 }
--- a/review/standins-3/keeper.go
+++ b/review/standins-3/keeper.go
@@ -13,7 +13,7 @@
 	"mulleinbeam/internal/lab"
 )
 
-// The figures of drained-keeper.
+// The figures of case 9.
 const (
 	linkDelay = 10 * time.Millisecond // one way between two members
 	// linkBytesPerSecond is what a link between two members carries in each direction: 20 Mbit a second.
@@ -21,6 +21,8 @@
 	afterChange        = time.Second           // from the change of the keeper to the loss of the owner
 	chargeInterval     = 50 * time.Millisecond // between two messages
 	chargeBytes        = 60_000                // of a body, within 64 KiB
+	fleetMembers       = 4
+	ownerIndex         = 3 // the member that the messages are handed in at; no voter
 	chargeLife         = 19 * time.Second
 	beforeDrain        = 3 * time.Second
 	withoutDrain       = 3700 * time.Millisecond // as long as the change of the keeper takes
@@ -79,7 +81,7 @@
 		return notRun, err
 	}
 	defer agent.Close()
-	f, err := r.openDelayedFleet(holderMembers, agent, linkDelay)
+	f, err := r.openDelayedFleet(fleetMembers, agent, linkDelay)
 	if err != nil {
 		return notRun, err
 	}
@@ -201,6 +203,6 @@
 	defer client.Close()
 	_ = client.Conn.SetDeadline(time.Now().Add(400 * time.Millisecond))
 	return id, client.Hand(lab.Handover{
-		ID: id, Class: "unsafe", Destination: destination, Left: chargeLife, Body: lab.Content{Seed: uint64(number), Size: chargeBytes},
+		ID: id, Class: "fee-charge", Destination: destination, Left: chargeLife, Body: lab.Content{Seed: uint64(number), Size: chargeBytes},
 	}, nil)
 }
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -1,5 +1,4 @@
-// Command standins-3 plays the cases of the review that its first argument names: it starts the program as the deploy
-// file does, with small stand-ins for clients, partner systems and the platform, and exits with 1 if the rule was broken,
+// Command standins-3 plays the cases 9 and 10 of the review: it starts the program as the deploy file does, with small stand-ins for clients, partner systems and the platform, and exits with 1 if the rule was broken,
 // with 0 if it held, and with 2 if the case could not run.
 package main
 
@@ -7,8 +6,10 @@
 	"bytes"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 
 	"mulleinbeam/internal/lab"
@@ -23,10 +24,15 @@
 
 // cases are the cases by name. Each returns an exit code.
 var cases = map[string]func(*run) (int, error){
-	"pipeline-memory": pipelineMemory,
-	"pipeline-crowd":  pipelineCrowd,
-	"two-holders":     twoHolders,
-	"drained-keeper":  drainedKeeper,
+	"9":  drainedKeeper,
+	"10": pipelineMemory,
+}
+
+// classes are the classes of the deployment as its pages describe them. Times are in microseconds.
+var classes = []lab.Class{
+	{Name: "record-extract", Effect: "keyed", Target: 4e6, GiveUp: 28e6, KeyTTL: 15e6},
+	{Name: "fee-charge", Effect: "unsafe", Target: 3e6, GiveUp: 28e6},
+	{Name: "station-reading", Effect: "safe", Target: 8e5, GiveUp: 6e6},
 }
 
 // run is one play of a case.
@@ -37,6 +43,41 @@
 
 	mu     sync.Mutex
 	record *os.File
+	ends   []func() // end the processes that were started
+}
+
+// maxLength bounds a play; the slower of the cases takes 35 s.
+const maxLength = 110 * time.Second
+
+// onEnd registers a function that ends a process.
+func (r *run) onEnd(end func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ends = append(r.ends, end)
+}
+
+// endAll ends all processes that were started.
+func (r *run) endAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, end := range r.ends {
+		end()
+	}
+}
+
+// watch ends the play, with all its processes, at a signal and when it takes too long.
+func (r *run) watch() {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		select {
+		case <-stop:
+		case <-time.After(maxLength):
+		}
+		r.say("the case could not run: stopped by a signal or out of time")
+		r.endAll()
+		os.Exit(notRun)
+	}()
 }
 
 // note writes a line to the record, with the time since the start.
@@ -55,7 +96,7 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Println("usage: standins-3 CASE RECORD")
+		fmt.Println("usage: standins-3 9|10 RECORD")
 		os.Exit(notRun)
 	}
 	os.Exit(play(os.Args[1], os.Args[2]))
@@ -74,12 +115,15 @@
 		return notRun
 	}
 	defer os.RemoveAll(r.folder)
+	defer r.endAll()
+	r.watch()
+	lab.Classes = classes
 	code, err := cases[name](r)
 	if err != nil {
 		r.say("the case could not run: %v", err)
 		return notRun
 	}
-	r.say("%s: trouble %v: %s", name, r.trouble, map[int]string{held: "the rule held", broken: "the rule was broken"}[code])
+	r.say("case %s, trouble %v: %s", name, r.trouble, map[int]string{held: "the rule held", broken: "the rule was broken"}[code])
 	return code
 }
 
@@ -124,6 +168,7 @@
 	if err := s.Prepare(dir, s.agent); err != nil {
 		return nil, err
 	}
+	r.onEnd(s.Kill)
 	if err := s.Start(); err != nil {
 		return nil, err
 	}
