--- a/review/standins-3/pipeline.go
+++ b/review/standins-3/pipeline.go
@@ -15,7 +15,7 @@
 	"time"
 )
 
-// The figures of pipeline-memory: each of these clients sends so many requests at once, then reads the answers and goes.
+// The figures of case 10: each of these clients sends so many requests at once, then reads the answers and goes.
 // They hold 64 of the 1,024 descriptors, and each body is within the 64 KiB that a body may have.
 const (
 	eagerClients   = 64
@@ -96,7 +96,7 @@
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(eagerPatience))
 	text := func(k int) []byte {
-		return request(fmt.Sprintf("eager-%d-%d", number, k), "safe", 1+k%destinations, 6000, eagerBodyBytes)
+		return request(fmt.Sprintf("eager-%d-%d", number, k), "station-reading", 1+k%destinations, 6000, eagerBodyBytes)
 	}
 	if r.trouble {
 		go func() {
@@ -150,7 +150,7 @@
 					continue
 				}
 				_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
-				_, _ = conn.Write(request(id, []string{"safe", "unsafe"}[k%2], 1+k%destinations, 6000, 200))
+				_, _ = conn.Write(request(id, []string{"station-reading", "fee-charge"}[k%2], 1+k%destinations, 6000, 200))
 				status, _, err := readAnswer(bufio.NewReader(conn))
 				if err == nil {
 					counts.answered.Add(1)
@@ -187,116 +187,3 @@
 	}
 	return 0, errors.New("no RssAnon: the process has ended")
 }
-
-// The figures of pipeline-crowd: so many clients stay connected and idle, and the others send batches of requests at once.
-const (
-	idleClients  = 200
-	batchClients = 6
-	batchSize    = 8
-	batchPause   = 300 * time.Millisecond
-	batchRounds  = 20
-)
-
-// pipelineCrowd checks that each request that was sent in a batch, and that the forwarder has read, gets its answer while
-// many other clients are connected.
-func pipelineCrowd(r *run) (int, error) {
-	s, err := r.openSite()
-	if err != nil {
-		return notRun, err
-	}
-	defer s.close()
-	stop := make(chan struct{})
-	var idle, batches sync.WaitGroup
-	if r.trouble {
-		r.note("%d clients connect and stay idle", idleClients)
-		for range idleClients {
-			idle.Go(func() { idleClient(s.Address(), stop) })
-		}
-	}
-	time.Sleep(time.Second)
-	var unanswered, written atomic.Int64
-	for i := range batchClients {
-		batches.Go(func() {
-			var conn net.Conn
-			for round := range batchRounds {
-				if conn == nil {
-					if conn, err = net.Dial("tcp", s.Address()); err != nil {
-						r.note("client %d: %v", i, err)
-						return
-					}
-				}
-				written.Add(batchSize)
-				missing, closed := r.sendBatch(conn, i, round)
-				unanswered.Add(int64(missing))
-				if closed {
-					_ = conn.Close()
-					conn = nil
-				}
-				time.Sleep(batchPause)
-			}
-		})
-	}
-	batches.Wait()
-	close(stop)
-	idle.Wait()
-	r.say("%d requests were written whole, %d of them were read and got no answer", written.Load(), unanswered.Load())
-	if unanswered.Load() > 0 {
-		return broken, nil
-	}
-	return held, nil
-}
-
-// sendBatch writes a batch in one piece and reads the answers. It returns how many requests got none although the
-// connection ended in order: a close over bytes that were not read would have reset it.
-func (r *run) sendBatch(conn net.Conn, client, round int) (missing int, closed bool) {
-	var text []byte
-	for k := range batchSize {
-		text = append(text, request(fmt.Sprintf("batch-%d-%d-%d", client, round, k), "safe", 1+k%destinations, 6000, 20)...)
-	}
-	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
-	if _, err := conn.Write(text); err != nil {
-		r.note("client %d: batch %d not written: %v", client, round, err)
-		return 0, true
-	}
-	reader := bufio.NewReader(conn)
-	for k := range batchSize {
-		status, closes, err := readAnswer(reader)
-		r.note("client %d: batch %d: request %d: status %d, close %v, error %v", client, round, k, status, closes, err)
-		closed = closed || closes
-		switch {
-		case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
-			return batchSize - k, true
-		case err != nil: // reset, so the requests may not have been read
-			return 0, true
-		}
-	}
-	return 0, closed
-}
-
-// idleClient stays connected and connects again whenever the forwarder has closed its connection.
-func idleClient(address string, stop <-chan struct{}) {
-	for {
-		conn, err := net.Dial("tcp", address)
-		if err != nil {
-			return
-		}
-		ended := make(chan struct{})
-		go func() {
-			defer close(ended)
-			_, _ = io.Copy(io.Discard, conn)
-		}()
-		select {
-		case <-ended:
-			_ = conn.Close()
-		case <-stop:
-			_ = conn.Close()
-			<-ended
-			return
-		}
-		select {
-		case <-time.After(10 * time.Millisecond):
-		case <-stop:
-			return
-		}
-	}
-}
