--- a/review/standins-3/delayed.go
+++ b/review/standins-3/delayed.go
@@ -33,11 +33,12 @@
 	f := &delayedFleet{}
 	var founders []string
 	for i := range count {
-		address, err := freeAddress()
+		links, err := net.Listen("tcp", host(i)+":0")
 		if err != nil {
 			return nil, err
 		}
-		m := &member{name: fmt.Sprintf("n%d", i), links: address}
+		defer links.Close() // kept until the member has its other port, which could be the same
+		m := &member{name: fmt.Sprintf("n%d", i), links: links.Addr().String()}
 		if f.members = append(f.members, m); i < 3 {
 			founders = append(founders, fmt.Sprintf("%q", m.name+"@"+m.links))
 		}
@@ -58,7 +59,7 @@
 			fmt.Fprintf(&text, "%q = %q\n", to.links, listener.Addr().String())
 		}
 		m.Forwarder = &lab.Forwarder{
-			Command: []string{"/bin/sh", "-c", "exec bin/larkreach"}, Name: m.name, Settings: text.String(), Sockets: 1024, MemoryMB: 192, DiskMB: 32, Slots: 10, Cores: 1,
+			Command: []string{"/bin/sh", "-c", "exec bin/larkreach"}, Name: m.name, Host: host(i), Settings: text.String(), Sockets: 1024, MemoryMB: 192, DiskMB: 32, Slots: 10, Cores: 1,
 		}
 		dir := filepath.Join(r.folder, m.name)
 		if err := os.MkdirAll(dir, 0o700); err != nil {
@@ -72,12 +73,9 @@
 	return f, nil
 }
 
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	return listener.Addr().String(), listener.Close()
+// host returns a loopback address of its own for a member of this play: no other connection takes a port there.
+func host(member int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%64, os.Getpid()/64%256, member+1)
 }
 
 // start starts all members at once.
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -159,7 +159,7 @@
 		return nil, err
 	}
 	s.Forwarder = &lab.Forwarder{
-		Command: []string{"/bin/sh", "-c", "exec bin/larkreach"}, Name: "n1", Sockets: 1024, MemoryMB: 192, DiskMB: 3, Slots: 10, Cores: 1,
+		Command: []string{"/bin/sh", "-c", "exec bin/larkreach"}, Name: "n1", Host: host(0), Sockets: 1024, MemoryMB: 192, DiskMB: 3, Slots: 10, Cores: 1,
 	}
 	dir := filepath.Join(r.folder, "n1")
 	if err := os.MkdirAll(dir, 0o700); err != nil {
