--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -49,6 +49,9 @@
 // maxLength bounds a play; the slower of the cases takes 35 s.
 const maxLength = 110 * time.Second
 
+// endPause is how long killed processes have to be gone before their folders are removed.
+const endPause = 300 * time.Millisecond
+
 // onEnd registers a function that ends a process.
 func (r *run) onEnd(end func()) {
 	r.mu.Lock()
@@ -63,6 +66,7 @@
 	for _, end := range r.ends {
 		end()
 	}
+	time.Sleep(endPause)
 }
 
 // watch ends the play, with all its processes, at a signal and when it takes too long.
@@ -76,6 +80,7 @@
 		}
 		r.say("the case could not run: stopped by a signal or out of time")
 		r.endAll()
+		_ = os.RemoveAll(r.folder)
 		os.Exit(notRun)
 	}()
 }
