Counters tell the memory of parsers, of unread answers and of bodies apart

Counters now have parser_bytes (clients, endpoints), unread_answer_bytes, window_bytes and body_bytes; larklab bursts plays clients that send many requests at once and prints them.

--- a/cmd/larklab/main.go
+++ b/cmd/larklab/main.go
@@ -31,6 +31,7 @@
 type cli struct {
 	LongBodies longCmd     `cmd:"" help:"Send long bodies through the forwarder: memory, throughput, CPU time, and the effect on short messages."`
 	Journal    journalCmd  `cmd:"" help:"Run messages through the journal from accept to end: accepts per second, longest stall, bytes written, time to open, memory."`
+	Bursts     burstsCmd   `cmd:"" help:"Send many requests at once on each connection: memory, processor time, and the answers of other clients."`
 	Run        runCmd      `cmd:"" help:"Simulate a scenario in virtual time; exits with status 1 if a rule was broken."`
 	Sweep      sweepCmd    `cmd:"" help:"Simulate a scenario for each combination of settings."`
 	Compare    compareCmd  `cmd:"" help:"Simulate a scenario with and without a change, paired by seed."`
--- /dev/null
+++ b/internal/lab/experiment/bursts.go
@@ -0,0 +1,155 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"time"
+
+	"mulleinbeam/internal/lab"
+)
+
+// Bursts measures the forwarder's memory and processor time while clients send many requests at once.
+type Bursts struct {
+	Program  []string // command line of the forwarder
+	Settings string   // the program's own settings, as TOML; "" for none
+	Sockets  int      // limit on descriptors
+	MemoryMB int      // limit on memory
+	Load     lab.Burst
+	Steady   int // clients with one request at a time beside the load
+	Counters bool
+	Out      io.Writer
+}
+
+// BurstFigures are the figures of one run.
+type BurstFigures struct {
+	lab.BurstResult
+	SteadySent, SteadyAnswered int64
+	PeakBytes                  int64 // peak of the anonymous resident memory
+	CPUSeconds                 float64
+	Took                       time.Duration
+	Killed                     bool // the memory exceeded its limit
+}
+
+const (
+	memoryPollInterval = 5 * time.Millisecond
+	steadyPause        = 50 * time.Millisecond
+	steadyTimeout      = 2 * time.Second
+	countersInterval   = 100 * time.Millisecond
+)
+
+// Run starts the forwarder with four endpoints, plays the load and returns the figures. Over the memory limit the
+// forwarder is killed, as the platform does.
+func (b Bursts) Run() (figures BurstFigures, err error) {
+	dir, err := os.MkdirTemp("", "larklab-")
+	if err != nil {
+		return figures, err
+	}
+	defer os.RemoveAll(dir)
+	agent := &lab.Agent{}
+	endpoint := &lab.Endpoint{Name: "p", Group: 7, Handle: func(c *lab.Call) bool {
+		if c.ReadAll(0) != nil {
+			return false
+		}
+		return c.Answer(200, "") == nil
+	}}
+	forwarder := &lab.Forwarder{Command: b.Program, Settings: b.Settings, Sockets: b.Sockets, MemoryMB: b.MemoryMB}
+	for _, step := range []func() error{
+		endpoint.Listen, func() error { return agent.Listen(endpoint) },
+		func() error { return forwarder.Prepare(dir, agent) }, forwarder.Start,
+	} {
+		if err := step(); err != nil {
+			return figures, err
+		}
+	}
+	defer endpoint.Close()
+	defer agent.Close()
+	defer forwarder.Kill()
+	b.Load.Destination = 7
+	return b.measure(forwarder)
+}
+
+// measure plays the load on a running forwarder.
+func (b Bursts) measure(forwarder *lab.Forwarder) (figures BurstFigures, err error) {
+	stop := make(chan struct{})
+	var watchers sync.WaitGroup
+	watchers.Go(func() { figures.PeakBytes, figures.Killed = watchMemory(forwarder, int64(b.MemoryMB)<<20, stop) })
+	steady := &lab.SteadyClients{Address: forwarder.Address(), Pause: steadyPause, Timeout: steadyTimeout}
+	watchers.Go(func() { steady.Run(b.Steady, stop) })
+	if b.Counters {
+		watchers.Go(func() { b.printCounters(forwarder, stop) })
+	}
+	began := time.Now()
+	figures.BurstResult = b.Load.Run(forwarder.Address())
+	figures.Took = time.Since(began)
+	close(stop)
+	watchers.Wait()
+	figures.SteadySent, figures.SteadyAnswered = steady.Sent.Load(), steady.Answered.Load()
+	if !figures.Killed {
+		figures.CPUSeconds, err = forwarder.CPUSeconds()
+	}
+	return figures, err
+}
+
+// watchMemory returns the peak of the forwarder's memory, and kills it over the limit.
+func watchMemory(forwarder *lab.Forwarder, limit int64, stop <-chan struct{}) (peak int64, killed bool) {
+	poll := time.NewTicker(memoryPollInterval)
+	defer poll.Stop()
+	for {
+		select {
+		case <-stop:
+			return peak, killed
+		case <-poll.C:
+		}
+		used, err := forwarder.AnonymousMemory()
+		if err != nil {
+			continue
+		}
+		if peak = max(peak, used); used > limit && !killed {
+			killed = true
+			forwarder.Kill()
+		}
+	}
+}
+
+// printCounters prints what the forwarder says of its memory, at intervals.
+func (b Bursts) printCounters(forwarder *lab.Forwarder, stop <-chan struct{}) {
+	every := time.NewTicker(countersInterval)
+	defer every.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-every.C:
+		}
+		clients, err := forwarder.Counters("clients")
+		if err != nil {
+			return
+		}
+		endpoints, err := forwarder.Counters("endpoints")
+		if err != nil {
+			return
+		}
+		messages, err := forwarder.Counters("in")
+		if err != nil {
+			return
+		}
+		used, err := forwarder.AnonymousMemory()
+		if err != nil {
+			return
+		}
+		fmt.Fprintf(b.Out, "  memory %d KiB: parsers of requests %d, of answers %d, bodies %d, answers not read %d KiB\n", used>>10,
+			clients["parser_bytes"]>>10, endpoints["parser_bytes"]>>10, messages["body_bytes"]>>10, clients["unread_answer_bytes"]>>10)
+	}
+}
+
+// String returns the figures as one line.
+func (f BurstFigures) String() string {
+	text := fmt.Sprintf("peak %d MiB; answered %d of %d, out of order %d, unexpected %d; beside it %d of %d; %.2f s, %.2f s of processor time",
+		f.PeakBytes>>20, f.Answered, f.Sent, f.OutOfOrder, f.Unexpected, f.SteadyAnswered, f.SteadySent, f.Took.Seconds(), f.CPUSeconds)
+	if f.Killed {
+		text += "; killed over the memory limit"
+	}
+	return text
+}
--- a/internal/lab/forwarder.go
+++ b/internal/lab/forwarder.go
@@ -358,6 +358,11 @@
 // Memory returns the program's resident memory, in bytes.
 func (f *Forwarder) Memory() (int64, error) { return processStatus(f.cmd.Process.Pid, "VmRSS:") }
 
+// AnonymousMemory returns the program's resident memory without files, in bytes.
+func (f *Forwarder) AnonymousMemory() (int64, error) {
+	return processStatus(f.cmd.Process.Pid, "RssAnon:")
+}
+
 // ProcessPeak returns the peak resident memory of a process, in bytes.
 func ProcessPeak(pid int) (int64, error) { return processStatus(pid, "VmHWM:") }
 
--- a/internal/protocol/message.go
+++ b/internal/protocol/message.go
@@ -131,6 +131,9 @@
 	return p.buf[p.end:]
 }
 
+// HeldBytes returns the memory of the parser's buffer.
+func (p *Parser) HeldBytes() int { return cap(p.buf) }
+
 // Shrink releases the buffer of a large message if the parser is idle.
 func (p *Parser) Shrink() {
 	if len(p.buf) > initialBufferBytes && p.Idle() {
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -31,6 +31,7 @@
 	ReportedUnwritten                              int64 // ends reported at the deadline, not journalled yet
 	PendingRecords                                 int   // records waiting to be written, now
 	Held, CallsOut                                 int   // now
+	BodyBytes                                      int64 // of held messages, in memory, now
 	LongHeld, LongCallsOut                         int   // now
 }
 
@@ -67,7 +68,7 @@
 	e.Dict("in", zerolog.Dict().Int64("requests", c.Requests).Int64("taken", c.Accepted).Int64("repeated", c.Duplicates).
 		Int64("refused", c.RefusedImmediately).Int64("failed", c.FailedImmediately).Int64("turned_away", c.OverMaxHeld).
 		Int64("no_room", c.NoRoom).Int64("unreadable", c.Invalid).Int64("withdrawn", c.MessagesCancelled).
-		Int64("resumed", c.Resumed).Int64("lost", c.BodiesLost).Int("held", c.Held))
+		Int64("resumed", c.Resumed).Int64("lost", c.BodiesLost).Int("held", c.Held).Int64("body_bytes", c.BodyBytes))
 	e.Dict("sent", zerolog.Dict().Int64("calls", c.Calls).Int64("held_back", c.CallsSuppressed).Int("out", c.CallsOut).
 		Int64("ok", c.Delivered).Int64("error", c.Errors).Int64("full", c.RefusedByEndpoint).Int64("timed_out", c.TimedOut).
 		Int64("connect_failed", c.ConnectFailed).Int64("reset", c.Reset).Int64("cancelled", c.Cancelled).Int64("moot", c.NotSent).Int64("ended_not_called", c.EndedNotCalled))
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -279,7 +279,7 @@
 // Counters returns the current counters.
 func (r *Router) Counters() Counters {
 	c, ok := execute(r, func() Counters {
-		r.counters.Held, r.counters.CallsOut = len(r.messagesByID), r.callsOut
+		r.counters.Held, r.counters.CallsOut, r.counters.BodyBytes = len(r.messagesByID), r.callsOut, r.bodyBytes()
 		r.counters.PendingRecords = r.cfg.Log.UnwrittenRecords()
 		r.counters.LongHeld, r.counters.LongCallsOut = r.longCount-r.longCalls, r.longCalls
 		return r.counters
@@ -290,6 +290,14 @@
 	return c
 }
 
+// bodyBytes returns the memory of the bodies of all messages that are held.
+func (r *Router) bodyBytes() (total int64) {
+	for _, held := range r.messages {
+		total += int64(cap(held.Body))
+	}
+	return total
+}
+
 // Learned returns the state learned so far and the ids of recently ended messages, oldest first for short and for long
 // messages.
 func (r *Router) Learned() (learned mb.LearnedState, ids []EndedID) {
--- a/internal/transport/answer_reader.go
+++ b/internal/transport/answer_reader.go
@@ -32,6 +32,7 @@
 	endpoints    *Endpoints
 	conn         *endpointConn
 	parser       *protocol.Parser
+	memory       heldBytes // of the parser
 	sentAt       time.Time
 	hold         connpool.Hold
 	held         *protocol.Reply     // an answer that came implausibly early
@@ -43,11 +44,14 @@
 // readAnswer reads a call's answer.
 func (p *Endpoints) readAnswer(ctx context.Context, conn *endpointConn, onRetryAfter func(time.Duration)) (verdict, error) {
 	parser := p.parsers.Get().(*protocol.Parser)
+	r := &answerReader{
+		endpoints: p, conn: conn, parser: parser, memory: heldBytes{gauge: &p.parserMemory}, sentAt: time.Now(), onRetryAfter: onRetryAfter,
+	}
 	defer func() {
+		r.memory.set(0)
 		parser.Reset()
 		p.parsers.Put(parser)
 	}()
-	r := &answerReader{endpoints: p, conn: conn, parser: parser, sentAt: time.Now(), onRetryAfter: onRetryAfter}
 	r.hold = p.holdOf(conn, r.sentAt)
 	for {
 		m, err := parser.Next()
@@ -73,7 +77,9 @@
 
 // read reads what has arrived, and limits the time for the rest of the answer.
 func (r *answerReader) read() error {
-	n, err := r.conn.Read(r.parser.Space())
+	space := r.parser.Space()
+	r.memory.set(r.parser.HeldBytes())
+	n, err := r.conn.Read(space)
 	if n <= 0 {
 		return err
 	}
--- a/internal/transport/client_conn.go
+++ b/internal/transport/client_conn.go
@@ -61,6 +61,8 @@
 func (s *Clients) serveFrom(c *clientConn, parser *protocol.Parser) {
 	defer s.closeConn(c)
 	betweenRequests, firstRequest := parser.Idle(), true
+	memory := heldBytes{gauge: &s.parserMemory}
+	defer memory.set(0)
 	for {
 		message, err := parser.Next()
 		if err != nil {
@@ -77,6 +79,7 @@
 				return
 			}
 			parser.Reset()
+			memory.set(parser.HeldBytes())
 			betweenRequests, firstRequest = true, false
 			continue
 		}
@@ -86,6 +89,7 @@
 			}
 			if firstRequest = false; parser.Idle() {
 				parser.Shrink()
+				memory.set(parser.HeldBytes())
 				if betweenRequests = true; !s.setState(c, stateIdle) {
 					s.closeGracefully(c)
 					return
@@ -100,7 +104,9 @@
 				return
 			}
 		}
-		n, err := c.Read(parser.Space())
+		space := parser.Space()
+		memory.set(parser.HeldBytes())
+		n, err := c.Read(space)
 		parser.Commit(n)
 		if n > 0 && betweenRequests {
 			if betweenRequests = false; !s.setState(c, stateReading) {
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -70,6 +70,7 @@
 	streamingConns int // connections in stateStreaming
 	shuttingDown   bool
 	counters       ClientCounters
+	parserMemory   memoryGauge // of the connections' parsers
 }
 
 // ClientCounters counts connections, and those that ended without or outside of a request.
@@ -83,13 +84,17 @@
 	// AcceptFailed counts failed accepts, Broken the connections that failed during a request or an answer.
 	AcceptFailed, Broken int64
 	Open                 int // current number of open connections
+	// ParserBytes is the memory that parsers hold for requests, UnreadAnswerBytes what was written to clients and has
+	// not been acknowledged by them. Both are current values.
+	ParserBytes, UnreadAnswerBytes int64
 }
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (c ClientCounters) MarshalZerologObject(e *zerolog.Event) {
 	e.Int64("connections", c.Accepted).Int("open", c.Open).Int64("turned_away", c.Rejected).Int64("closed_idle", c.ClosedIdle).
 		Int64("silent", c.Silent).Int64("late", c.Late).Int64("unreadable", c.BadRequests).
-		Int64("accept_failed", c.AcceptFailed).Int64("broken", c.Broken)
+		Int64("accept_failed", c.AcceptFailed).Int64("broken", c.Broken).
+		Int64("parser_bytes", c.ParserBytes).Int64("unread_answer_bytes", c.UnreadAnswerBytes)
 }
 
 // connState is the state of a client connection.
@@ -166,9 +171,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counters.Open = len(s.conns)
+	s.counters.ParserBytes = s.parserMemory.total.Load()
+	s.counters.UnreadAnswerBytes = s.unreadAnswerBytes()
 	return s.counters
 }
 
+// unreadAnswerBytes returns how many bytes clients have not acknowledged. The caller holds s.mu.
+func (s *Clients) unreadAnswerBytes() (total int64) {
+	for c := range s.conns {
+		total += int64(max(0, unacknowledgedBytes(c.Conn)))
+	}
+	return total
+}
+
 func (s *Clients) count(which *int64) {
 	s.mu.Lock()
 	*which++
--- a/internal/transport/endpoint_conns.go
+++ b/internal/transport/endpoint_conns.go
@@ -29,6 +29,7 @@
 	ClosedForRetry     int64 // connections closed since a refusal on them was not confirmed when its message was sent again
 	Idle               int   // current number of idle connections
 	SingleUse          int   // current number of endpoints whose connections carry one call each
+	ParserBytes        int64 // current memory of the parsers of answers that are being read
 }
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
@@ -36,7 +37,7 @@
 	e.Int64("opened", c.Opened).Int("idle", c.Idle).Int64("ended_before_use", c.ClosedBeforeUse).Int64("spoilt", c.Malformed).
 		Int64("delivered_all_the_same", c.MalformedDelivered).Int64("surplus", c.Surplus).
 		Int64("no_room", c.LocalDialErrors).Int64("strays", c.Strays).Int64("held", c.Held).Int64("in_doubt", c.InDoubt).
-		Int64("closed_for_retry", c.ClosedForRetry).Int("single_use", c.SingleUse)
+		Int64("closed_for_retry", c.ClosedForRetry).Int("single_use", c.SingleUse).Int64("parser_bytes", c.ParserBytes)
 }
 
 // Counters returns the current counters.
@@ -44,6 +45,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.counters.Idle = p.pool.IdleCount()
+	p.counters.ParserBytes = p.parserMemory.total.Load()
 	p.counters.SingleUse = p.pool.SingleUseEndpoints(time.Now())
 	return p.counters
 }
--- a/internal/transport/endpoints.go
+++ b/internal/transport/endpoints.go
@@ -46,6 +46,7 @@
 	// streamParsers are parsers that leave the body of an answer with status 200 to be streamed.
 	streamParsers sync.Pool
 	tasks         sync.WaitGroup // goroutines that report answers in doubt
+	parserMemory  memoryGauge    // of the parsers of answers that are being read
 
 	mu         sync.Mutex
 	pool       *connpool.Pool[*endpointConn]
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -22,6 +22,7 @@
 	WindowBytes  int           // buffered bytes of one body, in either direction
 
 	windows  sync.Pool
+	inUse    atomic.Int64 // windows that are not in the pool
 	bytes    [2]atomic.Int64
 	counters [pump.Aborted + 1]atomic.Int64
 }
@@ -30,6 +31,7 @@
 func (p *Streams) MarshalZerologObject(e *zerolog.Event) {
 	count := func(name string, end pump.Outcome) { e.Int64(name, p.counters[end].Load()) }
 	e.Int64("bytes_up", p.bytes[pump.Up].Load()).Int64("bytes_down", p.bytes[pump.Down].Load())
+	e.Int64("window_bytes", p.inUse.Load()*int64(p.WindowBytes))
 	count("delivered", pump.Delivered)
 	count("answered", pump.Answered)
 	count("spoilt", pump.Malformed)
@@ -44,6 +46,7 @@
 }
 
 func (p *Streams) getWindow() *[]byte {
+	p.inUse.Add(1)
 	if w, ok := p.windows.Get().(*[]byte); ok {
 		return w
 	}
@@ -51,6 +54,11 @@
 	return &w
 }
 
+func (p *Streams) putWindow(w *[]byte) {
+	p.inUse.Add(-1)
+	p.windows.Put(w)
+}
+
 // Upload is the client's side of a long message, from its head to its final answer. One attempt at a time uses it;
 // between attempts the client's goroutine waits.
 type Upload struct {
@@ -95,7 +103,7 @@
 // release returns the windows to the pool.
 func (u *Upload) release() {
 	for _, w := range u.windows {
-		u.streams.windows.Put(w)
+		u.streams.putWindow(w)
 	}
 	u.windows, u.pipe = nil, nil
 }
