Parser: a chunked body is decoded in one pass, and its trailers are limited

Cause: for each size line and line end decodeChunk moved all bytes that had arrived behind it (removeBytes), the following requests included: the time grows with the square of what has arrived. Trailers had no limit but the request's time.

Change: the parser decodes with Body, as streamed bodies are: one pass, each byte moved once. One decoder is left of two. Trailers of buffered bodies count against Body's limits (32 lines, 4 KiB); they are dropped as before, unchecked. A byte other than the line end behind a chunk is refused at once in both.

--- a/internal/protocol/body.go
+++ b/internal/protocol/body.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"strconv"
+	"strings"
 )
 
 // Framing is how the end of a body is determined (RFC 9112, section 6.3).
@@ -22,6 +23,8 @@
 	maxChunkSizeDigits = 15      // hexadecimal digits of a chunk size, so that it fits an int64
 )
 
+var errMissingLineEnd = fmt.Errorf("%w: missing line end after chunk", ErrMalformed)
+
 type bodyPhase int
 
 const (
@@ -43,7 +46,9 @@
 	line         [maxChunkLineBytes + 2]byte
 	lineLen      int // bytes of the incomplete line in line
 	trailers     []byte
-	trailerLines int // number of lines in trailers
+	trailerBytes int  // bytes of all trailer lines
+	trailerLines int  // number of trailer lines
+	dropTrailers bool // trailers are counted against their limits, and neither checked nor kept
 }
 
 // NewBody returns a decoder for a body of up to maxContent bytes of content. The length is used with ByLength only.
@@ -113,6 +118,10 @@
 				b.phase = bodyDataEnd
 			}
 		default:
+			if n := b.skipPlainLine(raw[used:]); n > 0 {
+				used += n
+				continue
+			}
 			n, line, err := b.readLine(raw[used:])
 			if used += n; err != nil {
 				return content, used, err
@@ -136,6 +145,36 @@
 	return b.phase == bodyComplete
 }
 
+// skipPlainLine processes the line end after a chunk's content, or the size line of a chunk within the limit, if raw
+// holds all of it and the line has nothing but the size. It returns the number of bytes of the line, or 0 if the line has to
+// be read otherwise. Small chunks consist mostly of such lines.
+func (b *Body) skipPlainLine(raw []byte) int {
+	if b.lineLen > 0 || b.phase == bodyTrailer {
+		return 0
+	}
+	size, digits := int64(0), 0
+	for digits < min(len(raw), maxChunkSizeDigits) {
+		value, ok := hexValue(raw[digits])
+		if !ok {
+			break
+		}
+		size = size<<4 | value
+		digits++
+	}
+	if len(raw) < digits+2 || raw[digits] != '\r' || raw[digits+1] != '\n' {
+		return 0
+	}
+	switch {
+	case b.phase == bodyDataEnd && digits == 0:
+		b.phase = bodyChunkSize
+	case b.phase == bodyChunkSize && size > 0 && size <= b.maxContent-b.contentBytes:
+		b.phase, b.remaining = bodyData, size
+	default:
+		return 0
+	}
+	return digits + 2
+}
+
 // readLine collects one line and returns it without its line end, or nil if more bytes are needed.
 func (b *Body) readLine(raw []byte) (used int, line []byte, err error) {
 	free := b.line[b.lineLen:]
@@ -148,6 +187,9 @@
 		return 0, nil, fmt.Errorf("%w: line in chunked body too long", ErrMalformed)
 	}
 	b.lineLen += copy(free, raw[:n])
+	if b.phase == bodyDataEnd && !strings.HasPrefix("\r\n", string(b.line[:b.lineLen])) {
+		return n, nil, errMissingLineEnd
+	}
 	if lineFeed < 0 {
 		return n, nil, nil
 	}
@@ -163,9 +205,6 @@
 func (b *Body) handleLine(line []byte) error {
 	switch b.phase {
 	case bodyDataEnd:
-		if len(line) != 0 {
-			return fmt.Errorf("%w: missing line end after chunk", ErrMalformed)
-		}
 		b.phase = bodyChunkSize
 	case bodyChunkSize:
 		size, _, _ := bytes.Cut(line, []byte(";"))
@@ -173,30 +212,53 @@
 		switch {
 		case !ok:
 			return fmt.Errorf("%w: invalid chunk size", ErrMalformed)
-		case n > b.maxContent-b.contentBytes:
-			return ErrBodySize
 		case n == 0:
 			b.phase = bodyTrailer
 		default:
 			b.phase, b.remaining = bodyData, n
+			return b.checkLimit()
 		}
 	case bodyTrailer:
 		if len(line) == 0 {
 			b.phase = bodyComplete
 			return nil
 		}
-		name, _, ok := bytes.Cut(line, []byte(":"))
-		if !ok || !isToken(name) || forbiddenInTrailer(name) {
-			return fmt.Errorf("%w: invalid trailer", ErrMalformed)
-		}
-		if b.trailerLines++; b.trailerLines > maxTrailerLines || len(b.trailers)+len(line) > maxTrailerBytes {
-			return fmt.Errorf("%w: trailers too large", ErrMalformed)
-		}
+		return b.addTrailer(line)
+	}
+	return nil
+}
+
+// addTrailer processes a trailer line.
+func (b *Body) addTrailer(line []byte) error {
+	name, _, ok := bytes.Cut(line, []byte(":"))
+	if !b.dropTrailers && (!ok || !isToken(name) || forbiddenInTrailer(name)) {
+		return fmt.Errorf("%w: invalid trailer", ErrMalformed)
+	}
+	b.trailerLines++
+	b.trailerBytes += len(line) + 2
+	if b.trailerLines > maxTrailerLines || b.trailerBytes > maxTrailerBytes {
+		return fmt.Errorf("%w: trailers too large", ErrMalformed)
+	}
+	if !b.dropTrailers {
 		b.trailers = append(append(b.trailers, line...), "\r\n"...)
 	}
 	return nil
 }
 
+// checkLimit returns ErrBodySize if the current chunk exceeds the limit.
+func (b *Body) checkLimit() error {
+	if b.remaining > b.maxContent-b.contentBytes {
+		return ErrBodySize
+	}
+	return nil
+}
+
+// raiseLimit continues a body whose current chunk has exceeded its limit with a higher one.
+func (b *Body) raiseLimit(maxContent int64) error {
+	b.maxContent = maxContent
+	return b.checkLimit()
+}
+
 // forbiddenInTrailer reports whether a field must not be sent as a trailer (RFC 9110, section 6.5.1): a recipient that
 // merges trailers into the header would read a different message.
 func forbiddenInTrailer(name []byte) bool {
@@ -215,18 +277,28 @@
 	}
 	n := int64(0)
 	for _, c := range b {
-		switch c = toLower(c); {
-		case '0' <= c && c <= '9':
-			n = n<<4 | int64(c-'0')
-		case 'a' <= c && c <= 'f':
-			n = n<<4 | int64(c-'a'+10)
-		default:
+		value, ok := hexValue(c)
+		if !ok {
 			return 0, false
 		}
+		n = n<<4 | value
 	}
 	return n, true
 }
 
+// hexValue returns the value of a hexadecimal digit.
+func hexValue(c byte) (value int64, ok bool) {
+	switch {
+	case '0' <= c && c <= '9':
+		return int64(c - '0'), true
+	case 'a' <= c && c <= 'f':
+		return int64(c - 'a' + 10), true
+	case 'A' <= c && c <= 'F':
+		return int64(c - 'A' + 10), true
+	}
+	return 0, false
+}
+
 // AppendChunkHead appends the size line of a chunk of n bytes. The caller writes the line end after the chunk.
 func AppendChunkHead(b []byte, n int) []byte {
 	return append(strconv.AppendInt(b, int64(n), 16), "\r\n"...)
--- a/internal/protocol/message.go
+++ b/internal/protocol/message.go
@@ -65,9 +65,7 @@
 const (
 	inHead           phase = iota
 	inBody                 // a body of known length
-	inChunkSize            // before a chunk's size line
-	inChunkData            // within a chunk or its line end
-	inTrailers             // after the last chunk
+	inChunkedBody          // a chunked body, with its trailers
 	inBodyUntilClose       // an answer's body that extends to the end of the connection
 )
 
@@ -79,10 +77,11 @@
 	buf             []byte
 	start, end      int // buf[start:end] is unparsed
 	phase           phase
-	scanned         int // bytes already searched for the end of the head
-	headLen         int // length of the head, including its empty line
-	bodyLen         int // bytes of the body that are in place
-	remaining       int // bytes left of the body, or of the chunk and its line end
+	scanned         int  // bytes already searched for the end of the head
+	headLen         int  // length of the head, including its empty line
+	bodyLen         int  // bytes of the body that are in place
+	remaining       int  // length of a body of known length
+	decoder         Body // of a chunked body
 	streaming       Streaming
 	framing         Framing
 	interimAnswers  int // 1xx answers before the current one
@@ -227,10 +226,7 @@
 			}
 			return nil, nil
 		default:
-			m, more, err := p.decodeChunk()
-			if m != nil || more || err != nil {
-				return m, err
-			}
+			return p.decodeChunks()
 		}
 	}
 }
@@ -274,7 +270,9 @@
 		return p.findHead()
 	}
 	p.interimAnswers = 0
-	p.phase = nextPhase
+	if p.phase = nextPhase; nextPhase == inChunkedBody {
+		p.decoder = Body{framing: Chunked, phase: bodyChunkSize, maxContent: int64(p.maxBody), dropTrailers: true}
+	}
 	return true, nil
 }
 
@@ -301,14 +299,15 @@
 // Message.Body, and the raw bytes that are already buffered, which are valid until Reset. The parser parses nothing
 // further until then.
 func (p *Parser) Rest(maxContent int64) (body *Body, raw []byte, err error) {
-	if body, err = NewBody(p.framing, int64(p.remaining), maxContent); err != nil {
-		return nil, nil, err
+	if p.framing == Chunked {
+		decoder := p.decoder
+		decoder.dropTrailers = false
+		body, err = &decoder, decoder.raiseLimit(maxContent)
+	} else {
+		body, err = NewBody(p.framing, int64(p.remaining), maxContent)
 	}
-	if p.phase == inChunkData { // the limit was exceeded by a chunk whose size line was just parsed
-		body.phase, body.remaining, body.contentBytes = bodyData, int64(p.remaining-2), int64(p.bodyLen)
-		if body.remaining > maxContent-body.contentBytes {
-			return nil, nil, ErrBodySize
-		}
+	if err != nil {
+		return nil, nil, err
 	}
 	return body, p.buf[p.start+p.headLen+p.bodyLen : p.end], nil
 }
@@ -361,7 +360,7 @@
 		return inBody, nil
 	case chunked:
 		p.framing = Chunked
-		return inChunkSize, nil
+		return inChunkedBody, nil
 	case length < 0 && p.readsAnswers:
 		msg.Close, p.framing = true, UntilClose
 		return inBodyUntilClose, nil
@@ -392,65 +391,23 @@
 	return nil
 }
 
-// decodeChunk performs one step of decoding a chunked body; more is set if further bytes are needed.
-func (p *Parser) decodeChunk() (m *Message, more bool, err error) {
-	bodyEnd := p.start + p.headLen + p.bodyLen // where the next content byte goes and the unparsed bytes start
-	unread := p.buf[bodyEnd:p.end]
-	switch p.phase {
-	case inChunkData:
-		n := min(len(unread), p.remaining-2)
-		if n > 0 {
-			p.bodyLen += n
-			p.remaining -= n
-			return nil, false, nil
-		}
-		if len(unread) < p.remaining {
-			return nil, true, nil
-		}
-		if string(unread[:p.remaining]) != "\r\n" {
-			return nil, false, fmt.Errorf("%w: missing line end after chunk", ErrMalformed)
-		}
-		p.removeBytes(bodyEnd, 2)
-		p.phase = inChunkSize
-		return nil, false, nil
-	}
-	line, _, ok := bytes.Cut(unread, []byte("\r\n"))
-	if !ok {
-		if len(unread) > maxChunkLineBytes {
-			return nil, false, fmt.Errorf("%w: chunk line too long", ErrMalformed)
-		}
-		return nil, true, nil
-	}
-	if p.phase == inTrailers {
-		if len(line) > 0 { // a trailer
-			p.removeBytes(bodyEnd, len(line)+2)
-			return nil, false, nil
-		}
-		return p.completeMessage(bodyEnd + 2), false, nil
-	}
-	size, _, _ := bytes.Cut(line, []byte(";"))
-	n, ok := parseHex(bytes.Trim(size, " \t"))
-	if !ok {
-		return nil, false, fmt.Errorf("%w: invalid chunk size", ErrMalformed)
-	}
-	overLimit := int(n) > p.maxBody-p.bodyLen
-	if overLimit && p.streaming != StreamLong {
-		return nil, false, ErrBodySize
-	}
-	p.removeBytes(bodyEnd, len(line)+2)
-	if p.phase, p.remaining = inChunkData, int(n)+2; n == 0 {
-		p.phase, p.remaining = inTrailers, 0
-	}
-	if overLimit {
-		return p.streamedMessage(), false, nil
-	}
-	return nil, false, nil
-}
-
-// removeBytes removes n bytes from the buffer at an offset, which keeps a chunked body contiguous.
-func (p *Parser) removeBytes(offset, n int) {
-	copy(p.buf[offset:], p.buf[offset+n:p.end])
-	p.end -= n
+// decodeChunks decodes what was received of a chunked body, in place and in one pass. The content lies behind the head, without
+// a gap, and what is not content is dropped.
+func (p *Parser) decodeChunks() (*Message, error) {
+	contentEnd := p.start + p.headLen + p.bodyLen // all bytes before have been decoded
+	content, used, err := p.decoder.Decode(p.buf[contentEnd:p.end])
+	p.bodyLen += content
+	switch {
+	case errors.Is(err, ErrBodySize) && p.streaming == StreamLong:
+		p.end = contentEnd + content + copy(p.buf[contentEnd+content:], p.buf[contentEnd+used:p.end])
+		return p.streamedMessage(), nil
+	case err != nil:
+		return nil, err
+	case p.decoder.Complete():
+		return p.completeMessage(contentEnd + used), nil
+	}
+	p.end = contentEnd + content
+	return nil, nil
 }
 
 // hasNoBody reports whether answers with a status never have a body.
