Parser: a body has memory of its own and is read no further than its end

Clients with one request at a time, too, shared the processor with the copying.

Cause: a parser had one buffer for all that its connection had sent. While a body was read, requests that were done stayed in front of it and the buffer doubled instead; each doubling let one read take in as much again as the kernel had, which again ended in a body. The limit was the kernel's receive buffer, for each connection.

Change: a body that does not fit the small buffer of its head gets memory of its own, of its length, and is read exactly up to its end; a chunked one grows up to the limit and reads at most 8 KiB behind a chunk. So a parser holds one request at a time, at most 96 KiB (MaxRequestMemory), whatever has arrived.

--- /dev/null
+++ b/cmd/larkreach/bursts_test.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"mulleinbeam/internal/lab"
+	"mulleinbeam/internal/lab/experiment"
+)
+
+// Limits of the platform on a forwarder. A load of well-formed requests has to stay a quarter below the memory limit.
+const (
+	burstMemoryMB     = 192
+	burstSockets      = 1024
+	burstAllowedBytes = burstMemoryMB << 20 / 4 * 3
+)
+
+// buildProgram builds the program as it is deployed: the race detector's own memory would hide the program's.
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "larkreach")
+	build := exec.Command("go", "build", "-o", program, ".")
+	if output, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, output)
+	}
+	return program
+}
+
+// Guards against a forwarder that is killed for memory, or keeps other clients waiting, while clients send many requests at
+// once on each connection (review/10). All rows go through the real program with the platform's limits.
+func TestManyRequestsAtOnce(t *testing.T) {
+	program := buildProgram(t)
+	const bodies = "[bodies]\ntotal = \"24MiB\"\nslots = 4\n"
+	for name, c := range map[string]struct {
+		load     lab.Burst
+		settings string
+	}{
+		"known length":            {lab.Burst{Clients: 64, Requests: 200, BodyBytes: 60_000}, ""},
+		"known length, bodies on": {lab.Burst{Clients: 64, Requests: 200, BodyBytes: 60_000}, bodies},
+		"chunks":                  {lab.Burst{Clients: 64, Requests: 200, BodyBytes: 60_000, ChunkBytes: 4096}, ""},
+		"chunks, bodies on":       {lab.Burst{Clients: 64, Requests: 200, BodyBytes: 60_000, ChunkBytes: 4096}, bodies},
+		"very small chunks":       {lab.Burst{Clients: 64, Requests: 8, BodyBytes: 60_000, ChunkBytes: 1}, ""},
+		"answers not read":        {lab.Burst{Clients: 64, Requests: 200, BodyBytes: 60_000, ReadAtEnd: true}, ""},
+		"few connections":         {lab.Burst{Clients: 4, Requests: 1000, BodyBytes: 60_000}, ""},
+		"small requests":          {lab.Burst{Clients: 64, Requests: 400, BodyBytes: 200, HealthEvery: 7}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c.load.Timeout = 20 * time.Second
+			figures, err := experiment.Bursts{
+				Program: []string{program, "serve"}, Settings: c.settings, Sockets: burstSockets, MemoryMB: burstMemoryMB, Load: c.load, Steady: 4,
+			}.Run()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if t.Log(figures); figures.Killed || figures.PeakBytes > burstAllowedBytes {
+				t.Errorf("the peak of memory is over %d bytes", burstAllowedBytes)
+			}
+			if figures.Answered != figures.Sent || figures.OutOfOrder+figures.Unexpected > 0 {
+				t.Error("requests without their own answer")
+			}
+			if figures.SteadyAnswered != figures.SteadySent {
+				t.Error("requests of other clients without an answer in time")
+			}
+		})
+	}
+}
--- a/cmd/larkreach/wiring.go
+++ b/cmd/larkreach/wiring.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 
@@ -23,7 +22,7 @@
 	id := string(h.ID)
 	v := d.router.Accept(routing.Message{
 		ID: id, Key: string(h.Key), Class: string(h.Class), Destination: h.Destination, TimeLeft: h.Timeout,
-		Body: bytes.Clone(h.Body),
+		Body: h.Body,
 	})
 	switch v.Kind {
 	case routing.Accepted:
--- a/internal/protocol/requests.go
+++ b/internal/protocol/requests.go
@@ -9,7 +9,8 @@
 	"unicode/utf8"
 )
 
-// Submission is a message submitted by a client. Its slices point into the parser's buffer.
+// Submission is a message submitted by a client. Its body belongs to the receiver, and is empty if the message is long; the
+// other slices point into the parser's buffer.
 type Submission struct {
 	ID, Key, Class []byte
 	Destination    int64
@@ -92,7 +93,7 @@
 	if len(m.Get("Content-Length")) == 0 && len(m.Get("Transfer-Encoding")) == 0 {
 		return SubmitMessage, submission, closingRefusal(411, "length required")
 	}
-	submission = Submission{ID: m.Get("X-Request-ID"), Key: m.Get("Idempotency-Key"), Class: m.Get("X-Priority-Class"), Body: m.Body}
+	submission = Submission{ID: m.Get("X-Request-ID"), Key: m.Get("Idempotency-Key"), Class: m.Get("X-Priority-Class")}
 	if len(submission.ID) == 0 || !utf8.Valid(submission.ID) || len(submission.ID) > maxNameBytes || len(submission.Key) > maxNameBytes {
 		return SubmitMessage, submission, closingRefusal(400, "bad X-Request-ID or Idempotency-Key")
 	}
@@ -106,6 +107,9 @@
 		return SubmitMessage, submission, closingRefusal(400, "bad X-Addressing")
 	}
 	submission.Destination = destination
+	if !m.Long {
+		submission.Body = m.TakeBody()
+	}
 	return SubmitMessage, submission, nil
 }
 
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -44,7 +44,8 @@
 // Handler decides about the messages that clients submit.
 type Handler interface {
 	// Accept answers a submission. A nil Refusal means that the message is accepted; cancel, unless it is nil, is
-	// then called if the client could not be told. The submission's slices are valid only during the call.
+	// then called if the client could not be told. The submission's body belongs to the handler; its other slices are
+	// valid only during the call.
 	Accept(submission protocol.Submission) (r *protocol.Refusal, cancel func())
 	// Stream accepts or refuses a long message, whose Submission.Body is empty. If the Refusal is nil, the message is
 	// accepted and the channel delivers its end once.
