Clients: a connection with much input gives way to others

What callers saw: beside clients that send much at once, others wait for their answer, up to 1.75 s, and leave after 400 ms.

Cause: a connection on which more has arrived never waits, so it keeps the processor for the scheduler's time slice (10 ms); an answer needs several turns, each behind as many slices as there are such connections.

Change: after 32 KiB of input (a request counts 2 KiB beside its text) a connection's goroutine yields.

--- a/internal/lab/burst.go
+++ b/internal/lab/burst.go
@@ -164,6 +164,16 @@
 	Timeout  time.Duration // for an answer
 	Sent     atomic.Int64
 	Answered atomic.Int64
+
+	mu      sync.Mutex
+	slowest time.Duration // of the answers in time
+}
+
+// Slowest returns the longest time of an answer that came in time.
+func (s *SteadyClients) Slowest() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.slowest
 }
 
 // Run runs the clients until stop is closed.
@@ -180,8 +190,12 @@
 				s.Sent.Add(1)
 				burst := Burst{Clients: 1, Requests: 1, BodyBytes: 200, Timeout: s.Timeout, Destination: 7}
 				request := burst.request(-1-client, number, burst.body())
+				began := time.Now()
 				if s.answered(request) {
 					s.Answered.Add(1)
+					s.mu.Lock()
+					s.slowest = max(s.slowest, time.Since(began))
+					s.mu.Unlock()
 				}
 			}
 		})
--- a/internal/lab/experiment/bursts.go
+++ b/internal/lab/experiment/bursts.go
@@ -26,6 +26,7 @@
 type BurstFigures struct {
 	lab.BurstResult
 	SteadySent, SteadyAnswered int64
+	SteadySlowest              time.Duration
 	PeakBytes                  int64 // peak of the anonymous resident memory
 	CPUSeconds                 float64
 	Took                       time.Duration
@@ -85,7 +86,7 @@
 	figures.Took = time.Since(began)
 	close(stop)
 	watchers.Wait()
-	figures.SteadySent, figures.SteadyAnswered = steady.Sent.Load(), steady.Answered.Load()
+	figures.SteadySent, figures.SteadyAnswered, figures.SteadySlowest = steady.Sent.Load(), steady.Answered.Load(), steady.Slowest()
 	if !figures.Killed {
 		figures.CPUSeconds, err = forwarder.CPUSeconds()
 	}
@@ -146,8 +147,8 @@
 
 // String returns the figures as one line.
 func (f BurstFigures) String() string {
-	text := fmt.Sprintf("peak %d MiB; answered %d of %d, out of order %d, unexpected %d; beside it %d of %d; %.2f s, %.2f s of processor time",
-		f.PeakBytes>>20, f.Answered, f.Sent, f.OutOfOrder, f.Unexpected, f.SteadyAnswered, f.SteadySent, f.Took.Seconds(), f.CPUSeconds)
+	text := fmt.Sprintf("peak %d MiB; answered %d of %d, out of order %d, unexpected %d; beside it %d of %d within %.2f s; %.2f s, %.2f s of processor time",
+		f.PeakBytes>>20, f.Answered, f.Sent, f.OutOfOrder, f.Unexpected, f.SteadyAnswered, f.SteadySent, f.SteadySlowest.Seconds(), f.Took.Seconds(), f.CPUSeconds)
 	if f.Killed {
 		text += "; killed over the memory limit"
 	}
--- a/internal/transport/client_conn.go
+++ b/internal/transport/client_conn.go
@@ -61,7 +61,7 @@
 func (s *Clients) serveFrom(c *clientConn, parser *protocol.Parser) {
 	defer s.closeConn(c)
 	betweenRequests, firstRequest := parser.Idle(), true
-	memory := heldBytes{gauge: &s.parserMemory}
+	memory, share := heldBytes{gauge: &s.parserMemory}, processorShare{}
 	defer memory.set(0)
 	for {
 		message, err := parser.Next()
@@ -97,6 +97,7 @@
 			} else if betweenRequests = false; !s.setState(c, stateReading) {
 				return
 			}
+			share.use(requestShareBytes)
 			continue
 		}
 		if parser.Continue() {
@@ -108,6 +109,7 @@
 		memory.set(parser.HeldBytes())
 		n, err := c.Read(space)
 		parser.Commit(n)
+		share.use(n)
 		if n > 0 && betweenRequests {
 			if betweenRequests = false; !s.setState(c, stateReading) {
 				return
