Long bodies: requests before and behind them on a connection are answered, in order

What callers saw, with [bodies]: a long message sent at once behind 25 short ones was answered 400, and requests sent at once behind a long one got no answer, since the connection closed behind it.

Behind a long body: what was read with its end was dropped, and the connection was closed for it.

Change: a body of known length is read no further than its end. What was read behind a chunked one is kept (behindInput) and parsed before more is read; all of it together takes at most a quarter of [bodies] total, beyond which the connection closes as before. An answer that comes while the end of the body is being written waits up to 20 ms for that write's report. The session of a connection is a type of its own with short steps (client_session.go).

--- a/cmd/larkreach/main.go
+++ b/cmd/larkreach/main.go
@@ -40,6 +40,8 @@
 	minConnectionDescriptors = 16                      // fewest descriptors for connections with which the program starts
 	// descriptorsPerLongCall covers the connection of a long call and a pipe in each direction.
 	descriptorsPerLongCall = 5
+	// behindDivisor is the total of all windows over what may be held of requests that were read behind long bodies.
+	behindDivisor = 4
 )
 
 func main() {
@@ -267,7 +269,10 @@
 	if heapBytes := int64(heapFraction * float64(l.MemoryMB<<20)); int64(b.TotalWindowBytes) > heapBytes {
 		return limits, nil, 0, fmt.Errorf("settings: bodies.total: %d bytes of at most %d", b.TotalWindowBytes, heapBytes)
 	}
-	return limits, &transport.Streams{MaxBodyBytes: int64(b.MaxBodyBytes), IdleTimeout: time.Duration(b.IdleTimeout), WindowBytes: int(b.WindowBytes)}, descriptors, nil
+	return limits, &transport.Streams{
+		MaxBodyBytes: int64(b.MaxBodyBytes), IdleTimeout: time.Duration(b.IdleTimeout), WindowBytes: int(b.WindowBytes),
+		MaxBehindBytes: int64(b.TotalWindowBytes) / behindDivisor,
+	}, descriptors, nil
 }
 
 // errSyncFailed ends the process after a failed sync: only a restart by its supervisor can recover.
--- a/internal/pump/exchange.go
+++ b/internal/pump/exchange.go
@@ -30,6 +30,7 @@
 	SpliceOut                // splice Step.Limit of the bytes held to the sink
 	Begin                    // ask for permission to send the first byte; it is denied by ErrForbidden or another error
 	RecordDelivery           // record the delivery before any byte of the answer is sent to the client
+	Wait                     // wait until the other direction has reported a step, or until Step.Deadline
 )
 
 // ErrForbidden is passed to StepDone if a call must not begin. Any other error from Begin means that there is no
@@ -79,6 +80,7 @@
 	maxDrainedBytes      = 64 << 20               // bytes of a request body that are read and discarded after its answer
 	answerTimeout        = time.Second            // from the first byte to a complete head, or to all of a non-200 answer
 	deliveredHeadTimeout = 200 * time.Millisecond // for the rest of a head after a status line with 200
+	writtenTimeout       = 20 * time.Millisecond  // for the report of a write whose last byte the endpoint has answered
 )
 
 // Config configures an exchange. Times count from an arbitrary common origin.
@@ -93,6 +95,9 @@
 	HTTP10         bool          // the client speaks HTTP/1.0
 	CloseClient    bool          // the client's connection is closed after the answer
 	Splice         bool          // the driver can splice
+	// KeepSurplus reports whether the driver takes what the client has sent behind its body, so that the connection can go
+	// on with it. It is asked once, if there is any; nil stands for no.
+	KeepSurplus func(bytes int) bool
 }
 
 type downPhase int
@@ -116,13 +121,16 @@
 	begun            bool // sending to the endpoint was permitted
 	answeredEarly    bool // the endpoint answered before it had the whole body
 	downPhase        downPhase
-	answerDeadline   time.Duration // when the answer's head must be complete; 0 before its first byte
+	answerDeadline   time.Duration     // when the answer's head must be complete; 0 before its first byte
+	heldAnswer       *protocol.Message // an answer that came before the write of the request's end was reported
+	heldUntil        time.Duration
 	answerPipe       *Pipe
 	reply            protocol.Reply
 	closeEndpoint    bool // the endpoint's connection can't be reused
 	answerStarted    bool // a byte of the answer may have been sent to the client
 	requestMalformed bool // the part of the body received while the exchange ended is malformed
 	answerTruncated  bool // the client did not get the complete answer
+	surplusLost      bool // nothing takes what the client has sent behind its body
 }
 
 // New returns a new exchange.
@@ -156,7 +164,7 @@
 // Reusable reports whether the endpoint's and the client's connections can carry another message.
 func (x *Exchange) Reusable() (endpoint, client bool) {
 	endpoint = !x.answeredEarly && x.cfg.Request.Written() && !x.closeEndpoint && (x.outcome == Answered || x.AnswerComplete())
-	return endpoint, x.AnswerComplete() && !x.answeredEarly && x.cfg.Request.Complete() && !x.cfg.Request.Surplus() && !x.cfg.CloseClient && !x.cfg.HTTP10
+	return endpoint, x.AnswerComplete() && !x.answeredEarly && x.cfg.Request.Complete() && !x.surplusLost && !x.cfg.CloseClient && !x.cfg.HTTP10
 }
 
 // Next returns the next step of a direction.
@@ -225,6 +233,8 @@
 	switch {
 	case x.outcome != Running:
 		return Step{}
+	case x.downPhase == awaitingAnswer && x.heldAnswer != nil:
+		return Step{Op: Wait, Deadline: x.heldUntil}
 	case x.downPhase == awaitingAnswer:
 		step := Step{Op: Read, Space: x.cfg.Answers.Space()}
 		if x.answerDeadline > 0 {
@@ -315,6 +325,10 @@
 			return
 		}
 		x.downPhase = streamingAnswer
+	case x.downPhase == awaitingAnswer && x.heldAnswer != nil:
+		if !x.writesEnd() || now >= x.heldUntil {
+			x.startAnswer(x.heldAnswer)
+		}
 	case x.downPhase == awaitingAnswer:
 		x.readAnswer(n, err, now)
 	case x.currentOp[Down] == Write, x.currentOp[Down] == SpliceOut:
@@ -346,6 +360,8 @@
 	}
 	delivered := parser.Status() == protocol.StatusDelivered
 	switch {
+	case message != nil && message.Long && x.writesEnd():
+		x.heldAnswer, x.heldUntil = message, now+writtenTimeout
 	case message != nil && message.Long:
 		x.startAnswer(message)
 	case message != nil:
@@ -368,6 +384,13 @@
 	}
 }
 
+// writesEnd reports whether the end of the request is being written. The endpoint may have it already: its answer can be read
+// before the write is reported.
+func (x *Exchange) writesEnd() bool {
+	writing := x.currentOp[Up] == Write || x.currentOp[Up] == SpliceOut
+	return writing && x.cfg.Request.Complete() && !x.cfg.Request.Written()
+}
+
 // finishEnded ends the exchange with the status line of an answer that is not whole but ends the message.
 func (x *Exchange) finishEnded(status int) {
 	x.reply, x.closeEndpoint = protocol.Reply{Status: status}, true
@@ -380,7 +403,10 @@
 	if x.answeredEarly = !x.cfg.Request.Written(); x.answeredEarly {
 		x.draining = !x.cfg.Request.Complete()
 	}
-	closing := x.cfg.CloseClient || x.cfg.HTTP10 || x.answeredEarly || x.cfg.Request.Surplus()
+	if surplus := len(x.cfg.Request.Surplus()); surplus > 0 {
+		x.surplusLost = x.cfg.KeepSurplus == nil || !x.cfg.KeepSurplus(surplus)
+	}
+	closing := x.cfg.CloseClient || x.cfg.HTTP10 || x.answeredEarly || x.surplusLost
 	emptyBody, _ := protocol.NewBody(protocol.ByLength, 0, 0)
 	if message != nil {
 		x.closeEndpoint = x.closeEndpoint || message.Close
@@ -417,7 +443,7 @@
 	if x.downPhase == awaitingAnswer && x.answerDeadline > 0 && now >= x.answerDeadline {
 		switch status := x.cfg.Answers.Status(); {
 		case status == protocol.StatusDelivered:
-			x.startAnswer(nil)
+			x.startAnswer(x.heldAnswer)
 		case protocol.EndsMessage(status):
 			x.finishEnded(status)
 		default:
--- a/internal/pump/pipe.go
+++ b/internal/pump/pipe.go
@@ -22,10 +22,10 @@
 	body         *protocol.Body
 	outFraming   protocol.Framing
 	window       []byte
-	nextUnqueued int  // window[nextUnqueued:contentEnd] is not queued for writing yet
-	contentEnd   int  // end of the content in the window
-	rewindable   bool // window[:contentEnd] holds all content received so far
-	surplus      bool // bytes followed the end of the body
+	nextUnqueued int    // window[nextUnqueued:contentEnd] is not queued for writing yet
+	contentEnd   int    // end of the content in the window
+	rewindable   bool   // window[:contentEnd] holds all content received so far
+	surplus      []byte // bytes in the window that followed the end of the body
 	head         []byte
 	queued       [maxQueuedPieces][]byte
 	firstPiece   int // queued[firstPiece:endPiece] is to be written
@@ -57,8 +57,9 @@
 // Complete reports whether all of the body was received.
 func (p *Pipe) Complete() bool { return p.body.Complete() }
 
-// Surplus reports whether bytes were received after the end of the body.
-func (p *Pipe) Surplus() bool { return p.surplus }
+// Surplus returns the bytes that were received after the end of the body. They lie in the window. A body of known length is read
+// no further than its end.
+func (p *Pipe) Surplus() []byte { return p.surplus }
 
 // Written reports whether all of the body was written.
 func (p *Pipe) Written() bool { return p.written }
@@ -110,15 +111,22 @@
 	if !p.rewindable || p.contentEnd == len(p.window) { // all was written: the window is reused and can no longer be rewound
 		p.nextUnqueued, p.contentEnd, p.rewindable = 0, 0, p.rewindable && p.contentEnd == 0
 	}
-	return p.window[p.contentEnd:]
+	space := p.window[p.contentEnd:]
+	if remaining := p.body.Remaining(); remaining > 0 && remaining < int64(len(space)) {
+		space = space[:remaining]
+	}
+	return space
 }
 
 // Fill records that n bytes were read into Space. An error means that the body is malformed; the content received
 // before it must not be treated as a complete body.
 func (p *Pipe) Fill(n int) error {
-	content, used, err := p.body.Decode(p.window[p.contentEnd : p.contentEnd+n])
+	received := p.window[p.contentEnd : p.contentEnd+n]
+	content, used, err := p.body.Decode(received)
 	p.contentEnd += content
-	p.surplus = p.surplus || used < n && err == nil
+	if err == nil && used < n {
+		p.surplus = received[used:]
+	}
 	return err
 }
 
--- a/internal/pump/pump_test.go
+++ b/internal/pump/pump_test.go
@@ -126,7 +126,7 @@
 		if p.Rewindable() && len(content) > MinWindowBytes {
 			t.Fatal("rewindable with more content than the window")
 		}
-		if in != protocol.UntilClose && len(following) > 0 && len(source) == 0 && !p.Surplus() {
+		if in != protocol.UntilClose && len(following) > 0 && len(source) == 0 && !bytes.Equal(p.Surplus(), following) {
 			t.Fatal("bytes after the body were not reported as surplus")
 		}
 		if out == protocol.Chunked && in == protocol.Chunked && !bytes.HasSuffix(got, []byte("0\r\nX-T: 1\r\n\r\n")) {
@@ -219,6 +219,8 @@
 				w.now = max(w.now, step.Deadline)
 			}
 		}
+	case step.Op == Wait:
+		w.now = min(w.now+time.Millisecond, max(w.now, step.Deadline))
 	case step.Op == Write && direction == Down:
 		if !w.recorded {
 			w.test.Fatal("the answer was sent to the client before the delivery was recorded")
--- /dev/null
+++ b/internal/transport/client_session.go
@@ -0,0 +1,230 @@
+package transport
+
+import (
+	"errors"
+	"net"
+	"time"
+
+	"mulleinbeam/internal/protocol"
+	"mulleinbeam/internal/pump"
+)
+
+// clientSession reads and answers the requests on one client connection, until it closes.
+type clientSession struct {
+	clients         *Clients
+	conn            *clientConn
+	parser          *protocol.Parser
+	memory          heldBytes    // of the parser
+	behind          *behindInput // is parsed before more is read
+	share           processorShare
+	betweenRequests bool
+	firstRequest    bool
+}
+
+func (s *Clients) serve(c *clientConn) {
+	parser := protocol.NewRequestParser(protocol.MaxBodyBytes)
+	if s.Streams != nil {
+		parser.Stream(protocol.StreamLong)
+	}
+	s.serveFrom(c, parser)
+}
+
+// serveFrom answers the requests on a connection until it closes.
+func (s *Clients) serveFrom(c *clientConn, parser *protocol.Parser) {
+	defer s.closeConn(c)
+	session := &clientSession{
+		clients: s, conn: c, parser: parser, memory: heldBytes{gauge: &s.parserMemory}, betweenRequests: parser.Idle(), firstRequest: true,
+	}
+	defer session.memory.set(0)
+	defer func() { session.behind.release() }()
+	for session.step() {
+	}
+}
+
+// step parses what was read, and answers a request or reads more. It returns false if the connection was closed or has to be.
+func (x *clientSession) step() bool {
+	message, err := x.parser.Next()
+	switch {
+	case err != nil:
+		x.clients.count(&x.clients.counters.BadRequests)
+		x.clients.rejectConnection(x.conn, protocol.ParseErrorRefusal(err))
+		return false
+	case message == nil:
+		return x.read()
+	case message.Long:
+		return x.clients.setState(x.conn, stateStreaming) && x.stream(message) && x.awaitNext()
+	}
+	return x.clients.setState(x.conn, stateAnswering) && x.clients.handleRequest(x.conn, message) && x.awaitNext()
+}
+
+// awaitNext prepares for the next request after an answer.
+func (x *clientSession) awaitNext() bool {
+	x.firstRequest = false
+	x.share.use(requestShareBytes)
+	x.betweenRequests = x.parser.Idle() && x.behind.empty()
+	if !x.betweenRequests {
+		return x.clients.setState(x.conn, stateReading)
+	}
+	x.parser.Shrink()
+	x.memory.set(x.parser.HeldBytes())
+	if !x.clients.setState(x.conn, stateIdle) {
+		x.clients.closeGracefully(x.conn)
+		return false
+	}
+	return true
+}
+
+// read reads what has arrived.
+func (x *clientSession) read() bool {
+	if x.parser.Continue() {
+		if _, err := x.conn.Write([]byte(protocol.ContinueResponse)); err != nil {
+			return false
+		}
+	}
+	space := x.parser.Space()
+	x.memory.set(x.parser.HeldBytes())
+	if !x.behind.empty() {
+		x.parser.Commit(x.behind.read(space))
+		return true
+	}
+	n, err := x.conn.Read(space)
+	x.parser.Commit(n)
+	x.share.use(n)
+	if n > 0 && x.betweenRequests {
+		if x.betweenRequests = false; !x.clients.setState(x.conn, stateReading) {
+			return false
+		}
+	}
+	return err == nil || n > 0 || x.readFailed(err)
+}
+
+// readFailed handles the end of the input, or a failure to read it. It returns true if the connection is still read.
+func (x *clientSession) readFailed(err error) bool {
+	s, c := x.clients, x.conn
+	timeout := (net.Error)(nil)
+	switch timedOut := errors.As(err, &timeout) && timeout.Timeout(); {
+	case !timedOut && isSyscallError(err) && !x.parser.Idle(): // the client may still wait for an answer
+		s.count(&s.counters.Broken)
+		s.logSample(c, "request not read", err)
+		s.rejectConnection(c, &protocol.Refusal{Status: 503, Reason: "request could not be read", RetryAfter: time.Second, Close: true})
+		return false
+	case !timedOut: // the client has closed the connection
+		if isSyscallError(err) {
+			s.logSample(c, "connection broken", err)
+		}
+		return false
+	case !x.parser.Idle():
+		s.count(&s.counters.Late)
+		s.rejectConnection(c, &protocol.Refusal{Status: 408, Reason: "request not complete in time", Close: true})
+		return false
+	case s.allowLateBytes(c):
+		x.betweenRequests = false
+		return true
+	case x.firstRequest:
+		s.count(&s.counters.Silent)
+	}
+	s.closeGracefully(c)
+	return false
+}
+
+// stream streams a long message to an endpoint and answers it once the stream has ended. It returns false if the
+// connection was closed.
+func (x *clientSession) stream(message *protocol.Message) bool {
+	s, c, parser := x.clients, x.conn, x.parser
+	kind, submission, refusal := protocol.ReadRequest(message)
+	if refusal == nil && kind != protocol.SubmitMessage {
+		refusal = protocol.ParseErrorRefusal(protocol.ErrBodySize)
+	}
+	body, raw, err := parser.Rest(s.Streams.MaxBodyBytes)
+	if refusal == nil && err != nil {
+		refusal = protocol.ParseErrorRefusal(err)
+	}
+	if refusal != nil {
+		s.count(&s.counters.BadRequests)
+		s.rejectConnection(c, refusal)
+		return false
+	}
+	framing, length := parser.Framing()
+	http10 := string(message.Start[2]) == "HTTP/1.0"
+	conn := net.Conn(c)
+	if !x.behind.empty() {
+		conn = behindConn{c.Conn, x.behind}
+	}
+	upload := &Upload{
+		streams: s.Streams, conn: conn, body: body, content: message.Body, undecoded: raw, framing: framing, length: length,
+		expectsContinue: parser.Continue(), http10: http10,
+		closesClient: func() bool { return message.Close || s.closesAfterAnswer(c) },
+	}
+	defer upload.release()
+	refusal, done := s.Handler.Stream(submission, upload)
+	if refusal != nil { // nothing reads the body that follows
+		refusal.Close = true
+		s.rejectConnection(c, refusal)
+		return false
+	}
+	if !x.finishStream(upload, <-done) {
+		return false
+	}
+	parser.Reset()
+	x.behind = x.behind.after(upload.takeBehind())
+	return true
+}
+
+// finishStream answers a long message that has ended, unless its answer was streamed. It returns false if the connection
+// was closed or has to be.
+func (x *clientSession) finishStream(upload *Upload, result StreamEnd) bool {
+	s, c := x.clients, x.conn
+	switch {
+	case result.Refusal != nil:
+		if s.setState(c, stateClosing); upload.outcome == pump.ClientMalformed {
+			result.Refusal.Status, result.Refusal.Reason = 400, "malformed body"
+		}
+		answered := upload.outcome != pump.ClientGone && s.answer(c, 0, result.Refusal, true)
+		if result.OnAnswered != nil {
+			result.OnAnswered(answered)
+		}
+		if answered {
+			s.drain(c)
+		}
+		return false
+	case !upload.answerStarted: // delivered, but the endpoint's answer was cut short
+		s.rejectConnection(c, protocol.Delivered())
+		return false
+	case !upload.reusable:
+		s.setState(c, stateClosing)
+		s.drain(c)
+		return false
+	}
+	return true
+}
+
+// handleRequest answers one request. It returns false if the connection was closed or has to be.
+func (s *Clients) handleRequest(c *clientConn, m *protocol.Message) bool {
+	kind, submission, refusal := protocol.ReadRequest(m)
+	status, cancel := 200, func() {}
+	if refusal != nil {
+		s.count(&s.counters.BadRequests)
+	} else if kind == protocol.SubmitMessage {
+		status = 202
+		submission.Timeout -= c.queueDelay()
+		refusal, cancel = s.Handler.Accept(submission)
+	}
+	if refusal != nil && refusal.Status == 0 { // no answer is known to be true: send none
+		return false
+	}
+	if refusal != nil && refusal.Close {
+		s.rejectConnection(c, refusal)
+		return false
+	}
+	closes := m.Close || s.closesAfterAnswer(c)
+	if written, err := s.writeAnswer(c, status, refusal, closes); err != nil {
+		if cancel != nil && written == 0 { // otherwise the client may have seen the answer
+			cancel()
+		}
+		return false
+	}
+	if closes {
+		s.closeGracefully(c)
+	}
+	return !closes
+}
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -20,9 +21,12 @@
 	MaxBodyBytes int64         // of one body, in either direction
 	IdleTimeout  time.Duration // a call ends when no byte has moved in either direction for this long
 	WindowBytes  int           // buffered bytes of one body, in either direction
+	// MaxBehindBytes limits what is held of requests that were read behind long bodies, on all connections together.
+	MaxBehindBytes int64
 
 	windows  sync.Pool
 	inUse    atomic.Int64 // windows that are not in the pool
+	behind   atomic.Int64 // bytes of behindInput
 	bytes    [2]atomic.Int64
 	counters [pump.Aborted + 1]atomic.Int64
 }
@@ -31,7 +35,7 @@
 func (p *Streams) MarshalZerologObject(e *zerolog.Event) {
 	count := func(name string, end pump.Outcome) { e.Int64(name, p.counters[end].Load()) }
 	e.Int64("bytes_up", p.bytes[pump.Up].Load()).Int64("bytes_down", p.bytes[pump.Down].Load())
-	e.Int64("window_bytes", p.inUse.Load()*int64(p.WindowBytes))
+	e.Int64("window_bytes", p.inUse.Load()*int64(p.WindowBytes)).Int64("behind_bytes", p.behind.Load())
 	count("delivered", pump.Delivered)
 	count("answered", pump.Answered)
 	count("spoilt", pump.Malformed)
@@ -76,6 +80,7 @@
 	windows         []*[]byte    // buffers to be released
 	outcome         pump.Outcome // of the last attempt
 	answerStarted   bool         // a byte of an answer has gone to the client
+	behind          *behindInput // room for what the client has sent behind its body, if there is any
 	reusable        bool
 }
 
@@ -100,12 +105,31 @@
 	return nil
 }
 
+// keepSurplus reserves memory for what the client has sent behind its body.
+func (u *Upload) keepSurplus(bytes int) bool {
+	u.behind.release()
+	u.behind = u.streams.reserveBehind(bytes)
+	return u.behind != nil
+}
+
 // release returns the windows to the pool.
 func (u *Upload) release() {
 	for _, w := range u.windows {
 		u.streams.putWindow(w)
 	}
 	u.windows, u.pipe = nil, nil
+	u.behind.release()
+	u.behind = nil
+}
+
+// takeBehind returns what the client has sent behind its body. The caller releases it.
+func (u *Upload) takeBehind() *behindInput {
+	behind := u.behind
+	if behind != nil {
+		behind.unread = bytes.Clone(u.pipe.Surplus())
+	}
+	u.behind = nil
+	return behind
 }
 
 // StreamCall is one attempt to stream a long message to an endpoint.
@@ -148,7 +172,7 @@
 		return StreamResult{Outcome: upload.outcome, Reused: conn.pooled.Reused()}
 	}
 	driver := &duplex{start: time.Now(), client: innerConn(upload.conn), endpoint: innerConn(conn),
-		recordDelivery: call.RecordDelivery, streams: streams}
+		recordDelivery: call.RecordDelivery, streams: streams, reported: make(chan struct{}, 1)}
 	timeout := 24 * time.Hour
 	if deadline, ok := ctx.Deadline(); ok {
 		timeout = time.Until(deadline)
@@ -165,6 +189,7 @@
 	driver.exchange = pump.New(pump.Config{
 		Request: upload.pipe, Answers: parser, MaxAnswerBytes: streams.MaxBodyBytes, IdleTimeout: streams.IdleTimeout,
 		Deadline: timeout, HTTP10: upload.http10, CloseClient: upload.closesClient(), Splice: true,
+		KeepSurplus: upload.keepSurplus,
 		Window: func() []byte {
 			w := streams.getWindow()
 			upload.windows = append(upload.windows, w)
@@ -252,6 +277,7 @@
 	recordDelivery   func() bool
 	streams          *Streams
 	splices          [2]*splicePipe // one for each direction, holding its spliced bytes
+	reported         chan struct{}  // receives after a step of the direction to the endpoint
 }
 
 // run drives both directions until they stop. The direction to the client starts once the call has begun.
@@ -328,7 +354,9 @@
 		n, err = g.write(sink, step.Out)
 		d.streams.bytes[direction].Add(int64(n))
 	case step.Op == pump.SpliceIn:
-		if d.splices[direction] == nil {
+		if !spliceable(source) {
+			err = pump.ErrNoSplice
+		} else if d.splices[direction] == nil {
 			d.splices[direction], err = newSplicePipe(source, sink, step.Limit)
 		}
 		if err == nil {
@@ -337,6 +365,8 @@
 	case step.Op == pump.SpliceOut:
 		n, err = d.splices[direction].push(step.Limit)
 		d.streams.bytes[direction].Add(int64(n))
+	case step.Op == pump.Wait:
+		d.awaitReport(step.Deadline)
 	case step.Op == pump.Begin:
 		err = d.begin()
 	case step.Op == pump.RecordDelivery:
@@ -349,9 +379,30 @@
 	if d.exchange.StepDone(direction, n, err, d.now()) {
 		d.wake(1 - direction)
 	}
+	if direction == pump.Up {
+		d.report()
+	}
 	return true
 }
 
+// report ends the wait of awaitReport, or the next one.
+func (d *duplex) report() {
+	select {
+	case d.reported <- struct{}{}:
+	default:
+	}
+}
+
+// awaitReport waits until the direction to the endpoint has reported a step, or until a deadline.
+func (d *duplex) awaitReport(deadline time.Duration) {
+	timer := time.NewTimer(deadline - d.now())
+	defer timer.Stop()
+	select {
+	case <-d.reported:
+	case <-timer.C:
+	}
+}
+
 // wake interrupts the current step of a direction. The caller holds d.mu.
 func (d *duplex) wake(direction pump.Direction) {
 	source, sink := d.client, d.endpoint
