Routing: a message that waits only for its report's acknowledgement holds no body

While the platform acknowledges nothing, memory grew with the messages that ended, by 64 KiB each at the most, without a bound.

Cause: the report's callback keeps the held message, and nothing dropped its body; body_bytes does not count it.

Change: the body is dropped with the end, or with the end of the call that is still out then. A delivered message keeps its body as before (1 MiB of all, 2.5 s), since doubt may send it again.

--- a/internal/routing/calls.go
+++ b/internal/routing/calls.go
@@ -306,6 +306,7 @@
 	r.endByCall(call, concluded, result.ReusedConnection)
 	if held.ended {
 		delete(r.messages, held.seq)
+		held.dropReportedBody()
 	} else if record := r.cfg.Log.Message(held.seq); held.resubmitAfterCall && record != nil {
 		held.suspended, held.resubmitAfterCall = false, false
 		defer r.resubmit(record, held)
--- a/internal/routing/held.go
+++ b/internal/routing/held.go
@@ -115,6 +115,7 @@
 		return
 	}
 	r.end(held, ending, retryAfter)
+	held.dropReportedBody()
 	if held.Long != nil {
 		r.finishLong(held, ending, retryAfter)
 		return
@@ -122,6 +123,14 @@
 	r.report(held, ending == wal.Refused, retryAfter)
 }
 
+// dropReportedBody releases the body of a message that ended with a report, once no call needs it: the report may wait long for
+// its acknowledgement.
+func (held *heldMessage) dropReportedBody() {
+	if held.ended && held.completedBy == nil && held.call == nil {
+		held.Body = nil
+	}
+}
+
 // end registers and journals the end of a message, which stays in r.messages while a call is out.
 func (r *Router) end(held *heldMessage, ending wal.Status, retryAfter time.Duration) {
 	if held.ended {
