Links: a message from a peer has a limit of 64 MiB; rejected connections release what was read

Off without [cluster].

TestServerRefusesHugeMessages failed before (the server read on for the 10 s that the test gives), TestMessageLimitFollowsStream is new with it.

--- a/cmd/larklab/bursts.go
+++ b/cmd/larklab/bursts.go
@@ -19,6 +19,7 @@
 	Chunk    int           `help:"Bytes of each chunk; 0 sends bodies with their length."`
 	OneByOne bool          `help:"Wait for each answer before the next request."`
 	Unread   bool          `help:"Read no answer before all requests are written."`
+	Stall    bool          `help:"Do not send the last byte of a client's last request."`
 	Health   int           `help:"Every so many requests one asks for the health; 0 for none."`
 	Steady   int           `default:"4" help:"Clients with one request at a time beside them."`
 	Sockets  int           `default:"1024" help:"Limit on descriptors."`
@@ -43,7 +44,7 @@
 		Program: []string{program, "serve"}, Settings: string(settingsText), Sockets: c.Sockets, MemoryMB: c.Memory, Steady: c.Steady,
 		Counters: c.Counters, Out: os.Stdout,
 		Load: lab.Burst{
-			Clients: c.Clients, Requests: c.Requests, BodyBytes: c.Body, ChunkBytes: c.Chunk, OneByOne: c.OneByOne, ReadAtEnd: c.Unread,
+			Clients: c.Clients, Requests: c.Requests, BodyBytes: c.Body, ChunkBytes: c.Chunk, OneByOne: c.OneByOne, ReadAtEnd: c.Unread, Stall: c.Stall,
 			HealthEvery: c.Health, Timeout: c.Timeout,
 		},
 	}.Run()
--- a/internal/cluster/links/links.go
+++ b/internal/cluster/links/links.go
@@ -118,7 +118,7 @@
 			p.mu.Unlock()
 			return nil, errors.Join(net.ErrClosed, conn.Close())
 		}
-		p.client = rpc.NewClient(conn)
+		p.client = rpc.NewClient(limitMessages(conn))
 		p.mu.Unlock()
 	}
 }
@@ -273,7 +273,7 @@
 		conns[conn] = true
 		mu.Unlock()
 		wg.Go(func() {
-			server.ServeConn(servedConn{conn})
+			server.ServeConn(servedConn{limitMessages(conn)})
 			_ = conn.Close()
 			mu.Lock()
 			delete(conns, conn)
--- a/internal/lab/burst.go
+++ b/internal/lab/burst.go
@@ -20,6 +20,7 @@
 	BodyBytes   int           // of each message
 	ChunkBytes  int           // bytes of content in each chunk of a body; 0 sends it with its length
 	OneByOne    bool          // each client waits for an answer before it sends its next request
+	Stall       bool          // the last byte of each client's last request is not sent
 	ReadAtEnd   bool          // answers are not read until all requests are written, or can't be
 	HealthEvery int           // every so many requests one asks for the health instead, whose answer shows the order; 0 for none
 	Timeout     time.Duration // a client ends after this time
@@ -73,7 +74,11 @@
 			defer close(written)
 			out := bufio.NewWriterSize(conn, burstPieceBytes)
 			for number := range b.Requests {
-				if _, err := out.Write(b.request(client, number, body)); err != nil {
+				text := b.request(client, number, body)
+				if b.Stall && number == b.Requests-1 {
+					text = text[:len(text)-1]
+				}
+				if _, err := out.Write(text); err != nil {
 					return // reading the answers reports it
 				}
 			}
--- a/internal/transport/client_session.go
+++ b/internal/transport/client_session.go
@@ -47,8 +47,7 @@
 	switch {
 	case err != nil:
 		x.clients.count(&x.clients.counters.BadRequests)
-		x.clients.rejectConnection(x.conn, protocol.ParseErrorRefusal(err))
-		return false
+		return x.reject(protocol.ParseErrorRefusal(err))
 	case message == nil:
 		return x.read()
 	case message.Long:
@@ -106,8 +105,7 @@
 	case !timedOut && isSyscallError(err) && !x.parser.Idle(): // the client may still wait for an answer
 		s.count(&s.counters.Broken)
 		s.logSample(c, "request not read", err)
-		s.rejectConnection(c, &protocol.Refusal{Status: 503, Reason: "request could not be read", RetryAfter: time.Second, Close: true})
-		return false
+		return x.reject(&protocol.Refusal{Status: 503, Reason: "request could not be read", RetryAfter: time.Second, Close: true})
 	case !timedOut: // the client has closed the connection
 		if isSyscallError(err) {
 			s.logSample(c, "connection broken", err)
@@ -115,8 +113,7 @@
 		return false
 	case !x.parser.Idle():
 		s.count(&s.counters.Late)
-		s.rejectConnection(c, &protocol.Refusal{Status: 408, Reason: "request not complete in time", Close: true})
-		return false
+		return x.reject(&protocol.Refusal{Status: 408, Reason: "request not complete in time", Close: true})
 	case s.allowLateBytes(c):
 		x.betweenRequests = false
 		return true
@@ -127,6 +124,16 @@
 	return false
 }
 
+// reject answers a request that can't be read, and closes the connection. What was read of it is released before: the client may
+// take its time.
+func (x *clientSession) reject(refusal *protocol.Refusal) bool {
+	x.parser.Reset()
+	x.memory.set(x.parser.HeldBytes())
+	x.behind.release()
+	x.clients.rejectConnection(x.conn, refusal)
+	return false
+}
+
 // stream streams a long message to an endpoint and answers it once the stream has ended. It returns false if the
 // connection was closed.
 func (x *clientSession) stream(message *protocol.Message) bool {
