Test: TestRetries waits until the program has the list of its drain

Trace (the program's log): 'call not started reason=list request=drained', so the message was accepted before the list had come. The test waited for held=0, which was so before; it meant that the list had been taken. The agent now tells when the program watches for what follows the list.

--- a/cmd/larkreach/long_test.go
+++ b/cmd/larkreach/long_test.go
@@ -383,6 +383,7 @@
 
 	l.p.Status = "DRAINING"
 	l.agent.List(l.p)
+	l.agent.AwaitWatch() // the program has the list
 	must(t, l.f.AwaitCounter("in", "held", 0))
 	h = upload("drained", "unsafe", largeBody)
 	h.Expect, h.Left = true, time.Second
--- a/internal/lab/agent.go
+++ b/internal/lab/agent.go
@@ -36,11 +36,14 @@
 	list     []*Endpoint
 	changed  chan struct{} // closed at each change of the list
 	notices  []Notice
+
+	watchedIndex int           // index that the latest watch had
+	watched      chan struct{} // closed at the next watch that has the current index
 }
 
 // Listen starts the agent with a list of endpoints.
 func (a *Agent) Listen(list ...*Endpoint) error {
-	a.index, a.list, a.changed = 1, list, make(chan struct{})
+	a.index, a.list, a.changed, a.watched = 1, list, make(chan struct{}), make(chan struct{})
 	return a.listen()
 }
 
@@ -94,6 +97,26 @@
 	a.changed = make(chan struct{})
 }
 
+// AwaitWatch waits until the program watches for what follows the current list: it has passed on that list by then.
+func (a *Agent) AwaitWatch() {
+	for {
+		a.mu.Lock()
+		reached, watched := a.watchedIndex == a.index, a.watched
+		a.mu.Unlock()
+		if reached {
+			return
+		}
+		<-watched
+	}
+}
+
+// noteWatch records a watch for what follows the current list. The caller holds a.mu.
+func (a *Agent) noteWatch() {
+	a.watchedIndex = a.index
+	close(a.watched)
+	a.watched = make(chan struct{})
+}
+
 // Notices returns the delivery reports received so far.
 func (a *Agent) Notices() []Notice {
 	a.mu.Lock()
@@ -126,6 +149,9 @@
 	for source := a.source(); ; {
 		source.mu.Lock()
 		same, changed := since == fmt.Sprint(source.index), source.changed
+		if same {
+			source.noteWatch()
+		}
 		source.mu.Unlock()
 		if !same {
 			break
