--- a/internal/protocol/parser.go
+++ b/internal/protocol/parser.go
@@ -12,7 +12,7 @@
 	maxHeadBuffer      = MaxHeadBytes + initialBufferBytes // size of the buffer for the largest head
 	readAheadBytes     = 8 << 10                           // bytes behind a chunk that are read with it: small chunks need fewer reads
 	surplusBytes       = 512                               // bytes behind an answer that are read with it, to recognize a second one
-	minBodyBuffer      = 16 << 10                          // initial memory of a body of unknown length
+	minBodyBuffer      = 8 << 10                           // initial memory of a body of unknown length
 	minSpaceBytes      = 512                               // least space for a read into a body of unknown length
 
 	// MaxRequestMemory is the most memory that a parser of requests holds, with bodies of up to MaxBodyBytes.
@@ -122,33 +122,38 @@
 	p.body = append(make([]byte, 0, size), received...)
 	p.end = p.start + p.headLen
 	p.moveToFront()
-	if p.phase == inChunkedBody && len(p.buf) < p.end+readAheadBytes {
-		p.growBuffer(p.end + readAheadBytes)
-	}
 }
 
 // bodySpace returns the space for the next bytes of a body with memory of its own. What may be read behind the body fits the
 // buffer.
 func (p *Parser) bodySpace() []byte {
+	switch p.phase {
+	case inChunkedBody:
+		p.growBody(int(min(p.decoder.remaining, int64(p.maxBody))), p.maxBody+readAheadBytes)
+	case inBodyUntilClose:
+		p.growBody(0, p.maxBody+minSpaceBytes)
+	}
 	received, bufferSpace := len(p.body), len(p.buf)-p.end
 	limit := cap(p.body)
 	switch p.phase {
 	case inBody:
 		limit = min(limit, p.remaining+bufferSpace)
 	case inChunkedBody:
-		p.growBody(p.maxBody + readAheadBytes)
-		limit = min(cap(p.body), received+int(p.decoder.remaining)+bufferSpace)
-	case inBodyUntilClose:
-		p.growBody(p.maxBody + minSpaceBytes)
-		limit = cap(p.body)
+		limit = min(limit, received+int(p.decoder.remaining)+bufferSpace)
 	}
 	return p.body[received:limit]
 }
 
-// growBody makes sure that a body of unknown length has minSpaceBytes of space, within a limit that always leaves it so much.
-func (p *Parser) growBody(limit int) {
-	if cap(p.body)-len(p.body) < minSpaceBytes {
-		p.body = append(make([]byte, 0, min(2*cap(p.body), limit)), p.body...)
+// growBody enlarges the memory of a body of unknown length that has less than minSpaceBytes left, for as many bytes as are
+// expected, up to a limit that always leaves it that space. More is read behind the chunks of a body that grows.
+func (p *Parser) growBody(expected, limit int) {
+	if cap(p.body)-len(p.body) >= minSpaceBytes {
+		return
+	}
+	size := min(max(2*cap(p.body), len(p.body)+expected+minSpaceBytes), limit)
+	p.body = append(make([]byte, 0, size), p.body...)
+	if p.phase == inChunkedBody && len(p.buf) < p.end+readAheadBytes {
+		p.growBuffer(p.end + readAheadBytes)
 	}
 }
 
--- a/internal/transport/client_session.go
+++ b/internal/transport/client_session.go
@@ -83,7 +83,9 @@
 	space := x.parser.Space()
 	x.memory.set(x.parser.HeldBytes())
 	if !x.behind.empty() {
-		x.parser.Commit(x.behind.read(space))
+		n := x.behind.read(space)
+		x.parser.Commit(n)
+		x.share.use(n)
 		return true
 	}
 	n, err := x.conn.Read(space)
