--- a/internal/protocol/parser.go
+++ b/internal/protocol/parser.go
@@ -122,6 +122,9 @@
 	p.body = append(make([]byte, 0, size), received...)
 	p.end = p.start + p.headLen
 	p.moveToFront()
+	if p.phase == inChunkedBody && len(p.buf)-p.end < minSpaceBytes {
+		p.growBuffer(p.end + readAheadBytes)
+	}
 }
 
 // bodySpace returns the space for the next bytes of a body with memory of its own. What may be read behind the body fits the
--- a/internal/protocol/parser_cost_test.go
+++ b/internal/protocol/parser_cost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -19,6 +20,8 @@
 	return append(raw, "0\r\n\r\n"...)
 }
 
+var errNoSpace = errors.New("the parser gives no space")
+
 // parseStream feeds a parser as a driver does with a connection on which all of raw has arrived, and returns the number of
 // messages and the most memory that the parser held.
 func parseStream(p *Parser, raw []byte) (messages, peakBytes int, err error) {
@@ -32,6 +35,9 @@
 			return messages, peakBytes, err
 		}
 		n := copy(p.Space(), raw)
+		if n == 0 {
+			return messages, peakBytes, errNoSpace
+		}
 		p.Commit(n)
 		raw = raw[n:]
 		peakBytes = max(peakBytes, p.HeldBytes())
--- a/internal/protocol/parser_memory_test.go
+++ b/internal/protocol/parser_memory_test.go
@@ -35,7 +35,7 @@
 	for i := range body {
 		body[i] = byte(random.Uint32())
 	}
-	filler := strings.Repeat("x", rapid.SampledFrom([]int{0, 10, 1000, 9000}).Draw(t, "head"))
+	filler := strings.Repeat("x", rapid.OneOf(rapid.IntRange(0, 2100), rapid.IntRange(0, 16_000)).Draw(t, "head"))
 	raw = fmt.Appendf(nil, "POST /api HTTP/1.1\r\nX-Filler: %s\r\n", filler)
 	if rapid.Bool().Draw(t, "known length") {
 		return append(fmt.Appendf(raw, "Content-Length: %d\r\n\r\n", size), body...), body
@@ -64,8 +64,10 @@
 		most := rapid.SampledFrom([]int{300, 3000, 30_000, 1 << 20}).Draw(t, "read")
 		p := NewRequestParser(MaxBodyBytes)
 		for len(raw) > 0 {
-			space := p.Space()
-			n := copy(space, raw[:min(len(raw), 1+random.IntN(most))])
+			n := copy(p.Space(), raw[:min(len(raw), 1+random.IntN(most))])
+			if n == 0 {
+				t.Fatal("the parser gives no space")
+			}
 			p.Commit(n)
 			raw = raw[n:]
 			for {
@@ -121,3 +123,24 @@
 		t.Errorf("an answer until the end of the connection: %v, %d bytes held", err, peak)
 	}
 }
+
+// Guards against a driver that reads nothing for ever, or byte by byte: whatever the length of a head is, there is space behind
+// it for a body in chunks.
+func TestHeadsThatFillTheBuffer(t *testing.T) {
+	const allowedReads = 40
+	content := string(chunkedRequest(5000, 7))
+	content = content[strings.Index(content, "\r\n\r\n")+4:]
+	for filler := 1900; filler < 2100; filler++ {
+		head := fmt.Sprintf("POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\nX: %s\r\n\r\n", strings.Repeat("x", filler-60))
+		p := NewRequestParser(MaxBodyBytes)
+		rest, reads := []byte(head+content), 0
+		for m, err := p.Next(); m == nil; m, err = p.Next() {
+			n := copy(p.Space(), rest)
+			p.Commit(n)
+			rest = rest[n:]
+			if reads++; err != nil || n == 0 || reads > allowedReads {
+				t.Fatalf("a head of %d bytes: %d reads, the last one of %d bytes, %v", len(head), reads, n, err)
+			}
+		}
+	}
+}
