--- a/cmd/larkreach/main.go
+++ b/cmd/larkreach/main.go
@@ -40,8 +40,8 @@
 	minConnectionDescriptors = 16                      // fewest descriptors for connections with which the program starts
 	// descriptorsPerLongCall covers the connection of a long call and a pipe in each direction.
 	descriptorsPerLongCall = 5
-	// behindDivisor is the total of all windows over what may be held of requests that were read behind long bodies.
-	behindDivisor = 4
+	// pipelinedDivisor is the total of all windows over what may be held of requests that were read behind long bodies.
+	pipelinedDivisor = 4
 )
 
 func main() {
@@ -271,7 +271,7 @@
 	}
 	return limits, &transport.Streams{
 		MaxBodyBytes: int64(b.MaxBodyBytes), IdleTimeout: time.Duration(b.IdleTimeout), WindowBytes: int(b.WindowBytes),
-		MaxBehindBytes: int64(b.TotalWindowBytes) / behindDivisor,
+		MaxPipelinedBytes: int64(b.TotalWindowBytes) / pipelinedDivisor,
 	}, descriptors, nil
 }
 
--- a/internal/transport/client_session.go
+++ b/internal/transport/client_session.go
@@ -14,8 +14,8 @@
 	clients         *Clients
 	conn            *clientConn
 	parser          *protocol.Parser
-	memory          heldBytes    // of the parser
-	behind          *behindInput // is parsed before more is read
+	memory          heldBytes       // of the parser
+	pipelined       *pipelinedInput // is parsed before more is read
 	share           processorShare
 	betweenRequests bool
 	firstRequest    bool
@@ -36,7 +36,7 @@
 		clients: s, conn: c, parser: parser, memory: heldBytes{gauge: &s.parserMemory}, betweenRequests: parser.Idle(), firstRequest: true,
 	}
 	defer session.memory.set(0)
-	defer func() { session.behind.release() }()
+	defer func() { session.pipelined.release() }()
 	for session.step() {
 	}
 }
@@ -61,7 +61,7 @@
 func (x *clientSession) awaitNext() bool {
 	x.firstRequest = false
 	x.share.use(requestShareBytes)
-	x.betweenRequests = x.parser.Idle() && x.behind.empty()
+	x.betweenRequests = x.parser.Idle() && x.pipelined.empty()
 	if !x.betweenRequests {
 		return x.clients.setState(x.conn, stateReading)
 	}
@@ -79,8 +79,8 @@
 	}
 	space := x.parser.Space()
 	x.memory.set(x.parser.HeldBytes())
-	if !x.behind.empty() {
-		n := x.behind.read(space)
+	if !x.pipelined.empty() {
+		n := x.pipelined.read(space)
 		x.parser.Commit(n)
 		x.share.use(n)
 		return true
@@ -140,7 +140,7 @@
 func (x *clientSession) release() {
 	x.parser.Reset()
 	x.memory.set(x.parser.HeldBytes())
-	x.behind.release()
+	x.pipelined.release()
 }
 
 // stream streams a long message to an endpoint and answers it once the stream has ended. It returns false if the
@@ -163,8 +163,8 @@
 	framing, length := parser.Framing()
 	http10 := string(message.Start[2]) == "HTTP/1.0"
 	conn := net.Conn(c)
-	if !x.behind.empty() {
-		conn = behindConn{c.Conn, x.behind}
+	if !x.pipelined.empty() {
+		conn = pipelinedConn{c.Conn, x.pipelined}
 	}
 	upload := &Upload{
 		streams: s.Streams, conn: conn, body: body, content: message.Body, undecoded: raw, framing: framing, length: length,
@@ -182,7 +182,7 @@
 		return false
 	}
 	parser.Reset()
-	x.behind = x.behind.after(upload.takeBehind())
+	x.pipelined = x.pipelined.after(upload.takePipelined())
 	return true
 }
 
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -21,21 +21,21 @@
 	MaxBodyBytes int64         // of one body, in either direction
 	IdleTimeout  time.Duration // a call ends when no byte has moved in either direction for this long
 	WindowBytes  int           // buffered bytes of one body, in either direction
-	// MaxBehindBytes limits what is held of requests that were read behind long bodies, on all connections together.
-	MaxBehindBytes int64
+	// MaxPipelinedBytes limits what is held of requests that were read behind long bodies, on all connections together.
+	MaxPipelinedBytes int64
 
-	windows  sync.Pool
-	inUse    atomic.Int64 // windows that are not in the pool
-	behind   atomic.Int64 // bytes of behindInput
-	bytes    [2]atomic.Int64
-	counters [pump.Aborted + 1]atomic.Int64
+	windows   sync.Pool
+	inUse     atomic.Int64 // windows that are not in the pool
+	pipelined atomic.Int64 // bytes of pipelinedInput
+	bytes     [2]atomic.Int64
+	counters  [pump.Aborted + 1]atomic.Int64
 }
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (p *Streams) MarshalZerologObject(e *zerolog.Event) {
 	count := func(name string, end pump.Outcome) { e.Int64(name, p.counters[end].Load()) }
 	e.Int64("bytes_up", p.bytes[pump.Up].Load()).Int64("bytes_down", p.bytes[pump.Down].Load())
-	e.Int64("window_bytes", p.inUse.Load()*int64(p.WindowBytes)).Int64("behind_bytes", p.behind.Load())
+	e.Int64("window_bytes", p.inUse.Load()*int64(p.WindowBytes)).Int64("pipelined_bytes", p.pipelined.Load())
 	count("delivered", pump.Delivered)
 	count("answered", pump.Answered)
 	count("spoilt", pump.Malformed)
@@ -77,10 +77,10 @@
 	http10          bool // the client speaks HTTP/1.0
 	closesClient    func() bool
 	pipe            *pump.Pipe
-	windows         []*[]byte    // buffers to be released
-	outcome         pump.Outcome // of the last attempt
-	answerStarted   bool         // a byte of an answer has gone to the client
-	behind          *behindInput // room for what the client has sent behind its body, if there is any
+	windows         []*[]byte       // buffers to be released
+	outcome         pump.Outcome    // of the last attempt
+	answerStarted   bool            // a byte of an answer has gone to the client
+	pipelined       *pipelinedInput // room for what the client has sent behind its body, if there is any
 	reusable        bool
 }
 
@@ -107,9 +107,9 @@
 
 // keepSurplus reserves memory for what the client has sent behind its body.
 func (u *Upload) keepSurplus(bytes int) bool {
-	u.behind.release()
-	u.behind = u.streams.reserveBehind(bytes)
-	return u.behind != nil
+	u.pipelined.release()
+	u.pipelined = u.streams.reservePipelined(bytes)
+	return u.pipelined != nil
 }
 
 // release returns the windows to the pool.
@@ -118,18 +118,18 @@
 		u.streams.putWindow(w)
 	}
 	u.windows, u.pipe = nil, nil
-	u.behind.release()
-	u.behind = nil
+	u.pipelined.release()
+	u.pipelined = nil
 }
 
-// takeBehind returns what the client has sent behind its body. The caller releases it.
-func (u *Upload) takeBehind() *behindInput {
-	behind := u.behind
-	if behind != nil {
-		behind.unread = bytes.Clone(u.pipe.Surplus())
+// takePipelined returns what the client has sent behind its body. The caller releases it.
+func (u *Upload) takePipelined() *pipelinedInput {
+	pipelined := u.pipelined
+	if pipelined != nil {
+		pipelined.unread = bytes.Clone(u.pipe.Surplus())
 	}
-	u.behind = nil
-	return behind
+	u.pipelined = nil
+	return pipelined
 }
 
 // StreamCall is one attempt to stream a long message to an endpoint.
