--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -28,7 +28,7 @@
 	shutdownGrace     = 300 * time.Millisecond  // for a request that has begun when the shutdown starts
 	drainTimeout      = 3 * time.Second         // input after an error is discarded: a close would lose the answer
 	drainQuietTimeout = 500 * time.Millisecond  // draining stops after a pause of this length in the input
-	drainStepBytes    = 128 << 10               // bytes discarded between two checks of the time
+	drainStepBytes    = 1 << 20                 // bytes discarded between two checks of the time
 	maxDrainBytes     = 64 << 20                // bytes discarded in all
 	crowdedDivisor    = 4                       // with more than MaxConnections/crowdedDivisor, none is kept open
 	acceptRetryDelay  = 5 * time.Millisecond    // short: a message's timeout runs while it waits for the accept
