Long bodies: windows are released before the answer, not behind the drain

With [bodies], a long message that had ended without a delivery kept its windows, and its parser's memory, while its connection was drained, 0.5 to 3 s, while the router counted it no longer: the windows in use could pass [bodies] total, the bound that docs/design/memory.md states.

Cause: stream released them behind finishStream, which drains. The fix releases before the last answer; where the module ends a message whose call is still out, the call's end releases them, since the call still fills them (before, the drain's length hid that).

TestEndedLongMessagesHoldNoWindow failed before (131,072 bytes in use once the client had its 502). TestWindowsAreReleasedWithTheirCall is new with the fix. How far the sum goes under load was not measured.

--- a/internal/transport/client_session.go
+++ b/internal/transport/client_session.go
@@ -157,8 +157,7 @@
 	}
 	if refusal != nil {
 		s.count(&s.counters.BadRequests)
-		s.rejectConnection(c, refusal)
-		return false
+		return x.reject(refusal)
 	}
 	framing, length := parser.Framing()
 	http10 := string(message.Start[2]) == "HTTP/1.0"
@@ -175,8 +174,7 @@
 	refusal, done := s.Handler.Stream(submission, upload)
 	if refusal != nil { // nothing reads the body that follows
 		refusal.Close = true
-		s.rejectConnection(c, refusal)
-		return false
+		return x.reject(refusal)
 	}
 	if !x.finishStream(upload, <-done) {
 		return false
@@ -187,9 +185,13 @@
 }
 
 // finishStream answers a long message that has ended, unless its answer was streamed. It returns false if the connection
-// was closed or has to be.
+// was closed or has to be; windows and what was read are released before that, since the client may take its time.
 func (x *clientSession) finishStream(upload *Upload, result StreamEnd) bool {
 	s, c := x.clients, x.conn
+	if result.Refusal != nil || !upload.answerStarted || !upload.reusable {
+		upload.release()
+		x.release()
+	}
 	switch {
 	case result.Refusal != nil:
 		if s.setState(c, stateClosing); upload.outcome == pump.ClientMalformed {
--- a/internal/transport/pipelined_input_test.go
+++ b/internal/transport/pipelined_input_test.go
@@ -28,3 +28,21 @@
 		t.Error("no input is not empty")
 	}
 }
+
+// Guards against a window that one call still fills while another message has it: the windows of a message that ends while its
+// call is out are released with the call.
+func TestWindowsAreReleasedWithTheirCall(t *testing.T) {
+	streams := &Streams{WindowBytes: 1 << 10}
+	upload := &Upload{streams: streams}
+	upload.beginCall()
+	upload.windows = append(upload.windows, streams.getWindow())
+	upload.release()
+	if held := streams.inUse.Load(); held != 1 {
+		t.Errorf("%d windows in use while a call is out, want 1", held)
+	}
+	upload.endCall()
+	upload.release()
+	if held := streams.inUse.Load(); held != 0 {
+		t.Errorf("%d windows in use after the call", held)
+	}
+}
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -82,6 +82,10 @@
 	answerStarted   bool            // a byte of an answer has gone to the client
 	pipelined       *pipelinedInput // room for what the client has sent behind its body, if there is any
 	reusable        bool
+
+	mu     sync.Mutex // guards the two below, and the release of the windows
+	inCall bool       // an attempt uses the windows
+	ended  bool       // the message has ended: the windows are released as soon as no attempt uses them
 }
 
 // prepare allocates the window and sends 100 Continue to a waiting client, now that the message is accepted. It
@@ -112,8 +116,33 @@
 	return u.pipelined != nil
 }
 
-// release returns the windows to the pool.
+// beginCall records that an attempt uses the windows; endCall follows it.
+func (u *Upload) beginCall() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.inCall = true
+}
+
+// endCall records the end of the attempt. If the message has ended meanwhile, the windows are released now.
+func (u *Upload) endCall() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.inCall = false; u.ended {
+		u.releaseWindows()
+	}
+}
+
+// release returns the windows to the pool once no attempt uses them. It may be called more than once.
 func (u *Upload) release() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.ended = true; !u.inCall {
+		u.releaseWindows()
+	}
+}
+
+// releaseWindows returns the windows to the pool. The caller holds u.mu.
+func (u *Upload) releaseWindows() {
 	for _, w := range u.windows {
 		u.streams.putWindow(w)
 	}
@@ -157,6 +186,8 @@
 // connection. The endpoint's connection is then closed or idle; the client's is left to the caller.
 func (p *Endpoints) Stream(ctx context.Context, call StreamCall) StreamResult {
 	upload := call.Upload
+	upload.beginCall()
+	defer upload.endCall()
 	streams := upload.streams
 	if call.Retry {
 		p.closeRefused(call.ID)
