Trailers that are dropped have a head's limits; the laboratory waits for its forwarder

Streamed bodies keep their limits.

larklab bursts ended without waiting for its forwarder, so that whole-process figures lacked it.

--- a/internal/lab/experiment/bursts.go
+++ b/internal/lab/experiment/bursts.go
@@ -42,7 +42,7 @@
 	countersInterval   = 100 * time.Millisecond
 )
 
-// Run starts the forwarder with four endpoints, plays the load and returns the figures. Over the memory limit the
+// Run starts the forwarder with one endpoint, plays the load and returns the figures. Over the memory limit the
 // forwarder is killed, as the platform does.
 func (b Bursts) Run() (figures BurstFigures, err error) {
 	dir, err := os.MkdirTemp("", "larklab-")
@@ -68,7 +68,10 @@
 	}
 	defer endpoint.Close()
 	defer agent.Close()
-	defer forwarder.Kill()
+	defer func() {
+		forwarder.Kill()
+		_ = forwarder.Wait() // so that its resource use counts as this process's children's
+	}()
 	b.Load.Destination = 7
 	return b.measure(forwarder)
 }
--- a/internal/protocol/body.go
+++ b/internal/protocol/body.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	maxTrailerBytes    = 4 << 10 // bytes of all trailer lines of a body
-	maxTrailerLines    = 32      // trailer lines of a body
+	maxTrailerBytes    = 4 << 10 // bytes of all trailer lines that are forwarded with a body; dropped ones have a head's limits
+	maxTrailerLines    = 32      // lines of these
 	maxChunkSizeDigits = 15      // hexadecimal digits of a chunk size, so that it fits an int64
 
 	maxWholeChunkDigits = 6 // hexadecimal digits of the size of a chunk that is decoded whole
@@ -233,7 +233,11 @@
 	}
 	b.trailerLines++
 	b.trailerBytes += len(line) + 2
-	if b.trailerLines > maxTrailerLines || b.trailerBytes > maxTrailerBytes {
+	maxLines, maxBytes := maxTrailerLines, maxTrailerBytes
+	if b.dropTrailers { // none is held
+		maxLines, maxBytes = maxHeadLines, MaxHeadBytes
+	}
+	if b.trailerLines > maxLines || b.trailerBytes > maxBytes {
 		return fmt.Errorf("%w: trailers too large", ErrMalformed)
 	}
 	if !b.dropTrailers {
--- a/internal/protocol/message.go
+++ b/internal/protocol/message.go
@@ -29,7 +29,8 @@
 // Field is one header field.
 type Field struct{ Name, Value []byte }
 
-// Message is a parsed message. Its slices point into the parser's buffer and are valid until Space, Next or Reset.
+// Message is a parsed message. Its slices are the parser's and valid until Space, Next or Reset, but for a body that TakeBody
+// has returned.
 type Message struct {
 	Start  [3][]byte // method, target and version, or version, status and reason
 	Fields []Field
