--- a/cmd/larklab/bursts.go
+++ b/cmd/larklab/bursts.go
@@ -24,6 +24,7 @@
 	Health   int           `help:"Every so many requests one asks for the health; 0 for none."`
 	Idle     int           `help:"Connections beside them that send nothing."`
 	Steady   int           `default:"4" help:"Clients with one request at a time beside them."`
+	Unasked  int           `help:"Bytes that the endpoint writes behind each answer."`
 	Sockets  int           `default:"1024" help:"Limit on descriptors."`
 	Memory   int           `default:"192" help:"Limit on memory, in MiB."`
 	Timeout  time.Duration `default:"12s" help:"Longest time of a client."`
@@ -43,7 +44,7 @@
 		}
 	}
 	figures, err := experiment.Bursts{
-		Program: []string{program, "serve"}, Settings: string(settingsText), Sockets: c.Sockets, MemoryMB: c.Memory, Steady: c.Steady, Idle: c.Idle,
+		Program: []string{program, "serve"}, Settings: string(settingsText), Sockets: c.Sockets, MemoryMB: c.Memory, Steady: c.Steady, Idle: c.Idle, Unasked: c.Unasked,
 		Counters: c.Counters, Out: os.Stdout,
 		Load: lab.Burst{
 			Clients: c.Clients, Requests: c.Requests, BodyBytes: c.Body, HeadBytes: c.Head, ChunkBytes: c.Chunk, OneByOne: c.OneByOne, ReadAtEnd: c.Unread, Stall: c.Stall,
--- a/internal/lab/experiment/bursts.go
+++ b/internal/lab/experiment/bursts.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -20,6 +21,7 @@
 	Load     lab.Burst
 	Idle     int // connections beside the load that send nothing
 	Steady   int // clients with one request at a time beside the load
+	Unasked  int // bytes that the endpoint writes behind each of its answers, without being asked
 	Counters bool
 	Out      io.Writer
 }
@@ -50,12 +52,16 @@
 		return figures, err
 	}
 	defer os.RemoveAll(dir)
-	agent := &lab.Agent{}
+	agent, unasked := &lab.Agent{}, bytes.Repeat([]byte("HTTP/1.1 200 OK\r\n"), b.Unasked/len("HTTP/1.1 200 OK\r\n"))
 	endpoint := &lab.Endpoint{Name: "p", Group: 7, Handle: func(c *lab.Call) bool {
 		if c.ReadAll(0) != nil {
 			return false
 		}
-		return c.Answer(200, "") == nil
+		if c.Answer(200, "") != nil {
+			return false
+		}
+		_, err := c.Conn.Write(unasked)
+		return err == nil
 	}}
 	forwarder := &lab.Forwarder{Command: b.Program, Settings: b.Settings, Sockets: b.Sockets, MemoryMB: b.MemoryMB}
 	for _, step := range []func() error{
