--- a/internal/pump/exchange.go
+++ b/internal/pump/exchange.go
@@ -319,16 +319,16 @@
 func (x *Exchange) downDone(n int, err error, now time.Duration) {
 	connLost := err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 	switch {
+	case x.currentOp[Down] == Wait:
+		if x.downPhase == awaitingAnswer && (!x.writesEnd() || now >= x.heldUntil) {
+			x.startAnswer(x.heldAnswer)
+		}
 	case x.downPhase == recordingDelivery:
 		if err != nil {
 			x.finish(Aborted)
 			return
 		}
 		x.downPhase = streamingAnswer
-	case x.downPhase == awaitingAnswer && x.heldAnswer != nil:
-		if !x.writesEnd() || now >= x.heldUntil {
-			x.startAnswer(x.heldAnswer)
-		}
 	case x.downPhase == awaitingAnswer:
 		x.readAnswer(n, err, now)
 	case x.currentOp[Down] == Write, x.currentOp[Down] == SpliceOut:
@@ -440,10 +440,14 @@
 // handleTimeout determines the outcome after a step has timed out. If the client-to-endpoint direction waits for the
 // client's bytes, the client has stalled; otherwise the endpoint has.
 func (x *Exchange) handleTimeout(direction Direction, now time.Duration) {
+	if x.downPhase == awaitingAnswer && x.heldAnswer != nil {
+		x.startAnswer(x.heldAnswer)
+		return
+	}
 	if x.downPhase == awaitingAnswer && x.answerDeadline > 0 && now >= x.answerDeadline {
 		switch status := x.cfg.Answers.Status(); {
 		case status == protocol.StatusDelivered:
-			x.startAnswer(x.heldAnswer)
+			x.startAnswer(nil)
 		case protocol.EndsMessage(status):
 			x.finishEnded(status)
 		default:
@@ -469,7 +473,7 @@
 
 // Abort ends a running exchange from outside, with TimeUp or Aborted.
 func (x *Exchange) Abort(outcome Outcome) {
-	if x.downPhase != awaitingAnswer {
+	if x.downPhase != awaitingAnswer || x.heldAnswer != nil {
 		outcome, x.answerTruncated = Delivered, x.answerTruncated || x.outcome == Running
 	}
 	x.finish(outcome)
