Clients: what a call may still read is not released under it

Read again behind: a long message may end while its call is out.

Change: the wish to close is read before the call, and pipelined input is released with the session; it counts against its own limit until then. No test forces that moment; the tests of long bodies passed with the race detector.

--- a/internal/transport/client_session.go
+++ b/internal/transport/client_session.go
@@ -138,9 +138,13 @@
 
 // release gives back the memory of what was read, before a close: the client may take its time.
 func (x *clientSession) release() {
+	x.releaseParser()
+	x.pipelined.release()
+}
+
+func (x *clientSession) releaseParser() {
 	x.parser.Reset()
 	x.memory.set(x.parser.HeldBytes())
-	x.pipelined.release()
 }
 
 // stream streams a long message to an endpoint and answers it once the stream has ended. It returns false if the
@@ -160,7 +164,7 @@
 		return x.reject(refusal)
 	}
 	framing, length := parser.Framing()
-	http10 := string(message.Start[2]) == "HTTP/1.0"
+	http10, closes := string(message.Start[2]) == "HTTP/1.0", message.Close // a call may start while the message is released
 	conn := net.Conn(c)
 	if !x.pipelined.empty() {
 		conn = pipelinedConn{c.Conn, x.pipelined}
@@ -168,7 +172,7 @@
 	upload := &Upload{
 		streams: s.Streams, conn: conn, body: body, content: message.Body, undecoded: raw, framing: framing, length: length,
 		expectsContinue: parser.Continue(), http10: http10,
-		closesClient: func() bool { return message.Close || s.closesAfterAnswer(c) },
+		closesClient: func() bool { return closes || s.closesAfterAnswer(c) },
 	}
 	defer upload.release()
 	refusal, done := s.Handler.Stream(submission, upload)
@@ -190,7 +194,7 @@
 	s, c := x.clients, x.conn
 	if result.Refusal != nil || !upload.answerStarted || !upload.reusable {
 		upload.release()
-		x.release()
+		x.releaseParser() // a call that is still out may read pipelined input
 	}
 	switch {
 	case result.Refusal != nil:
