--- a/internal/lab/experiment/bursts.go
+++ b/internal/lab/experiment/bursts.go
@@ -18,10 +18,12 @@
 	Settings string   // the program's own settings, as TOML; "" for none
 	Sockets  int      // limit on descriptors
 	MemoryMB int      // limit on memory
+	Cores    float64  // limit on processors; 0 for one
 	Load     lab.Burst
-	Idle     int // connections beside the load that send nothing
-	Steady   int // clients with one request at a time beside the load
-	Unasked  int // bytes that the endpoint writes behind each of its answers, without being asked
+	Slow     lab.SlowClients // beside the load
+	Idle     int             // connections beside the load that send nothing
+	Steady   int             // clients with one request at a time beside the load
+	Unasked  int             // bytes that the endpoint writes behind each of its answers, without being asked
 	Counters bool
 	Out      io.Writer
 }
@@ -29,6 +31,7 @@
 // BurstFigures are the figures of one run.
 type BurstFigures struct {
 	lab.BurstResult
+	Slow                       lab.SlowResult
 	SteadySent, SteadyAnswered int64
 	SteadySlowest              time.Duration
 	PeakBytes                  int64 // peak of the anonymous resident memory
@@ -63,7 +66,7 @@
 		_, err := c.Conn.Write(unasked)
 		return err == nil
 	}}
-	forwarder := &lab.Forwarder{Command: b.Program, Settings: b.Settings, Sockets: b.Sockets, MemoryMB: b.MemoryMB}
+	forwarder := &lab.Forwarder{Command: b.Program, Settings: b.Settings, Sockets: b.Sockets, MemoryMB: b.MemoryMB, Cores: b.Cores}
 	for _, step := range []func() error{
 		endpoint.Listen, func() error { return agent.Listen(endpoint) },
 		func() error { return forwarder.Prepare(dir, agent) }, forwarder.Start,
@@ -100,7 +103,10 @@
 		watchers.Go(func() { b.printCounters(forwarder, stop) })
 	}
 	began := time.Now()
+	var loads sync.WaitGroup
+	loads.Go(func() { figures.Slow = b.Slow.Run(forwarder.Address(), b.Load.Destination) })
 	figures.BurstResult = b.Load.Run(forwarder.Address())
+	loads.Wait()
 	figures.Took = time.Since(began)
 	close(stop)
 	watchers.Wait()
@@ -167,6 +173,9 @@
 func (f BurstFigures) String() string {
 	text := fmt.Sprintf("peak %d MiB; answered %d of %d, out of order %d, unexpected %d, on %d more connections; beside it %d of %d within %.2f s; %.2f s, %.2f s of processor time",
 		f.PeakBytes>>20, f.Answered, f.Sent, f.OutOfOrder, f.Unexpected, f.Reconnects, f.SteadyAnswered, f.SteadySent, f.SteadySlowest.Seconds(), f.Took.Seconds(), f.CPUSeconds)
+	if f.Slow != (lab.SlowResult{}) {
+		text += fmt.Sprintf("; slow clients: %d answered, %d closed, %d neither", f.Slow.Answered, f.Slow.Closed, f.Slow.Neither)
+	}
 	if f.Killed {
 		text += "; killed over the memory limit"
 	}
