Routing: an endpoint is not called while a newer process is listed at its address

An endpoint's process had ended, one of another name and group came up at its address, and the list named that one 1.5 s before the old one's end.

Cause: routing kept endpoints by name and dialled their addresses; nothing compared the addresses of two names, and since_ms was not read. A connection to the address, new or kept, reached whoever listened there.

Fix: addressOwners (pure, internal/routing/addresses.go) keeps which listed endpoint is the newest at each address: the one with the later start, else the one that came in a later list. Others there are taken out of the list as if they were deleted, so their idle connections close and chosen calls do not begin (Begin asks the list). They return when they are listed without the newer one, at another address or with a later start. Endpoints that come in one list with the same start share their address, as before. A later start under the same name closes idle connections, too. The log names each displaced endpoint (part=list), and the counters have list: displaced.

Not closed: with since_ms 0 for both and a restart between, nothing tells which came later.

--- a/cmd/larkreach/wiring.go
+++ b/cmd/larkreach/wiring.go
@@ -207,7 +207,8 @@
 	for _, p := range d.Endpoints {
 		out.Endpoints = append(out.Endpoints, routing.Endpoint{
 			Name: p.Name, Address: p.Address, Zone: p.Zone, Kind: p.Kind, Destination: p.Group, Weight: p.Weight,
-			State: readinessStates[p.Status],
+			StartedAt: int64(p.StartedAt),
+			State:     readinessStates[p.Status],
 		})
 	}
 	return out
--- a/internal/protocol/list.go
+++ b/internal/protocol/list.go
@@ -16,8 +16,26 @@
 	Group   int64   `json:"group"`
 	Status  Status  `json:"status"`
 	Weight  float64 `json:"weight"`
+	// StartedAt is when the endpoint's process started, in Unix milliseconds; 0 for long ago or unknown.
+	StartedAt unixMilliseconds `json:"since_ms"`
 }
 
+// unixMilliseconds is a point in time. A value that is not a number is read as 0, since the list is of use without it.
+type unixMilliseconds int64
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (m *unixMilliseconds) UnmarshalJSON(text []byte) error {
+	number := 0.0
+	if json.Unmarshal(text, &number) != nil || number < 0 || number > maxUnixMilliseconds {
+		number = 0
+	}
+	*m = unixMilliseconds(number)
+	return nil
+}
+
+// maxUnixMilliseconds is the largest number up to which all whole ones have a float64 of their own.
+const maxUnixMilliseconds = 1 << 53
+
 // Status is the state of an endpoint in discovery's list.
 type Status string
 
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"strings"
 	"testing"
@@ -203,11 +204,17 @@
 		}
 	}
 	got, err := ParseList([]byte(`{"index":41,"snapshot":true,"more":1,"endpoints":[
-		{"name":"s","address":"a:1","zone":"z","type":"m2","group":3,"status":"DRAINING","weight":1.5,"since_ms":0}]}`))
-	want := List{41, true, []Endpoint{{"s", "a:1", "z", "m2", 3, Draining, 1.5}}}
+		{"name":"s","address":"a:1","zone":"z","type":"m2","group":3,"status":"DRAINING","weight":1.5,"since_ms":1764917709836}]}`))
+	want := List{41, true, []Endpoint{{"s", "a:1", "z", "m2", 3, Draining, 1.5, 1764917709836}}}
 	if diff := cmp.Diff(want, got); diff != "" || err != nil {
 		t.Errorf("list: %v\n%s", err, diff)
 	}
+	for _, started := range []string{`"soon"`, "-1", "null", "1e300"} { // the list is of use without it
+		got, err := ParseList(fmt.Appendf(nil, `{"endpoints":[{"name":"s","status":"SERVING","since_ms":%s}]}`, started))
+		if err != nil || got.Endpoints[0].StartedAt != 0 {
+			t.Errorf("since_ms %s: %+v, %v", started, got, err)
+		}
+	}
 	for _, raw := range []string{"", "[]", `{"endpoints":[{"name":"s","status":"ODD"}]}`, `{"endpoints":[{"status":"SERVING"}]}`} {
 		if _, err := ParseList([]byte(raw)); !errors.Is(err, ErrMalformed) {
 			t.Errorf("%s: %v", raw, err)
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -22,6 +22,7 @@
 	LongAccepted, LongRefused, LongAnswered        int64 // accepted; no room; ended by an answer without delivery
 	LongInterrupted                                int64 // long messages of an earlier process, ended at the start
 	TakenOver, LostToTakeover                      int64 // taken over from other processes; lost to them
+	Displaced                                      int64 // endpoints not called since a newer process is at their address
 	NoZone                                         int64 // refused, since the plan has no room for them in any zone
 	OverRateLimit                                  int64 // refused, since the rate limit of their class is used up
 	Unreplicated, NoReplica                        int64 // accepted without a replica; refused for lack of a replica
@@ -72,6 +73,9 @@
 	e.Dict("sent", zerolog.Dict().Int64("calls", c.Calls).Int64("held_back", c.CallsSuppressed).Int("out", c.CallsOut).
 		Int64("ok", c.Delivered).Int64("error", c.Errors).Int64("full", c.RefusedByEndpoint).Int64("timed_out", c.TimedOut).
 		Int64("connect_failed", c.ConnectFailed).Int64("reset", c.Reset).Int64("cancelled", c.Cancelled).Int64("moot", c.NotSent).Int64("ended_not_called", c.EndedNotCalled))
+	if c.Displaced > 0 {
+		e.Dict("list", zerolog.Dict().Int64("displaced", c.Displaced))
+	}
 	if c.NoZone > 0 {
 		e.Dict("places", zerolog.Dict().Int64("refused", c.NoZone))
 	}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -63,8 +63,9 @@
 	deliveryTimeouts  map[string]time.Duration // by class
 	effects           map[string]mb.Effect     // by class
 	endpoints         map[string]Endpoint
-	knownDestinations map[int64]bool    // destinations that were ever listed
-	overlay           *overlay          // nil while no destination is configured
+	knownDestinations map[int64]bool // destinations that were ever listed
+	overlay           *overlay       // nil while no destination is configured
+	addresses         *addressOwners
 	restrictedAccess  map[string]Access // endpoints whose access is not Free, by name
 	messages          map[uint64]*heldMessage
 	messagesByID      map[string]*heldMessage // by the client's message id, until the message ends
@@ -101,7 +102,7 @@
 	r := &Router{
 		cfg: cfg, decider: decider, startedAt: time.Now(), events: make(chan func(), eventQueueSize),
 		done: make(chan struct{}), deliveryTimeouts: map[string]time.Duration{}, effects: map[string]mb.Effect{}, endpoints: map[string]Endpoint{},
-		knownDestinations: map[int64]bool{}, restrictedAccess: map[string]Access{}, messages: map[uint64]*heldMessage{}, messagesByID: map[string]*heldMessage{},
+		knownDestinations: map[int64]bool{}, addresses: newAddressOwners(), restrictedAccess: map[string]Access{}, messages: map[uint64]*heldMessage{}, messagesByID: map[string]*heldMessage{},
 		ended: endedIDs{delivered: map[string]bool{}}, repeats: repeatBudget{maxRepeatBurst}, undecidedReports: map[uint64]*heldMessage{}, unacknowledged: map[uint64]*heldMessage{},
 		deferredReports: map[uint64]*deferredReport{},
 	}
@@ -397,6 +398,7 @@
 
 // applyEndpoints applies a list that already takes the configured endpoints into account.
 func (r *Router) applyEndpoints(list EndpointList) {
+	list = r.withoutDisplaced(list)
 	scope := mb.ListChanges
 	switch {
 	case list.Saved:
@@ -419,16 +421,37 @@
 	}
 	entries := make([]mb.Entry, 0, len(list.Endpoints))
 	for _, endpoint := range list.Endpoints {
-		if old, ok := r.endpoints[endpoint.Name]; endpoint.State != mb.Serving || ok && old.Address != endpoint.Address {
+		if old, ok := r.endpoints[endpoint.Name]; endpoint.State != mb.Serving || ok && old.anotherProcess(endpoint) {
 			r.cfg.Caller.CloseIdle(endpoint.Name)
 		}
 		if endpoint.State == mb.Deleted {
 			delete(r.endpoints, endpoint.Name)
 		} else {
 			r.endpoints[endpoint.Name] = endpoint
-			r.knownDestinations[endpoint.Destination] = true
 		}
 		entries = append(entries, r.memberEntry(endpoint))
 	}
 	r.decide(mb.EndpointUpdate{Scope: scope, Entries: entries})
 }
+
+// anotherProcess reports whether a newer entry of the same name stands for another process.
+func (e Endpoint) anotherProcess(newer Endpoint) bool {
+	return e.Address != newer.Address || newer.StartedAt > e.StartedAt
+}
+
+// withoutDisplaced returns a list without the endpoints at whose address another one's process is. Messages for their destinations
+// are still accepted.
+func (r *Router) withoutDisplaced(list EndpointList) EndpointList {
+	for _, endpoint := range list.Endpoints {
+		if endpoint.State != mb.Deleted {
+			r.knownDestinations[endpoint.Destination] = true
+		}
+	}
+	remaining, displaced := r.addresses.apply(list)
+	for _, endpoint := range displaced {
+		r.counters.Displaced++
+		r.cfg.Logger.Info().Str("part", "list").Str("endpoint", endpoint.Name).Str("address", endpoint.Address).
+			Int64("destination", endpoint.Destination).Msg("endpoint not called: a newer process is listed at its address")
+	}
+	return remaining
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -51,6 +51,7 @@
 	Zone, Kind    string
 	Destination   int64
 	Weight        float64
+	StartedAt     int64 // when the process started, in Unix milliseconds as discovery tells it; 0 for long ago
 	State         mb.Readiness
 }
 
