Routing: the id of a cancelled message that may have run is not accepted again

The message was cancelled and its id forgotten, whether or not its call had begun. The same id on another connection was accepted as a new message, and an unsafe one ran twice.

Fix: CancelMessage keeps the id of a message that may have run and must not run again; it is answered 409 from then on. The call that is out is cut, so that a message that may be repeated has no second copy out beside it.

--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -260,15 +260,24 @@
 
 // CancelMessage drops a message whose client could not be told that it was accepted. The client regards it as not
 // accepted and submits it again. If that has already happened and the repeat was answered with AlreadyAccepted, the
-// message stays.
+// message stays. The id is forgotten unless the message may have run and must not run again.
 func (r *Router) CancelMessage(id string) {
 	r.post(func() {
 		if held := r.messagesByID[id]; held != nil && !held.duplicateAnswered {
 			r.counters.MessagesCancelled++
 			r.sample("message cancelled", "client not answered", held)
 			r.noteJournalError(held.ID, r.cfg.Log.Cancel(held.seq))
+			mayHaveRun := held.mayHaveRun || held.call != nil && held.call.begun
+			if held.call != nil {
+				held.call.cancelled = true
+				held.call.cancel()
+			}
 			r.end(held, wal.Completed, 0)
-			r.ended.forget(id)
+			if mayHaveRun && r.mustNotRepeat(held.Class) {
+				r.ended.revoke(id)
+			} else {
+				r.ended.forget(id)
+			}
 			r.decide(mb.MessageCancelled{ID: mb.MessageID(held.seq)})
 		}
 	})
