Clients: requests that were sent ahead are not answered once their client has left

Cause: a connection's goroutine goes on with what it has read. Behind a close (a FIN, which may be a half-close) the first answer is written without an error and reset by the client; the message stays accepted, the next request is accepted too, and only its answer fails.

Fix: with requests sent ahead, the TCP state is looked at before a request is handed over, and behind its answer if the client had stopped sending: a connection that is reset ends, and the message of the answer that was reset is cancelled. A client that has only shut down its sending side has all of its answers, as before. Requests that come one at a time pay no system call. Counter clients: departed, and a log line.

--- a/internal/transport/client_conn.go
+++ b/internal/transport/client_conn.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"os"
 	"time"
 
@@ -123,3 +124,19 @@
 	}
 	return written, err
 }
+
+// clientHasLeft reports whether a client has reset its connection or closed it for good: it reads no answer. One that has only shut
+// down its sending side still does; which of the two a client has done shows with the first answer that it does not read.
+func clientHasLeft(conn net.Conn) bool {
+	switch tcpStateOf(conn) {
+	case 0, tcpEstablished, tcpFinWait1, tcpFinWait2, tcpCloseWait:
+		return false
+	}
+	return true
+}
+
+// countDeparted counts and logs a connection whose client left before its requests were answered.
+func (s *Clients) countDeparted(c *clientConn) {
+	s.count(&s.counters.Departed)
+	s.Samples.Note("client has left", "requests not answered", func(e *zerolog.Event) { e.Str("client", c.RemoteAddr().String()) })
+}
--- a/internal/transport/client_session.go
+++ b/internal/transport/client_session.go
@@ -18,6 +18,7 @@
 	pipelined       *pipelinedInput // is parsed before more is read
 	share           processorShare
 	betweenRequests bool
+	followsRequest  bool // the current request had arrived when the one before it was answered
 	firstRequest    bool
 }
 
@@ -62,6 +63,7 @@
 	x.firstRequest = false
 	x.share.use(requestShareBytes)
 	x.betweenRequests = x.parser.Idle() && x.pipelined.empty()
+	x.followsRequest = !x.betweenRequests
 	if !x.betweenRequests {
 		return x.clients.setState(x.conn, stateReading)
 	}
@@ -220,9 +222,18 @@
 	return true
 }
 
-// answerRequest answers one request. It returns false if the connection was closed or has to be.
+// initialReadBytes is the length from which a body is read by itself: whether more has arrived behind it shows only later.
+const initialReadBytes = 2 << 10
+
+// answerRequest answers one request, unless it is known that the client has left: while it was being answered it may have sent
+// others ahead, which have been read or lie in the kernel, and has closed the connection. It returns false if the connection was closed or has to be.
 func (x *clientSession) answerRequest(m *protocol.Message) bool {
 	s, c := x.clients, x.conn
+	sentAhead := x.followsRequest || len(m.Body) > initialReadBytes || len(x.parser.Buffered()) > 0
+	if sentAhead && clientHasLeft(c.Conn) {
+		s.countDeparted(c)
+		return false
+	}
 	kind, submission, refusal := protocol.ReadRequest(m)
 	status, cancel := 200, func() {}
 	if refusal != nil {
@@ -239,11 +250,18 @@
 		return x.reject(refusal)
 	}
 	closes := m.Close || s.closesAfterAnswer(c)
-	if written, err := s.writeAnswer(c, status, refusal, closes); err != nil {
+	halfClosed := sentAhead && cancel != nil && tcpStateOf(c.Conn) == tcpCloseWait
+	written, err := s.writeAnswer(c, status, refusal, closes)
+	switch {
+	case err != nil:
 		if cancel != nil && written == 0 { // otherwise the client may have seen the answer
 			cancel()
 		}
 		return false
+	case halfClosed && clientHasLeft(c.Conn): // the answer was reset
+		s.countDeparted(c)
+		cancel()
+		return false
 	}
 	return !closes || x.closeGracefully()
 }
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -84,7 +84,8 @@
 	BadRequests int64 // a request was malformed or not supported
 	// AcceptFailed counts failed accepts, Broken the connections that failed during a request or an answer.
 	AcceptFailed, Broken int64
-	Open                 int // current number of open connections
+	Departed             int64 // connections whose client left before requests that it had sent were answered
+	Open                 int   // current number of open connections
 	// ParserBytes is the memory that parsers hold for requests, UnreadAnswerBytes what was written to clients and has
 	// not been acknowledged by them. Both are current values.
 	ParserBytes, UnreadAnswerBytes int64
@@ -94,7 +95,7 @@
 func (c ClientCounters) MarshalZerologObject(e *zerolog.Event) {
 	e.Int64("connections", c.Accepted).Int("open", c.Open).Int64("turned_away", c.Rejected).Int64("closed_idle", c.ClosedIdle).
 		Int64("silent", c.Silent).Int64("late", c.Late).Int64("unreadable", c.BadRequests).
-		Int64("accept_failed", c.AcceptFailed).Int64("broken", c.Broken).
+		Int64("accept_failed", c.AcceptFailed).Int64("broken", c.Broken).Int64("departed", c.Departed).
 		Int64("parser_bytes", c.ParserBytes).Int64("unread_answer_bytes", c.UnreadAnswerBytes)
 }
 
--- a/internal/transport/departed_client_test.go
+++ b/internal/transport/departed_client_test.go
@@ -109,6 +109,7 @@
 	var group errgroup.Group
 	group.Go(func() error { return s.Serve(ctx, ctx, listener) })
 	client := dialTCP(t, listener)
+	defer client.Close()
 	const requests = 20
 	if _, err := client.Write([]byte(strings.Repeat(submitRequest("a", ""), requests))); err != nil {
 		t.Fatal(err)
--- a/internal/transport/state_linux.go
+++ b/internal/transport/state_linux.go
@@ -19,9 +19,13 @@
 	tcpCloseWait   tcpState = 8 // the peer has shut down writing
 )
 
-// tcpStateOf returns the TCP state of a connection.
+// tcpStateOf returns the TCP state of a connection, or 0 if it has none or that can't be read.
 func tcpStateOf(conn net.Conn) (state tcpState) {
-	raw, err := conn.(syscall.Conn).SyscallConn()
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return 0
 	}
