Parser: header fields are positions in the head, and the next growth is announced

A field is four 16-bit positions now (8 bytes for 48), HeldBytes counts them, and SpaceBytes says before Space how much more it will take. TestRequestsBehindEachOtherInLimitedMemory checks that nothing grows by more than was announced.

--- a/internal/protocol/head.go
+++ b/internal/protocol/head.go
@@ -47,7 +47,7 @@
 // parseHead parses a head in place and returns the phase for its body.
 func (p *Parser) parseHead(head []byte) (phase, error) {
 	msg := &p.msg
-	msg.Fields, msg.Close, msg.Long, p.expectsContinue, p.framing = msg.Fields[:0], false, false, false, ByLength
+	msg.head, msg.fields, msg.Close, msg.Long, p.expectsContinue, p.framing = head, msg.fields[:0], false, false, false, ByLength
 	line, rest, _ := bytes.Cut(head, []byte("\r\n"))
 	if err := p.parseStartLine(line); err != nil {
 		return 0, err
@@ -59,27 +59,32 @@
 			break
 		}
 		name, value, ok := bytes.Cut(line, []byte(":"))
-		if !ok || !isToken(name) || len(msg.Fields) == maxHeadLines || !isText(value) && !(p.readsAnswers && equalFold(name, loadReportHeader)) {
+		if !ok || !isToken(name) || len(msg.fields) == maxHeadLines || !isText(value) && !(p.readsAnswers && equalFold(name, loadReportHeader)) {
 			return 0, fmt.Errorf("%w: invalid header line", ErrMalformed)
 		}
-		f := Field{Name: name, Value: bytes.Trim(value, " \t")}
-		msg.Fields = append(msg.Fields, f)
+		lineStart := len(head) - len(rest) - len(line) - len("\r\n")
+		value = bytes.TrimRight(value, " \t")
+		valueEnd := lineStart + len(name) + 1 + len(value)
+		value = bytes.TrimLeft(value, " \t")
+		msg.fields = append(msg.fields, headerField{
+			uint16(lineStart), uint16(lineStart + len(name)), uint16(valueEnd - len(value)), uint16(valueEnd),
+		})
 		switch {
 		case equalFold(name, "Content-Length"):
-			number, ok := parseDecimal(f.Value)
+			number, ok := parseDecimal(value)
 			if !ok || length >= 0 { // also rejects a repeated one: other parsers may use another of the values
 				return 0, fmt.Errorf("%w: invalid Content-Length", ErrMalformed)
 			}
 			length = number
 		case equalFold(name, "Transfer-Encoding"):
-			if chunked || !equalFold(f.Value, "chunked") {
+			if chunked || !equalFold(value, "chunked") {
 				return 0, ErrEncoding
 			}
 			chunked = true
 		case equalFold(name, "Expect"):
-			p.expectsContinue = equalFold(f.Value, "100-continue")
+			p.expectsContinue = equalFold(value, "100-continue")
 		case equalFold(name, "Connection"):
-			for token := range bytes.SplitSeq(f.Value, []byte(",")) {
+			for token := range bytes.SplitSeq(value, []byte(",")) {
 				msg.Close = msg.Close || equalFold(bytes.Trim(token, " \t"), "close")
 			}
 		}
--- a/internal/protocol/message.go
+++ b/internal/protocol/message.go
@@ -26,18 +26,20 @@
 	ErrEncoding  = errors.New("protocol: transfer encoding not supported")
 )
 
-// Field is one header field.
-type Field struct{ Name, Value []byte }
+// headerField is the position of a header field's name and value in their head. It takes a sixth of what two slices do, and there may
+// be maxHeadLines of them on each connection while a body is read.
+type headerField struct{ nameStart, nameEnd, valueStart, valueEnd uint16 }
 
 // Message is a parsed message. Its slices are the parser's and valid until Space, Next or Reset, but for a body that TakeBody
 // has returned.
 type Message struct {
-	Start  [3][]byte // method, target and version, or version, status and reason
-	Fields []Field
-	Body   []byte
-	Close  bool // the connection is closed after the message
-	Long   bool // Body holds only what was buffered with the head; Parser.Rest returns the remainder
+	Start [3][]byte // method, target and version, or version, status and reason
+	Body  []byte
+	Close bool // the connection is closed after the message
+	Long  bool // Body holds only what was buffered with the head; Parser.Rest returns the remainder
 
+	head         []byte
+	fields       []headerField
 	bodyInBuffer bool // Body lies in the parser's buffer, which is used again
 }
 
@@ -56,9 +58,9 @@
 
 // Get returns the value of a header field, or nil if there is none.
 func (m *Message) Get(name string) []byte {
-	for _, f := range m.Fields {
-		if equalFold(f.Name, name) {
-			return f.Value
+	for _, field := range m.fields {
+		if equalFold(m.head[field.nameStart:field.nameEnd], name) {
+			return m.head[field.valueStart:field.valueEnd]
 		}
 	}
 	return nil
--- a/internal/protocol/parser.go
+++ b/internal/protocol/parser.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"unsafe"
 )
 
 // The memory of a parser. A request's body that does not fit the buffer gets memory of its own and is read no further than its
@@ -16,7 +17,8 @@
 	minSpaceBytes      = 512                               // least space for a read into a body of unknown length
 
 	// MaxRequestMemory is the most memory that a parser of requests holds, with bodies of up to MaxBodyBytes.
-	MaxRequestMemory = MaxHeadBytes + readAheadBytes + MaxBodyBytes + readAheadBytes
+	MaxRequestMemory = MaxHeadBytes + readAheadBytes + MaxBodyBytes + readAheadBytes + maxFieldsBytes
+	maxFieldsBytes   = 1 << 10 // of maxHeadLines header fields, in a slice that has grown
 )
 
 type phase int
@@ -78,7 +80,35 @@
 func (p *Parser) Buffered() []byte { return p.buf[p.start:p.end] }
 
 // HeldBytes returns the memory that the parser holds. The body of a message that Next has returned no longer counts.
-func (p *Parser) HeldBytes() int { return cap(p.buf) + cap(p.body) }
+func (p *Parser) HeldBytes() int {
+	return cap(p.buf) + cap(p.body) + cap(p.msg.fields)*int(unsafe.Sizeof(headerField{}))
+}
+
+// SpaceBytes returns how much more memory the parser holds at the most once Space was called.
+func (p *Parser) SpaceBytes() int {
+	switch {
+	case p.body != nil:
+		return p.bodyGrowthBytes()
+	case p.bodyOutgrowsBuffer():
+		return p.separateBodySize() + p.readAheadGrowth(p.headLen)
+	case p.end-p.start == len(p.buf):
+		return p.nextBufferSize() - len(p.buf)
+	}
+	return 0
+}
+
+// nextBufferSize returns the size of the buffer after it has grown.
+func (p *Parser) nextBufferSize() int {
+	return min(max(initialBufferBytes, 2*len(p.buf)), maxHeadBuffer)
+}
+
+// readAheadGrowth returns by how much the buffer grows, if it does, to hold what is read behind the chunks of a body.
+func (p *Parser) readAheadGrowth(used int) int {
+	if p.phase != inChunkedBody {
+		return 0
+	}
+	return max(0, used+readAheadBytes-len(p.buf))
+}
 
 // Space returns the buffer for the next bytes; it is never empty. What was returned of the latest message is no longer valid.
 func (p *Parser) Space() []byte {
@@ -93,7 +123,7 @@
 		p.moveToFront()
 	}
 	if p.end == len(p.buf) {
-		p.growBuffer(min(max(initialBufferBytes, 2*len(p.buf)), maxHeadBuffer))
+		p.growBuffer(p.nextBufferSize())
 	}
 	return p.buf[p.end:]
 }
@@ -112,14 +142,7 @@
 // moveBodyOut gives the current body memory of its own.
 func (p *Parser) moveBodyOut() {
 	received := p.buf[p.start+p.headLen : p.end]
-	size := max(minBodyBuffer, 2*len(received))
-	if p.phase == inBody {
-		size = p.remaining
-		if p.readsAnswers {
-			size += surplusBytes
-		}
-	}
-	p.body = append(make([]byte, 0, size), received...)
+	p.body = append(make([]byte, 0, p.separateBodySize()), received...)
 	p.end = p.start + p.headLen
 	p.moveToFront()
 	if p.phase == inChunkedBody && len(p.buf)-p.end < minSpaceBytes {
@@ -127,15 +150,21 @@
 	}
 }
 
+// separateBodySize returns the memory that a body is given once it outgrows the buffer.
+func (p *Parser) separateBodySize() int {
+	switch {
+	case p.phase != inBody:
+		return max(minBodyBuffer, 2*(p.end-p.start-p.headLen))
+	case p.readsAnswers:
+		return p.remaining + surplusBytes
+	}
+	return p.remaining
+}
+
 // bodySpace returns the space for the next bytes of a body with memory of its own. What may be read behind the body fits the
 // buffer.
 func (p *Parser) bodySpace() []byte {
-	switch p.phase {
-	case inChunkedBody:
-		p.growBody(int(min(p.decoder.remaining, int64(p.maxBody))), p.maxBody+readAheadBytes)
-	case inBodyUntilClose:
-		p.growBody(0, p.maxBody+minSpaceBytes)
-	}
+	p.growBody()
 	received, bufferSpace := len(p.body), len(p.buf)-p.end
 	limit := cap(p.body)
 	switch p.phase {
@@ -147,15 +176,37 @@
 	return p.body[received:limit]
 }
 
-// growBody enlarges the memory of a body of unknown length that has less than minSpaceBytes left, for as many bytes as are
-// expected, up to a limit that always leaves it that space. More is read behind the chunks of a body that grows.
-func (p *Parser) growBody(expected, limit int) {
-	if cap(p.body)-len(p.body) >= minSpaceBytes {
+// grownBodySize returns the memory that a body of unknown length is given once less than minSpaceBytes of it are left: room for as
+// many bytes as are expected, up to a limit that always leaves it minSpaceBytes. It is the present size while nothing changes.
+func (p *Parser) grownBodySize() int {
+	expected, limit := 0, p.maxBody+minSpaceBytes
+	if p.phase == inChunkedBody {
+		expected, limit = int(min(p.decoder.remaining, int64(p.maxBody))), p.maxBody+readAheadBytes
+	}
+	if p.phase == inBody || cap(p.body)-len(p.body) >= minSpaceBytes {
+		return cap(p.body)
+	}
+	return min(max(2*cap(p.body), len(p.body)+expected+minSpaceBytes), limit)
+}
+
+// bodyGrowthBytes returns how much more memory growBody takes.
+func (p *Parser) bodyGrowthBytes() int {
+	size := p.grownBodySize()
+	if size == cap(p.body) {
+		return 0
+	}
+	return size - cap(p.body) + p.readAheadGrowth(p.end)
+}
+
+// growBody enlarges the memory of a body of unknown length if little is left of it. More is read behind the chunks of a body that
+// grows.
+func (p *Parser) growBody() {
+	size := p.grownBodySize()
+	if size == cap(p.body) {
 		return
 	}
-	size := min(max(2*cap(p.body), len(p.body)+expected+minSpaceBytes), limit)
 	p.body = append(make([]byte, 0, size), p.body...)
-	if p.phase == inChunkedBody && len(p.buf) < p.end+readAheadBytes {
+	if p.readAheadGrowth(p.end) > 0 {
 		p.growBuffer(p.end + readAheadBytes)
 	}
 }
@@ -245,7 +296,7 @@
 	if len(buf) > initialBufferBytes {
 		buf = nil
 	}
-	*p = Parser{readsAnswers: p.readsAnswers, maxBody: p.maxBody, streaming: p.streaming, buf: buf, msg: Message{Fields: p.msg.Fields[:0]}}
+	*p = Parser{readsAnswers: p.readsAnswers, maxBody: p.maxBody, streaming: p.streaming, buf: buf, msg: Message{fields: p.msg.fields[:0]}}
 }
 
 // Continue reports, once per message, that the peer waits for a 100 Continue response before sending its body.
--- a/internal/protocol/parser_memory_test.go
+++ b/internal/protocol/parser_memory_test.go
@@ -64,7 +64,11 @@
 		most := rapid.SampledFrom([]int{300, 3000, 30_000, 1 << 20}).Draw(t, "read")
 		p := NewRequestParser(MaxBodyBytes)
 		for len(raw) > 0 {
+			held, more := p.HeldBytes(), p.SpaceBytes()
 			n := copy(p.Space(), raw[:min(len(raw), 1+random.IntN(most))])
+			if p.HeldBytes() > held+more {
+				t.Fatalf("the parser held %d bytes and now holds %d, %d more were announced", held, p.HeldBytes(), more)
+			}
 			if n == 0 {
 				t.Fatal("the parser gives no space")
 			}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -19,8 +19,8 @@
 
 func textOf(m *Message) messageText {
 	var fields []string
-	for _, f := range m.Fields {
-		fields = append(fields, string(f.Name)+"="+string(f.Value))
+	for _, f := range m.fields {
+		fields = append(fields, string(m.head[f.nameStart:f.nameEnd])+"="+string(m.head[f.valueStart:f.valueEnd]))
 	}
 	start := string(m.Start[0]) + "|" + string(m.Start[1]) + "|" + string(m.Start[2])
 	return messageText{start, strings.Join(fields, "&"), string(m.Body), m.Close}
