Clients: the memory of requests that are not whole has one bound, from memory_mb and sockets

Cause: each connection was bounded (96 KiB), their sum only by the number of descriptors: 729 connections may hold 70 MiB whatever memory_mb says.

Fix: transport.RequestMemory. What parsers hold beyond 3 KiB is reserved before it is taken. At the bound a connection is not read until others release memory; the request that has held the most for the longest time (at least 25 ms) is refused with 503 and closed. A request waits 300 ms at the most. What is being answered is never taken. The bound is what is left of the heap's share of memory_mb behind the program, connections, answers and bodies (cmd/larkreach/memory_limits.go). Counter clients: out_of_memory, and a log line with the bytes held.

--- a/cmd/larkreach/main.go
+++ b/cmd/larkreach/main.go
@@ -35,7 +35,6 @@
 	acceptGrace              = 600 * time.Millisecond  // after a stop signal requests are still answered; clients keep sending for 0.4 s
 	clientGrace              = 700 * time.Millisecond  // after a stop signal the router runs at least this long
 	drainTimeout             = 3300 * time.Millisecond // after a stop signal calls may take this long; the platform kills the process after 3.7 s
-	heapFraction             = 0.6                     // share of the memory limit for the heap; stacks, files and sockets need the rest
 	programDescriptors       = 16                      // standard streams, poller, listener, discovery, delivery reports, a reload
 	minConnectionDescriptors = 16                      // fewest descriptors for connections with which the program starts
 	// descriptorsPerLongCall covers the connection of a long call and a pipe in each direction.
@@ -72,7 +71,7 @@
 		return err
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
-	debug.SetMemoryLimit(int64(heapFraction * float64(cfg.Limits.MemoryMB<<20)))
+	debug.SetMemoryLimit(cfg.Limits.heapBytes())
 	logger := log.logger(cfg.Name)
 	if cfg.FleetSizeUnknown {
 		logger.Warn().Str("part", "config").Msg("fleet size is not configured, assuming a single forwarder")
@@ -128,7 +127,10 @@
 	if err != nil {
 		return err
 	}
-	clients := &transport.Clients{Handler: handler{router}, MaxConnections: connections * 3 / 4, Streams: streamConfig, Samples: samples}
+	clients := &transport.Clients{
+		Handler: handler{router}, MaxConnections: connections * 3 / 4, Streams: streamConfig, Samples: samples, RequestMemory: &transport.RequestMemory{},
+	}
+	clients.RequestMemory.SetLimit(requestMemoryBytes(cfg.Limits, clients.MaxConnections, cfg.Settings.Slots))
 	logCounters := func(when string) {
 		routerCounters, line := router.Counters(), logger.Info()
 		if streamConfig != nil {
@@ -266,7 +268,7 @@
 		return limits, nil, 0, fmt.Errorf("settings: bodies.total: %d long messages at once and %d calls take more than half of"+
 			" the %d descriptors", limits.MaxMessages, limits.Slots, l.Sockets)
 	}
-	if heapBytes := int64(heapFraction * float64(l.MemoryMB<<20)); int64(b.TotalWindowBytes) > heapBytes {
+	if heapBytes := l.heapBytes(); int64(b.TotalWindowBytes) > heapBytes {
 		return limits, nil, 0, fmt.Errorf("settings: bodies.total: %d bytes of at most %d", b.TotalWindowBytes, heapBytes)
 	}
 	return limits, &transport.Streams{
--- a/internal/protocol/parser.go
+++ b/internal/protocol/parser.go
@@ -290,6 +290,12 @@
 	return p.msg.Status()
 }
 
+// Release releases the parser's memory. It prepares the parser for another connection.
+func (p *Parser) Release() {
+	p.Reset()
+	p.buf, p.msg.fields = nil, nil
+}
+
 // Reset prepares the parser for another connection.
 func (p *Parser) Reset() {
 	buf := p.buf
--- a/internal/transport/client_session.go
+++ b/internal/transport/client_session.go
@@ -5,6 +5,8 @@
 	"net"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"mulleinbeam/internal/protocol"
 	"mulleinbeam/internal/pump"
 )
@@ -15,6 +17,7 @@
 	conn            *clientConn
 	parser          *protocol.Parser
 	memory          heldBytes       // of the parser
+	request         *requestHolder  // the same as far as it counts against the bound of all connections
 	pipelined       *pipelinedInput // is parsed before more is read
 	share           processorShare
 	betweenRequests bool
@@ -36,7 +39,8 @@
 	session := &clientSession{
 		clients: s, conn: c, parser: parser, memory: heldBytes{gauge: &s.parserMemory}, betweenRequests: parser.Idle(), firstRequest: true,
 	}
-	defer session.memory.set(0)
+	session.request = s.RequestMemory.newHolder(func() { _ = c.SetReadDeadline(time.Now()) })
+	defer session.setMemory(0, false)
 	defer func() { session.pipelined.release() }()
 	for session.step() {
 	}
@@ -45,7 +49,7 @@
 // step parses what was read, and answers a request or reads more. It returns false if the connection was closed or has to be.
 func (x *clientSession) step() bool {
 	message, err := x.parser.Next()
-	x.memory.set(x.parser.HeldBytes())
+	x.setMemory(x.parser.HeldBytes(), message != nil)
 	switch {
 	case err != nil:
 		x.clients.count(&x.clients.counters.BadRequests)
@@ -68,7 +72,7 @@
 		return x.clients.setState(x.conn, stateReading)
 	}
 	x.parser.Shrink()
-	x.memory.set(x.parser.HeldBytes())
+	x.setMemory(x.parser.HeldBytes(), true)
 	return x.clients.setState(x.conn, stateIdle) || x.closeGracefully()
 }
 
@@ -79,8 +83,11 @@
 			return false
 		}
 	}
+	if !x.request.reserve(x.parser.HeldBytes() + x.parser.SpaceBytes()) {
+		return x.refuseForMemory()
+	}
 	space := x.parser.Space()
-	x.memory.set(x.parser.HeldBytes())
+	x.setMemory(x.parser.HeldBytes(), false)
 	if !x.pipelined.empty() {
 		n := x.pipelined.read(space)
 		x.parser.Commit(n)
@@ -112,6 +119,8 @@
 			s.logSample(c, "connection broken", err)
 		}
 		return false
+	case x.request.isEvicted():
+		return x.refuseForMemory()
 	case !x.parser.Idle():
 		s.count(&s.counters.Late)
 		return x.reject(&protocol.Refusal{Status: 408, Reason: "request not complete in time", Close: true})
@@ -145,8 +154,24 @@
 }
 
 func (x *clientSession) releaseParser() {
-	x.parser.Reset()
-	x.memory.set(x.parser.HeldBytes())
+	x.parser.Release()
+	x.setMemory(x.parser.HeldBytes(), false)
+}
+
+// setMemory records the parser's memory, which it holds for a request that is whole or not.
+func (x *clientSession) setMemory(bytes int, whole bool) {
+	x.memory.set(bytes)
+	x.request.set(bytes, whole)
+}
+
+// refuseForMemory refuses a request that is not whole, since too many others are not. It returns false.
+func (x *clientSession) refuseForMemory() bool {
+	s, c := x.clients, x.conn
+	s.count(&s.counters.OutOfMemory)
+	s.Samples.Note("request refused", "too many incomplete requests", func(e *zerolog.Event) {
+		e.Str("client", c.RemoteAddr().String()).Int("bytes", x.parser.HeldBytes())
+	})
+	return x.reject(&protocol.Refusal{Status: 503, Reason: "too many incomplete requests", RetryAfter: time.Second, Close: true})
 }
 
 // stream streams a long message to an endpoint and answers it once the stream has ended. It returns false if the
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -63,6 +63,7 @@
 	Handler        Handler
 	MaxConnections int            // not counting those that stream long messages
 	Streams        *Streams       // if nil, bodies are limited to protocol.MaxBodyBytes
+	RequestMemory  *RequestMemory // bounds the memory of requests that are not whole; nil for no bound
 	Samples        *oplog.Sampler // logs connections that end with an error; may be nil
 
 	mu             sync.Mutex
@@ -89,13 +90,15 @@
 	// ParserBytes is the memory that parsers hold for requests, UnreadAnswerBytes what was written to clients and has
 	// not been acknowledged by them. Both are current values.
 	ParserBytes, UnreadAnswerBytes int64
+	// OutOfMemory counts requests that were refused while they were not whole, since too many were not.
+	OutOfMemory int64
 }
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (c ClientCounters) MarshalZerologObject(e *zerolog.Event) {
 	e.Int64("connections", c.Accepted).Int("open", c.Open).Int64("turned_away", c.Rejected).Int64("closed_idle", c.ClosedIdle).
 		Int64("silent", c.Silent).Int64("late", c.Late).Int64("unreadable", c.BadRequests).
-		Int64("accept_failed", c.AcceptFailed).Int64("broken", c.Broken).Int64("departed", c.Departed).
+		Int64("accept_failed", c.AcceptFailed).Int64("broken", c.Broken).Int64("departed", c.Departed).Int64("out_of_memory", c.OutOfMemory).
 		Int64("parser_bytes", c.ParserBytes).Int64("unread_answer_bytes", c.UnreadAnswerBytes)
 }
 
