Routing: the ids of ended messages have a bound, shared out by connection

Cause: the id of each message is kept for the longest time that any class allows, so that it isn't run twice; nothing bounded how many.

Fix: at the bound new messages are refused (503, Retry-After), as nothing of them was taken on. A connection may have as many accepted messages as are left for all others, so one that sends at full speed leaves room. Ids are never dropped early: an unsafe message could run twice. Counters in: over_ended_ids, ended_id_bytes.

--- a/cmd/larkreach/main.go
+++ b/cmd/larkreach/main.go
@@ -104,10 +104,12 @@
 	defer endpoints.Close()
 	discovery := transport.NewAddress(cfg.Discovery)
 	reporter := transport.NewReporter(discovery, logger)
+	maxClients := connections * 3 / 4
+	shares := divideMemory(cfg.Limits, maxClients, cfg.Settings.Slots)
 	routerConfig := routing.Config{
 		Settings: cfg.Settings, Seed: cfg.Seed, InitialList: endpointList(cfg.Known, true), Log: journal,
 		Caller: caller{endpoints}, Notifier: notifier{reporter}, Logger: logger, Sampler: samples, DrainTimeout: drainTimeout, ClientGrace: clientGrace,
-		Long: long,
+		Long: long, EndedIDBytes: shares.endedIDs,
 	}
 	if learnedState != nil {
 		learned := learnedState.Learned()
@@ -128,9 +130,9 @@
 		return err
 	}
 	clients := &transport.Clients{
-		Handler: handler{router}, MaxConnections: connections * 3 / 4, Streams: streamConfig, Samples: samples, RequestMemory: &transport.RequestMemory{},
+		Handler: handler{router}, MaxConnections: maxClients, Streams: streamConfig, Samples: samples, RequestMemory: &transport.RequestMemory{},
 	}
-	clients.RequestMemory.SetLimit(requestMemoryBytes(cfg.Limits, clients.MaxConnections, cfg.Settings.Slots))
+	clients.RequestMemory.SetLimit(shares.requests)
 	logCounters := func(when string) {
 		routerCounters, line := router.Counters(), logger.Info()
 		if streamConfig != nil {
--- a/cmd/larkreach/wiring.go
+++ b/cmd/larkreach/wiring.go
@@ -22,7 +22,7 @@
 	id := string(h.ID)
 	v := d.router.Accept(routing.Message{
 		ID: id, Key: string(h.Key), Class: string(h.Class), Destination: h.Destination, TimeLeft: h.Timeout,
-		Body: h.Body,
+		Body: h.Body, ConnectionAccepted: h.ConnectionAccepted,
 	})
 	switch v.Kind {
 	case routing.Accepted:
--- a/internal/protocol/requests.go
+++ b/internal/protocol/requests.go
@@ -16,6 +16,8 @@
 	Destination    int64
 	Timeout        time.Duration // time left for the delivery, from when the client sent the request
 	Body           []byte
+	// ConnectionAccepted is how many messages were accepted of late on the same connection. ReadRequest does not set it.
+	ConnectionAccepted int
 }
 
 // Refusal is a response to a client whose message is not accepted: a refusal, a failure or a malformed request.
--- a/internal/routing/accept.go
+++ b/internal/routing/accept.go
@@ -96,6 +96,8 @@
 	case len(r.knownDestinations) > 0 && !r.knownDestinations[message.Destination]:
 		verdict = r.refuse(message, &r.counters.Invalid, "unknown destination")
 		verdict.Kind = UnknownDestination
+	case !r.ended.hasRoom(r.cfg.EndedIDBytes, message.ConnectionAccepted):
+		verdict = r.refuse(message, &r.counters.OverEndedIDs, "too many ended ids")
 	case r.cfg.Limiter != nil && !r.cfg.Limiter.Allows(message.Class):
 		verdict = r.refuse(message, &r.counters.OverRateLimit, "class rate limit")
 	case message.Long != nil && !r.admitLong():
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -22,6 +22,8 @@
 	LongAccepted, LongRefused, LongAnswered        int64 // accepted; no room; ended by an answer without delivery
 	LongInterrupted                                int64 // long messages of an earlier process, ended at the start
 	TakenOver, LostToTakeover                      int64 // taken over from other processes; lost to them
+	OverEndedIDs                                   int64 // refused, since the ids of ended messages take too much memory
+	EndedIDBytes                                   int64 // memory of these ids, now
 	Displaced                                      int64 // endpoints not called since a newer process is at their address
 	NoZone                                         int64 // refused, since the plan has no room for them in any zone
 	OverRateLimit                                  int64 // refused, since the rate limit of their class is used up
@@ -69,7 +71,8 @@
 	e.Dict("in", zerolog.Dict().Int64("requests", c.Requests).Int64("taken", c.Accepted).Int64("repeated", c.Duplicates).
 		Int64("refused", c.RefusedImmediately).Int64("failed", c.FailedImmediately).Int64("turned_away", c.OverMaxHeld).
 		Int64("no_room", c.NoRoom).Int64("unreadable", c.Invalid).Int64("withdrawn", c.MessagesCancelled).
-		Int64("resumed", c.Resumed).Int64("lost", c.BodiesLost).Int("held", c.Held).Int64("body_bytes", c.BodyBytes))
+		Int64("resumed", c.Resumed).Int64("lost", c.BodiesLost).Int("held", c.Held).Int64("body_bytes", c.BodyBytes).
+		Int64("over_ended_ids", c.OverEndedIDs).Int64("ended_id_bytes", c.EndedIDBytes))
 	e.Dict("sent", zerolog.Dict().Int64("calls", c.Calls).Int64("held_back", c.CallsSuppressed).Int("out", c.CallsOut).
 		Int64("ok", c.Delivered).Int64("error", c.Errors).Int64("full", c.RefusedByEndpoint).Int64("timed_out", c.TimedOut).
 		Int64("connect_failed", c.ConnectFailed).Int64("reset", c.Reset).Int64("cancelled", c.Cancelled).Int64("moot", c.NotSent).Int64("ended_not_called", c.EndedNotCalled))
--- a/internal/routing/ended_ids.go
+++ b/internal/routing/ended_ids.go
@@ -17,8 +17,12 @@
 	seq     uint64 // sequence number of its journal record, removed when the id expires; 0 if none
 }
 
+// endedIDBytes is the memory of an ended id beside its text: its record, its entry in the map, and what these keep free to grow.
+const endedIDBytes = 128
+
 // endedIDs holds the ids of recently ended messages.
 type endedIDs struct {
+	bytes     int64           // memory of all of them
 	delivered map[string]bool // by id
 	queue     []endedRecord   // short messages, oldest first
 	long      []endedRecord   // long messages, oldest first
@@ -32,6 +36,7 @@
 // add registers an end that happens now; seq is its journal record, or 0.
 func (p *endedIDs) add(id string, delivered, long bool, seq uint64) {
 	p.delivered[id] = delivered
+	p.bytes += int64(len(id)) + endedIDBytes
 	ended := endedRecord{id, time.Now(), seq}
 	if seq > 0 {
 		p.closed++
@@ -69,6 +74,7 @@
 func (p *endedIDs) expire(after, afterLong time.Duration) (records []uint64) {
 	expireQueue := func(queue []endedRecord, after time.Duration, expired *int) []endedRecord {
 		for len(queue) > 0 && time.Since(queue[0].endedAt) > after {
+			p.bytes -= int64(len(queue[0].id)) + endedIDBytes
 			if delete(p.delivered, queue[0].id); queue[0].seq > 0 {
 				records = append(records, queue[0].seq)
 				p.closed--
@@ -105,3 +111,9 @@
 	read(p.long, p.expired.long, &next.long)
 	return ids, next
 }
+
+// hasRoom reports whether another message may be accepted, whose id has to be kept once it has ended. The ids may take up to limit
+// bytes, 0 for no limit; a connection may have as many of them as are left for all others.
+func (p *endedIDs) hasRoom(limit int64, connectionAccepted int) bool {
+	return limit == 0 || p.bytes+int64(connectionAccepted)*endedIDBytes < limit
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -35,6 +35,7 @@
 	DrainTimeout time.Duration  // maximum time that calls may stay out after the stop
 	ClientGrace  time.Duration  // how long after the stop clients may still connect, and are answered
 	Long         LongLimits
+	EndedIDBytes int64            // most memory for the ids of ended messages; 0 for no limit
 	Learned      *mb.LearnedState // state learned by an earlier process; nil for none
 	// EndedBefore reports whether the message with the id ended in an earlier process, and whether it was delivered;
 	// nil knows of none.
@@ -290,6 +291,7 @@
 func (r *Router) Counters() Counters {
 	c, ok := execute(r, func() Counters {
 		r.counters.Held, r.counters.CallsOut, r.counters.BodyBytes = len(r.messagesByID), r.callsOut, r.bodyBytes()
+		r.counters.EndedIDBytes = r.ended.bytes
 		r.counters.PendingRecords = r.cfg.Log.UnwrittenRecords()
 		r.counters.LongHeld, r.counters.LongCallsOut = r.longCount-r.longCalls, r.longCalls
 		return r.counters
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -19,6 +19,8 @@
 	TimeLeft    time.Duration // how long it may still be delivered
 	Body        []byte
 	Long        *Long // set if the body is streamed instead of stored
+	// ConnectionAccepted is how many messages were accepted of late on the connection that submits this one.
+	ConnectionAccepted int
 }
 
 // Verdict is the answer to a submitted message.
--- a/internal/transport/client_session.go
+++ b/internal/transport/client_session.go
@@ -23,6 +23,28 @@
 	betweenRequests bool
 	followsRequest  bool // the current request had arrived when the one before it was answered
 	firstRequest    bool
+	accepted        recentCount // messages accepted on the connection
+}
+
+// recentPeriod is how long a message counts as accepted of late: about as long as its id is kept.
+const recentPeriod = 10 * time.Second
+
+// recentCount counts events of the present recentPeriod and the one before, whose count fades.
+type recentCount struct {
+	began           time.Time // of the present period
+	current, before int
+}
+
+// at returns the count at a time.
+func (c *recentCount) at(now time.Time) int {
+	switch age := now.Sub(c.began); {
+	case age >= 2*recentPeriod:
+		*c = recentCount{began: now}
+	case age >= recentPeriod:
+		*c = recentCount{began: c.began.Add(recentPeriod), before: c.current}
+	}
+	left := 1 - now.Sub(c.began).Seconds()/recentPeriod.Seconds()
+	return c.current + int(left*float64(c.before))
 }
 
 func (s *Clients) serve(c *clientConn) {
@@ -266,7 +288,10 @@
 	} else if kind == protocol.SubmitMessage {
 		status = 202
 		submission.Timeout -= c.queueDelay()
-		refusal, cancel = s.Handler.Accept(submission)
+		submission.ConnectionAccepted = x.accepted.at(time.Now())
+		if refusal, cancel = s.Handler.Accept(submission); refusal == nil {
+			x.accepted.current++
+		}
 	}
 	if refusal != nil && refusal.Status == 0 { // no answer is known to be true: send none
 		return false
