Reload: a changed memory limit is applied to the running program

A reload now applies them and logs them (reload: limits applied). Connections are divided at the start, as before.

--- a/cmd/larkreach/main.go
+++ b/cmd/larkreach/main.go
@@ -133,6 +133,19 @@
 		Handler: handler{router}, MaxConnections: maxClients, Streams: streamConfig, Samples: samples, RequestMemory: &transport.RequestMemory{},
 	}
 	clients.RequestMemory.SetLimit(shares.requests)
+	limitsInForce := cfg.Limits
+	applyLimits := func(l limits) {
+		if l == limitsInForce {
+			return
+		}
+		limitsInForce = l
+		debug.SetMemoryLimit(l.heapBytes())
+		now := divideMemory(l, maxClients, cfg.Settings.Slots)
+		clients.RequestMemory.SetLimit(now.requests)
+		router.LimitEndedIDs(now.endedIDs)
+		logger.Info().Str("part", "reload").Int64("memory_mb", l.MemoryMB).Int64("request_bytes", now.requests).
+			Int64("ended_id_bytes", now.endedIDs).Msg("limits applied")
+	}
 	logCounters := func(when string) {
 		routerCounters, line := router.Counters(), logger.Info()
 		if streamConfig != nil {
@@ -149,7 +162,7 @@
 		line.Msg(when)
 	}
 	reload := reloader{
-		getenv: getenv, stateDir: cfg.StateDir, startAddress: cfg.ConfiguredDiscovery, address: discovery,
+		getenv: getenv, stateDir: cfg.StateDir, startAddress: cfg.ConfiguredDiscovery, address: discovery, applyLimits: applyLimits,
 		logger: logger.With().Str("part", "reload").Logger(),
 	}
 	runFleet := func(ctx context.Context) error {
--- a/cmd/larkreach/reload.go
+++ b/cmd/larkreach/reload.go
@@ -62,6 +62,7 @@
 	stateDir     string
 	startAddress string // discovery address at the start: ROUTER_DISCOVERY, or else the configuration file's
 	address      *transport.Address
+	applyLimits  func(limits) // applies those of the limits that can change while the program runs
 	logger       zerolog.Logger
 }
 
@@ -102,7 +103,7 @@
 // left.
 func (r reloader) advance(ctx context.Context, pending *pendingReload) (pause time.Duration) {
 	if pending.readFile {
-		to, err := r.readAddress()
+		to, newLimits, err := r.readConfig()
 		if err != nil && isTransient(err) {
 			r.logNotApplied(pending, err)
 			return fileRetryInterval
@@ -111,6 +112,7 @@
 			r.logger.Warn().Err(err).Msg("new configuration not used, keeping the previous one")
 		} else {
 			pending.target, pending.recordMove, pending.connect = to, true, true
+			r.applyLimits(newLimits)
 		}
 	}
 	if pending.recordMove {
@@ -153,14 +155,14 @@
 	}
 }
 
-// readAddress returns the discovery address in the configuration file.
-func (r reloader) readAddress() (string, error) {
+// readConfig returns the discovery address and the limits in the configuration file.
+func (r reloader) readConfig() (address string, newLimits limits, err error) {
 	cfg, err := loadConfig(r.getenv)
 	if err != nil {
-		return "", err
+		return "", limits{}, err
 	}
 	if _, port, err := net.SplitHostPort(cfg.FileDiscovery); err != nil || port == "" {
-		return "", fmt.Errorf("config: discovery %q is not a HOST:PORT address", cfg.FileDiscovery)
+		return "", limits{}, fmt.Errorf("config: discovery %q is not a HOST:PORT address", cfg.FileDiscovery)
 	}
-	return cfg.FileDiscovery, nil
+	return cfg.FileDiscovery, cfg.Limits, nil
 }
--- a/internal/routing/ended_ids.go
+++ b/internal/routing/ended_ids.go
@@ -117,3 +117,6 @@
 func (p *endedIDs) hasRoom(limit int64, connectionAccepted int) bool {
 	return limit == 0 || p.bytes+int64(connectionAccepted)*endedIDBytes < limit
 }
+
+// LimitEndedIDs changes Config.EndedIDBytes. Ids beyond it are kept until they expire.
+func (r *Router) LimitEndedIDs(bytes int64) { r.post(func() { r.cfg.EndedIDBytes = bytes }) }
