--- a/cmd/larkreach/bursts_test.go
+++ b/cmd/larkreach/bursts_test.go
@@ -4,8 +4,6 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os/exec"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -20,13 +18,12 @@
 	burstAllowedBytes = burstMemoryMB << 20 / 4 * 3
 )
 
-// buildProgram builds the program as it is deployed: the race detector's own memory would hide the program's.
+// buildProgram builds the program in a folder of the test.
 func buildProgram(t *testing.T) string {
 	t.Helper()
-	program := filepath.Join(t.TempDir(), "larkreach")
-	build := exec.Command("go", "build", "-o", program, ".")
-	if output, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, output)
+	program, err := experiment.BuildForwarder(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
 	}
 	return program
 }
--- a/internal/lab/experiment/bursts.go
+++ b/internal/lab/experiment/bursts.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -47,6 +49,17 @@
 	countersInterval   = 100 * time.Millisecond
 )
 
+// BuildForwarder builds the forwarder in a folder, as it is deployed but for the linker, and returns the program's path. The race
+// detector's own memory would hide the program's.
+func BuildForwarder(dir string) (program string, err error) {
+	program = filepath.Join(dir, "larkreach")
+	build := exec.Command("go", "build", "-o", program, "mulleinbeam/cmd/larkreach")
+	if output, err := build.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("lab: build: %w\n%s", err, output)
+	}
+	return program, nil
+}
+
 // Run starts the forwarder with one endpoint, plays the load and returns the figures. Over the memory limit the
 // forwarder is killed, as the platform does.
 func (b Bursts) Run() (figures BurstFigures, err error) {
