Test: TestReload waits until the first call's connection is idle

Traced: the test hands the second message in as soon as it has written the first one's answer. If the forwarder decides on that message before it has read the answer, the call opens connection 2; the third call then takes connection 1, which has rested longer.

--- a/cmd/larkreach/larkreach_test.go
+++ b/cmd/larkreach/larkreach_test.go
@@ -353,6 +353,7 @@
 	old.refuse.Store(true)
 	s.submit("failed", "unsafe", 7)
 	(<-a.calls).answer("500 Error")
+	s.waitForCounter(" error=1 ") // its connection is idle from here on
 	s.submit("out", "unsafe", 7)
 	out := <-a.calls
 	for _, wrong := range []any{"", "nowhere", 7} {
