Memory: the windows of long bodies are part of the sum

The platform has [bodies] off and is as it was. TestMemorySharesAddUp holds it at the corners; TestReload* and the rows of TestManyRequestsAtOnce with bodies on pass.

--- a/cmd/larkreach/main.go
+++ b/cmd/larkreach/main.go
@@ -105,7 +105,8 @@
 	discovery := transport.NewAddress(cfg.Discovery)
 	reporter := transport.NewReporter(discovery, logger)
 	maxClients := connections * 3 / 4
-	shares := divideMemory(cfg.Limits, maxClients, cfg.Settings.Slots)
+	windows := windowMemory(settingsFile.Bodies)
+	shares := divideMemory(cfg.Limits, maxClients, cfg.Settings.Slots, windows)
 	routerConfig := routing.Config{
 		Settings: cfg.Settings, Seed: cfg.Seed, InitialList: endpointList(cfg.Known, true), Log: journal,
 		Caller: caller{endpoints}, Notifier: notifier{reporter}, Logger: logger, Sampler: samples, DrainTimeout: drainTimeout, ClientGrace: clientGrace,
@@ -140,7 +141,7 @@
 		}
 		limitsInForce = l
 		debug.SetMemoryLimit(l.heapBytes())
-		now := divideMemory(l, maxClients, cfg.Settings.Slots)
+		now := divideMemory(l, maxClients, cfg.Settings.Slots, windows)
 		clients.RequestMemory.SetLimit(now.requests)
 		router.LimitEndedIDs(now.endedIDs)
 		logger.Info().Str("part", "reload").Int64("memory_mb", l.MemoryMB).Int64("request_bytes", now.requests).
--- a/cmd/larkreach/memory_limits_test.go
+++ b/cmd/larkreach/memory_limits_test.go
@@ -18,11 +18,15 @@
 				t.Fatal(err)
 			}
 			clients := connections * 3 / 4
-			shares := divideMemory(cfg.Limits, clients, cfg.Settings.Slots)
+			shares := divideMemory(cfg.Limits, clients, cfg.Settings.Slots, 0)
 			sum := shares.requests + shares.endedIDs + programBytes + int64(clients+transport.OverflowConnections)*connectionBytes + 10*answerBytes + 3e6
 			if sum > cfg.Limits.heapBytes() || shares.requests < largestRequests*(64<<10) || shares.endedIDs < 1<<20 {
 				t.Errorf("%d MB, %d descriptors: %+v, in all %d of %d bytes", memoryMB, sockets, shares, sum, cfg.Limits.heapBytes())
 			}
+			const windows = 1 << 20
+			if long := divideMemory(cfg.Limits, clients, cfg.Settings.Slots, windows); long.requests+long.endedIDs+windows != shares.requests+shares.endedIDs {
+				t.Errorf("%d MB, %d descriptors: %+v beside %d bytes of windows, %+v without", memoryMB, sockets, long, windows, shares)
+			}
 		}
 	}
 }
